Serve the whole path, thin: online, batch and configuration

Cause: the repository was empty; no request could be served. Change: an entry instance with online inference, batch jobs, configuration by revision, membership by gossip, a platform port with HTTP and memory adapters, an engine emulator, the command line and the standalone mode.

--- /dev/null
+++ b/Makefile
@@ -0,0 +1,55 @@
+# Targets for developers; `make demo` and `make test` need Python 3.11 only.
+
+PYTHON ?= python3
+VENV := .venv
+BIN := $(VENV)/bin
+STAMP := $(VENV)/.installed
+
+.PHONY: setup demo test lint format types generated behave bench slopes chaos generate clean
+
+setup: $(STAMP)
+
+$(STAMP): requirements.lock pyproject.toml
+	$(PYTHON) -m venv $(VENV)
+	$(BIN)/pip install --quiet --disable-pip-version-check -r requirements.lock
+	$(BIN)/pip install --quiet --disable-pip-version-check --no-deps --no-build-isolation -e .
+	touch $(STAMP)
+
+demo: setup
+	$(BIN)/python -m demo
+
+test: lint types generated behave
+
+lint: setup
+	$(BIN)/ruff check .
+	$(BIN)/ruff format --check .
+
+format: setup
+	$(BIN)/ruff check --fix .
+	$(BIN)/ruff format .
+
+types: setup
+	$(BIN)/mypy
+
+generate: setup
+	PATH="$(CURDIR)/$(BIN):$$PATH" $(BIN)/python -m grpc_tools.protoc -I proto \
+	  --py_out=src --connectrpc_out=src proto/coppercleat/v1/*.proto
+	rm -f src/__init__.py
+
+generated: generate
+	git diff --exit-code --stat -- src/coppercleat/v1
+
+behave: setup
+	$(BIN)/behave --no-capture tests/features
+
+bench: setup
+	$(BIN)/python -m bench.online
+
+slopes: setup
+	$(BIN)/python -m bench.slopes
+
+chaos: setup
+	$(BIN)/python -m bench.chaos
+
+clean:
+	rm -rf $(VENV) build dist
--- /dev/null
+++ b/src/coppercleat/batch/__init__.py
@@ -0,0 +1,48 @@
+"""Batch jobs: accepted means done once, readable, on time or known to be late."""
+
+from coppercleat.batch._challenges import Challenges
+from coppercleat.batch._feed import FEED_POLICIES, FeedPolicy, RunnerView, feed_policy
+from coppercleat.batch._forecast import Forecast, forecast
+from coppercleat.batch._items import Item, ItemLines, ItemResult
+from coppercleat.batch._jobs import Division, JobState, divide
+from coppercleat.batch._rows import JobRow, SegmentRow
+from coppercleat.batch._runner import BatchRunner, HolderState
+from coppercleat.batch._share import ClaimChooser, OpenJob
+from coppercleat.batch._store import (
+    Claimed,
+    Commit,
+    HeldSegment,
+    JobStore,
+    Progress,
+    Submission,
+    Submitted,
+)
+
+__all__ = [
+    "FEED_POLICIES",
+    "BatchRunner",
+    "Challenges",
+    "ClaimChooser",
+    "Claimed",
+    "Commit",
+    "Division",
+    "FeedPolicy",
+    "Forecast",
+    "HeldSegment",
+    "HolderState",
+    "Item",
+    "ItemLines",
+    "ItemResult",
+    "JobRow",
+    "JobState",
+    "JobStore",
+    "OpenJob",
+    "Progress",
+    "RunnerView",
+    "SegmentRow",
+    "Submission",
+    "Submitted",
+    "divide",
+    "feed_policy",
+    "forecast",
+]
--- /dev/null
+++ b/src/coppercleat/batch/_feed.py
@@ -0,0 +1,96 @@
+"""Policies that decide how many batch items run on a runner at once.
+
+Engines admit requests as they come, so whoever feeds batch to a runner sets
+the online tail. One instance feeds each runner; it knows its own online
+requests there at once and its peers' within milliseconds.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from typing import Protocol, TypeVar
+
+import msgspec
+
+_FIRST_LIMIT = 4
+_GROWTH_S = 0.1
+_HOLD_S = 0.15
+_STATIC_SHARE = 4
+
+
+class RunnerView(msgspec.Struct, frozen=True, kw_only=True):
+    """What a policy sees of a runner.
+
+    Attributes:
+      online: Online requests in flight there, of all instances.
+      batch: Batch items running there.
+      max_concurrency: Items at once at most.
+    """
+
+    online: int
+    batch: int
+    max_concurrency: int
+
+
+class FeedPolicy(Protocol):
+    """Decides for one runner; the clock is passed in."""
+
+    def limit(self, view: RunnerView, now: float) -> int:
+        """Returns how many batch items may run now."""
+        ...
+
+
+FEED_POLICIES: dict[str, Callable[[], FeedPolicy]] = {}
+
+_P = TypeVar("_P", bound=Callable[[], FeedPolicy])
+
+
+def feed_policy(name: str) -> Callable[[_P], _P]:
+    """Registers a policy under its name in the settings."""
+
+    def register(policy: _P) -> _P:
+        FEED_POLICIES[name] = policy
+        return policy
+
+    return register
+
+
+@feed_policy("none")
+class NoPolicy:
+    """Feeds as much as the runner may take, whatever happens online."""
+
+    def limit(self, view: RunnerView, now: float) -> int:
+        """See ``FeedPolicy.limit``."""
+        return view.max_concurrency
+
+
+@feed_policy("static")
+class StaticShare:
+    """Feeds a fixed quarter, whatever happens online."""
+
+    def limit(self, view: RunnerView, now: float) -> int:
+        """See ``FeedPolicy.limit``."""
+        return max(1, view.max_concurrency // _STATIC_SHARE)
+
+
+@feed_policy("yield")
+class YieldToOnline:
+    """Lets go at once when an online request arrives; grows back in steps.
+
+    The limit falls to nothing while online requests are in flight and for a
+    short hold after the last, then doubles from a small start.
+    """
+
+    def __init__(self) -> None:
+        self._online_at = float("-inf")
+
+    def limit(self, view: RunnerView, now: float) -> int:
+        """See ``FeedPolicy.limit``."""
+        if view.online:
+            self._online_at = now
+            return 0
+        quiet = now - self._online_at - _HOLD_S
+        if quiet < 0:
+            return 0
+        doublings = min(16, int(min(quiet, 60.0) / _GROWTH_S))
+        return min(view.max_concurrency, _FIRST_LIMIT << doublings)
--- /dev/null
+++ b/src/coppercleat/batch/_work.py
@@ -0,0 +1,110 @@
+"""The items of one held segment: which wait, run and are done."""
+
+from __future__ import annotations
+
+import collections
+from collections.abc import Sequence
+
+import attrs
+import trio
+
+from coppercleat.batch._items import Item, ItemResult
+from coppercleat.batch._store import HeldSegment
+
+
+@attrs.define(kw_only=True, eq=False)
+class ItemWork:
+    """One item on its way to its result.
+
+    Attributes:
+      index: Its place in the job.
+      made: Texts that cancelled runs have made, so that none is lost.
+      attempts: Executions started.
+      failures: Executions that failed; yielding is no failure.
+    """
+
+    index: int
+    item: Item
+    made: list[str] = attrs.field(factory=list)
+    attempts: int = 0
+    failures: int = 0
+
+
+class SegmentWork:
+    """Hands out a segment's items and gathers the results chunk by chunk.
+
+    Attributes:
+      held: The claim.
+      lost: Whether the claim is gone; nothing may be committed.
+      draining: Whether only chunks already begun are handed out.
+      commit_lock: Held while a chunk is committed, for each commit changes
+        the row that the next one checks.
+    """
+
+    def __init__(self, held: HeldSegment, items: Sequence[Item]) -> None:
+        self.held = held
+        self.lost = False
+        self.draining = False
+        self.commit_lock = trio.Lock()
+        division = held.job.division
+        self._start = division.segment_range(held.segment).start
+        self._chunk_items = division.chunk_items
+        self._results: dict[int, dict[int, ItemResult]] = {}
+        self._waiting: collections.deque[ItemWork] = collections.deque()
+        self._uncommitted = 0
+        for chunk, name in enumerate(held.row.results):
+            if name:
+                continue
+            self._uncommitted += 1
+            self._results[chunk] = {}
+            for index in division.chunk_range(held.segment, chunk):
+                item = items[index - self._start]
+                self._waiting.append(ItemWork(index=index, item=item))
+        self._begun: set[int] = set()
+
+    @property
+    def waiting(self) -> int:
+        """Items not running and without a result."""
+        return len(self._waiting)
+
+    @property
+    def finished(self) -> bool:
+        """Whether every chunk has been committed."""
+        return self._uncommitted == 0
+
+    def take(self) -> ItemWork | None:
+        """Returns the next item to run, or None."""
+        if self.lost or not self._waiting:
+            return None
+        chunk = self.chunk_of(self._waiting[0])
+        if self.draining and chunk not in self._begun:
+            return None
+        self._begun.add(chunk)
+        return self._waiting.popleft()
+
+    def put_back(self, work: ItemWork) -> None:
+        """Returns an item that was taken and has no result; it goes first."""
+        self._waiting.appendleft(work)
+
+    def finish(self, work: ItemWork, result: ItemResult) -> int | None:
+        """Records a result; returns the chunk if that completes it."""
+        chunk = self.chunk_of(work)
+        results = self._results[chunk]
+        results[work.index] = result
+        division = self.held.job.division
+        whole = len(division.chunk_range(self.held.segment, chunk))
+        return chunk if len(results) == whole else None
+
+    def chunk_of(self, work: ItemWork) -> int:
+        """Returns the chunk of an item."""
+        return (work.index - self._start) // self._chunk_items
+
+    def results(self, chunk: int) -> list[ItemResult]:
+        """Returns a complete chunk's results in item order."""
+        found = self._results[chunk]
+        return [found[index] for index in sorted(found)]
+
+    def committed(self, chunk: int) -> None:
+        """Forgets a chunk's results, which are now readable."""
+        del self._results[chunk]
+        self._uncommitted -= 1
--- /dev/null
+++ b/src/coppercleat/ids.py
@@ -0,0 +1,27 @@
+"""Identifier types, so that one kind is never taken for another."""
+
+from __future__ import annotations
+
+import random
+from typing import NewType
+
+InstanceId = NewType("InstanceId", str)
+ZoneId = NewType("ZoneId", str)
+RegionId = NewType("RegionId", str)
+TenantId = NewType("TenantId", str)
+UpstreamId = NewType("UpstreamId", str)
+DeploymentId = NewType("DeploymentId", str)
+RequestId = NewType("RequestId", str)
+JobId = NewType("JobId", str)
+Revision = NewType("Revision", int)
+
+_TOKEN_BITS = 80
+
+
+def random_token(rng: random.Random) -> str:
+    """Returns a fresh token of 20 hexadecimal digits.
+
+    Args:
+      rng: Source of randomness; pass ``random.SystemRandom()`` outside tests.
+    """
+    return f"{rng.getrandbits(_TOKEN_BITS):020x}"
--- /dev/null
+++ b/src/coppercleat/instance/_fleet.py
@@ -0,0 +1,224 @@
+"""Follows the platform's list and the upstreams' reports, and keeps clients."""
+
+from __future__ import annotations
+
+import random
+from collections.abc import Callable
+
+import trio
+
+from coppercleat.batch import HolderState
+from coppercleat.errors import PlatformUnavailableError
+from coppercleat.ids import InstanceId, JobId, UpstreamId, ZoneId
+from coppercleat.membership import Detector
+from coppercleat.observability import part_logger
+from coppercleat.platform import Node, NodeRole, Platform
+from coppercleat.routing import (
+    PeerArrivals,
+    RoutingTable,
+    UpstreamRecord,
+    feeder,
+    owner,
+    subset,
+)
+from coppercleat.settings import Settings
+from coppercleat.upstreams import UpstreamClient
+
+_OTHERS_POLL_FACTOR = 4
+_MISSING_REPORTS = 3
+
+_log = part_logger("fleet")
+
+
+class Fleet:
+    """Upstreams and other instances as this instance knows them.
+
+    Attributes:
+      table: The upstreams followed.
+      nodes: The platform's list as last read here or by a peer.
+      list_read: Whether the list has been read from the platform or a peer.
+      arrivals: Online requests of peers.
+    """
+
+    def __init__(
+        self,
+        settings: Settings,
+        platform: Platform,
+        detector: Detector,
+        *,
+        rng: random.Random,
+        on_leaving: Callable[[UpstreamId], None] = lambda upstream: None,
+    ) -> None:
+        """Prepares the fleet.
+
+        Args:
+          settings: This instance's settings.
+          platform: Where the list is read.
+          detector: Tells which instances live.
+          rng: Source of randomness for pauses.
+          on_leaving: Told when an upstream itself says that it leaves.
+        """
+        self.settings = settings
+        self.platform = platform
+        self.detector = detector
+        self.rng = rng
+        self.on_leaving = on_leaving
+        self.table = RoutingTable()
+        self.nodes: tuple[Node, ...] = ()
+        self.list_read = False
+        self.arrivals = PeerArrivals()
+        self._online: dict[UpstreamId, UpstreamClient] = {}
+        self._batch: dict[UpstreamId, UpstreamClient] = {}
+        self._pollers: dict[UpstreamId, trio.CancelScope] = {}
+        self._nursery: trio.Nursery | None = None
+
+    async def run(self) -> None:
+        """Reads list and reports until cancelled."""
+        async with trio.open_nursery() as nursery:
+            self._nursery = nursery
+            while True:
+                await self.refresh()
+                pause = self.settings.platform.list_poll_s
+                await trio.sleep(pause * self.rng.uniform(0.75, 1.25))
+
+    async def refresh(self) -> None:
+        """Reads the platform's list once; keeps the last one if it is away."""
+        try:
+            listing = await self.platform.list_nodes()
+        except PlatformUnavailableError:
+            return
+        self.take_nodes(listing.nodes)
+
+    def take_nodes(self, nodes: tuple[Node, ...]) -> None:
+        """Takes a list, read here or by a peer."""
+        now = trio.current_time()
+        self.nodes = nodes
+        self.list_read = True
+        entries = [node for node in nodes if node.role is NodeRole.ENTRY]
+        self.detector.observe_list(
+            [(InstanceId(n.id), n.address, ZoneId(n.zone)) for n in entries], now
+        )
+        added, gone = self.table.observe_list(self._followed(nodes), now)
+        for record in added:
+            self._open(record)
+        for record in gone:
+            self._close(record.upstream)
+
+    def _followed(self, nodes: tuple[Node, ...]) -> list[Node]:
+        upstreams = [node for node in nodes if node.role is not NodeRole.ENTRY]
+        instance = self.settings.instance
+        fed = frozenset(
+            node.id
+            for node in upstreams
+            if self._feeder(UpstreamId(node.id), ZoneId(node.zone)) == instance.id
+        )
+        return subset(instance.instance_id, instance.zone_id, upstreams, fed=fed)
+
+    def _open(self, record: UpstreamRecord) -> None:
+        timeout = self.settings.online.connect_timeout_s
+        for clients in (self._online, self._batch):
+            clients[record.upstream] = UpstreamClient(
+                record.upstream, record.node.address, connect_timeout_s=timeout
+            )
+        if self._nursery is not None and record.node.role is NodeRole.ENGINE:
+            scope = trio.CancelScope()
+            self._pollers[record.upstream] = scope
+            self._nursery.start_soon(self._poll_load, record, scope)
+        _log.info("Upstream listed.", upstream=record.upstream)
+
+    def _close(self, upstream: UpstreamId) -> None:
+        scope = self._pollers.pop(upstream, None)
+        if scope is not None:
+            scope.cancel()
+        for clients in (self._online, self._batch):
+            client = clients.pop(upstream, None)
+            if client is not None and self._nursery is not None:
+                self._nursery.start_soon(_close_later, client, self.settings)
+        _log.info("Upstream gone.", upstream=upstream)
+
+    async def _poll_load(self, record: UpstreamRecord, scope: trio.CancelScope) -> None:
+        """Asks an upstream for its load, more often if this instance feeds it."""
+        missing = 0
+        with scope:
+            while True:
+                report = await self._online[record.upstream].load()
+                now = trio.current_time()
+                if report is not None:
+                    missing = 0
+                    was_leaving = record.leaving
+                    record.observe_report(report, now)
+                    if record.leaving and not was_leaving:
+                        self.on_leaving(record.upstream)
+                else:
+                    missing += 1
+                    if missing >= _MISSING_REPORTS:
+                        record.health.failed(now)
+                pause = self.settings.online.load_poll_s
+                if not self._feeds(record):
+                    pause *= _OTHERS_POLL_FACTOR
+                await trio.sleep(pause * self.rng.uniform(0.75, 1.25))
+
+    # What the batch runner asks.
+
+    def fed(self) -> list[UpstreamRecord]:
+        """See ``coppercleat.batch``: upstreams this instance feeds."""
+        now = trio.current_time()
+        return [
+            record
+            for record in self.table
+            if record.node.role is NodeRole.ENGINE
+            and not record.leaving
+            and self._feeds(record)
+            and record.health.may_try(now)
+        ]
+
+    def online_total(self, upstream: UpstreamId) -> int:
+        """Returns online requests in flight there, of all instances."""
+        record = self.table.get(upstream)
+        own = record.online if record else 0
+        return own + self.arrivals.total(upstream)
+
+    def holder_state(self, holder: InstanceId, incarnation: int) -> HolderState:
+        """Returns what is known of a segment's holder."""
+        now = trio.current_time()
+        member = self.detector.members.get(holder)
+        line = member.line if member else None
+        return HolderState(
+            heard=self.detector.is_alive(holder, now),
+            restarted=line is not None and line.incarnation > incarnation,
+        )
+
+    def is_steward(self, job: JobId) -> bool:
+        """Returns whether this instance watches over a job's due time."""
+        alive = self.detector.alive(trio.current_time())
+        return owner(job, alive) == self.settings.instance.id
+
+    def feeder_of(self, record: UpstreamRecord) -> InstanceId | None:
+        """Returns the instance that feeds batch to an upstream."""
+        return self._feeder(record.upstream, record.zone)
+
+    def _feeds(self, record: UpstreamRecord) -> bool:
+        return self.feeder_of(record) == self.settings.instance.id
+
+    def _feeder(self, upstream: UpstreamId, zone: ZoneId) -> InstanceId | None:
+        alive = [
+            (instance, self.detector.zone_of(instance) or ZoneId(""))
+            for instance in self.detector.alive(trio.current_time())
+        ]
+        return feeder(upstream, zone, alive)
+
+    # Clients.
+
+    def online_client(self, upstream: UpstreamId) -> UpstreamClient:
+        """Returns the client for online requests."""
+        return self._online[upstream]
+
+    def batch_client(self, upstream: UpstreamId) -> UpstreamClient:
+        """Returns the client for batch items, with connections of its own."""
+        return self._batch[upstream]
+
+
+async def _close_later(client: UpstreamClient, settings: Settings) -> None:
+    """Closes a client once requests in flight have had time to end."""
+    await trio.sleep(settings.stop.drain_s)
+    await client.aclose()
--- /dev/null
+++ b/src/coppercleat/instance/_peers.py
@@ -0,0 +1,254 @@
+"""Speaks with the other instances: heartbeats, configuration, arrivals."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from typing import Any
+
+import msgspec
+import trio
+
+from coppercleat.configuration import Change
+from coppercleat.ids import InstanceId, JobId, UpstreamId
+from coppercleat.instance._fleet import Fleet
+from coppercleat.instance._keeper import ConfigurationKeeper
+from coppercleat.membership import (
+    ConfigurationChanges,
+    ConfigurationPull,
+    ConfigurationSnapshot,
+    Detector,
+    EnvelopeReader,
+    EnvelopeWriter,
+    Garbage,
+    Heartbeat,
+    JobHint,
+    Links,
+    Message,
+    NodesKnown,
+    OnlineArrivals,
+    UpstreamLeaving,
+)
+from coppercleat.observability import Metrics, part_logger
+from coppercleat.settings import Settings
+
+_DEPARTURES_S = 0.05
+_PULL_PAUSE_S = 0.25
+
+_log = part_logger("peers")
+
+_Handler = Callable[["Peers", InstanceId, Any], None]
+_HANDLERS: dict[type[msgspec.Struct], _Handler] = {}
+
+
+def _handles(message: type[msgspec.Struct]) -> Callable[[_Handler], _Handler]:
+    """Registers the handler of a kind of message."""
+
+    def register(handler: _Handler) -> _Handler:
+        _HANDLERS[message] = handler
+        return handler
+
+    return register
+
+
+class Peers:
+    """This instance's end of all that instances tell each other.
+
+    Attributes:
+      on_arrivals: Told of upstreams whose online requests changed.
+      on_job_hint: Told to look for jobs now.
+    """
+
+    def __init__(
+        self,
+        settings: Settings,
+        detector: Detector,
+        fleet: Fleet,
+        keeper: ConfigurationKeeper,
+        metrics: Metrics,
+    ) -> None:
+        self.settings = settings
+        self.detector = detector
+        self.fleet = fleet
+        self.keeper = keeper
+        self.metrics = metrics
+        self.on_arrivals: Callable[[UpstreamId], None] = lambda upstream: None
+        self.on_job_hint: Callable[[], None] = lambda: None
+        self._links = Links(settings.listen.peers)
+        self._reader = EnvelopeReader(keys=settings.peers.keys)
+        self._writer = EnvelopeWriter(
+            settings.instance.instance_id,
+            detector.own.incarnation,
+            key=settings.peers.keys[0],
+        )
+        self._pulled_at = float("-inf")
+        self._told: dict[UpstreamId, int] = {}
+        self._departed: set[UpstreamId] = set()
+
+    async def run(self) -> None:
+        """Sends and receives until cancelled."""
+        try:
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(self._links.receive, self._receive)
+                nursery.start_soon(self._beat_forever)
+                nursery.start_soon(self._tell_departures_forever)
+        finally:
+            self._links.close()
+
+    # Sending.
+
+    async def _beat_forever(self) -> None:
+        while True:
+            self._beat(trio.current_time())
+            await trio.sleep(self.settings.peers.heartbeat_s)
+
+    def _beat(self, now: float) -> None:
+        heartbeat, targets = self.detector.tick(
+            now, revision=self.keeper.document.revision
+        )
+        self._writer.incarnation = self.detector.own.incarnation
+        for instance in targets:
+            self.send(instance, heartbeat)
+        if not self.detector.members:
+            for address in self.settings.peers.seeds:
+                self._links.send(address, self._writer.seal(heartbeat))
+        if self.detector.paused:
+            _log.warning("This instance was paused.")
+        self._forget_dead(now)
+        self._pull_if_behind(now)
+        self.metrics.members.set({}, len(self.detector.alive(now)))
+        self.metrics.peer_bytes.set({"way": "sent"}, self._links.sent_bytes)
+        self.metrics.peer_bytes.set({"way": "received"}, self._links.received_bytes)
+
+    def _forget_dead(self, now: float) -> None:
+        for peer in self.fleet.arrivals.peers():
+            if not self.detector.is_alive(peer, now):
+                for upstream in self.fleet.arrivals.forget(peer):
+                    self.on_arrivals(upstream)
+
+    def _pull_if_behind(self, now: float) -> None:
+        """Asks whoever is ahead, or anybody while nothing is known at all."""
+        revision, ahead = self.detector.highest_revision()
+        starved = not self.keeper.loaded or not self.fleet.list_read
+        if ahead is None and starved:
+            others = self.detector.alive(now)[1:]
+            ahead = others[0] if others else None
+        if ahead is None or now - self._pulled_at < _PULL_PAUSE_S:
+            return
+        if revision > self.keeper.document.revision or starved:
+            self._pulled_at = now
+            pull = ConfigurationPull(
+                self.keeper.document.revision, not self.fleet.list_read
+            )
+            self.send(ahead, pull)
+
+    def send(self, instance: InstanceId, message: Message) -> None:
+        """Sends to a member if its address is known; never waits."""
+        member = self.detector.members.get(instance)
+        if member is not None:
+            self._links.send(member.address, self._writer.seal(message))
+
+    def send_all(self, message: Message) -> None:
+        """Sends to some members of each zone, who pass it on if it is news."""
+        for instance in self.detector.audience():
+            self.send(instance, message)
+
+    def spread_changes(self, changes: list[Change]) -> None:
+        """Spreads changes just adopted."""
+        if changes:
+            self.send_all(ConfigurationChanges(tuple(changes)))
+
+    def spread_leaving(self, upstream: UpstreamId) -> None:
+        """Spreads that an upstream is leaving."""
+        self.send_all(UpstreamLeaving(upstream))
+
+    def hint_job(self, job: JobId) -> None:
+        """Tells members to look for jobs now."""
+        self.send_all(JobHint(job))
+
+    def online_changed(self, upstream: UpstreamId) -> None:
+        """Tells the upstream's feeder: of an arrival now, of an end soon."""
+        record = self.fleet.table.get(upstream)
+        if record is None:
+            return
+        if record.online > self._told.get(upstream, 0):
+            self._tell_arrivals([upstream])
+        else:
+            self._departed.add(upstream)
+
+    async def _tell_departures_forever(self) -> None:
+        while True:
+            await trio.sleep(_DEPARTURES_S)
+            if self._departed:
+                departed, self._departed = self._departed, set()
+                self._tell_arrivals(list(departed))
+
+    def _tell_arrivals(self, upstreams: list[UpstreamId]) -> None:
+        by_feeder: dict[InstanceId, list[tuple[UpstreamId, int]]] = {}
+        for upstream in upstreams:
+            record = self.fleet.table.get(upstream)
+            count = record.online if record else 0
+            self._told[upstream] = count
+            feeder = self.fleet.feeder_of(record) if record else None
+            if feeder is not None and feeder != self.settings.instance.id:
+                by_feeder.setdefault(feeder, []).append((upstream, count))
+        for feeder, counts in by_feeder.items():
+            self.send(feeder, OnlineArrivals(tuple(counts)))
+
+    # Receiving.
+
+    async def _receive(self, data: bytes) -> None:
+        opened = self._reader.open(data)
+        if isinstance(opened, Garbage):
+            self.metrics.garbage.inc({"reason": opened.reason})
+            return
+        sender, message = opened
+        if sender == self.settings.instance.id:
+            return
+        _HANDLERS[type(message)](self, sender, message)
+
+    @_handles(Heartbeat)
+    def _on_heartbeat(self, sender: InstanceId, heartbeat: Heartbeat) -> None:
+        self.detector.observe(heartbeat, trio.current_time())
+
+    @_handles(ConfigurationPull)
+    def _on_pull(self, sender: InstanceId, pull: ConfigurationPull) -> None:
+        if pull.wants_nodes and self.fleet.list_read:
+            self.send(sender, NodesKnown(self.fleet.nodes))
+        if not self.keeper.loaded:
+            return
+        changes = self.keeper.document.changes_after(pull.after)
+        if changes is None or pull.after == 0:
+            snapshot = self.keeper.document.snapshot()
+            self.send(sender, ConfigurationSnapshot(snapshot))
+        elif changes:
+            self.send(sender, ConfigurationChanges(tuple(changes)))
+
+    @_handles(ConfigurationChanges)
+    def _on_changes(self, sender: InstanceId, message: ConfigurationChanges) -> None:
+        self.keeper.adopt_changes(message.changes)
+
+    @_handles(ConfigurationSnapshot)
+    def _on_snapshot(self, sender: InstanceId, message: ConfigurationSnapshot) -> None:
+        self.keeper.adopt_snapshot(message.snapshot)
+
+    @_handles(NodesKnown)
+    def _on_nodes(self, sender: InstanceId, message: NodesKnown) -> None:
+        if not self.fleet.list_read:
+            self.fleet.take_nodes(message.nodes)
+
+    @_handles(OnlineArrivals)
+    def _on_arrivals(self, sender: InstanceId, message: OnlineArrivals) -> None:
+        for upstream in self.fleet.arrivals.observe(sender, message.in_flight):
+            record = self.fleet.table.get(upstream)
+            if record is not None:
+                record.peer_online = self.fleet.arrivals.total(upstream)
+            self.on_arrivals(upstream)
+
+    @_handles(UpstreamLeaving)
+    def _on_leaving(self, sender: InstanceId, message: UpstreamLeaving) -> None:
+        if self.fleet.table.mark_leaving(message.upstream):
+            self.spread_leaving(message.upstream)
+
+    @_handles(JobHint)
+    def _on_job_hint(self, sender: InstanceId, message: JobHint) -> None:
+        self.on_job_hint()
--- /dev/null
+++ b/src/coppercleat/observability/__init__.py
@@ -0,0 +1,7 @@
+"""What the system tells of itself: logs, metrics and the event ring."""
+
+from coppercleat.observability._logs import configure_logs, part_logger
+from coppercleat.observability._metrics import Metrics
+from coppercleat.observability._ring import EventRing
+
+__all__ = ["EventRing", "Metrics", "configure_logs", "part_logger"]
--- /dev/null
+++ b/src/coppercleat/online/_filters.py
@@ -0,0 +1,258 @@
+"""The filters of the online path, in the order in which a request meets them."""
+
+from __future__ import annotations
+
+import contextlib
+import hashlib
+import random
+from collections.abc import AsyncIterator
+
+import msgspec
+import trio
+
+from coppercleat.configuration import Deployment, Kind, Route, Tenant
+from coppercleat.errors import (
+    CoppercleatError,
+    InvalidRequestError,
+    NotFoundError,
+    Outcome,
+    OverloadedError,
+    UnauthenticatedError,
+)
+from coppercleat.ids import TenantId
+from coppercleat.limits import Refusal, Request, TenantLimits
+from coppercleat.observability import part_logger
+from coppercleat.online._claims import ClaimState, StoredAnswer, content_hash
+from coppercleat.online._exchange import Call, Chunk, Exchange, Infer
+from coppercleat.online._pipeline import online_filter
+from coppercleat.online._services import OnlineServices
+
+ANONYMOUS = TenantId("anonymous")
+_MAX_KEY_CHARS = 200
+_MAX_TOKENS = 100_000
+
+_log = part_logger("online")
+
+
+@online_filter(order=10)
+@contextlib.asynccontextmanager
+async def measure(exchange: Exchange, services: OnlineServices) -> AsyncIterator[None]:
+    """Counts and times the request, and logs how it ended."""
+    ended = "cancelled"
+    try:
+        yield
+        ended = "answered"
+    except CoppercleatError as error:
+        ended = error.kind
+        _log.info(
+            "Request refused or failed.",
+            request_id=exchange.request_id,
+            kind=error.kind,
+            outcome=error.outcome.value,
+            why=error.message,
+        )
+        raise
+    finally:
+        _observe(exchange, services, ended, trio.current_time())
+
+
+def _observe(
+    exchange: Exchange, services: OnlineServices, ended: str, now: float
+) -> None:
+    labels = {"tenant": exchange.tenant or ANONYMOUS, "class": exchange.request_class}
+    metrics = services.metrics
+    metrics.requests.inc({**labels, "ended": ended})
+    metrics.total.observe(labels, now - exchange.arrived_at)
+    if exchange.sent_at:
+        metrics.queueing.observe(labels, exchange.sent_at - exchange.arrived_at)
+    if exchange.first_token_at:
+        first = exchange.first_token_at
+        metrics.first_token.observe(labels, first - exchange.arrived_at)
+        if exchange.generated > 1:
+            between = (now - first) / (exchange.generated - 1)
+            metrics.between_tokens.observe(labels, between)
+    _log.debug(
+        "Request ended.",
+        request_id=exchange.request_id,
+        ended=ended,
+        upstream=exchange.upstream,
+        attempts=exchange.attempts,
+        tokens=exchange.generated,
+    )
+
+
+@online_filter(order=20)
+@contextlib.asynccontextmanager
+async def authenticate(
+    exchange: Exchange, services: OnlineServices
+) -> AsyncIterator[None]:
+    """Finds the tenant by its token; without tenants configured all may call."""
+    exchange.tenant = find_tenant(services.document.bodies(Kind.TENANT), exchange.token)
+    yield
+
+
+def find_tenant(tenants: list[tuple[str, Tenant]], token: str) -> TenantId:
+    """Returns the tenant whose token this is.
+
+    Only digests are compared, so timing tells nothing of a token.
+
+    Raises:
+      UnauthenticatedError: No tenant has this token.
+    """
+    if not tenants:
+        return ANONYMOUS
+    digest = hashlib.sha256(token.encode()).hexdigest()
+    for name, tenant in tenants:
+        if tenant.token_sha256 == digest:
+            return TenantId(name)
+    raise UnauthenticatedError("The token belongs to no tenant")
+
+
+@online_filter(order=30)
+@contextlib.asynccontextmanager
+async def resolve(exchange: Exchange, services: OnlineServices) -> AsyncIterator[None]:
+    """Checks the request and finds what serves it."""
+    if len(exchange.key) > _MAX_KEY_CHARS:
+        raise InvalidRequestError(f"idempotency_key exceeds {_MAX_KEY_CHARS} letters")
+    if exchange.key and not exchange.at_most_once:
+        raise InvalidRequestError(
+            "idempotency_key is set without at_most_once",
+            remedy="Set at_most_once, or leave the key out.",
+        )
+    if isinstance(exchange.asked, Call):
+        _resolve_call(exchange, exchange.asked, services)
+    else:
+        _resolve_infer(exchange, exchange.asked, services)
+    yield
+
+
+def _resolve_call(exchange: Exchange, call: Call, services: OnlineServices) -> None:
+    route: Route | None = services.document.get(Kind.ROUTE, call.route)
+    if route is None:
+        raise NotFoundError(f"There is no route {call.route!r}")
+    exchange.service = route.service
+    exchange.path = route.path
+    exchange.at_most_once = exchange.at_most_once or route.at_most_once
+
+
+def _resolve_infer(exchange: Exchange, infer: Infer, services: OnlineServices) -> None:
+    deployment: Deployment | None = services.document.get(
+        Kind.DEPLOYMENT, infer.deployment
+    )
+    if deployment is None:
+        raise NotFoundError(f"There is no deployment {infer.deployment!r}")
+    if not infer.prompt:
+        raise InvalidRequestError("prompt is empty")
+    if infer.max_tokens > _MAX_TOKENS:
+        raise InvalidRequestError(f"max_tokens exceeds {_MAX_TOKENS}")
+    if infer.adapter and infer.adapter not in deployment.adapters:
+        raise NotFoundError(f"{infer.deployment} has no adapter {infer.adapter!r}")
+    exchange.service = deployment.service
+    exchange.version = infer.adapter or pick_version(deployment, services.rng)
+    exchange.max_tokens = infer.max_tokens or deployment.default_max_tokens
+
+
+def pick_version(deployment: Deployment, rng: random.Random) -> str:
+    """Draws a version by the weights of the deployment."""
+    names = list(deployment.versions)
+    weights = list(deployment.versions.values())
+    if not any(weights):
+        return names[0]
+    return rng.choices(names, weights)[0]
+
+
+@online_filter(order=40)
+@contextlib.asynccontextmanager
+async def limit_tenant(
+    exchange: Exchange, services: OnlineServices
+) -> AsyncIterator[None]:
+    """Holds a tenant to this instance's share of its limits."""
+    tenant: Tenant | None = services.document.get(Kind.TENANT, exchange.tenant)
+    limits = TenantLimits()
+    if tenant is not None:
+        limits = TenantLimits(rate=tenant.rate, concurrency=tenant.concurrency)
+    decision = services.tenants.enter(
+        exchange.tenant,
+        limits,
+        instances=services.live_instances(),
+        now=trio.current_time(),
+    )
+    if isinstance(decision, Refusal):
+        raise _overloaded(decision)
+    try:
+        yield
+    finally:
+        services.tenants.leave(exchange.tenant)
+
+
+@online_filter(order=50)
+@contextlib.asynccontextmanager
+async def admit(exchange: Exchange, services: OnlineServices) -> AsyncIterator[None]:
+    """Refuses at the door what cannot meet its deadline."""
+    serving = [r for r in services.table if r.node.service == exchange.service]
+    decision = services.admission.decide(
+        Request(
+            tokens=exchange.max_tokens,
+            allowed_s=exchange.deadline - trio.current_time(),
+        ),
+        first_token_s=min((r.first_token_s for r in serving), default=0.0),
+        token_s=min((r.token_s for r in serving), default=0.0),
+    )
+    if isinstance(decision, Refusal):
+        raise _overloaded(decision)
+    services.admission.in_flight += 1
+    services.metrics.in_flight.set({}, services.admission.in_flight)
+    try:
+        yield
+    finally:
+        services.admission.in_flight -= 1
+        services.metrics.in_flight.set({}, services.admission.in_flight)
+
+
+def _overloaded(refusal: Refusal) -> OverloadedError:
+    return OverloadedError(
+        f"Refused: {refusal.reason}",
+        retry_after_ms=max(1, round(1000 * min(60.0, refusal.retry_in_s))),
+    )
+
+
+@online_filter(order=60)
+@contextlib.asynccontextmanager
+async def claim_key(
+    exchange: Exchange, services: OnlineServices
+) -> AsyncIterator[None]:
+    """Claims a key before the request may run, and stores its answer after."""
+    if not exchange.key:
+        yield
+        return
+    answers, tenant, key = services.answers, exchange.tenant, exchange.key
+    content = msgspec.json.encode(exchange.asked)
+    earlier = await answers.claim(tenant, key, exchange.request_id, content)
+    if earlier is not None:
+        if earlier.state is not ClaimState.ANSWERED:
+            earlier = await answers.wait(tenant, key, deadline=exchange.deadline)
+        exchange.stored = Chunk(earlier.text, earlier.tokens, earlier.body)
+        yield
+        return
+    settled = False
+    try:
+        yield
+        await answers.store(tenant, key, _answer_of(exchange, content))
+        settled = True
+    except CoppercleatError as error:
+        if error.outcome is Outcome.NOT_RUN:
+            settled = await answers.release(tenant, key)
+        raise
+    finally:
+        if not settled:
+            answers.keep(tenant, key)
+
+
+def _answer_of(exchange: Exchange, content: bytes) -> StoredAnswer:
+    return StoredAnswer(
+        request_id=exchange.request_id,
+        content_hash=content_hash(content),
+        text="".join(exchange.texts),
+        tokens=exchange.generated,
+        body=exchange.body,
+    )
--- /dev/null
+++ b/src/coppercleat/online/_services.py
@@ -0,0 +1,48 @@
+"""What the online path works with, given to every filter."""
+
+from __future__ import annotations
+
+import random
+from collections.abc import Callable
+from typing import Protocol
+
+import attrs
+
+from coppercleat.configuration import Document
+from coppercleat.ids import UpstreamId, ZoneId
+from coppercleat.limits import Admission, RetryBudget, TenantLimiter
+from coppercleat.observability import Metrics
+from coppercleat.online._claims import AnswerStore
+from coppercleat.routing import RoutingTable
+from coppercleat.upstreams import UpstreamClient
+
+
+class Clients(Protocol):
+    """Gives the client of an upstream."""
+
+    def online_client(self, upstream: UpstreamId) -> UpstreamClient:
+        """Returns the client for online requests."""
+        ...
+
+
+@attrs.define(kw_only=True)
+class OnlineServices:
+    """Everything that filters and dispatch need.
+
+    Attributes:
+      live_instances: Gives the number of instances thought alive.
+      online_changed: Told when online requests on an upstream changed.
+    """
+
+    document: Document
+    table: RoutingTable
+    clients: Clients
+    zone: ZoneId
+    rng: random.Random
+    admission: Admission
+    tenants: TenantLimiter
+    retries: RetryBudget
+    answers: AnswerStore
+    metrics: Metrics
+    live_instances: Callable[[], int]
+    online_changed: Callable[[UpstreamId], None]
--- /dev/null
+++ b/src/coppercleat/routing/__init__.py
@@ -0,0 +1,31 @@
+"""Decides which upstream takes a request."""
+
+from coppercleat.routing._choose import (
+    Choice,
+    NoUpstream,
+    Wanted,
+    choose,
+    expected_load,
+)
+from coppercleat.routing._feeders import PeerArrivals, feeder
+from coppercleat.routing._health import Health, HealthState
+from coppercleat.routing._rendezvous import owner, ranked
+from coppercleat.routing._subset import subset
+from coppercleat.routing._table import RoutingTable, UpstreamRecord
+
+__all__ = [
+    "Choice",
+    "Health",
+    "HealthState",
+    "NoUpstream",
+    "PeerArrivals",
+    "RoutingTable",
+    "UpstreamRecord",
+    "Wanted",
+    "choose",
+    "expected_load",
+    "feeder",
+    "owner",
+    "ranked",
+    "subset",
+]
--- /dev/null
+++ b/src/coppercleat/routing/_choose.py
@@ -0,0 +1,177 @@
+"""Chooses an upstream by expected load, residency, affinity and zone.
+
+Joining the shortest of a few sampled queues is from Mitzenmacher, "The Power
+of Two Choices in Randomized Load Balancing" (2001); bounded prefix affinity
+follows consistent hashing with bounded loads (Mirrokni et al., 2018).
+"""
+
+from __future__ import annotations
+
+import random
+from collections.abc import Collection, Iterable
+
+import attrs
+import msgspec
+
+from coppercleat.ids import UpstreamId, ZoneId
+from coppercleat.routing._rendezvous import owner
+from coppercleat.routing._table import UpstreamRecord
+
+_SAMPLES = 4
+_OTHER_ZONE_LOAD = 4.0
+_AFFINITY_LOAD = 2.0
+_AFFINITY_BOUND = 1.25
+_BATCH_LOAD = 0.5
+_REPORT_TRUST_S = 2.0
+_SLOW_START_S = 5.0
+_SLOW_START_LOAD = 8.0
+_PREFIX_CHARS = 256
+
+
+class Wanted(msgspec.Struct, kw_only=True):
+    """What a request needs.
+
+    Attributes:
+      service: The model service or plain service, as listed.
+      version: The version that must be loaded; empty for a plain service.
+      prompt: For prefix affinity; empty for none.
+      tried: Upstreams that already failed this request.
+    """
+
+    service: str
+    version: str = ""
+    prompt: str = ""
+    tried: Collection[UpstreamId] = ()
+
+
+class Choice(msgspec.Struct, frozen=True):
+    """The upstream chosen, with the reason in words."""
+
+    record: UpstreamRecord
+    reason: str
+
+
+class NoUpstream(msgspec.Struct, frozen=True):
+    """Sentinel: no upstream can take the request.
+
+    Attributes:
+      reason: Why, in words.
+      retry_in_s: Seconds until one may.
+    """
+
+    reason: str
+    retry_in_s: float
+
+
+def expected_load(record: UpstreamRecord, now: float) -> float:
+    """Returns how many sequences a new one would run beside.
+
+    One's own requests in flight and those peers told of are known now; what
+    the lagged report adds to them counts less as it ages.
+    """
+    known = record.online + record.peer_online + _BATCH_LOAD * record.batch
+    if record.report is None:
+        return known
+    age = now - record.reported_at
+    trust = max(0.0, 1.0 - age / _REPORT_TRUST_S)
+    reported = record.report.running + 2 * record.report.waiting
+    unseen = max(0.0, reported - record.online - record.batch - record.peer_online)
+    return known + trust * unseen * _BATCH_LOAD
+
+
+def choose(
+    wanted: Wanted,
+    records: Iterable[UpstreamRecord],
+    *,
+    zone: ZoneId,
+    now: float,
+    rng: random.Random,
+) -> Choice | NoUpstream:
+    """Chooses an upstream.
+
+    Args:
+      wanted: What the request needs.
+      records: All upstreams known.
+      zone: This instance's availability zone.
+      now: Seconds on this instance's clock.
+      rng: Source of randomness for the samples.
+
+    Returns:
+      The choice, or why there is none.
+    """
+    serving = [r for r in records if r.node.service == wanted.service]
+    if not serving:
+        return NoUpstream(f"no upstream serves {wanted.service}", 1.0)
+    staying = [r for r in serving if not r.leaving and r.upstream not in wanted.tried]
+    loaded = [r for r in staying if not wanted.version or r.serves(wanted.version)]
+    if not loaded:
+        return NoUpstream(f"all upstreams of {wanted.service} leave or failed", 1.0)
+    healthy = [r for r in loaded if r.health.may_try(now)]
+    if not healthy:
+        wait = min(r.health.retry_in(now) for r in loaded)
+        return NoUpstream(f"all upstreams of {wanted.service} are ejected", wait)
+    return _cheapest(wanted, healthy, zone=zone, now=now, rng=rng)
+
+
+def _cheapest(
+    wanted: Wanted,
+    healthy: list[UpstreamRecord],
+    *,
+    zone: ZoneId,
+    now: float,
+    rng: random.Random,
+) -> Choice:
+    """Returns the cheapest of the own zone, a few samples and the affine."""
+    local = [r for r in healthy if r.zone == zone] or healthy
+    sampled = _sample(local, rng)
+    if local is not healthy:
+        sampled += _sample([r for r in healthy if r.zone != zone], rng)
+    affine = _affine(wanted, local, now)
+    if affine is not None and affine not in sampled:
+        sampled.append(affine)
+    costs = {r.upstream: _cost(r, zone=zone, affine=affine, now=now) for r in sampled}
+    best = min(sampled, key=lambda r: costs[r.upstream])
+    return Choice(best, f"cost {costs[best.upstream]:.1f} of {len(sampled)} sampled")
+
+
+def _sample(records: list[UpstreamRecord], rng: random.Random) -> list[UpstreamRecord]:
+    return rng.sample(records, min(_SAMPLES, len(records)))
+
+
+def _affine(
+    wanted: Wanted, records: list[UpstreamRecord], now: float
+) -> UpstreamRecord | None:
+    """Returns the upstream that should hold the prefix, unless it is loaded."""
+    if len(wanted.prompt) < _PREFIX_CHARS:
+        return None
+    by_id = {r.upstream: r for r in records}
+    chosen = owner(wanted.prompt[:_PREFIX_CHARS], by_id)
+    if chosen is None:
+        return None
+    record = by_id[UpstreamId(chosen)]
+    mean = sum(expected_load(r, now) for r in records) / len(records)
+    if expected_load(record, now) > _AFFINITY_BOUND * mean + 1:
+        return None
+    return record
+
+
+def _cost(
+    record: UpstreamRecord,
+    *,
+    zone: ZoneId,
+    affine: UpstreamRecord | None,
+    now: float,
+) -> float:
+    """Returns the expected load with the price of what makes it worse."""
+    cost = expected_load(record, now)
+    if record.zone != zone:
+        cost += _OTHER_ZONE_LOAD
+    if record is affine:
+        cost -= _AFFINITY_LOAD
+    age = now - record.first_seen
+    if age < _SLOW_START_S:
+        cost += _SLOW_START_LOAD * (1 - age / _SLOW_START_S) * bool(record.online)
+    return cost
+
+
+attrs.resolve_types(UpstreamRecord)
--- /dev/null
+++ b/src/coppercleat/routing/_rendezvous.py
@@ -0,0 +1,21 @@
+"""Rendezvous hashing: every instance ranks the same nodes the same way."""
+
+from __future__ import annotations
+
+from collections.abc import Iterable
+
+import xxhash
+
+
+def _weight(key: str, node: str) -> int:
+    return xxhash.xxh3_64_intdigest(f"{key}\0{node}".encode())
+
+
+def ranked(key: str, nodes: Iterable[str]) -> list[str]:
+    """Returns nodes by falling weight for a key; ties go by name."""
+    return sorted(nodes, key=lambda node: (-_weight(key, node), node))
+
+
+def owner(key: str, nodes: Iterable[str]) -> str | None:
+    """Returns the node of the highest weight, or None without nodes."""
+    return max(nodes, key=lambda node: (_weight(key, node), node), default=None)
--- /dev/null
+++ b/src/coppercleat/rpc/_application.py
@@ -0,0 +1,64 @@
+"""The ASGI application that leads each path to its service."""
+
+from __future__ import annotations
+
+from collections.abc import Awaitable, Callable, MutableMapping
+from typing import Any
+
+from coppercleat.instance import Instance
+from coppercleat.rpc._batch import BatchRpc
+from coppercleat.rpc._online import OnlineRpc
+from coppercleat.rpc._operator import OperatorRpc
+from coppercleat.v1.batch_connect import BatchServiceASGIApplication
+from coppercleat.v1.online_connect import OnlineServiceASGIApplication
+from coppercleat.v1.operator_connect import OperatorServiceASGIApplication
+
+Application = Callable[
+    [MutableMapping[str, Any], Callable[..., Any], Callable[..., Any]], Awaitable[None]
+]
+
+
+def rpc_application(instance: Instance) -> Application:
+    """Returns the application of all services; it counts calls in flight."""
+    limit = instance.settings.online.max_body_bytes
+    services: list[Any] = [
+        OnlineServiceASGIApplication(OnlineRpc(instance), read_max_bytes=limit),
+        BatchServiceASGIApplication(BatchRpc(instance), read_max_bytes=limit),
+        OperatorServiceASGIApplication(OperatorRpc(instance), read_max_bytes=limit),
+    ]
+    by_path = {service.path: service for service in services}
+
+    async def application(
+        scope: MutableMapping[str, Any],
+        receive: Callable[..., Any],
+        send: Callable[..., Any],
+    ) -> None:
+        if scope["type"] == "lifespan":
+            await _lifespan(receive, send)
+            return
+        service = by_path.get(scope["path"].rpartition("/")[0])
+        if service is None:
+            await _not_found(send)
+            return
+        instance.in_flight += 1
+        try:
+            await service(scope, receive, send)
+        finally:
+            instance.in_flight -= 1
+
+    return application
+
+
+async def _lifespan(receive: Callable[..., Any], send: Callable[..., Any]) -> None:
+    while True:
+        message = await receive()
+        await send({"type": f"{message['type']}.complete"})
+        if message["type"] == "lifespan.shutdown":
+            return
+
+
+async def _not_found(send: Callable[..., Any]) -> None:
+    headers = [(b"content-type", b"application/json")]
+    await send({"type": "http.response.start", "status": 404, "headers": headers})
+    body = b'{"code":"unimplemented","message":"There is no such RPC."}'
+    await send({"type": "http.response.body", "body": body})
--- /dev/null
+++ b/src/coppercleat/settings/__init__.py
@@ -0,0 +1,28 @@
+"""The settings file of one instance: its classes and its checks."""
+
+from coppercleat.settings._load import load_settings, parse_settings
+from coppercleat.settings._model import (
+    BatchSettings,
+    InstanceSettings,
+    ListenSettings,
+    LogSettings,
+    OnlineSettings,
+    PeerSettings,
+    PlatformSettings,
+    Settings,
+    StopSettings,
+)
+
+__all__ = [
+    "BatchSettings",
+    "InstanceSettings",
+    "ListenSettings",
+    "LogSettings",
+    "OnlineSettings",
+    "PeerSettings",
+    "PlatformSettings",
+    "Settings",
+    "StopSettings",
+    "load_settings",
+    "parse_settings",
+]
--- /dev/null
+++ b/src/coppercleat/upstreams/__init__.py
@@ -0,0 +1,22 @@
+"""Calls to upstreams: what was sent, what came back, and what that proves."""
+
+from coppercleat.upstreams._attempt import Attempt, AttemptState
+from coppercleat.upstreams._client import (
+    EngineRequest,
+    LoadReport,
+    OrderRefusedError,
+    UpstreamClient,
+)
+from coppercleat.upstreams._events import EventParser, MalformedStreamError, TokenEvent
+
+__all__ = [
+    "Attempt",
+    "AttemptState",
+    "EngineRequest",
+    "EventParser",
+    "LoadReport",
+    "MalformedStreamError",
+    "OrderRefusedError",
+    "TokenEvent",
+    "UpstreamClient",
+]
--- /dev/null
+++ b/src/coppercleat/v1/__init__.py
@@ -0,0 +1,1 @@
+from __future__ import annotations
