Release segments that no fed runner can run; prove batch and online under failure

Ruled out: lost commits and doubled claims, since results read back once each. Change: stranded segments are released; a retired feed ends what it runs; an item with all its tokens is whole; the forecast before the first commit supposes that all claimed items complete now. Stand-ins, harness and features for online failures, calls at most once, and batch outcomes.

--- a/src/coppercleat/batch/_forecast.py
+++ b/src/coppercleat/batch/_forecast.py
@@ -6,6 +6,7 @@
 
 from coppercleat.batch._jobs import JobState
 from coppercleat.batch._rows import JobRow
+from coppercleat.batch._store import Progress
 
 
 class Forecast(msgspec.Struct, frozen=True, kw_only=True):
@@ -15,12 +16,15 @@
     late: bool
 
 
-def forecast(job: JobRow, items_completed: int, *, now: float) -> Forecast:
+def forecast(job: JobRow, progress: Progress, *, now: float) -> Forecast:
     """Forecasts from the mean rate since the job was accepted.
 
+    While nothing has completed, the forecast supposes that all items claimed
+    so far complete at this moment, which is the best that can still happen.
+
     Args:
       job: The job.
-      items_completed: Items whose results are readable.
+      progress: How far it has come.
       now: Unix time in seconds.
     """
     if job.state is not JobState.OPEN:
@@ -28,8 +32,9 @@
         return Forecast(ends_at=job.finished_at, late=late)
     elapsed = max(1e-3, now - job.accepted_at)
     ends_at = 0.0
-    if items_completed:
-        remaining = job.division.items - items_completed
-        ends_at = now + remaining * elapsed / items_completed
+    counted = progress.items_completed or progress.items_claimed
+    if counted:
+        remaining = job.division.items - counted
+        ends_at = now + remaining * elapsed / counted
     late = bool(job.due_at) and max(now, ends_at) > job.due_at
     return Forecast(ends_at=ends_at, late=late)
--- a/src/coppercleat/batch/_runner.py
+++ b/src/coppercleat/batch/_runner.py
@@ -91,12 +91,18 @@
 
 @attrs.define(eq=False)
 class _Feed:
-    """What this instance feeds to one runner."""
+    """What this instance feeds to one runner.
+
+    Attributes:
+      retired: Whether another instance feeds it now, or it is leaving; what
+        runs may end, and nothing new is begun.
+    """
 
     record: UpstreamRecord
     policy: FeedPolicy
     running: list[_Running] = attrs.field(factory=list)
     paused_until: float = 0.0
+    retired: bool = False
 
 
 class BatchRunner:
@@ -219,7 +225,7 @@
         self._refresh_feeds()
         for feed in self._feeds.values():
             self._let_go(feed, now)
-            if now < feed.paused_until or self._results_full():
+            if feed.retired or now < feed.paused_until or self._results_full():
                 continue
             limit = self._limit(feed, now)
             while len(feed.running) < limit and self._start_next(feed):
@@ -227,15 +233,23 @@
 
     def _refresh_feeds(self) -> None:
         records = {record.upstream: record for record in self.fleet.fed()}
-        for upstream in list(self._feeds):
-            if records.get(upstream) is not self._feeds[upstream].record:
-                for running in self._feeds.pop(upstream).running:
-                    self._yield(running)
+        for upstream, feed in list(self._feeds.items()):
+            feed.retired = records.get(upstream) is not feed.record
+            if feed.retired and not feed.running:
+                del self._feeds[upstream]
         for upstream, record in records.items():
             if upstream not in self._feeds:
                 policy = FEED_POLICIES[self.settings.policy]()
                 self._feeds[upstream] = _Feed(record, policy)
 
+    def _services(self) -> set[str]:
+        """Returns the services whose runners this instance feeds."""
+        return {
+            feed.record.node.service
+            for feed in self._feeds.values()
+            if not feed.retired
+        }
+
     def _limit(self, feed: _Feed, now: float) -> int:
         view = RunnerView(
             online=self.fleet.online_total(feed.record.upstream),
@@ -316,6 +330,8 @@
         """Runs an item; None means that it must run again."""
         job = segment.held.job
         tokens = work.item.max_tokens or job.max_tokens or deployment.default_max_tokens
+        if len(work.made) >= tokens:
+            return _answered(work)
         work.attempts += 1
         request = EngineRequest(
             request_id=f"{job.job}-{work.index}.{work.attempts}",
@@ -339,12 +355,7 @@
             feed.paused_until = trio.current_time() + _UPSTREAM_PAUSE_S
             work.attempts -= 1
             return None
-        return ItemResult(
-            index=work.index,
-            id=work.item.id,
-            text="".join(work.made),
-            attempts=work.attempts,
-        )
+        return _answered(work)
 
     def _failed(self, work: ItemWork, kind: str, message: str) -> ItemResult | None:
         """Counts a failure; after too many it becomes the item's result."""
@@ -436,6 +447,7 @@
     async def _claim_round(self) -> None:
         if self.draining:
             return
+        await self._release_stranded()
         jobs = [OpenJob(row, version) for row, version in await self.store.list_open()]
         self._watch_due_times(jobs)
         while self._hungry():
@@ -454,17 +466,31 @@
             else:
                 return
 
+    async def _release_stranded(self) -> None:
+        """Gives up segments that no runner fed by this instance can run."""
+        services = self._services()
+        busy = {r.segment for feed in self._feeds.values() for r in feed.running}
+        for segment in list(self.held):
+            deployment = self._deployment(segment)
+            wanted = deployment.service if deployment else None
+            if wanted in services or segment in busy or not segment.waiting:
+                continue
+            if segment.commit_lock.locked():
+                continue
+            self._lose(segment, "no runner of its deployment is fed from here")
+            await self.store.release(segment.held)
+
     def _hungry(self) -> bool:
         """Whether fewer items wait than the runners fed could take."""
-        room = len(self._feeds) * self.settings.max_concurrency
+        feeds = sum(not feed.retired for feed in self._feeds.values())
+        room = feeds * self.settings.max_concurrency
         waiting = sum(segment.waiting for segment in self.held)
         return not self.draining and not self._results_full() and waiting < room
 
     async def _claim_from(self, job: OpenJob) -> bool:
         """Claims one segment of a job; returns whether it did."""
         deployment = self.document.get(Kind.DEPLOYMENT, job.row.deployment)
-        services = {feed.record.node.service for feed in self._feeds.values()}
-        if deployment is None or deployment.service not in services:
+        if deployment is None or deployment.service not in self._services():
             return False
         rows = await self.store.segments(job.row)
         division = job.row.division
@@ -592,7 +618,7 @@
         with contextlib.suppress(PlatformUnavailableError):
             for job in jobs:
                 progress = await self.store.progress(job.row)
-                seen = forecast(job.row, progress.items_completed, now=self.clock())
+                seen = forecast(job.row, progress, now=self.clock())
                 if seen.late and job.row.job not in self._late:
                     self._late.add(job.row.job)
                     _log.warning(
@@ -605,3 +631,12 @@
                 elif not seen.late:
                     self._late.discard(job.row.job)
         self.metrics.late_jobs.set({}, len(self._late))
+
+
+def _answered(work: ItemWork) -> ItemResult:
+    return ItemResult(
+        index=work.index,
+        id=work.item.id,
+        text="".join(work.made),
+        attempts=work.attempts,
+    )
--- a/src/coppercleat/batch/_store.py
+++ b/src/coppercleat/batch/_store.py
@@ -119,9 +119,15 @@
 
 
 class Progress(msgspec.Struct, frozen=True, kw_only=True):
-    """How far a job has come."""
+    """How far a job has come.
+
+    Attributes:
+      items_completed: Items whose results are readable.
+      items_claimed: Items of all segments claimed, those completed included.
+    """
 
     items_completed: int
+    items_claimed: int
     segments_done: int
     unclaimed: list[int]
     held: dict[int, SegmentRow]
@@ -369,6 +375,7 @@
         )
         return Progress(
             items_completed=completed,
+            items_claimed=sum(len(division.segment_range(n)) for n in rows),
             segments_done=sum(row.done for row, _ in rows.values()),
             unclaimed=[n for n in range(division.segments) if n not in rows],
             held={n: row for n, (row, _) in rows.items() if not row.done},
--- a/src/coppercleat/emulator/_app.py
+++ b/src/coppercleat/emulator/_app.py
@@ -58,9 +58,11 @@
     Attributes:
       executions: Told of each execution that starts, with its request id.
       leaving: Whether the engine announces that it is leaving.
+      refusing: Whether requests are refused as not run.
       fence: The highest fencing number seen.
       checks_fencing: Whether older fencing numbers are refused.
       versions: The versions loaded.
+      order_log: Orders carried out, in order.
     """
 
     def __init__(
@@ -79,6 +81,8 @@
         self.checks_fencing = checks_fencing
         self.fence = 0
         self.leaving = False
+        self.refusing = False
+        self.order_log: list[str] = []
         self.on_execution = on_execution
         self._report_lag_s = report_lag_s
         self._report = b""
@@ -160,6 +164,7 @@
             await send_json(send, 412, {"error": "old fence", "fence": self.fence})
             return
         self.fence = max(self.fence, order.fence)
+        self.order_log.append(f"{order.action} {order.version} {order.fence}")
         if order.action == "load":
             self.versions.add(order.version)
         else:
@@ -172,8 +177,8 @@
         except (msgspec.DecodeError, msgspec.ValidationError) as error:
             await send_json(send, 400, {"error": str(error)})
             return
-        if self.leaving or request.model not in self.versions:
-            why = "leaving" if self.leaving else f"{request.model} is not loaded"
+        if self.refusing or request.model not in self.versions:
+            why = "refusing" if self.refusing else f"{request.model} is not loaded"
             await send_json(send, 503, {"error": why, "not_run": True})
             return
         self.on_execution(request.request_id)
--- a/src/coppercleat/instance/_fleet.py
+++ b/src/coppercleat/instance/_fleet.py
@@ -17,7 +17,7 @@
     PeerArrivals,
     RoutingTable,
     UpstreamRecord,
-    feeder,
+    assign_feeders,
     owner,
     subset,
 )
@@ -26,6 +26,7 @@
 
 _OTHERS_POLL_FACTOR = 4
 _MISSING_REPORTS = 3
+_ASSIGN_EVERY_S = 0.1
 
 _log = part_logger("fleet")
 
@@ -70,6 +71,9 @@
         self._online: dict[UpstreamId, UpstreamClient] = {}
         self._batch: dict[UpstreamId, UpstreamClient] = {}
         self._pollers: dict[UpstreamId, trio.CancelScope] = {}
+        self._assigned: dict[UpstreamId, InstanceId] = {}
+        self._assigned_for: object = None
+        self._assigned_until = 0.0
         self._nursery: trio.Nursery | None = None
 
     async def run(self) -> None:
@@ -110,7 +114,7 @@
         fed = frozenset(
             node.id
             for node in upstreams
-            if self._feeder(UpstreamId(node.id), ZoneId(node.zone)) == instance.id
+            if self._feeders().get(UpstreamId(node.id)) == instance.id
         )
         return subset(instance.instance_id, instance.zone_id, upstreams, fed=fed)
 
@@ -195,17 +199,31 @@
 
     def feeder_of(self, record: UpstreamRecord) -> InstanceId | None:
         """Returns the instance that feeds batch to an upstream."""
-        return self._feeder(record.upstream, record.zone)
+        return self._feeders().get(record.upstream)
 
     def _feeds(self, record: UpstreamRecord) -> bool:
         return self.feeder_of(record) == self.settings.instance.id
 
-    def _feeder(self, upstream: UpstreamId, zone: ZoneId) -> InstanceId | None:
-        alive = [
+    def _feeders(self) -> dict[UpstreamId, InstanceId]:
+        """Returns the feeder of each upstream, worked out anew now and then."""
+        now = trio.current_time()
+        if now < self._assigned_until:
+            return self._assigned
+        self._assigned_until = now + _ASSIGN_EVERY_S
+        alive = tuple(
             (instance, self.detector.zone_of(instance) or ZoneId(""))
-            for instance in self.detector.alive(trio.current_time())
-        ]
-        return feeder(upstream, zone, alive)
+            for instance in sorted(self.detector.alive(now))
+        )
+        basis = (alive, self.nodes)
+        if basis != self._assigned_for:
+            self._assigned_for = basis
+            engines = [
+                (UpstreamId(node.id), ZoneId(node.zone))
+                for node in self.nodes
+                if node.role is NodeRole.ENGINE
+            ]
+            self._assigned = assign_feeders(engines, alive)
+        return self._assigned
 
     # Clients.
 
--- a/src/coppercleat/instance/_instance.py
+++ b/src/coppercleat/instance/_instance.py
@@ -125,6 +125,7 @@
             metrics=self.metrics,
             live_instances=self.live_instances,
             online_changed=self._online_changed,
+            stall_s=online.stall_s,
         )
 
     def _spread_changes(self, changes: list[Change]) -> None:
--- a/src/coppercleat/membership/_detector.py
+++ b/src/coppercleat/membership/_detector.py
@@ -26,15 +26,21 @@
     """One other instance as this one sees it.
 
     Attributes:
+      listed: Its address by the platform's list; empty if it is not listed.
       line: The newest line heard of it; None if only its address is known.
       advanced_at: When its count last grew, on this instance's clock.
     """
 
-    address: str
     zone: ZoneId
+    listed: str = ""
     line: MemberLine | None = None
     advanced_at: float = 0.0
 
+    @property
+    def address(self) -> str:
+        """Where to send to: as listed, else as it says itself."""
+        return self.listed or (self.line.address if self.line else "")
+
 
 class Detector:
     """The view of one instance; the clock and randomness are passed in.
@@ -74,11 +80,9 @@
                 continue
             member = self.members.get(instance)
             if member is None:
-                self.members[instance] = Member(
-                    address=address, zone=zone, advanced_at=now
-                )
-            elif member.line is None:
-                member.address = address
+                member = Member(zone=zone, advanced_at=now)
+                self.members[instance] = member
+            member.listed = address
 
     def observe(self, heartbeat: Heartbeat, now: float) -> None:
         """Takes a heartbeat and all that it passes on."""
@@ -92,7 +96,7 @@
             return
         member = self.members.get(line.instance)
         if member is None:
-            member = Member(address=line.address, zone=line.zone)
+            member = Member(zone=line.zone)
             self.members[line.instance] = member
         known = member.line
         if known is not None and (line.incarnation, line.beat) <= (
@@ -101,7 +105,6 @@
         ):
             return
         member.line = line
-        member.address = line.address
         member.zone = line.zone
         member.advanced_at = now
 
--- a/src/coppercleat/online/_dispatch.py
+++ b/src/coppercleat/online/_dispatch.py
@@ -57,6 +57,8 @@
                         yield chunk
                 return
             except CoppercleatError as error:
+                if exchange.max_tokens and exchange.generated >= exchange.max_tokens:
+                    return
                 tried.add(choice.record.upstream)
                 self._require_retry(exchange, attempt, error)
 
@@ -101,7 +103,7 @@
                 else self._infer(exchange, exchange.asked, record, attempt)
             )
             async with contextlib.aclosing(parts) as chunks:
-                async for chunk in _until(chunks, exchange, attempt):
+                async for chunk in self._until(chunks, exchange, attempt):
                     yield chunk
             record.health.succeeded()
 
@@ -127,6 +129,35 @@
             record.online -= 1
             self.services.online_changed(record.upstream)
 
+    async def _until(
+        self, chunks: AsyncIterator[Chunk], exchange: Exchange, attempt: Attempt
+    ) -> AsyncIterator[Chunk]:
+        """Passes chunks on until the deadline, or until an engine hangs.
+
+        No cancel scope is open across a yield.
+        """
+        streams = isinstance(exchange.asked, Infer)
+        while True:
+            stalled_at = trio.current_time() + self.services.stall_s
+            limit = min(exchange.deadline, stalled_at) if streams else exchange.deadline
+            with trio.move_on_at(limit) as scope:
+                try:
+                    chunk = await anext(chunks)
+                except StopAsyncIteration:
+                    return
+            if not scope.cancelled_caught:
+                yield chunk
+                continue
+            if trio.current_time() < exchange.deadline:
+                raise UpstreamFailedError(
+                    f"{exchange.upstream} gave no token for {self.services.stall_s} s",
+                    outcome=attempt.outcome,
+                )
+            raise DeadlineExceededError(
+                f"The deadline passed after {exchange.generated} tokens",
+                outcome=attempt.outcome,
+            )
+
     async def _infer(
         self, exchange: Exchange, asked: Infer, record: UpstreamRecord, attempt: Attempt
     ) -> AsyncGenerator[Chunk, None]:
@@ -229,21 +260,3 @@
 
 def _smooth(old: float, new: float) -> float:
     return new if not old else old + _SMOOTHING * (new - old)
-
-
-async def _until(
-    chunks: AsyncIterator[Chunk], exchange: Exchange, attempt: Attempt
-) -> AsyncIterator[Chunk]:
-    """Passes chunks on until the deadline; no scope is open across a yield."""
-    while True:
-        with trio.move_on_at(exchange.deadline) as scope:
-            try:
-                chunk = await anext(chunks)
-            except StopAsyncIteration:
-                return
-        if scope.cancelled_caught:
-            raise DeadlineExceededError(
-                f"The deadline passed after {exchange.generated} tokens",
-                outcome=attempt.outcome,
-            )
-        yield chunk
--- a/src/coppercleat/online/_services.py
+++ b/src/coppercleat/online/_services.py
@@ -32,6 +32,7 @@
     Attributes:
       live_instances: Gives the number of instances thought alive.
       online_changed: Told when online requests on an upstream changed.
+      stall_s: Seconds without a token after which an engine counts as hung.
     """
 
     document: Document
@@ -46,3 +47,4 @@
     metrics: Metrics
     live_instances: Callable[[], int]
     online_changed: Callable[[UpstreamId], None]
+    stall_s: float
--- a/src/coppercleat/routing/__init__.py
+++ b/src/coppercleat/routing/__init__.py
@@ -7,7 +7,7 @@
     choose,
     expected_load,
 )
-from coppercleat.routing._feeders import PeerArrivals, feeder
+from coppercleat.routing._feeders import PeerArrivals, assign_feeders
 from coppercleat.routing._health import Health, HealthState
 from coppercleat.routing._rendezvous import owner, ranked
 from coppercleat.routing._subset import subset
@@ -22,9 +22,9 @@
     "RoutingTable",
     "UpstreamRecord",
     "Wanted",
+    "assign_feeders",
     "choose",
     "expected_load",
-    "feeder",
     "owner",
     "ranked",
     "subset",
--- a/src/coppercleat/routing/_feeders.py
+++ b/src/coppercleat/routing/_feeders.py
@@ -2,32 +2,60 @@
 
 from __future__ import annotations
 
-from collections.abc import Iterable, Sequence
+import math
+from collections.abc import Iterable
 
 from coppercleat.ids import InstanceId, UpstreamId, ZoneId
-from coppercleat.routing._rendezvous import owner
+from coppercleat.routing._rendezvous import ranked
 
 
-def feeder(
-    upstream: UpstreamId,
-    zone: ZoneId,
-    alive: Sequence[tuple[InstanceId, ZoneId]],
-) -> InstanceId | None:
-    """Returns the one instance that feeds batch to an upstream.
+def assign_feeders(
+    upstreams: Iterable[tuple[UpstreamId, ZoneId]],
+    alive: Iterable[tuple[InstanceId, ZoneId]],
+) -> dict[UpstreamId, InstanceId]:
+    """Assigns to each upstream the one instance that feeds batch to it.
+
+    An upstream goes to an instance of its own zone if any lives there, to the
+    highest by rendezvous hashing that has room; room is an even share. Two
+    instances that differ about who lives may both feed an upstream for a
+    moment, which costs batch speed and nothing else.
 
     Args:
-      upstream: The upstream.
-      zone: Its availability zone.
+      upstreams: Upstreams with their zones.
       alive: Living instances with their zones.
 
     Returns:
-      An instance of the same zone if there is any, else any; None if none
-      lives. Two instances that differ about who lives may both feed for a
-      moment, which costs batch speed and nothing else.
+      The feeder of each upstream; empty if no instance lives.
     """
-    local = [instance for instance, where in alive if where == zone]
-    chosen = owner(upstream, local or [instance for instance, _ in alive])
-    return InstanceId(chosen) if chosen is not None else None
+    by_zone: dict[ZoneId, list[InstanceId]] = {}
+    for instance, zone in alive:
+        by_zone.setdefault(zone, []).append(instance)
+    everybody = [instance for group in by_zone.values() for instance in group]
+    if not everybody:
+        return {}
+    wanted: dict[ZoneId, list[UpstreamId]] = {}
+    for upstream, zone in upstreams:
+        wanted.setdefault(zone if zone in by_zone else ZoneId(""), []).append(upstream)
+    assigned: dict[UpstreamId, InstanceId] = {}
+    for zone, group in wanted.items():
+        assigned.update(_assign_evenly(group, by_zone.get(zone, everybody)))
+    return assigned
+
+
+def _assign_evenly(
+    upstreams: list[UpstreamId], instances: list[InstanceId]
+) -> dict[UpstreamId, InstanceId]:
+    room = math.ceil(len(upstreams) / len(instances))
+    load = dict.fromkeys(instances, 0)
+    assigned = {}
+    for upstream in sorted(upstreams):
+        for name in ranked(upstream, instances):
+            instance = InstanceId(name)
+            if load[instance] < room:
+                load[instance] += 1
+                assigned[upstream] = instance
+                break
+    return assigned
 
 
 class PeerArrivals:
--- a/src/coppercleat/rpc/_batch.py
+++ b/src/coppercleat/rpc/_batch.py
@@ -11,6 +11,7 @@
     ItemLines,
     JobRow,
     JobState,
+    Progress,
     Submission,
     forecast,
 )
@@ -26,6 +27,10 @@
 _MAX_PAGE = 500
 _MAX_KEY_CHARS = 200
 
+_UNKNOWN_PROGRESS = Progress(
+    items_completed=0, items_claimed=0, segments_done=0, unclaimed=[], held={}
+)
+
 _STATES = {
     JobState.OPEN: batch_pb.JobState.OPEN,
     JobState.COMPLETED: batch_pb.JobState.COMPLETED,
@@ -95,7 +100,7 @@
                 after=request.page_token, limit=limit
             )
             jobs = [
-                _job(row, 0)
+                _job(row, _UNKNOWN_PROGRESS)
                 for row in rows
                 if row.tenant == tenant
                 and (row.state is JobState.OPEN or not request.open_only)
@@ -161,7 +166,7 @@
 
     async def _with_progress(self, row: JobRow) -> batch_pb.Job:
         progress = await self.instance.jobs.progress(row)
-        return _job(row, progress.items_completed)
+        return _job(row, progress)
 
     async def _stored_items(self, name: str) -> AsyncIterator[list[Item]]:
         """Yields the items of an input that lies in the object store."""
@@ -173,8 +178,8 @@
         yield lines.finish()
 
 
-def _job(row: JobRow, items_completed: int) -> batch_pb.Job:
-    expected = forecast(row, items_completed, now=time.time())
+def _job(row: JobRow, progress: Progress) -> batch_pb.Job:
+    expected = forecast(row, progress, now=time.time())
     return batch_pb.Job(
         job_id=row.job,
         state=_STATES[row.state],
@@ -185,7 +190,7 @@
             max_tokens=row.max_tokens,
         ),
         items=row.division.items,
-        items_completed=items_completed,
+        items_completed=progress.items_completed,
         accepted_at=row.accepted_at,
         finished_at=row.finished_at,
         late=expected.late,
--- a/src/coppercleat/settings/_model.py
+++ b/src/coppercleat/settings/_model.py
@@ -73,6 +73,7 @@
     max_body_bytes: Count = 1_000_000
     max_in_flight: Count = 2_000
     connect_timeout_s: Seconds = 0.5
+    stall_s: Seconds = 5.0
     retry_ratio: Annotated[float, Meta(ge=0, le=1)] = 0.1
     load_poll_s: Seconds = 1.0
 
--- a/src/coppercleat/upstreams/_client.py
+++ b/src/coppercleat/upstreams/_client.py
@@ -130,7 +130,8 @@
         """
         parser = EventParser(request.request_id)
         body = msgspec.json.encode(request)
-        async with self._exchange("/v1/completions", body, attempt) as response:
+        path, request_id = "/v1/completions", request.request_id
+        async with self._exchange(path, body, attempt, request_id) as response:
             await _require_success(response, attempt)
             async for data in response.aiter_stream():
                 texts = parser.feed(data)
--- /dev/null
+++ b/tests/harness/_processes.py
@@ -0,0 +1,123 @@
+"""Processes that a test starts, and ends by their ids."""
+
+from __future__ import annotations
+
+import os
+import pathlib
+import signal
+import socket
+import subprocess
+import sys
+import tempfile
+import time
+from collections.abc import Awaitable, Callable, Sequence
+from typing import TypeVar
+
+import trio
+
+_T = TypeVar("_T")
+_POLL_S = 0.05
+_STOP_S = 15.0
+DEFAULT_WAIT_S = 60.0
+
+
+_next_port = 20_000 + (os.getpid() * 97) % 10_000
+
+
+def free_port() -> int:
+    """Returns a TCP port that was free a moment ago; never the same twice."""
+    global _next_port  # noqa: PLW0603 - one counter for the whole test process
+    while True:
+        _next_port = 20_000 + (_next_port - 20_000 + 1) % 12_000
+        with socket.socket() as probe:
+            probe.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+            try:
+                probe.bind(("127.0.0.1", _next_port))
+            except OSError:
+                continue
+            return _next_port
+
+
+class Process:
+    """One child process of the test, with its log in a file."""
+
+    def __init__(self, name: str, arguments: Sequence[str]) -> None:
+        self.name = name
+        self.log = pathlib.Path(tempfile.gettempdir()) / (
+            f"coppercleat-{os.getpid()}-{name}.log"
+        )
+        with self.log.open("ab") as log:
+            self.popen = subprocess.Popen(
+                [sys.executable, *arguments],
+                stdin=subprocess.DEVNULL,
+                stdout=log,
+                stderr=log,
+            )
+
+    @property
+    def running(self) -> bool:
+        """Whether it has not ended."""
+        return self.popen.poll() is None
+
+    def signal(self, number: signal.Signals) -> None:
+        """Sends a signal."""
+        if self.running:
+            self.popen.send_signal(number)
+
+    def kill(self) -> None:
+        """Ends it at once."""
+        if self.running:
+            self.popen.kill()
+        self.popen.wait()
+
+    def wait(self) -> int:
+        """Waits for its end and returns the exit code."""
+        return self.popen.wait(timeout=_STOP_S + 20)
+
+    def close(self) -> None:
+        """Ends it and removes the log."""
+        self.kill()
+        self.log.unlink(missing_ok=True)
+
+    def output(self) -> str:
+        """Returns its log so far."""
+        return self.log.read_text(errors="replace")
+
+    def resident_bytes(self) -> int:
+        """Returns its resident memory."""
+        statm = pathlib.Path(f"/proc/{self.popen.pid}/statm").read_text()
+        return int(statm.split()[1]) * os.sysconf("SC_PAGE_SIZE")
+
+    def cpu_seconds(self) -> float:
+        """Returns processor time used so far, user and system."""
+        fields = pathlib.Path(f"/proc/{self.popen.pid}/stat").read_text()
+        after = fields.rpartition(")")[2].split()
+        return (int(after[11]) + int(after[12])) / os.sysconf("SC_CLK_TCK")
+
+    def children(self) -> list[str]:
+        """Returns the ids of its child processes."""
+        tasks = pathlib.Path(f"/proc/{self.popen.pid}/task")
+        found: list[str] = []
+        for task in tasks.iterdir():
+            found += (task / "children").read_text().split()
+        return found
+
+
+async def until(
+    what: str,
+    condition: Callable[[], Awaitable[_T]],
+    *,
+    wait_s: float = DEFAULT_WAIT_S,
+) -> _T:
+    """Waits for a condition and returns what it gave.
+
+    Raises:
+      AssertionError: It did not hold within a generous bound.
+    """
+    end = time.monotonic() + wait_s
+    while True:
+        result = await condition()
+        if result:
+            return result
+        assert time.monotonic() < end, f"not within {wait_s} s: {what}"
+        await trio.sleep(_POLL_S)
--- /dev/null
+++ b/tests/standins/engine.py
@@ -0,0 +1,155 @@
+"""Stand-in for a model engine: the emulator behind a layer of faults."""
+
+from __future__ import annotations
+
+import os
+from typing import Any
+
+import msgspec
+import trio
+
+from coppercleat.emulator import EngineApp, EngineSpeed
+from tests.standins.control import Controlled, arguments, run_standin, start
+
+
+class Knobs(msgspec.Struct, kw_only=True):
+    """What a test can set; counts are of further requests that it hits.
+
+    Attributes:
+      leaving: Announce leaving.
+      refusing: Refuse requests as not run.
+      hang: Take requests and never answer.
+      cross: Answer with another request's id.
+      cut: Close after so many parts of the body; -1 for never.
+      cut_next: So many requests are cut.
+      die_after: Exit after so many parts; -1 for never.
+      fail_next: So many requests are answered with status 500.
+      reject_prompts: Prompts with this text are answered with status 400.
+      slow_every: Every so-manieth request waits, 0 for none.
+      slow_s: For so long.
+      silent: Give no load reports.
+    """
+
+    leaving: bool = False
+    refusing: bool = False
+    hang: bool = False
+    cross: int = 0
+    cut: int = -1
+    cut_next: int = 0
+    die_after: int = -1
+    fail_next: int = 0
+    reject_prompts: str = ""
+    slow_every: int = 0
+    slow_s: float = 0.0
+    silent: bool = False
+
+
+class CutError(Exception):
+    """Ends a response in the middle."""
+
+
+class EngineStandin(Controlled):
+    """Serves an ``EngineApp`` with faults, and logs every execution."""
+
+    def __init__(self, engine: EngineApp) -> None:
+        super().__init__(Knobs())
+        self.engine = engine
+        self.executions: list[str] = []
+        self.orders: list[dict[str, Any]] = []
+        self.requests = 0
+        engine.on_execution = self.executions.append
+
+    async def knobs_changed(self, names: set[str]) -> None:
+        self.engine.leaving = self.knobs.leaving
+        self.engine.refusing = self.knobs.refusing
+
+    def report(self) -> dict[str, Any]:
+        return {
+            "executions": self.executions,
+            "running": len(self.engine.engine.running),
+            "waiting": len(self.engine.engine.waiting),
+            "versions": sorted(self.engine.versions),
+            "orders": self.engine.order_log,
+        }
+
+    async def serve(self, scope: Any, receive: Any, send: Any) -> None:
+        knobs = self.knobs
+        if scope["path"] == "/load" and knobs.silent:
+            await trio.sleep_forever()
+        if scope["path"] != "/v1/completions":
+            await self.engine(scope, receive, send)
+            return
+        self.requests += 1
+        if knobs.hang:
+            await send(_head(200))
+            await trio.sleep_forever()
+        if knobs.slow_every and self.requests % knobs.slow_every == 0:
+            await trio.sleep(knobs.slow_s)
+        if knobs.fail_next > 0:
+            knobs.fail_next -= 1
+            headers = dict(scope["headers"])
+            self.executions.append(headers[b"x-request-id"].decode())
+            await send(_head(500))
+            await send({"type": "http.response.body", "body": b"{}"})
+            return
+        receive = _checked(receive, knobs)
+        await self.engine(scope, receive, self._faulty(send))
+
+    def _faulty(self, send: Any) -> Any:
+        knobs = self.knobs
+        crossed = knobs.cross > 0
+        cut = knobs.cut_next > 0
+        knobs.cross -= crossed
+        knobs.cut_next -= cut
+        parts = 0
+
+        async def faulty(message: Any) -> None:
+            nonlocal parts
+            if message["type"] == "http.response.body":
+                if cut and parts >= knobs.cut:
+                    raise CutError
+                if 0 <= knobs.die_after <= parts:
+                    os._exit(1)
+                parts += 1
+                if crossed:
+                    body = message["body"].replace(b'"id":"', b'"id":"other-')
+                    message = {**message, "body": body}
+            await send(message)
+
+        return faulty
+
+
+def _head(status: int) -> dict[str, Any]:
+    headers = [(b"content-type", b"application/json")]
+    return {"type": "http.response.start", "status": status, "headers": headers}
+
+
+def _checked(receive: Any, knobs: Knobs) -> Any:
+    """Turns a rejected prompt into a body that the engine answers with 400."""
+
+    async def checked() -> Any:
+        message = await receive()
+        text = knobs.reject_prompts.encode()
+        if text and text in message.get("body", b""):
+            return {**message, "body": b'{"rejected": true}'}
+        return message
+
+    return checked
+
+
+async def main(options: Any) -> None:
+    """Serves until killed."""
+    speed = EngineSpeed()
+    if options.speed:
+        speed = EngineSpeed(**msgspec.json.decode(options.speed))
+    engine = EngineApp(
+        options.name,
+        speed=speed,
+        versions=set(filter(None, options.versions.split(","))),
+        checks_fencing=options.fencing != "ignores",
+    )
+    await run_standin(EngineStandin(engine), options.port, engine.run)
+
+
+if __name__ == "__main__":
+    start(main, arguments("name", "versions", "fencing", "speed"))
