Lay a lost attempt to an item only when its upstream answers others

Ruled out: a wrong takeover, since the item's text was never made. Change: a lost attempt counts against an item only after the same upstream has answered something else since, or after 10 of them; failed items go to the end of their segment; batch failures eject an upstream as online ones do. Conclusion: a failing upstream no longer spoils items; a poisonous item still ends after 3 failures that others did not share.

--- a/src/coppercleat/batch/_runner.py
+++ b/src/coppercleat/batch/_runner.py
@@ -20,16 +20,17 @@
 from coppercleat.batch._work import ItemWork, SegmentWork
 from coppercleat.configuration import Deployment, Document, Kind
 from coppercleat.errors import (
-    CoppercleatError,
     NotFoundError,
     Outcome,
     PlatformUnavailableError,
     UpstreamFailedError,
+    UpstreamRefusedError,
+    UpstreamUnavailableError,
 )
 from coppercleat.ids import InstanceId, JobId, TenantId, UpstreamId
 from coppercleat.observability import Metrics, part_logger
 from coppercleat.platform import AnswerLostError, Check
-from coppercleat.routing import UpstreamRecord
+from coppercleat.routing import HealthState, UpstreamRecord
 from coppercleat.settings import BatchSettings
 from coppercleat.upstreams import Attempt, EngineRequest, UpstreamClient
 
@@ -228,8 +229,11 @@
             if feed.retired or now < feed.paused_until or self._results_full():
                 continue
             limit = self._limit(feed, now)
+            health = feed.record.health
+            if health.state is HealthState.HALF_OPEN:
+                limit = min(limit, 1)
             while len(feed.running) < limit and self._start_next(feed):
-                pass
+                health.started()
 
     def _refresh_feeds(self) -> None:
         records = {record.upstream: record for record in self.fleet.fed()}
@@ -310,16 +314,26 @@
             ):
                 result = await self._execute(feed, work, segment, deployment)
             if limit.cancelled_caught and not running.yielded:
-                result = self._failed(work, "timeout", "The item took too long")
+                why = f"no answer within {self.settings.item_timeout_s} s"
+                self._lost(feed, work, ("timeout", why))
         finally:
             feed.running.remove(running)
             feed.record.batch -= 1
             self._wake.set()
+        if result is None and work.given_up(self.settings.max_attempts):
+            result = _gave_up(work)
         if result is None:
             segment.put_back(work)
             return
         self._finish(segment, work, result)
 
+    def _lost(self, feed: _Feed, work: ItemWork, error: tuple[str, str]) -> None:
+        """Notes an attempt without an answer, and lets the upstream rest."""
+        now = trio.current_time()
+        work.lost(feed.record.health, error)
+        feed.record.health.failed(now)
+        feed.paused_until = now + _UPSTREAM_PAUSE_S
+
     async def _execute(
         self,
         feed: _Feed,
@@ -348,28 +362,21 @@
                 async for texts in parts:
                     work.made += texts
         except UpstreamFailedError as error:
-            feed.paused_until = trio.current_time() + _UPSTREAM_PAUSE_S
-            return self._failed(work, error.kind, error.message)
-        except CoppercleatError as error:
-            assert error.outcome is Outcome.NOT_RUN
-            feed.paused_until = trio.current_time() + _UPSTREAM_PAUSE_S
+            if error.outcome is Outcome.RUN:
+                work.refused((error.kind, error.message))
+            else:
+                self._lost(feed, work, (error.kind, error.message))
+            return None
+        except UpstreamUnavailableError:
             work.attempts -= 1
+            feed.record.health.failed(trio.current_time())
             return None
-        return _answered(work)
-
-    def _failed(self, work: ItemWork, kind: str, message: str) -> ItemResult | None:
-        """Counts a failure; after too many it becomes the item's result."""
-        work.failures += 1
-        if work.failures < self.settings.max_attempts:
+        except UpstreamRefusedError:
+            work.attempts -= 1
+            feed.paused_until = trio.current_time() + _UPSTREAM_PAUSE_S
             return None
-        return ItemResult(
-            index=work.index,
-            id=work.item.id,
-            ok=False,
-            error_kind=kind,
-            error_message=message,
-            attempts=work.attempts,
-        )
+        feed.record.health.succeeded()
+        return _answered(work)
 
     def _finish(self, segment: SegmentWork, work: ItemWork, result: ItemResult) -> None:
         self.metrics.items.inc({"ended": "answered" if result.ok else "failed"})
@@ -633,6 +640,18 @@
         self.metrics.late_jobs.set({}, len(self._late))
 
 
+def _gave_up(work: ItemWork) -> ItemResult:
+    kind, message = work.last_error
+    return ItemResult(
+        index=work.index,
+        id=work.item.id,
+        ok=False,
+        error_kind=kind,
+        error_message=message,
+        attempts=work.attempts,
+    )
+
+
 def _answered(work: ItemWork) -> ItemResult:
     return ItemResult(
         index=work.index,
--- a/src/coppercleat/batch/_work.py
+++ b/src/coppercleat/batch/_work.py
@@ -10,24 +10,61 @@
 
 from coppercleat.batch._items import Item, ItemResult
 from coppercleat.batch._store import HeldSegment
+from coppercleat.routing import Health
+
+_MAX_LOST_ATTEMPTS = 10
+
+
+@attrs.define
+class _Suspicion:
+    """An attempt that was lost on an upstream, which may be to blame itself."""
+
+    health: Health
+    successes: int
 
 
 @attrs.define(kw_only=True, eq=False)
 class ItemWork:
     """One item on its way to its result.
 
+    A lost attempt is laid to the item only once the upstream has answered
+    something else since: an upstream that answers nothing is itself at fault.
+
     Attributes:
       index: Its place in the job.
       made: Texts that cancelled runs have made, so that none is lost.
       attempts: Executions started.
-      failures: Executions that failed; yielding is no failure.
+      refusals: Attempts that the upstream answered with an error.
+      last_error: Kind and message of the last failed attempt.
     """
 
     index: int
     item: Item
     made: list[str] = attrs.field(factory=list)
     attempts: int = 0
-    failures: int = 0
+    refusals: int = 0
+    last_error: tuple[str, str] = ("", "")
+    suspicions: list[_Suspicion] = attrs.field(factory=list)
+
+    def lost(self, health: Health, error: tuple[str, str]) -> None:
+        """Notes an attempt that ended without an answer."""
+        self.suspicions.append(_Suspicion(health, health.successes))
+        self.last_error = error
+
+    def refused(self, error: tuple[str, str]) -> None:
+        """Notes an attempt that the upstream answered with an error."""
+        self.refusals += 1
+        self.last_error = error
+
+    def given_up(self, max_attempts: int) -> bool:
+        """Whether the item has failed for good.
+
+        Args:
+          max_attempts: Failures that may be laid to the item.
+        """
+        laid = sum(s.health.successes > s.successes for s in self.suspicions)
+        lost = len(self.suspicions)
+        return self.refusals + laid >= max_attempts or lost >= _MAX_LOST_ATTEMPTS
 
 
 class SegmentWork:
@@ -83,8 +120,14 @@
         return self._waiting.popleft()
 
     def put_back(self, work: ItemWork) -> None:
-        """Returns an item that was taken and has no result; it goes first."""
-        self._waiting.appendleft(work)
+        """Returns an item that was taken and has no result.
+
+        It goes first, unless it failed: then it holds up none of the others.
+        """
+        if work.refusals or work.suspicions:
+            self._waiting.append(work)
+        else:
+            self._waiting.appendleft(work)
 
     def finish(self, work: ItemWork, result: ItemResult) -> int | None:
         """Records a result; returns the chunk if that completes it."""
--- a/src/coppercleat/routing/_health.py
+++ b/src/coppercleat/routing/_health.py
@@ -23,13 +23,22 @@
     Attributes:
       state: Closed lets all through, open none, half open one at a time.
       failures: Failures in a row.
+      successes: Answers ever.
     """
 
-    __slots__ = ("_ejections", "_trial_running", "_until", "failures", "state")
+    __slots__ = (
+        "_ejections",
+        "_trial_running",
+        "_until",
+        "failures",
+        "state",
+        "successes",
+    )
 
     def __init__(self) -> None:
         self.state = HealthState.CLOSED
         self.failures = 0
+        self.successes = 0
         self._ejections = 0
         self._until = 0.0
         self._trial_running = False
@@ -52,6 +61,7 @@
         """Notes an answer; the upstream is well again."""
         self.state = HealthState.CLOSED
         self.failures = 0
+        self.successes += 1
         self._ejections = 0
         self._trial_running = False
 
