--- a/src/coppercleat/batch/_store.py
+++ b/src/coppercleat/batch/_store.py
@@ -439,6 +439,8 @@
           known: The segment's row and version as read; None for none.
           challenge: A further condition: the holder did not answer.
         """
+        if job.state is not JobState.OPEN:
+            return Claimed.JOB_ENDED
         if known is not None and known[0].done:
             return Claimed.DONE
         chunks = job.division.chunks(segment)
@@ -530,19 +532,29 @@
             if isinstance(result, dict):
                 held.row, held.version = row, result[key]
                 return Commit.DONE
-            settled = await self._settle_commit(held, row)
+            settled = await self._settle_commit(held, row, chunk)
             if settled is not None:
                 return settled
         raise AnswerLostError("The platform did not say whether it took the chunk")
 
-    async def _settle_commit(self, held: HeldSegment, row: SegmentRow) -> Commit | None:
-        """Reads rows back; None means that the commit may be tried again."""
+    async def _settle_commit(
+        self, held: HeldSegment, row: SegmentRow, chunk: int
+    ) -> Commit | None:
+        """Reads rows back; None means that the commit may be tried again.
+
+        The pointer alone tells whether the commit took effect: the row may
+        have been taken over since, with the pointer kept.
+        """
         key = segment_key(held.job.job, held.segment)
         rows = await self.platform.read([key, job_key(held.job.job)])
         found = rows.get(key)
-        if found is not None and _decode(found, SegmentRow) == row:
-            held.row, held.version = row, found.version
-            return Commit.DONE
+        if found is not None:
+            current = _decode(found, SegmentRow)
+            if current.results[chunk] == row.results[chunk]:
+                held.row = row
+                if current == row:
+                    held.version = found.version
+                return Commit.DONE
         job = rows.get(job_key(held.job.job))
         if job is None or _decode(job, JobRow).state is not JobState.OPEN:
             return Commit.JOB_ENDED
@@ -621,8 +633,7 @@
             return False
         if not all(segment.done for segment, _ in rows.values()):
             return False
-        await self._end(row, version, JobState.COMPLETED)
-        return True
+        return await self._end(row, version, JobState.COMPLETED) is not None
 
     async def cancel(self, job: JobId) -> JobRow:
         """Cancels a job; once this returns, no result appears any more.
