Refuse misspelt RPC fields; demo and product features

Cause: the JSON codec passed over unknown fields, so a misspelt at_most_once would have been taken for a request that may be repeated. Change: a strict JSON codec at the RPC edge; the demo; features for settings, command line, wrong requests, tenants, admin pages and the second signal. Conclusion: bad input at the RPC edge is refused as not run.

--- /dev/null
+++ b/demo/__init__.py
@@ -0,0 +1,1 @@
+"""The demonstration of the README."""
--- a/src/coppercleat/rpc/_application.py
+++ b/src/coppercleat/rpc/_application.py
@@ -5,6 +5,8 @@
 from collections.abc import Awaitable, Callable, MutableMapping
 from typing import Any
 
+from connectrpc.codec import proto_binary_codec, proto_json_codec
+
 from coppercleat.instance import Instance
 from coppercleat.rpc._batch import BatchRpc
 from coppercleat.rpc._online import OnlineRpc
@@ -20,11 +22,16 @@
 
 def rpc_application(instance: Instance) -> Application:
     """Returns the application of all services; it counts calls in flight."""
-    limit = instance.settings.online.max_body_bytes
+    # A misspelt field, such as at_most_once, must not pass for one not set.
+    strict = [proto_binary_codec(), proto_json_codec(ignore_unknown_fields=False)]
+    options: dict[str, Any] = {
+        "read_max_bytes": instance.settings.online.max_body_bytes,
+        "codecs": strict,
+    }
     services: list[Any] = [
-        OnlineServiceASGIApplication(OnlineRpc(instance), read_max_bytes=limit),
-        BatchServiceASGIApplication(BatchRpc(instance), read_max_bytes=limit),
-        OperatorServiceASGIApplication(OperatorRpc(instance), read_max_bytes=limit),
+        OnlineServiceASGIApplication(OnlineRpc(instance), **options),
+        BatchServiceASGIApplication(BatchRpc(instance), **options),
+        OperatorServiceASGIApplication(OperatorRpc(instance), **options),
     ]
     by_path = {service.path: service for service in services}
 
--- /dev/null
+++ b/tests/features/product.feature
@@ -0,0 +1,87 @@
+Feature: The program and its settings
+  Wrong settings and wrong calls are refused with a message that names what and
+  where, and the embedded default runs the whole job.
+
+  Scenario: The demo accepts, completes and reads a lot
+    When the demo is run
+    Then it ends with "300 items accepted, 300 completed once, 300 readable."
+
+  Scenario Outline: Settings with <problem> are refused
+    When settings are checked where <key> is <value>
+    Then the check exits with code 3
+    And it names "settings.yaml" and "<place>" and a remedy
+
+    Examples:
+      | problem              | key                    | value        | place                |
+      | an unknown key       | batch.chunksize        | 3            | chunksize            |
+      | a wrong type         | batch.chunk_items      | "many"       | $.batch.chunk_items  |
+      | an impossible number | batch.chunk_items      | 0            | $.batch.chunk_items  |
+      | a bad address        | listen.rpc             | "localhost"  | $.listen.rpc         |
+      | a port too high      | listen.rpc             | "1.2.3.4:70000" | $.listen.rpc      |
+      | the same port twice  | listen.rpc             | "127.0.0.1:2" | $.listen            |
+      | a short key          | peers.keys             | ["short"]    | $.peers.keys         |
+      | times that clash     | peers.suspect_after_s  | 0.1          | $.peers.suspect      |
+      | a missing section    | instance               | null         | $.instance           |
+      | no YAML              | (text)                 | "a: [b"      | not YAML             |
+
+  Scenario: Good settings pass
+    When settings are checked as they are
+    Then the check exits with code 0
+
+  Scenario Outline: The command line answers <words> with exit code <code>
+    When coppercleat is run with <words>
+    Then the check exits with code <code>
+    And its output contains "<text>"
+
+    Examples:
+      | words                                  | code | text                |
+      | --help                                 | 0    | batch submit        |
+      | infer --help                           | 0    | --deployment        |
+      | dance                                  | 2    | Usage               |
+      | infer --nonsense                       | 2    | nonsense            |
+      | infer hello                            | 2    | --deployment        |
+      | entry                                  | 3    | --settings          |
+      | batch submit --deployment d nofile     | 3    | no such file        |
+      | infer --server 127.0.0.1:1 --deployment d x | 4 | unreachable       |
+
+  Scenario Outline: A wrong request is refused as <kind>: <problem>
+    Given a fleet of 1 zones, each with 1 entries and 1 engines
+    When a request is made with <body>
+    Then it is refused as <kind> with outcome NOT_RUN
+
+    Examples:
+      | problem            | kind             | body                                        |
+      | unknown deployment | not_found        | {"deployment": "brunch"}                    |
+      | empty prompt       | invalid_request  | {"prompt": ""}                              |
+      | too many tokens    | invalid_request  | {"maxTokens": 100001}                       |
+      | unknown adapter    | not_found        | {"adapter": "salty"}                        |
+      | key without once   | invalid_request  | {"idempotencyKey": "k"}                     |
+      | deadline too long  | invalid_request  | {"deadlineMs": 4000000}                     |
+      | wrong type         | invalid_argument | {"maxTokens": "many"}                       |
+      | unknown field      | invalid_argument | {"colour": "blue"}                          |
+      | oversize           | resource_exhausted | {"prompt": "@1000001"}                    |
+
+  Scenario: Tenants are told apart by their tokens, and held to their limits
+    Given a fleet of 1 zones, each with 1 entries and 1 engines
+    When tenant "robledal" with token "t1" and a rate of 2 is configured
+    And a request is made without a token
+    Then it is refused as unauthenticated with outcome NOT_RUN
+    When 12 requests carry the token "t1"
+    Then some are answered and the others refused as overloaded
+
+  Scenario: The admin port shows what goes on, and a request is explained
+    Given a fleet of 1 zones, each with 1 entries and 1 engines
+    When 3 requests are made at once
+    Then the admin page "/ready" contains "ready"
+    And the admin page "/metrics" contains "coppercleat_first_token_seconds_bucket"
+    And the admin page "/" contains "burgos-a-engine-1"
+    And a request is explained with the upstream chosen
+    And entry 1 has started no process
+
+  Scenario: A second signal exits at once
+    Given a fleet of 1 zones, each with 1 entries and 1 engines
+      | option   | value                          |
+      | settings | {"stop": {"unready_s": 30}}    |
+    When entry 1 is terminated
+    And a second signal follows
+    Then entry 1 exits with code 1
--- /dev/null
+++ b/tests/features/steps/product_steps.py
@@ -0,0 +1,204 @@
+"""Steps that use the program as operators and callers do."""
+
+import copy
+import hashlib
+import json
+import pathlib
+import signal
+import subprocess
+import sys
+import tempfile
+import time
+
+import httpcore
+import trio
+import yaml
+from behave import then, when
+
+from coppercleat.rpc import RpcError
+from tests.harness import until
+from tests.harness.scenario import entry, make_requests
+
+GOOD = {
+    "instance": {"id": "entry-1", "zone": "burgos-a", "region": "norte-es"},
+    "listen": {
+        "rpc": "127.0.0.1:1",
+        "admin": "127.0.0.1:2",
+        "peers": "127.0.0.1:3",
+    },
+    "platform": {"url": "http://127.0.0.1:4"},
+    "peers": {"keys": ["sixteen letters or more"]},
+}
+
+
+def run(context, arguments):
+    context.ran = subprocess.run(
+        [sys.executable, "-m", "coppercleat", *arguments],
+        capture_output=True,
+        text=True,
+        timeout=60,
+        check=False,
+    )
+
+
+def check(context, text):
+    with tempfile.TemporaryDirectory() as directory:
+        path = pathlib.Path(directory) / "settings.yaml"
+        path.write_text(text)
+        run(context, ["check-settings", f"--settings={path}"])
+
+
+@when("the demo is run")
+def run_demo(context):
+    context.ran = subprocess.run(
+        [sys.executable, "-m", "demo"],
+        capture_output=True,
+        text=True,
+        timeout=120,
+        check=False,
+    )
+
+
+@then('it ends with "{line}"')
+def ends_with(context, line):
+    assert context.ran.returncode == 0, context.ran.stderr
+    assert context.ran.stdout.splitlines()[-1] == line, context.ran.stdout
+
+
+@when("settings are checked where {key} is {value}")
+def check_settings(context, key, value):
+    if key == "(text)":
+        check(context, json.loads(value))
+        return
+    settings = copy.deepcopy(GOOD)
+    section, _, name = key.partition(".")
+    if name:
+        settings.setdefault(section, {})[name] = json.loads(value)
+    else:
+        settings[section] = json.loads(value)
+    check(context, yaml.safe_dump(settings))
+
+
+@when("settings are checked as they are")
+def check_good(context):
+    check(context, yaml.safe_dump(GOOD))
+
+
+@then("the check exits with code {code:d}")
+def exit_code(context, code):
+    assert context.ran.returncode == code, (context.ran.returncode, context.ran.stderr)
+
+
+@then('it names "{file}" and "{place}" and a remedy')
+def names(context, file, place):
+    message = context.ran.stderr
+    assert file in message, message
+    assert place in message, message
+    assert "orrect" in message, message
+
+
+@when("coppercleat is run with {words}")
+def run_words(context, words):
+    run(context, words.split())
+
+
+@then('its output contains "{text}"')
+def contains(context, text):
+    output = context.ran.stdout + context.ran.stderr
+    assert text in output, output
+
+
+@when("a request is made with {body}")
+def make_request(context, body):
+    request = {"deployment": "menus", "prompt": "p"} | json.loads(body)
+    if request["prompt"].startswith("@"):
+        request["prompt"] = "x" * int(request["prompt"][1:])
+    one_request(context, request)
+
+
+@when("a request is made without a token")
+def without_token(context):
+    one_request(context, {"deployment": "menus", "prompt": "p"})
+
+
+def one_request(context, request):
+    async def call():
+        async with context.fleet.client() as client:
+            await client.call("OnlineService", "Infer", request)
+
+    context.error = None
+    try:
+        context.fleet.run(call)
+    except RpcError as error:
+        context.error = error
+
+
+@then("it is refused as {kind} with outcome {outcome}")
+def refused(context, kind, outcome):
+    assert context.error is not None, "it was answered"
+    assert context.error.kind == kind, f"{context.error.kind}: {context.error}"
+    if context.error.info:
+        assert context.error.outcome == outcome
+    executions = context.fleet.run(context.fleet.executions)
+    assert executions == [], executions
+
+
+@when('tenant "{name}" with token "{token}" and a rate of {rate:d} is configured')
+def configure_tenant(context, name, token, rate):
+    digest = hashlib.sha256(token.encode()).hexdigest()
+    body = {"token_sha256": digest, "rate": rate}
+    context.fleet.run(lambda: context.fleet.apply("ENTITY_KIND_TENANT", name, body))
+
+
+@when('{count:d} requests carry the token "{token}"')
+def with_token(context, count, token):
+    original = context.fleet.client
+    context.fleet.client = lambda *a, **k: original(*a, token=token, **k)
+    context.outcomes = make_requests(context, count)
+
+
+@then("some are answered and the others refused as {kind}")
+def some_refused(context, kind):
+    errors = [o.error for o in context.outcomes if o.error is not None]
+    assert 0 < len(errors) < len(context.outcomes), len(errors)
+    assert {(e.kind, e.outcome) for e in errors} == {(kind, "NOT_RUN")}
+    assert all(e.info["retryAfterMs"] > 0 for e in errors)
+
+
+async def admin_page(context, path):
+    port = context.fleet.entries[entry(context, 1)].ports["admin"]
+    async with httpcore.AsyncConnectionPool() as pool:
+        response = await pool.request("GET", f"http://127.0.0.1:{port}{path}")
+    return response.content.decode()
+
+
+@then('the admin page "{path}" contains "{text}"')
+def page_contains(context, path, text):
+    page = context.fleet.run(admin_page, context, path)
+    assert text in page, page[:2000]
+
+
+@then("a request is explained with the upstream chosen")
+def explained(context):
+    async def infer():
+        async with context.fleet.client() as client:
+            body = {"deployment": "menus", "prompt": "why"}
+            return await client.call("OnlineService", "Infer", body)
+
+    request_id = context.fleet.run(infer)["requestId"]
+    port = context.fleet.entries[entry(context, 1)].ports["admin"]
+    run(context, ["explain", f"--admin=127.0.0.1:{port}", request_id])
+    assert context.ran.returncode == 0, context.ran.stderr
+    assert "Upstream chosen." in context.ran.stdout, context.ran.stdout
+
+
+@when("a second signal follows")
+def second_signal(context):
+    process = context.fleet.processes[entry(context, 1)]
+
+    async def noticed():
+        return "Instance stopping." in process.output()
+
+    trio.run(lambda: until("the first signal is noticed", noticed))
+    process.signal(signal.SIGTERM)
+    time.sleep(0.1)
