Give orders to engines from one fenced holder; pace polls by the fleet's size

Cause: nothing loaded or unloaded versions; and 4.1 platform reads a second of each instance would be 2950 a second at 720, over the 2000 there are. Change: orders/ keeps a lease with a fencing number for each service, plans loads before unloads, waits out an old holder, and compares for ever. Versions are drawn among those loaded. Polls stretch with the number of instances; idle loops wait for events.

--- a/src/coppercleat/batch/_runner.py
+++ b/src/coppercleat/batch/_runner.py
@@ -29,16 +29,20 @@
 )
 from coppercleat.ids import InstanceId, JobId, TenantId, UpstreamId
 from coppercleat.observability import Metrics, part_logger
-from coppercleat.platform import AnswerLostError, Check
+from coppercleat.platform import AnswerLostError, Check, paced
 from coppercleat.routing import HealthState, UpstreamRecord
 from coppercleat.settings import BatchSettings
 from coppercleat.upstreams import Attempt, EngineRequest, UpstreamClient
 
 _TICK_S = 0.05
+_IDLE_TICK_S = 0.5
 _COMMIT_RETRY_S = 0.5
 _COMMIT_RETRY_MAX_S = 5.0
 _UPSTREAM_PAUSE_S = 0.25
 _PROBED_SEGMENTS = 64
+_CLAIM_READS_PER_S = 50.0
+_WATCH_READS_PER_S = 300.0
+_WATCHES_TO_ANSWER = 2.5
 
 _log = part_logger("batch")
 
@@ -62,6 +66,10 @@
         """Returns what is known of a segment's holder."""
         ...
 
+    def live(self) -> int:
+        """Returns how many instances are thought alive."""
+        ...
+
     def is_steward(self, job: JobId) -> bool:
         """Returns whether this instance watches over a job's due time."""
         ...
@@ -127,7 +135,7 @@
         metrics: Metrics,
         clock: Callable[[], float],
         rng: random.Random,
-        pick_version: Callable[[Deployment, random.Random], str],
+        pick_version: Callable[[Deployment], str],
     ) -> None:
         """Prepares the runner.
 
@@ -219,7 +227,8 @@
         while True:
             self._wake = trio.Event()
             self._schedule(trio.current_time())
-            with trio.move_on_after(_TICK_S):
+            active = self.held or any(f.running for f in self._feeds.values())
+            with trio.move_on_after(_TICK_S if active else _IDLE_TICK_S):
                 await self._wake.wait()
 
     def _schedule(self, now: float) -> None:
@@ -349,7 +358,7 @@
         work.attempts += 1
         request = EngineRequest(
             request_id=f"{job.job}-{work.index}.{work.attempts}",
-            model=self.pick_version(deployment, self.rng),
+            model=self.pick_version(deployment),
             prompt=work.item.prompt,
             max_tokens=tokens,
             resume_tokens=len(work.made),
@@ -447,8 +456,8 @@
             self._look = trio.Event()
             with contextlib.suppress(PlatformUnavailableError, AnswerLostError):
                 await self._claim_round()
-            pause = self.settings.poll_s * self.rng.uniform(0.75, 1.25)
-            with trio.move_on_after(pause):
+            pause = paced(self.settings.poll_s, self.fleet.live(), _CLAIM_READS_PER_S)
+            with trio.move_on_after(pause * self.rng.uniform(0.75, 1.25)):
                 await self._look.wait()
 
     async def _claim_round(self) -> None:
@@ -537,6 +546,9 @@
     async def _challenge(self, holder: InstanceId) -> tuple[bool, Check | None]:
         """Asks a silent holder for a sign of life; silence frees its segments."""
         now = trio.current_time()
+        self._challenges.wait_s = max(
+            self.settings.challenge_s, _WATCHES_TO_ANSWER * self._watch_pause()
+        )
         try:
             version = await self.store.challenge_version(holder)
             unanswered = self._challenges.observe(holder, version, now)
@@ -596,10 +608,15 @@
 
     async def _watch_forever(self) -> None:
         while True:
-            await trio.sleep(self.settings.poll_s * self.rng.uniform(0.75, 1.0))
+            await trio.sleep(self._watch_pause() * self.rng.uniform(0.75, 1.0))
+            if not self.held:
+                continue
             with contextlib.suppress(PlatformUnavailableError, AnswerLostError):
                 await self._watch()
 
+    def _watch_pause(self) -> float:
+        return paced(self.settings.poll_s, self.fleet.live(), _WATCH_READS_PER_S)
+
     async def _watch(self) -> None:
         """Notices challenges, take-overs and ended jobs, in one read."""
         by_held = {id(work.held): work for work in self.held}
--- a/src/coppercleat/emulator/_app.py
+++ b/src/coppercleat/emulator/_app.py
@@ -63,6 +63,7 @@
       checks_fencing: Whether older fencing numbers are refused.
       versions: The versions loaded.
       order_log: Orders carried out, in order.
+      busy_s: Seconds spent in steps so far.
     """
 
     def __init__(
@@ -83,6 +84,7 @@
         self.leaving = False
         self.refusing = False
         self.order_log: list[str] = []
+        self.busy_s = 0.0
         self.on_execution = on_execution
         self._report_lag_s = report_lag_s
         self._report = b""
@@ -106,6 +108,7 @@
                 self._work = trio.Event()
                 await self._work.wait()
             result = self.engine.step()
+            self.busy_s += result.duration_s
             await trio.sleep(result.duration_s)
             for sequence, token in result.tokens:
                 self._deliver(sequence, token)
--- a/src/coppercleat/instance/_fleet.py
+++ b/src/coppercleat/instance/_fleet.py
@@ -12,7 +12,7 @@
 from coppercleat.ids import InstanceId, JobId, UpstreamId, ZoneId
 from coppercleat.membership import Detector
 from coppercleat.observability import part_logger
-from coppercleat.platform import Node, NodeRole, Platform
+from coppercleat.platform import Node, NodeRole, Platform, paced
 from coppercleat.routing import (
     PeerArrivals,
     RoutingTable,
@@ -27,6 +27,7 @@
 _OTHERS_POLL_FACTOR = 4
 _MISSING_REPORTS = 3
 _ASSIGN_EVERY_S = 0.1
+_LIST_READS_PER_S = 50.0
 
 _log = part_logger("fleet")
 
@@ -82,8 +83,9 @@
             self._nursery = nursery
             while True:
                 await self.refresh()
-                pause = self.settings.platform.list_poll_s
-                await trio.sleep(pause * self.rng.uniform(0.75, 1.25))
+                pause_s = self.settings.platform.list_poll_s
+                pause_s = paced(pause_s, self.live(), _LIST_READS_PER_S)
+                await trio.sleep(pause_s * self.rng.uniform(0.75, 1.25))
 
     async def refresh(self) -> None:
         """Reads the platform's list once; keeps the last one if it is away."""
@@ -192,6 +194,28 @@
             restarted=line is not None and line.incarnation > incarnation,
         )
 
+    def live(self) -> int:
+        """Returns how many instances are thought alive, this one included."""
+        return len(self.detector.alive(trio.current_time()))
+
+    def alive(self) -> list[InstanceId]:
+        """Returns the instances thought alive, this one included."""
+        return self.detector.alive(trio.current_time())
+
+    def engines_of(self, service: str) -> list[UpstreamRecord]:
+        """Returns the engines of a service that are followed and not leaving."""
+        return [
+            record
+            for record in self.table
+            if record.node.role is NodeRole.ENGINE
+            and record.node.service == service
+            and not record.leaving
+        ]
+
+    def record(self, upstream: UpstreamId) -> UpstreamRecord | None:
+        """Returns the record of an upstream, if it is followed."""
+        return self.table.get(upstream)
+
     def is_steward(self, job: JobId) -> bool:
         """Returns whether this instance watches over a job's due time."""
         alive = self.detector.alive(trio.current_time())
--- a/src/coppercleat/instance/_instance.py
+++ b/src/coppercleat/instance/_instance.py
@@ -9,7 +9,7 @@
 import trio
 
 from coppercleat.batch import BatchRunner, JobStore
-from coppercleat.configuration import Change, ConfigurationStore
+from coppercleat.configuration import Change, ConfigurationStore, Deployment
 from coppercleat.ids import Revision, UpstreamId
 from coppercleat.instance._fleet import Fleet
 from coppercleat.instance._keeper import ConfigurationKeeper
@@ -18,6 +18,7 @@
 from coppercleat.membership import Detector, MemberLine
 from coppercleat.observability import EventRing, Metrics, part_logger
 from coppercleat.online import AnswerStore, OnlineServices, Pipeline, pick_version
+from coppercleat.orders import OrderKeeper
 from coppercleat.platform import HttpPlatform, Platform
 from coppercleat.settings import Settings
 
@@ -92,7 +93,16 @@
             metrics=self.metrics,
             clock=time.time,
             rng=self.rng,
-            pick_version=pick_version,
+            pick_version=self._pick_version,
+        )
+        self.orders = OrderKeeper(
+            instance=settings.instance.instance_id,
+            incarnation=lambda: self.detector.own.incarnation,
+            settings=settings.orders,
+            platform=self.platform,
+            document=self.keeper.document,
+            engines=self.fleet,
+            metrics=self.metrics,
         )
         self.pipeline = Pipeline(self._online_services())
         self.fleet.on_leaving = self.peers.spread_leaving
@@ -141,9 +151,12 @@
             self.platform_reachable = answered
             _log.warning("Platform reachable." if answered else "Platform away.")
 
+    def _pick_version(self, deployment: Deployment) -> str:
+        return pick_version(deployment, self.fleet.table, self.rng)
+
     def live_instances(self) -> int:
         """Returns how many instances are thought alive, this one included."""
-        return len(self.detector.alive(trio.current_time()))
+        return self.fleet.live()
 
     @property
     def ready(self) -> bool:
@@ -159,6 +172,7 @@
             nursery.start_soon(self.keeper.run)
             nursery.start_soon(self.peers.run)
             nursery.start_soon(self.batch.run)
+            nursery.start_soon(self.orders.run)
             while not self.ready:
                 await trio.sleep(_READY_POLL_S)
             _log.info("Instance ready.", instance=self.settings.instance.id)
--- a/src/coppercleat/instance/_keeper.py
+++ b/src/coppercleat/instance/_keeper.py
@@ -18,11 +18,10 @@
 from coppercleat.errors import PlatformUnavailableError
 from coppercleat.ids import Revision
 from coppercleat.observability import Metrics, part_logger
-from coppercleat.platform import AnswerLostError
+from coppercleat.platform import AnswerLostError, paced
 
 _POLL_S = 1.0
 _POLLS_PER_S = 50.0
-"""Polls a second of the whole fleet; the pause grows with the instances."""
 
 _log = part_logger("configuration")
 
@@ -64,8 +63,8 @@
         """Polls the platform until cancelled."""
         while True:
             await self.poll()
-            pause = max(_POLL_S, self._live_instances() / _POLLS_PER_S)
-            await trio.sleep(pause * self._rng.uniform(0.75, 1.25))
+            pause_s = paced(_POLL_S, self._live_instances(), _POLLS_PER_S)
+            await trio.sleep(pause_s * self._rng.uniform(0.75, 1.25))
 
     async def poll(self) -> None:
         """Adopts what the platform has that is newer."""
--- a/src/coppercleat/instance/_peers.py
+++ b/src/coppercleat/instance/_peers.py
@@ -83,6 +83,7 @@
         self._pulled_at = float("-inf")
         self._told: dict[UpstreamId, int] = {}
         self._departed: set[UpstreamId] = set()
+        self._departure = trio.Event()
 
     async def run(self) -> None:
         """Sends and receives until cancelled."""
@@ -174,13 +175,15 @@
             self._tell_arrivals([upstream])
         else:
             self._departed.add(upstream)
+            self._departure.set()
 
     async def _tell_departures_forever(self) -> None:
         while True:
+            await self._departure.wait()
             await trio.sleep(_DEPARTURES_S)
-            if self._departed:
-                departed, self._departed = self._departed, set()
-                self._tell_arrivals(list(departed))
+            self._departure = trio.Event()
+            departed, self._departed = self._departed, set()
+            self._tell_arrivals(list(departed))
 
     def _tell_arrivals(self, upstreams: list[UpstreamId]) -> None:
         by_feeder: dict[InstanceId, list[tuple[UpstreamId, int]]] = {}
--- a/src/coppercleat/online/_filters.py
+++ b/src/coppercleat/online/_filters.py
@@ -5,7 +5,7 @@
 import contextlib
 import hashlib
 import random
-from collections.abc import AsyncIterator
+from collections.abc import AsyncIterator, Iterable
 
 import msgspec
 import trio
@@ -26,6 +26,7 @@
 from coppercleat.online._exchange import Call, Chunk, Exchange, Infer
 from coppercleat.online._pipeline import online_filter
 from coppercleat.online._services import OnlineServices
+from coppercleat.routing import UpstreamRecord
 
 ANONYMOUS = TenantId("anonymous")
 _MAX_KEY_CHARS = 200
@@ -148,17 +149,30 @@
     if infer.adapter and infer.adapter not in deployment.adapters:
         raise NotFoundError(f"{infer.deployment} has no adapter {infer.adapter!r}")
     exchange.service = deployment.service
-    exchange.version = infer.adapter or pick_version(deployment, services.rng)
+    exchange.version = infer.adapter or pick_version(
+        deployment, services.table, services.rng
+    )
     exchange.max_tokens = infer.max_tokens or deployment.default_max_tokens
 
 
-def pick_version(deployment: Deployment, rng: random.Random) -> str:
-    """Draws a version by the weights of the deployment."""
-    names = list(deployment.versions)
-    weights = list(deployment.versions.values())
-    if not any(weights):
-        return names[0]
-    return rng.choices(names, weights)[0]
+def pick_version(
+    deployment: Deployment, records: Iterable[UpstreamRecord], rng: random.Random
+) -> str:
+    """Draws a version by weight, among those that some upstream has loaded.
+
+    While a new version is being loaded its share goes to the others. If none
+    of positive weight is loaded, any that is loaded still serves.
+    """
+    serving = [r for r in records if r.node.service == deployment.service]
+    loaded = {
+        version: weight
+        for version, weight in deployment.versions.items()
+        if any(record.serves(version) for record in serving)
+    }
+    weights = loaded or deployment.versions
+    if not any(weights.values()):
+        return next(iter(weights))
+    return rng.choices(list(weights), list(weights.values()))[0]
 
 
 @online_filter(order=40)
--- /dev/null
+++ b/src/coppercleat/orders/_keeper.py
@@ -0,0 +1,201 @@
+"""Keeps engines in the wanted state, for ever, as the one fenced holder."""
+
+from __future__ import annotations
+
+from collections.abc import Callable, Iterable
+from typing import Protocol
+
+import trio
+
+from coppercleat.configuration import Document, Kind
+from coppercleat.errors import CoppercleatError
+from coppercleat.ids import InstanceId, UpstreamId
+from coppercleat.observability import Metrics, part_logger
+from coppercleat.orders._lease import Lease, LeaseStore, LeaseWatch
+from coppercleat.orders._plan import (
+    Order,
+    Wanted,
+    plan_orders,
+    wanted_versions,
+)
+from coppercleat.platform import Platform
+from coppercleat.routing import UpstreamRecord, owner
+from coppercleat.settings import OrderSettings
+from coppercleat.upstreams import OrderRefusedError, UpstreamClient
+
+_log = part_logger("orders")
+
+
+class Engines(Protocol):
+    """What the keeper needs to know of engines."""
+
+    def engines_of(self, service: str) -> list[UpstreamRecord]:
+        """Returns the engines of a service that are known and not leaving."""
+        ...
+
+    def record(self, upstream: UpstreamId) -> UpstreamRecord | None:
+        """Returns the record of an engine, if it is known."""
+        ...
+
+    def online_client(self, upstream: UpstreamId) -> UpstreamClient:
+        """Returns a client of an engine."""
+        ...
+
+    def alive(self) -> list[InstanceId]:
+        """Returns the instances thought alive."""
+        ...
+
+
+class OrderKeeper:
+    """Holds the leases of the services that fall to this instance.
+
+    Attributes:
+      leases: Leases held, by service.
+    """
+
+    def __init__(
+        self,
+        *,
+        instance: InstanceId,
+        incarnation: Callable[[], int],
+        settings: OrderSettings,
+        platform: Platform,
+        document: Document,
+        engines: Engines,
+        metrics: Metrics,
+    ) -> None:
+        self.instance = instance
+        self.incarnation = incarnation
+        self.settings = settings
+        self.document = document
+        self.engines = engines
+        self.metrics = metrics
+        self.leases: dict[str, Lease] = {}
+        self._store = LeaseStore(platform, duration_s=settings.lease_s)
+        self._watches: dict[str, LeaseWatch] = {}
+        self._seen_revision = 0
+        self._seen_at = 0.0
+
+    async def run(self) -> None:
+        """Works until cancelled."""
+        while True:
+            await trio.sleep(self.settings.poll_s)
+            self._note_revision(trio.current_time())
+            for service in self._services():
+                try:
+                    await self._keep(service)
+                except CoppercleatError as error:
+                    _log.warning("Orders put off.", service=service, why=error.message)
+
+    def _note_revision(self, now: float) -> None:
+        if self.document.revision != self._seen_revision:
+            self._seen_revision = self.document.revision
+            self._seen_at = now
+
+    def _services(self) -> list[str]:
+        deployments = self.document.bodies(Kind.DEPLOYMENT)
+        return sorted({deployment.service for _, deployment in deployments})
+
+    async def _keep(self, service: str) -> None:
+        """Does one round for a service, if it falls to this instance."""
+        chosen = owner(f"orders/{service}", self.engines.alive())
+        if chosen != self.instance:
+            self.leases.pop(service, None)
+            self._watches.pop(service, None)
+            return
+        lease = await self._hold(service)
+        if lease is None:
+            return
+        now = trio.current_time()
+        wanted = wanted_versions(
+            (body for _, body in self.document.bodies(Kind.DEPLOYMENT)), service
+        )
+        loaded = await self._loaded(service)
+        drift = _drift(wanted, loaded.values())
+        self.metrics.drift.set({"service": service}, drift)
+        may_unload = now - self._seen_at >= self.settings.unload_after_s
+        orders = plan_orders(
+            wanted, loaded, max_loads=self.settings.max_loads, may_unload=may_unload
+        )
+        for order in orders:
+            await self._give(service, lease, order)
+
+    async def _hold(self, service: str) -> Lease | None:
+        """Renews the lease, or takes it when it is free."""
+        now = trio.current_time()
+        lease = self.leases.get(service)
+        if lease is not None and now < lease.valid_until - self.settings.lease_s / 2:
+            return lease
+        if lease is not None:
+            if await self._store.renew(service, lease, now=now):
+                return lease
+            del self.leases[service]
+            return None
+        found = await self._store.read(service)
+        row, version = found
+        own = row is not None and row.holder == self.instance
+        watch = self._watches.setdefault(
+            service, LeaseWatch(duration_s=self.settings.lease_s)
+        )
+        if row is not None and not own and not watch.lapsed(version, now):
+            return None
+        lease = await self._store.take(
+            service,
+            found,
+            holder=self.instance,
+            incarnation=self.incarnation(),
+            now=now,
+            quiet_s=self.settings.lease_s + self.settings.order_timeout_s,
+        )
+        if lease is not None:
+            self.leases[service] = lease
+            _log.info("Lease taken.", service=service, fence=lease.row.fence)
+        return lease
+
+    async def _loaded(self, service: str) -> dict[UpstreamId, list[str]]:
+        """Asks each engine what it has loaded; those that do not say are left out."""
+        reports: dict[UpstreamId, list[str]] = {}
+
+        async def ask(record: UpstreamRecord) -> None:
+            report = await self.engines.online_client(record.upstream).load()
+            if report is not None:
+                reports[record.upstream] = report.versions
+                record.observe_report(report, trio.current_time())
+
+        async with trio.open_nursery() as nursery:
+            for record in self.engines.engines_of(service):
+                nursery.start_soon(ask, record)
+        return reports
+
+    async def _give(self, service: str, lease: Lease, order: Order) -> None:
+        """Gives one order, if the lease outlasts the longest it may take."""
+        now = trio.current_time()
+        longest = self.settings.order_timeout_s
+        if not lease.may_order(now, longest_order_s=longest):
+            return
+        client = self.engines.online_client(order.upstream)
+        with trio.move_on_after(longest) as scope:
+            try:
+                versions = await client.order(
+                    order.action, order.version, fence=lease.row.fence
+                )
+            except OrderRefusedError as error:
+                _log.warning("Order refused.", service=service, why=error.message)
+                self.leases.pop(service, None)
+                return
+            record = self.engines.record(order.upstream)
+            if record is not None and record.report is not None:
+                record.report.versions = versions
+        _log.info(
+            "Order given.",
+            service=service,
+            upstream=order.upstream,
+            action=order.action,
+            version=order.version,
+            fence=lease.row.fence,
+            answered=not scope.cancelled_caught,
+        )
+
+
+def _drift(wanted: Wanted, loaded: Iterable[list[str]]) -> int:
+    return sum(set(versions) != wanted.versions for versions in loaded)
--- a/src/coppercleat/platform/__init__.py
+++ b/src/coppercleat/platform/__init__.py
@@ -2,6 +2,7 @@
 
 from coppercleat.platform._http import HttpPlatform
 from coppercleat.platform._memory import MemoryPlatform
+from coppercleat.platform._pace import paced
 from coppercleat.platform._port import (
     ABSENT,
     AnswerLostError,
@@ -32,4 +33,5 @@
     "Row",
     "Transaction",
     "TransactionRefused",
+    "paced",
 ]
--- a/src/coppercleat/routing/_choose.py
+++ b/src/coppercleat/routing/_choose.py
@@ -104,6 +104,9 @@
         return NoUpstream(f"no upstream serves {wanted.service}", 1.0)
     staying = [r for r in serving if not r.leaving and r.upstream not in wanted.tried]
     loaded = [r for r in staying if not wanted.version or r.serves(wanted.version)]
+    # Reports lag: a version that none reports may just have been loaded, and an
+    # engine without it refuses the request as not run.
+    loaded = loaded or staying
     if not loaded:
         return NoUpstream(f"all upstreams of {wanted.service} leave or failed", 1.0)
     healthy = [r for r in loaded if r.health.may_try(now)]
--- a/src/coppercleat/settings/_load.py
+++ b/src/coppercleat/settings/_load.py
@@ -61,6 +61,12 @@
     """Yields one sentence for each pair of values that do not fit."""
     if settings.batch.challenge_s < 2 * settings.batch.poll_s:
         yield "$.batch.challenge_s must be at least twice $.batch.poll_s"
+    orders = settings.orders
+    if orders.lease_s < 2 * (orders.poll_s + orders.order_timeout_s):
+        yield (
+            "$.orders.lease_s must be at least twice "
+            "$.orders.poll_s plus $.orders.order_timeout_s"
+        )
     if settings.peers.suspect_after_s < 3 * settings.peers.heartbeat_s:
         yield "$.peers.suspect_after_s must be at least 3 times $.peers.heartbeat_s"
     listen = settings.listen
--- a/src/coppercleat/settings/_model.py
+++ b/src/coppercleat/settings/_model.py
@@ -94,6 +94,16 @@
     retention_s: Annotated[float, Meta(gt=0)] = 30 * 86_400.0
 
 
+class OrderSettings(Struct, forbid_unknown_fields=True, kw_only=True):
+    """Orders to engines, and the lease of whoever gives them."""
+
+    poll_s: Seconds = 1.0
+    lease_s: Seconds = 6.0
+    order_timeout_s: Seconds = 2.0
+    unload_after_s: Seconds = 6.0
+    max_loads: Count = 2
+
+
 class StopSettings(Struct, forbid_unknown_fields=True, kw_only=True):
     """Bounds of a planned stop."""
 
@@ -117,5 +127,6 @@
     peers: PeerSettings
     online: OnlineSettings = field(default_factory=OnlineSettings)
     batch: BatchSettings = field(default_factory=BatchSettings)
+    orders: OrderSettings = field(default_factory=OrderSettings)
     stop: StopSettings = field(default_factory=StopSettings)
     log: LogSettings = field(default_factory=LogSettings)
--- a/tests/harness/_fleet.py
+++ b/tests/harness/_fleet.py
@@ -175,6 +175,12 @@
             "platform": {"url": platform, "timeout_s": 1.0, "list_poll_s": 0.5},
             "peers": {"keys": [KEY], "heartbeat_s": 0.25, "suspect_after_s": 1.5},
             "batch": {"poll_s": 0.5, "challenge_s": 1.5},
+            "orders": {
+                "poll_s": 0.3,
+                "order_timeout_s": 1.0,
+                "lease_s": 3.0,
+                "unload_after_s": 2.0,
+            },
             "log": {"level": "debug"},
         }
         for section, values in self.deployment.settings.items():
--- a/tests/standins/engine.py
+++ b/tests/standins/engine.py
@@ -57,6 +57,10 @@
         self.executions: list[str] = []
         self.orders: list[dict[str, Any]] = []
         self.requests = 0
+        self.tokens = {"online": 0, "batch": 0}
+        self.active = {"online": 0, "batch": 0}
+        self.yields: list[float] = []
+        self.online_since: float | None = None
         engine.on_execution = self.executions.append
 
     async def knobs_changed(self, names: set[str]) -> None:
@@ -70,6 +74,9 @@
             "waiting": len(self.engine.engine.waiting),
             "versions": sorted(self.engine.versions),
             "orders": self.engine.order_log,
+            "tokens": self.tokens,
+            "busy_s": self.engine.busy_s,
+            "yields_s": self.yields,
         }
 
     async def serve(self, scope: Any, receive: Any, send: Any) -> None:
@@ -93,9 +100,31 @@
             await send({"type": "http.response.body", "body": b"{}"})
             return
         receive = _checked(receive, knobs)
-        await self.engine(scope, receive, self._faulty(send))
-
-    def _faulty(self, send: Any) -> Any:
+        request_id = dict(scope["headers"]).get(b"x-request-id", b"").decode()
+        kind = "batch" if "-" in request_id else "online"
+        self._started(kind)
+        try:
+            await self.engine(scope, receive, self._faulty(send, kind))
+        finally:
+            self._ended(kind)
+
+    def _started(self, kind: str) -> None:
+        self.active[kind] += 1
+        if kind == "online" and self.active["batch"] and self.online_since is None:
+            self.online_since = trio.current_time()
+
+    def _ended(self, kind: str) -> None:
+        """Notes how long batch took to let go of the engine."""
+        self.active[kind] -= 1
+        if kind == "batch" and not self.active["batch"] and self.online_since:
+            self.yields.append(trio.current_time() - self.online_since)
+            self.online_since = None
+        if kind == "online" and not self.active["online"]:
+            if self.online_since is not None:
+                self.yields.append(trio.current_time() - self.online_since)
+            self.online_since = None
+
+    def _faulty(self, send: Any, kind: str) -> Any:
         knobs = self.knobs
         crossed = knobs.cross > 0
         cut = knobs.cut_next > 0
@@ -111,6 +140,7 @@
                 if 0 <= knobs.die_after <= parts:
                     os._exit(1)
                 parts += 1
+                self.tokens[kind] += 1
                 if crossed:
                     body = message["body"].replace(b'"id":"', b'"id":"other-')
                     message = {**message, "body": body}
