--- a/src/coppercleat/batch/_runner.py
+++ b/src/coppercleat/batch/_runner.py
@@ -43,6 +43,7 @@
 _CLAIM_READS_PER_S = 50.0
 _WATCH_READS_PER_S = 300.0
 _WATCHES_TO_ANSWER = 2.5
+_SWEEP_S = 10.0
 
 _log = part_logger("batch")
 
@@ -167,6 +168,7 @@
         self._feeds: dict[UpstreamId, _Feed] = {}
         self._chooser = ClaimChooser()
         self._challenges = Challenges(wait_s=settings.challenge_s)
+        self._sweep_until = 0.0
         self._wake = trio.Event()
         self._look = trio.Event()
         self._late: set[JobId] = set()
@@ -454,8 +456,10 @@
     async def _claim_forever(self) -> None:
         while True:
             self._look = trio.Event()
-            with contextlib.suppress(PlatformUnavailableError, AnswerLostError):
+            try:
                 await self._claim_round()
+            except (PlatformUnavailableError, AnswerLostError):
+                self._sweep_until = trio.current_time() + _SWEEP_S
             pause = paced(self.settings.poll_s, self.fleet.live(), _CLAIM_READS_PER_S)
             with trio.move_on_after(pause * self.rng.uniform(0.75, 1.25)):
                 await self._look.wait()
@@ -465,6 +469,8 @@
             return
         await self._release_stranded()
         jobs = [OpenJob(row, version) for row, version in await self.store.list_open()]
+        if trio.current_time() < self._sweep_until:
+            await self._sweep(jobs)
         self._watch_due_times(jobs)
         while self._hungry():
             held: dict[TenantId, int] = {}
@@ -496,6 +502,30 @@
             self._lose(segment, "no runner of its deployment is fed from here")
             await self.store.release(segment.held)
 
+    async def _sweep(self, jobs: Sequence[OpenJob]) -> None:
+        """Gives up segments in this instance's name that it does not work on.
+
+        They are left when the answer to a claim or to a release was lost, or
+        the platform went away in between; while this instance lives, no other
+        would take them over.
+        """
+        working = {(w.held.job.job, w.held.segment) for w in self.held}
+        for job in jobs:
+            for number, (row, version) in (await self.store.segments(job.row)).items():
+                if row.done or (job.row.job, number) in working:
+                    continue
+                if row.holder != self.instance:
+                    continue
+                left = HeldSegment(
+                    job=job.row,
+                    job_version=job.version,
+                    segment=number,
+                    row=row,
+                    version=version,
+                )
+                await self.store.release(left)
+                _log.info("Segment swept.", job=job.row.job, segment=number)
+
     def _hungry(self) -> bool:
         """Whether fewer items wait than the runners fed could take."""
         feeds = sum(not feed.retired for feed in self._feeds.values())
@@ -519,22 +549,27 @@
             for number in range(division.segments)
             if number not in mine and not (number in rows and rows[number][0].done)
         ]
-        unclaimed = [number for number in open_segments if number not in rows]
-        if unclaimed:
-            number = self.rng.choice(unclaimed[:_PROBED_SEGMENTS])
-            return await self._take(job, number, None, None)
         for number in open_segments:
+            if number not in rows:
+                continue
             free, challenge = await self._may_take_over(rows[number][0])
             if free and await self._take(job, number, rows[number], challenge):
                 return True
-        return False
+        unclaimed = [number for number in open_segments if number not in rows]
+        if not unclaimed:
+            return False
+        number = self.rng.choice(unclaimed[:_PROBED_SEGMENTS])
+        return await self._take(job, number, None, None)
 
     async def _may_take_over(self, row: SegmentRow) -> tuple[bool, Check | None]:
-        """Returns whether a held segment may be taken over, on what condition."""
-        if row.holder == NOBODY:
+        """Returns whether a held segment may be taken over, on what condition.
+
+        A row with this instance's own name, for a segment that it does not
+        work on, is from an earlier start or from a claim whose answer or whose
+        input never came.
+        """
+        if row.holder in (NOBODY, self.instance):
             return True, None
-        if row.holder == self.instance:
-            return row.incarnation != self.incarnation(), None
         state = self.fleet.holder_state(row.holder, row.incarnation)
         if state.restarted:
             return True, None
--- a/src/coppercleat/instance/_instance.py
+++ b/src/coppercleat/instance/_instance.py
@@ -24,6 +24,7 @@
 
 _MS = 1000
 _READY_POLL_S = 0.02
+_FAILURES_UNTIL_AWAY = 3
 
 _log = part_logger("instance")
 
@@ -34,7 +35,8 @@
     Attributes:
       stopping: Whether a planned stop has begun.
       in_flight: Calls from outside that have not ended.
-      platform_reachable: Whether the last call to the platform was answered.
+      platform_reachable: Whether any of the last calls to the platform was
+        answered.
     """
 
     def __init__(
@@ -60,6 +62,7 @@
         self.stopping = False
         self.in_flight = 0
         self.platform_reachable = True
+        self._platform_failures = 0
         self.platform: Platform = platform or HttpPlatform(
             settings.platform.url,
             timeout_s=settings.platform.timeout_s,
@@ -147,9 +150,11 @@
 
     def _on_platform_call(self, answered: bool) -> None:
         self.metrics.platform.inc({"answered": str(answered).lower()})
-        if answered != self.platform_reachable:
-            self.platform_reachable = answered
-            _log.warning("Platform reachable." if answered else "Platform away.")
+        self._platform_failures = 0 if answered else self._platform_failures + 1
+        reachable = self._platform_failures < _FAILURES_UNTIL_AWAY
+        if reachable != self.platform_reachable:
+            self.platform_reachable = reachable
+            _log.warning("Platform reachable." if reachable else "Platform away.")
 
     def _pick_version(self, deployment: Deployment) -> str:
         return pick_version(deployment, self.fleet.table, self.rng)
--- a/tests/features/batch_outcomes.feature
+++ b/tests/features/batch_outcomes.feature
@@ -20,6 +20,7 @@
       | the platform hangs                | the platform has {"hang": true} | it is back after 3 seconds       |
       | one in three answers is lost      | the platform has {"lose_share": 0.33} | nothing is mended          |
       | lost changes take effect late     | the platform has {"lose_share": 0.2, "late_effect_s": 1.5} | nothing is mended |
+      | a claim's input does not come     | the platform has {"lose_share": 0.5} | the platform is away for 2 seconds |
       | an engine dies                    | engine 1 is killed              | nothing is mended                |
       | an engine cuts streams            | engine 1 has {"cut_next": 30, "cut": 2} | nothing is mended        |
       | an engine crosses answers         | engine 1 has {"cross": 20}      | nothing is mended                |
--- a/tests/features/steps/batch_steps.py
+++ b/tests/features/steps/batch_steps.py
@@ -133,6 +133,14 @@
     act_on_entry(context, context.acted_on, "resumed")
 
 
+@when("the platform is away for {seconds:d} seconds")
+def platform_away(context, seconds):
+    fleet = context.fleet
+    fleet.run(lambda: fleet.control("platform", outage=True))
+    time.sleep(seconds)
+    fleet.run(lambda: fleet.control("platform", outage=False, lose_share=0.0))
+
+
 @when("it is back after {seconds:d} seconds")
 def platform_back(context, seconds):
     time.sleep(seconds)
