--- a/bench/online.py
+++ b/bench/online.py
@@ -12,6 +12,7 @@
 import json
 import math
 import random
+import sys
 import time
 from collections.abc import Iterator
 from typing import Any
@@ -185,6 +186,10 @@
             )
         )
     finally:
+        for entry in fleet.entries:
+            process = fleet.processes[entry]
+            if not process.running:
+                print(f"{entry} died:\n{process.output()[-5000:]}", file=sys.stderr)
         fleet.close()
 
 
--- a/src/coppercleat/batch/_feed.py
+++ b/src/coppercleat/batch/_feed.py
@@ -12,10 +12,14 @@
 
 import msgspec
 
+from coppercleat.routing import ONLINE_RECENT_S
+
 _FIRST_LIMIT = 4
 _GROWTH_S = 0.1
+_MAX_STEPS = 16
 _HOLD_S = 0.15
 _STATIC_SHARE = 4
+_LIGHT_SHARE = 8
 
 
 class RunnerView(msgspec.Struct, frozen=True, kw_only=True):
@@ -81,6 +85,8 @@
     short hold after the last, then doubles from a small start.
     """
 
+    light_s = 0.0
+
     def __init__(self) -> None:
         self._online_at = float("-inf")
 
@@ -92,5 +98,18 @@
         quiet = now - self._online_at - _HOLD_S
         if quiet < 0:
             return 0
-        doublings = min(16, int(min(quiet, 60.0) / _GROWTH_S))
-        return min(view.max_concurrency, _FIRST_LIMIT << doublings)
+        if quiet < self.light_s:
+            return max(1, view.max_concurrency // _LIGHT_SHARE)
+        steps = min(_MAX_STEPS, (quiet - self.light_s) / _GROWTH_S)
+        return min(view.max_concurrency, _FIRST_LIMIT << int(steps))
+
+
+@feed_policy("reserve")
+class ReserveForOnline(YieldToOnline):
+    """Yields, and stays light for a while on a runner that had online requests.
+
+    The next online requests go there (see routing), and a step of few sequences
+    is soon over. Costs batch speed for a shorter online tail.
+    """
+
+    light_s = ONLINE_RECENT_S
--- a/src/coppercleat/batch/_runner.py
+++ b/src/coppercleat/batch/_runner.py
@@ -122,6 +122,7 @@
       held: Segments that this instance holds.
       draining: Whether nothing new is begun.
       held_results: Chunks complete and not yet committed.
+      open_jobs: Open jobs at the last look.
     """
 
     def __init__(
@@ -165,6 +166,7 @@
         self.held: list[SegmentWork] = []
         self.draining = False
         self.held_results = 0
+        self.open_jobs = 0
         self._feeds: dict[UpstreamId, _Feed] = {}
         self._chooser = ClaimChooser()
         self._challenges = Challenges(wait_s=settings.challenge_s)
@@ -471,6 +473,7 @@
         jobs = [OpenJob(row, version) for row, version in await self.store.list_open()]
         if trio.current_time() < self._sweep_until:
             await self._sweep(jobs)
+        self.open_jobs = len(jobs)
         self._watch_due_times(jobs)
         while self._hungry():
             held: dict[TenantId, int] = {}
--- a/src/coppercleat/instance/_fleet.py
+++ b/src/coppercleat/instance/_fleet.py
@@ -184,6 +184,15 @@
         own = record.online if record else 0
         return own + self.arrivals.total(upstream)
 
+    def note_online(self, upstream: UpstreamId) -> None:
+        """Notes when an upstream had online requests, here or at peers."""
+        record = self.table.get(upstream)
+        if record is None:
+            return
+        record.peer_online = self.arrivals.total(upstream)
+        if record.online or record.peer_online:
+            record.online_at = trio.current_time()
+
     def holder_state(self, holder: InstanceId, incarnation: int) -> HolderState:
         """Returns what is known of a segment's holder."""
         now = trio.current_time()
--- a/src/coppercleat/instance/_instance.py
+++ b/src/coppercleat/instance/_instance.py
@@ -138,6 +138,7 @@
             metrics=self.metrics,
             live_instances=self.live_instances,
             online_changed=self._online_changed,
+            batch_active=lambda: self.batch.open_jobs > 0,
             stall_s=online.stall_s,
         )
 
@@ -145,6 +146,7 @@
         self.peers.spread_changes(changes)
 
     def _online_changed(self, upstream: UpstreamId) -> None:
+        self.fleet.note_online(upstream)
         self.batch.online_changed(upstream)
         self.peers.online_changed(upstream)
 
--- a/src/coppercleat/instance/_peers.py
+++ b/src/coppercleat/instance/_peers.py
@@ -33,6 +33,7 @@
 
 _DEPARTURES_S = 0.05
 _PULL_PAUSE_S = 0.25
+_TELL_ALL_ARRIVALS = 16
 
 _log = part_logger("peers")
 
@@ -124,6 +125,7 @@
         for peer in self.fleet.arrivals.peers():
             if not self.detector.is_alive(peer, now):
                 for upstream in self.fleet.arrivals.forget(peer):
+                    self.fleet.note_online(upstream)
                     self.on_arrivals(upstream)
 
     def _pull_if_behind(self, now: float) -> None:
@@ -167,7 +169,7 @@
         self.send_all(JobHint(job))
 
     def online_changed(self, upstream: UpstreamId) -> None:
-        """Tells the upstream's feeder: of an arrival now, of an end soon."""
+        """Tells who must know: of an arrival now, of an end soon."""
         record = self.fleet.table.get(upstream)
         if record is None:
             return
@@ -186,16 +188,22 @@
             self._tell_arrivals(list(departed))
 
     def _tell_arrivals(self, upstreams: list[UpstreamId]) -> None:
-        by_feeder: dict[InstanceId, list[tuple[UpstreamId, int]]] = {}
+        """Tells the feeders; all members while they are few, for routing."""
+        counts = []
+        feeders: dict[InstanceId, list[tuple[UpstreamId, int]]] = {}
         for upstream in upstreams:
             record = self.fleet.table.get(upstream)
             count = record.online if record else 0
             self._told[upstream] = count
+            counts.append((upstream, count))
             feeder = self.fleet.feeder_of(record) if record else None
             if feeder is not None and feeder != self.settings.instance.id:
-                by_feeder.setdefault(feeder, []).append((upstream, count))
-        for feeder, counts in by_feeder.items():
-            self.send(feeder, OnlineArrivals(tuple(counts)))
+                feeders.setdefault(feeder, []).append((upstream, count))
+        if len(self.detector.members) <= _TELL_ALL_ARRIVALS:
+            self.send_all(OnlineArrivals(tuple(counts)))
+            return
+        for feeder, of_feeder in feeders.items():
+            self.send(feeder, OnlineArrivals(tuple(of_feeder)))
 
     # Receiving.
 
@@ -242,9 +250,7 @@
     @_handles(OnlineArrivals)
     def _on_arrivals(self, sender: InstanceId, message: OnlineArrivals) -> None:
         for upstream in self.fleet.arrivals.observe(sender, message.in_flight):
-            record = self.fleet.table.get(upstream)
-            if record is not None:
-                record.peer_online = self.fleet.arrivals.total(upstream)
+            self.fleet.note_online(upstream)
             self.on_arrivals(upstream)
 
     @_handles(UpstreamLeaving)
--- a/src/coppercleat/online/_dispatch.py
+++ b/src/coppercleat/online/_dispatch.py
@@ -70,6 +70,7 @@
                 version=exchange.version,
                 prompt=exchange.prompt,
                 tried=tried,
+                batch_active=services.batch_active(),
             ),
             services.table,
             zone=services.zone,
--- a/src/coppercleat/online/_services.py
+++ b/src/coppercleat/online/_services.py
@@ -32,6 +32,7 @@
     Attributes:
       live_instances: Gives the number of instances thought alive.
       online_changed: Told when online requests on an upstream changed.
+      batch_active: Tells whether batch jobs are open.
       stall_s: Seconds without a token after which an engine counts as hung.
     """
 
@@ -47,4 +48,5 @@
     metrics: Metrics
     live_instances: Callable[[], int]
     online_changed: Callable[[UpstreamId], None]
+    batch_active: Callable[[], bool]
     stall_s: float
--- a/src/coppercleat/routing/__init__.py
+++ b/src/coppercleat/routing/__init__.py
@@ -1,6 +1,7 @@
 """Decides which upstream takes a request."""
 
 from coppercleat.routing._choose import (
+    ONLINE_RECENT_S,
     Choice,
     NoUpstream,
     Wanted,
@@ -14,6 +15,7 @@
 from coppercleat.routing._table import RoutingTable, UpstreamRecord
 
 __all__ = [
+    "ONLINE_RECENT_S",
     "Choice",
     "Health",
     "HealthState",
--- a/src/coppercleat/routing/_choose.py
+++ b/src/coppercleat/routing/_choose.py
@@ -14,11 +14,18 @@
 import msgspec
 
 from coppercleat.ids import UpstreamId, ZoneId
-from coppercleat.routing._rendezvous import owner
+from coppercleat.routing._rendezvous import owner, ranked
 from coppercleat.routing._table import UpstreamRecord
 
 _SAMPLES = 4
-_OTHER_ZONE_LOAD = 4.0
+_SAMPLE_ALL = 16
+_OTHER_ZONE_LOAD = 0.5
+_OTHER_REGION_LOAD = 20.0
+_DISTURB_LOAD = 2.0
+_RANK_LOAD = 0.05
+ONLINE_RECENT_S = 2.0
+"""Seconds for which a runner that had online requests is kept light of batch."""
+
 _AFFINITY_LOAD = 2.0
 _AFFINITY_BOUND = 1.25
 _BATCH_LOAD = 0.5
@@ -36,12 +43,16 @@
       version: The version that must be loaded; empty for a plain service.
       prompt: For prefix affinity; empty for none.
       tried: Upstreams that already failed this request.
+      batch_active: Whether batch runs in the fleet. Then requests gather on
+        runners that had some lately, which are kept light of batch, and spill
+        over in an order that all instances share; otherwise they spread.
     """
 
     service: str
     version: str = ""
     prompt: str = ""
     tried: Collection[UpstreamId] = ()
+    batch_active: bool = False
 
 
 class Choice(msgspec.Struct, frozen=True):
@@ -126,19 +137,46 @@
 ) -> Choice:
     """Returns the cheapest of the own zone, a few samples and the affine."""
     local = [r for r in healthy if r.zone == zone] or healthy
-    sampled = _sample(local, rng)
-    if local is not healthy:
-        sampled += _sample([r for r in healthy if r.zone != zone], rng)
     affine = _affine(wanted, local, now)
+    sampled = _sample(healthy, local, rng)
     if affine is not None and affine not in sampled:
         sampled.append(affine)
-    costs = {r.upstream: _cost(r, zone=zone, affine=affine, now=now) for r in sampled}
+    order: list[str] = []
+    if wanted.batch_active:
+        order = ranked(wanted.service, [r.upstream for r in healthy])
+        first = {r.upstream: r for r in healthy}
+        sampled += [
+            first[UpstreamId(name)]
+            for name in order[:_SAMPLES]
+            if first[UpstreamId(name)] not in sampled
+        ]
+    region = local[0].node.region
+    costs = {}
+    for record in sampled:
+        cost = _cost(record, zone=zone, region=region, affine=affine, now=now)
+        if order:
+            cost += _disturbance(record, order, now)
+        costs[record.upstream] = cost
     best = min(sampled, key=lambda r: costs[r.upstream])
     return Choice(best, f"cost {costs[best.upstream]:.1f} of {len(sampled)} sampled")
 
 
-def _sample(records: list[UpstreamRecord], rng: random.Random) -> list[UpstreamRecord]:
-    return rng.sample(records, min(_SAMPLES, len(records)))
+def _sample(
+    healthy: list[UpstreamRecord], local: list[UpstreamRecord], rng: random.Random
+) -> list[UpstreamRecord]:
+    """Returns all of a few upstreams in random order, or some of very many."""
+    if len(healthy) <= _SAMPLE_ALL:
+        return rng.sample(healthy, len(healthy))
+    sampled = rng.sample(local, min(_SAMPLES, len(local)))
+    others = [record for record in healthy if record not in sampled]
+    return sampled + rng.sample(others, min(_SAMPLES, len(others)))
+
+
+def _disturbance(record: UpstreamRecord, order: list[str], now: float) -> float:
+    """Returns the price of waiting for batch to let go of a runner."""
+    rank = _RANK_LOAD * order.index(record.upstream)
+    recent = now - record.online_at < ONLINE_RECENT_S
+    return rank if recent else rank + _DISTURB_LOAD
 
 
 def _affine(
@@ -162,6 +200,7 @@
     record: UpstreamRecord,
     *,
     zone: ZoneId,
+    region: str,
     affine: UpstreamRecord | None,
     now: float,
 ) -> float:
@@ -169,6 +208,8 @@
     cost = expected_load(record, now)
     if record.zone != zone:
         cost += _OTHER_ZONE_LOAD
+    if record.node.region != region:
+        cost += _OTHER_REGION_LOAD
     if record is affine:
         cost -= _AFFINITY_LOAD
     age = now - record.first_seen
--- a/src/coppercleat/routing/_table.py
+++ b/src/coppercleat/routing/_table.py
@@ -26,6 +26,7 @@
       online: Online requests of this instance in flight.
       batch: Batch items of this instance in flight.
       peer_online: Online requests in flight that peers have told of.
+      online_at: When an online request, of any instance, was last known there.
       sent_since_report: Online requests sent since the last report.
       leaving: Set by the first sign that it leaves; never taken back while
         the same upstream is listed.
@@ -40,6 +41,7 @@
     online: int = 0
     batch: int = 0
     peer_online: int = 0
+    online_at: float = float("-inf")
     sent_since_report: int = 0
     leaving: bool = False
     token_s: float = 0.0
