Write the settings and metrics references from the code; operators' pages

Cause: operators had no list of settings, metrics and limits, and a list by hand would go stale. Conclusion: the pages follow the code.

--- a/Makefile
+++ b/Makefile
@@ -5,7 +5,7 @@
 BIN := $(VENV)/bin
 STAMP := $(VENV)/.installed
 
-.PHONY: setup demo test lint format types generated behave bench slopes chaos generate clean
+.PHONY: setup demo test lint format types generated behave bench slopes chaos membership generate reference clean
 
 setup: $(STAMP)
 
@@ -36,8 +36,11 @@
 	  --py_out=src --connectrpc_out=src proto/coppercleat/v1/*.proto
 	rm -f src/__init__.py
 
-generated: generate
-	git diff --exit-code --stat -- src/coppercleat/v1
+reference: setup
+	$(BIN)/python -m tools.reference
+
+generated: generate reference
+	git diff --exit-code --stat -- src/coppercleat/v1 docs/operations
 
 behave: setup
 	$(BIN)/behave --no-capture tests/features
@@ -48,6 +51,9 @@
 slopes: setup
 	$(BIN)/python -m bench.slopes
 
+membership: setup
+	$(BIN)/python -m bench.membership
+
 chaos: setup
 	$(BIN)/python -m bench.chaos
 
--- /dev/null
+++ b/tools/__init__.py
@@ -0,0 +1,1 @@
+"""Programs that write parts of the documentation."""
