Let no stale read settle a commit or refuse an applied change

Cause: with stale reads added, the explorer broke two invariants. Ruled out: claims, cancellation and keyed requests under stale reads. Change: a row older than the one held proves nothing; a row still in one's own name takes the pointer from an earlier try; a change id is looked for among the changes just read before a conflict is raised.

--- a/src/coppercleat/batch/_store.py
+++ b/src/coppercleat/batch/_store.py
@@ -543,24 +543,24 @@
         """Reads rows back; None means that the commit may be tried again.
 
         The pointer alone tells whether the commit took effect: the row may
-        have been taken over since, with the pointer kept.
+        have been taken over since, with the pointer kept. A row older than the
+        one held is a stale read and proves nothing.
         """
         key = segment_key(held.job.job, held.segment)
         rows = await self.platform.read([key, job_key(held.job.job)])
-        found = rows.get(key)
-        if found is not None:
-            current = _decode(found, SegmentRow)
-            if current.results[chunk] == row.results[chunk]:
-                held.row = row
-                if current == row:
-                    held.version = found.version
-                return Commit.DONE
-        job = rows.get(job_key(held.job.job))
-        if job is None or _decode(job, JobRow).state is not JobState.OPEN:
+        found, job = rows.get(key), rows.get(job_key(held.job.job))
+        if found is None or job is None or found.version < held.version:
+            return None
+        current = _decode(found, SegmentRow)
+        mine = _holder(current) == _holder(held.row)
+        if current.results[chunk] == row.results[chunk]:
+            held.row = row
+            if mine:
+                held.row, held.version = current, found.version
+            return Commit.DONE
+        if _decode(job, JobRow).state is not JobState.OPEN:
             return Commit.JOB_ENDED
-        if found is None or found.version != held.version:
-            return Commit.TAKEN_OVER
-        return None
+        return Commit.TAKEN_OVER if found.version != held.version else None
 
     async def _drop_object(self, name: str) -> None:
         try:
@@ -696,8 +696,11 @@
     segment = rows.get(segment_key(held.job.job, held.segment))
     if job is None or segment is None or job.version != held.job_version:
         return False
-    row = _decode(segment, SegmentRow)
-    return (row.holder, row.incarnation) == (held.row.holder, held.row.incarnation)
+    return _holder(_decode(segment, SegmentRow)) == _holder(held.row)
+
+
+def _holder(row: SegmentRow) -> tuple[InstanceId, int]:
+    return row.holder, row.incarnation
 
 
 def _encode(value: msgspec.Struct) -> bytes:
--- a/src/coppercleat/configuration/_document.py
+++ b/src/coppercleat/configuration/_document.py
@@ -78,6 +78,13 @@
             return None
         return changes
 
+    def find_change(self, change_id: str) -> Revision | None:
+        """Returns the revision that a change made, if it is among the latest."""
+        for change in self._log:
+            if change.change_id == change_id:
+                return change.revision
+        return None
+
     def adopt_changes(self, changes: Sequence[Change]) -> int:
         """Applies the changes that follow the revision in force, in order.
 
--- a/src/coppercleat/configuration/_store.py
+++ b/src/coppercleat/configuration/_store.py
@@ -144,6 +144,9 @@
                 return Applied(revision=earlier, resent=True)
             head, version = await self._read_head()
             await self.catch_up(document)
+            known = document.find_change(change_id)
+            if known is not None:
+                return Applied(revision=known, resent=True)
             plan = plan_change(
                 document,
                 operations,
--- a/tests/exploration/_explorer.py
+++ b/tests/exploration/_explorer.py
@@ -27,6 +27,18 @@
     LOST_AFTER = "lost after the effect"
     CRASH_BEFORE = "crash before the effect"
     CRASH_AFTER = "crash after the effect"
+    STALE = "stale read"
+    STALEST = "stalest read"
+
+
+_OF_CHANGES = (
+    Fault.LOST_BEFORE,
+    Fault.LOST_AFTER,
+    Fault.CRASH_BEFORE,
+    Fault.CRASH_AFTER,
+)
+_OF_READS = (Fault.STALE, Fault.STALEST)
+_STALE_STEPS = 4
 
 
 class Violation(AssertionError):  # noqa: N818 - it is found, not thrown at users
@@ -92,10 +104,23 @@
     def waiting(self) -> bool:
         return self.pending is not None
 
-    def step(self, fault: Fault) -> None:
-        """Carries out the pending call with a fault and runs on to the next."""
+    def step(self, fault: Fault, past: MemoryPlatform, now: MemoryPlatform) -> None:
+        """Carries out the pending call with a fault and runs on to the next.
+
+        Args:
+          fault: What happens to the call.
+          past: The rows that a stale read sees.
+          now: The rows as they are.
+        """
         call = self.pending
         assert call is not None
+        if fault in _OF_READS:
+            rows, keys = now.rows, now.keys
+            now.rows, now.keys = past.rows, past.keys
+            answer = call.effect()
+            now.rows, now.keys = rows, keys
+            self._go_on(lambda: self.coroutine.send(answer))
+            return
         effective = fault not in (Fault.LOST_BEFORE, Fault.CRASH_BEFORE)
         answer = call.effect() if effective else None
         if fault in (Fault.CRASH_BEFORE, Fault.CRASH_AFTER):
@@ -168,6 +193,7 @@
         taken: list[int] = []
         widths: list[int] = []
         trail: list[str] = []
+        history = [_copy(memory)]
         while options := self._options(actors, faults):
             index = next(prefix, None)
             if index is None:
@@ -177,7 +203,10 @@
             number, fault = options[index]
             faults -= fault is not Fault.NONE
             trail.append(f"{number}:{fault.value}")
-            actors[number].step(fault)
+            back = _STALE_STEPS if fault is Fault.STALE else len(history)
+            past = history[max(0, len(history) - back)]
+            actors[number].step(fault, past, memory)
+            history.append(_copy(memory))
             self.steps += 1
             self._check(model, actors, trail, ended=False)
         self._check(model, actors, trail, ended=True)
@@ -189,8 +218,9 @@
             if not actor.waiting:
                 continue
             options.append((number, Fault.NONE))
-            if faults and actor.pending.changes:
-                options += [(number, f) for f in Fault if f is not Fault.NONE]
+            if faults:
+                kinds = _OF_CHANGES if actor.pending.changes else _OF_READS
+                options += [(number, fault) for fault in kinds]
         return options
 
     def _check(
@@ -200,3 +230,10 @@
             model.check(actors, ended)
         except AssertionError as error:
             raise Violation(f"{error} after {', '.join(trail)}") from error
+
+
+def _copy(memory: MemoryPlatform) -> MemoryPlatform:
+    """Returns the rows as of now, for reads that will be stale."""
+    copied = MemoryPlatform()
+    copied.rows, copied.keys = dict(memory.rows), list(memory.keys)
+    return copied
--- a/tests/features/exploration.feature
+++ b/tests/features/exploration.feature
@@ -1,7 +1,7 @@
 Feature: Commit, claim and cancel under every order and fault
   The real store code runs step by step against rows in memory, with lost
-  answers and crashes before and after each effect. An explorer that does not
-  find a planted fault proves nothing.
+  answers and crashes before and after each effect, and stale reads. An explorer
+  that does not find a planted fault proves nothing.
 
   Scenario Outline: No order of steps breaks <model>
     When <model> is explored with <faults> faults in <runs> runs
@@ -11,7 +11,7 @@
       | model                     | faults | runs  |
       | takeover                  | 0      | 20000 |
       | takeover                  | 1      | 20000 |
-      | takeover                  | 2      | 20000 |
+      | takeover                  | 2      | 40000 |
       | takeover and cancellation | 1      | 30000 |
       | takeover and cancellation | 2      | 20000 |
       | racing operators          | 2      | 20000 |
