Cover the operators' and planners' commands, lots by reference, and the watch

Cause: config diff, apply, history, deploy conflicts, batch submit, status, results, cancel, input by reference and the watch were used by no scenario. Conclusion: each subcommand is run by a test.

--- a/tests/features/product.feature
+++ b/tests/features/product.feature
@@ -85,3 +85,51 @@
     When entry 1 is terminated
     And a second signal follows
     Then entry 1 exits with code 1
+
+  Scenario: Operators bring the configuration to a file, see it, and its history
+    Given a fleet of 1 zones, each with 1 entries and 1 engines
+    When an operator's file says {"model": {"cocina": {"description": "menus"}}}
+    And the operator runs "config diff -f FILE"
+    Then the command exits with code 0 and shows "+model:"
+    When the operator runs "config apply --dry_run -f FILE"
+    Then the command exits with code 0 and shows "Would be revision 2."
+    When the operator runs "config apply -f FILE"
+    Then the command exits with code 0 and shows "Accepted as revision 2."
+    When the operator runs "config apply -f FILE"
+    Then the command exits with code 0 and shows "No change."
+    When the operator runs "config show"
+    Then the command exits with code 0 and shows "description: menus"
+    When an operator's file says {"model": {"cocina": null}}
+    And the operator runs "config apply -f FILE"
+    Then the command exits with code 0 and shows "Accepted as revision 3."
+    When the operator runs "config history"
+    Then the command exits with code 0 and shows "delete model cocina"
+    When the operator runs "config apply -f FILE"
+    Then the command exits with code 0 and shows "No change."
+    When the operator runs "deploy late --service s --version v1 --seen 1"
+    Then the command exits with code 4 and shows "conflict"
+
+  Scenario: Planners submit a file, follow it, read it and cancel
+    Given a fleet of 1 zones, each with 1 entries and 1 engines
+    When a planner writes a file of 80 items
+    And the operator runs "batch submit --deployment menus --wait FILE"
+    Then the command exits with code 0 and shows "80/80 items"
+    When the operator runs "batch status"
+    Then the command exits with code 0 and shows "completed"
+    When the operator runs "batch results JOB"
+    Then the command exits with code 0 and shows "m79"
+    When the operator runs "batch cancel JOB"
+    Then the command exits with code 4 and shows "job_ended"
+
+  Scenario: A lot is submitted by reference to the object store
+    Given a fleet of 1 zones, each with 1 entries and 1 engines
+    When the object "lots/week" holds 90 items
+    And a lot is submitted from the object "lots/week"
+    Then the lot completes with every result right
+    When a lot is submitted from the object "lots/missing"
+    Then the submission is refused as not_found, NOT_RUN
+
+  Scenario: A watcher sees each revision as it comes into force
+    Given a fleet of 1 zones, each with 2 entries and 1 engines
+    When a watcher at entry 2 waits while 3 changes are made at entry 1
+    Then it has seen the revisions 2, 3, 4
--- a/tests/features/steps/product_steps.py
+++ b/tests/features/steps/product_steps.py
@@ -15,6 +15,7 @@
 import yaml
 from behave import then, when
 
+from coppercleat.cli._batch import submit_lines
 from coppercleat.rpc import RpcError
 from tests.harness import until
 from tests.harness.scenario import entry, make_requests
@@ -202,3 +203,106 @@
     trio.run(lambda: until("the first signal is noticed", noticed))
     process.signal(signal.SIGTERM)
     time.sleep(0.1)
+
+
+def file_of(context, text):
+    context.directory = tempfile.TemporaryDirectory()
+    context.add_cleanup(context.directory.cleanup)
+    context.file = pathlib.Path(context.directory.name) / "file"
+    context.file.write_text(text)
+
+
+@when("an operator's file says {body}")
+def operator_file(context, body):
+    file_of(context, yaml.safe_dump(json.loads(body)))
+
+
+@when("a planner writes a file of {count:d} items")
+def planner_file(context, count):
+    file_of(context, lot(count))
+
+
+def lot(count):
+    """Returns a lot whose prompts and ids the checks know."""
+    items = [{"prompt": f"item {i} of the lot", "id": f"m{i}"} for i in range(count)]
+    return "".join(json.dumps(item) + "\n" for item in items)
+
+
+@when('the operator runs "{words}"')
+def operator_runs(context, words):
+    named = {"FILE": str(getattr(context, "file", "")), "JOB": context.jobs.get("job")}
+    arguments = [named.get(word) or word for word in words.split()]
+    count = 1 if arguments[0] == "deploy" else 2
+    server = f"--server={context.fleet.address(entry(context, 1))}"
+    run(context, [*arguments[:count], server, *arguments[count:]])
+    if words.startswith("batch submit"):
+        context.jobs["job"] = context.ran.stdout.split()[0]
+
+
+@then('the command exits with code {code:d} and shows "{text}"')
+def command_shows(context, code, text):
+    output = context.ran.stdout + context.ran.stderr
+    assert context.ran.returncode == code, output
+    assert text in output, output
+
+
+@when('the object "{name}" holds {count:d} items')
+def object_holds(context, name, count):
+    port = context.fleet.ports["platform"]
+    url = f"http://127.0.0.1:{port}/v1/objects/{name}"
+    assert httpcore.request("PUT", url, content=lot(count).encode()).status == 200
+
+
+@when('a lot is submitted from the object "{name}"')
+def submit_from(context, name):
+    spec = {"deployment": "menus", "maxTokens": 8, "inputObject": name}
+
+    async def submit():
+        async with context.fleet.client() as client:
+            return await submit_lines(client, spec, iter([]))
+
+    try:
+        context.answer = context.fleet.run(submit)
+    except RpcError as error:
+        context.refusal = error
+        return
+    context.job, context.count = context.answer["jobId"], context.answer["items"]
+    context.tokens = 8
+
+
+@when(
+    "a watcher at entry {watcher:d} waits while {count:d} changes are made"
+    " at entry {number:d}"
+)
+def watch(context, watcher, count, number):
+    context.seen = []
+
+    async def watching(client):
+        body = {"afterRevision": 1}
+        changes = client.stream("OperatorService", "WatchConfiguration", [body])
+        async for change in changes:
+            context.seen.append(int(change["revision"]))
+            if len(context.seen) == count:
+                return
+
+    async def run():
+        name = entry(context, watcher)
+        async with (
+            context.fleet.client(name, timeout_s=30.0) as client,
+            trio.open_nursery() as nursery,
+        ):
+            nursery.start_soon(watching, client)
+            for index in range(count):
+                await context.fleet.apply(
+                    "ENTITY_KIND_MODEL",
+                    f"m{index}",
+                    {},
+                    entry=entry(context, number),
+                )
+
+    context.fleet.run(run)
+
+
+@then("it has seen the revisions {revisions}")
+def has_seen(context, revisions):
+    assert context.seen == [int(n) for n in revisions.split(",")], context.seen
