Assign feeders zone by zone; poll the list and the configuration every 2 s

Change: feeders are worked out for a zone when asked for; the list and the configuration are polled every 2 s, since peers pass changes on at once.

--- a/bench/slopes.py
+++ b/bench/slopes.py
@@ -168,11 +168,14 @@
         return UpstreamClient(UpstreamId(f"u{index}"), "1.1.1.1:1", connect_timeout_s=1)
 
     figure("upstream_client_bytes", _bytes_each(client, 500))
-    upstreams = [(UpstreamId(f"u{i}"), ZoneId(f"z{i % 17}")) for i in range(10_000)]
-    alive = [(InstanceId(f"e{i}"), ZoneId(f"z{i % 17}")) for i in range(720)]
-    start = time.perf_counter()
-    assign_feeders(upstreams, alive)
-    figure("assign_feeders_ms_at_10000_by_720", 1e3 * (time.perf_counter() - start))
+    zone = ZoneId("zone-1")
+    alive = [(InstanceId(f"e{i}"), ZoneId(f"zone-{i % 17}")) for i in range(720)]
+    points = []
+    for count in (147, 294, 588):
+        upstreams = [(UpstreamId(f"u{i}"), zone) for i in range(count)]
+        cost = _microseconds(lambda u=upstreams: assign_feeders(u, alive))
+        points.append((count, cost / 1e3))
+    slope("assign_feeders_ms_per_upstream_of_a_zone", "ms", points)
 
 
 def configuration() -> None:
@@ -217,7 +220,7 @@
         entries=entries,
         engines=engines,
         settings={
-            "platform": {"list_poll_s": 1.0},
+            "platform": {"list_poll_s": 2.0},
             "peers": {"heartbeat_s": 0.5, "suspect_after_s": 3.0},
             "batch": {"poll_s": 1.0, "challenge_s": 2.5},
             "log": {"level": "warning"},
--- a/src/coppercleat/instance/_fleet.py
+++ b/src/coppercleat/instance/_fleet.py
@@ -29,6 +29,9 @@
 _ASSIGN_EVERY_S = 0.1
 _LIST_READS_PER_S = 50.0
 
+_Basis = tuple[tuple[tuple[InstanceId, ZoneId], ...], tuple[Node, ...]]
+"""What an assignment rests on: living instances with zones, and the list."""
+
 _log = part_logger("fleet")
 
 
@@ -72,8 +75,8 @@
         self._online: dict[UpstreamId, UpstreamClient] = {}
         self._batch: dict[UpstreamId, UpstreamClient] = {}
         self._pollers: dict[UpstreamId, trio.CancelScope] = {}
-        self._assigned: dict[UpstreamId, InstanceId] = {}
-        self._assigned_for: object = None
+        self._assigned: dict[ZoneId, dict[UpstreamId, InstanceId]] = {}
+        self._assigned_for: _Basis = ((), ())
         self._assigned_until = 0.0
         self._nursery: trio.Nursery | None = None
 
@@ -113,11 +116,7 @@
     def _followed(self, nodes: tuple[Node, ...]) -> list[Node]:
         upstreams = [node for node in nodes if node.role is not NodeRole.ENTRY]
         instance = self.settings.instance
-        fed = frozenset(
-            node.id
-            for node in upstreams
-            if self._feeders().get(UpstreamId(node.id)) == instance.id
-        )
+        fed = self._fed_ids()
         return subset(instance.instance_id, instance.zone_id, upstreams, fed=fed)
 
     def _open(self, record: UpstreamRecord) -> None:
@@ -232,31 +231,49 @@
 
     def feeder_of(self, record: UpstreamRecord) -> InstanceId | None:
         """Returns the instance that feeds batch to an upstream."""
-        return self._feeders().get(record.upstream)
+        return self._feeders(record.zone).get(record.upstream)
 
     def _feeds(self, record: UpstreamRecord) -> bool:
         return self.feeder_of(record) == self.settings.instance.id
 
-    def _feeders(self) -> dict[UpstreamId, InstanceId]:
-        """Returns the feeder of each upstream, worked out anew now and then."""
+    def _feeders(self, zone: ZoneId) -> dict[UpstreamId, InstanceId]:
+        """Returns the feeders of a zone's engines.
+
+        Worked out when asked for, and again when the list or the living
+        instances have changed: other zones' engines are seldom asked for.
+        """
         now = trio.current_time()
-        if now < self._assigned_until:
-            return self._assigned
-        self._assigned_until = now + _ASSIGN_EVERY_S
-        alive = tuple(
-            (instance, self.detector.zone_of(instance) or ZoneId(""))
-            for instance in sorted(self.detector.alive(now))
-        )
-        basis = (alive, self.nodes)
-        if basis != self._assigned_for:
-            self._assigned_for = basis
+        if now >= self._assigned_until:
+            self._assigned_until = now + _ASSIGN_EVERY_S
+            alive = tuple(
+                (instance, self.detector.zone_of(instance) or ZoneId(""))
+                for instance in sorted(self.detector.alive(now))
+            )
+            if (alive, self.nodes) != self._assigned_for:
+                self._assigned_for = (alive, self.nodes)
+                self._assigned = {}
+        if zone not in self._assigned:
+            alive, nodes = self._assigned_for
             engines = [
-                (UpstreamId(node.id), ZoneId(node.zone))
-                for node in self.nodes
-                if node.role is NodeRole.ENGINE
+                (UpstreamId(node.id), zone)
+                for node in nodes
+                if node.role is NodeRole.ENGINE and node.zone == zone
             ]
-            self._assigned = assign_feeders(engines, alive)
-        return self._assigned
+            self._assigned[zone] = assign_feeders(engines, alive)
+        return self._assigned[zone]
+
+    def _fed_ids(self) -> frozenset[str]:
+        """Returns the ids of all listed engines that this instance feeds."""
+        own = self.settings.instance
+        living_zones = {self.detector.zone_of(instance) for instance in self.alive()}
+        zones = {ZoneId(n.zone) for n in self.nodes if n.role is NodeRole.ENGINE}
+        return frozenset(
+            upstream
+            for zone in zones
+            if zone == own.zone or zone not in living_zones
+            for upstream, feeder in self._feeders(zone).items()
+            if feeder == own.id
+        )
 
     # Clients.
 
--- a/src/coppercleat/instance/_keeper.py
+++ b/src/coppercleat/instance/_keeper.py
@@ -20,7 +20,7 @@
 from coppercleat.observability import Metrics, part_logger
 from coppercleat.platform import AnswerLostError, paced
 
-_POLL_S = 1.0
+_POLL_S = 2.0
 _POLLS_PER_S = 50.0
 
 _log = part_logger("configuration")
--- a/src/coppercleat/settings/_model.py
+++ b/src/coppercleat/settings/_model.py
@@ -51,7 +51,7 @@
 
     url: Url
     timeout_s: Seconds = 2.0
-    list_poll_s: Seconds = 1.0
+    list_poll_s: Seconds = 2.0
 
 
 class PeerSettings(Struct, forbid_unknown_fields=True, kw_only=True):
