--- a/src/coppercleat/admin/_application.py
+++ b/src/coppercleat/admin/_application.py
@@ -2,14 +2,14 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable, MutableMapping
-from typing import Any
+from collections.abc import Callable
 from urllib.parse import parse_qs
 
 import msgspec
 from aioprometheus import render
 
 from coppercleat.admin._status_page import status_page
+from coppercleat.asgi import Application, Receive, Scope, Send, serve_lifespan
 from coppercleat.instance import Instance
 
 _TEXT = b"text/plain; charset=utf-8"
@@ -66,16 +66,12 @@
     return 200, _HTML, status_page(instance).encode()
 
 
-def admin_application(instance: Instance) -> Any:
+def admin_application(instance: Instance) -> Application:
     """Returns the application."""
 
-    async def application(
-        scope: MutableMapping[str, Any],
-        receive: Callable[..., Any],
-        send: Callable[..., Any],
-    ) -> None:
+    async def application(scope: Scope, receive: Receive, send: Send) -> None:
         if scope["type"] == "lifespan":
-            await _lifespan(receive, send)
+            await serve_lifespan(receive, send)
             return
         page = PAGES.get(scope["path"])
         query = parse_qs(scope.get("query_string", b"").decode("latin-1"))
@@ -89,11 +85,3 @@
         await send({"type": "http.response.body", "body": body})
 
     return application
-
-
-async def _lifespan(receive: Callable[..., Any], send: Callable[..., Any]) -> None:
-    while True:
-        message = await receive()
-        await send({"type": f"{message['type']}.complete"})
-        if message["type"] == "lifespan.shutdown":
-            return
--- /dev/null
+++ b/src/coppercleat/asgi/__init__.py
@@ -0,0 +1,25 @@
+"""Small helpers of the ASGI applications."""
+
+from coppercleat.asgi._asgi import (
+    Application,
+    Receive,
+    Scope,
+    Send,
+    read_body,
+    send_json,
+    send_part,
+    serve_lifespan,
+    start_response,
+)
+
+__all__ = [
+    "Application",
+    "Receive",
+    "Scope",
+    "Send",
+    "read_body",
+    "send_json",
+    "send_part",
+    "serve_lifespan",
+    "start_response",
+]
--- a/src/coppercleat/batch/_store.py
+++ b/src/coppercleat/batch/_store.py
@@ -11,7 +11,6 @@
 import enum
 import random
 from collections.abc import AsyncIterator, Callable, Sequence
-from typing import TypeVar
 
 import attrs
 import msgspec
@@ -60,13 +59,12 @@
     Row,
     Transaction,
     TransactionRefused,
+    decode_row,
 )
 
 _PAGE = 1000
 _ATTEMPTS = 4
 
-_T = TypeVar("_T")
-
 
 class Submission(msgspec.Struct, frozen=True, kw_only=True):
     """What a submitter asks; ``due_at`` is Unix seconds, 0 for none."""
@@ -302,7 +300,7 @@
         found = (await self.platform.read([key])).get(key)
         if found is None:
             return None
-        known = _decode(found, KeyRow)
+        known = decode_row(found, KeyRow)
         if known.job == row.job:
             return Submitted(row, resent=False)
         if known.content_hash != row.content_hash:
@@ -325,7 +323,7 @@
         row = (await self.platform.read([key])).get(key)
         if row is None:
             raise NotFoundError(f"There is no job {job}")
-        return _decode(row, JobRow), row.version
+        return decode_row(row, JobRow), row.version
 
     async def list_open(self, *, limit: int = _PAGE) -> list[tuple[JobRow, int]]:
         """Returns open jobs with the versions of their rows."""
@@ -334,7 +332,7 @@
         if not keys:
             return []
         rows = await self.platform.read(keys)
-        jobs = [(_decode(row, JobRow), row.version) for row in rows.values()]
+        jobs = [(decode_row(row, JobRow), row.version) for row in rows.values()]
         return [(row, version) for row, version in jobs if row.state is JobState.OPEN]
 
     async def list_page(
@@ -345,7 +343,7 @@
         found = await self.platform.scan(
             prefix, after=prefix + after if after else "", limit=limit
         )
-        jobs = [_decode(row, JobRow) for _, row in found]
+        jobs = [decode_row(row, JobRow) for _, row in found]
         more = len(found) == limit
         return jobs, found[-1][0].removeprefix(prefix) if more else ""
 
@@ -358,7 +356,7 @@
             found = await self.platform.scan(prefix, after=after, limit=_PAGE)
             for key, row in found:
                 number = int(key.removeprefix(prefix))
-                rows[number] = (_decode(row, SegmentRow), row.version)
+                rows[number] = (decode_row(row, SegmentRow), row.version)
             if len(found) < _PAGE:
                 return rows
             after = found[-1][0]
@@ -389,7 +387,7 @@
         row = (await self.platform.read([key])).get(key)
         if row is None:
             return None
-        name = _decode(row, SegmentRow).results[chunk]
+        name = decode_row(row, SegmentRow).results[chunk]
         if not name:
             return None
         body = await self.platform.get_object(name)
@@ -481,7 +479,7 @@
         """Reads a claim back whose answer was lost."""
         key = segment_key(job.job, segment)
         found = (await self.platform.read([key])).get(key)
-        if found is None or _decode(found, SegmentRow) != row:
+        if found is None or decode_row(found, SegmentRow) != row:
             return Claimed.TAKEN
         if known is not None and found.version == known[1]:
             return Claimed.TAKEN
@@ -551,14 +549,14 @@
         found, job = rows.get(key), rows.get(job_key(held.job.job))
         if found is None or job is None or found.version < held.version:
             return None
-        current = _decode(found, SegmentRow)
+        current = decode_row(found, SegmentRow)
         mine = _holder(current) == _holder(held.row)
         if current.results[chunk] == row.results[chunk]:
             held.row = row
             if mine:
                 held.row, held.version = current, found.version
             return Commit.DONE
-        if _decode(job, JobRow).state is not JobState.OPEN:
+        if decode_row(job, JobRow).state is not JobState.OPEN:
             return Commit.JOB_ENDED
         return Commit.TAKEN_OVER if found.version != held.version else None
 
@@ -696,7 +694,7 @@
     segment = rows.get(segment_key(held.job.job, held.segment))
     if job is None or segment is None or job.version != held.job_version:
         return False
-    return _holder(_decode(segment, SegmentRow)) == _holder(held.row)
+    return _holder(decode_row(segment, SegmentRow)) == _holder(held.row)
 
 
 def _holder(row: SegmentRow) -> tuple[InstanceId, int]:
@@ -705,10 +703,3 @@
 
 def _encode(value: msgspec.Struct) -> bytes:
     return msgspec.json.encode(value)
-
-
-def _decode(row: Row, kind: type[_T]) -> _T:
-    try:
-        return msgspec.json.decode(row.value, type=kind)
-    except (msgspec.DecodeError, msgspec.ValidationError) as error:
-        raise PlatformUnavailableError(f"A row does not fit: {error}") from error
--- a/src/coppercleat/configuration/_store.py
+++ b/src/coppercleat/configuration/_store.py
@@ -16,7 +16,6 @@
 from coppercleat.configuration._document import Document, Entity, Snapshot
 from coppercleat.configuration._kinds import Kind
 from coppercleat.configuration._operations import Change, Operation
-from coppercleat.errors import PlatformUnavailableError
 from coppercleat.ids import Revision
 from coppercleat.platform import (
     ABSENT,
@@ -24,9 +23,9 @@
     Check,
     Platform,
     Put,
-    Row,
     Transaction,
     TransactionRefused,
+    decode_row,
 )
 
 _HEAD = "config/head"
@@ -85,7 +84,7 @@
         rows = await self.platform.scan(
             _CHANGE, after=_change_key(revision), limit=limit
         )
-        return [msgspec.json.decode(row.value, type=Change) for _, row in rows]
+        return [decode_row(row, Change) for _, row in rows]
 
     async def catch_up(self, document: Document) -> bool:
         """Brings a document up to the latest accepted revision.
@@ -112,7 +111,7 @@
         after = ""
         while True:
             rows = await self.platform.scan(_ENTITY, after=after, limit=_PAGE)
-            entities += [msgspec.json.decode(row.value, type=Entity) for _, row in rows]
+            entities += [decode_row(row, Entity) for _, row in rows]
             if len(rows) < _PAGE:
                 return Snapshot(revision=revision, entities=tuple(entities))
             after = rows[-1][0]
@@ -206,17 +205,10 @@
         """Returns the revision that a change id made, if it was accepted."""
         key = _CHANGE_ID + change_id
         row = (await self.platform.read([key])).get(key)
-        return _decode_head(row).revision if row else None
+        return decode_row(row, _Head).revision if row else None
 
     async def _read_head(self) -> tuple[Revision, int]:
         row = (await self.platform.read([_HEAD])).get(_HEAD)
         if row is None:
             return Revision(0), ABSENT
-        return _decode_head(row).revision, row.version
-
-
-def _decode_head(row: Row) -> _Head:
-    try:
-        return msgspec.json.decode(row.value, type=_Head)
-    except (msgspec.DecodeError, msgspec.ValidationError) as error:
-        raise PlatformUnavailableError(f"A row does not fit: {error}") from error
+        return decode_row(row, _Head).revision, row.version
--- a/src/coppercleat/emulator/__init__.py
+++ b/src/coppercleat/emulator/__init__.py
@@ -1,12 +1,6 @@
 """A small model engine: the embedded default, and the tests' upstream."""
 
-from coppercleat.emulator._app import (
-    EngineApp,
-    read_body,
-    send_json,
-    send_part,
-    start_response,
-)
+from coppercleat.emulator._app import EngineApp
 from coppercleat.emulator._engine import Engine, EngineSpeed, Sequence, expected_text
 from coppercleat.emulator._prefix_cache import PrefixCache
 
@@ -17,8 +11,4 @@
     "PrefixCache",
     "Sequence",
     "expected_text",
-    "read_body",
-    "send_json",
-    "send_part",
-    "start_response",
 ]
--- a/src/coppercleat/emulator/_app.py
+++ b/src/coppercleat/emulator/_app.py
@@ -8,20 +8,24 @@
 
 from __future__ import annotations
 
-from collections.abc import Awaitable, Callable, MutableMapping
-from typing import Any
+from collections.abc import Callable
 
 import attrs
 import msgspec
 import trio
 
+from coppercleat.asgi import (
+    Receive,
+    Scope,
+    Send,
+    read_body,
+    send_json,
+    send_part,
+    serve_lifespan,
+    start_response,
+)
 from coppercleat.emulator._engine import Engine, EngineSpeed, Sequence
 
-Scope = MutableMapping[str, Any]
-Receive = Callable[[], Awaitable[MutableMapping[str, Any]]]
-Send = Callable[[MutableMapping[str, Any]], Awaitable[None]]
-
-_MAX_BODY_BYTES = 4_000_000
 _STREAM_BUFFER = 4096
 
 
@@ -149,7 +153,7 @@
     async def __call__(self, scope: Scope, receive: Receive, send: Send) -> None:
         """Serves one ASGI scope."""
         if scope["type"] == "lifespan":
-            await _serve_lifespan(receive, send)
+            await serve_lifespan(receive, send)
             return
         handler = self._routes.get((scope["method"], scope["path"]))
         if handler is None:
@@ -245,46 +249,3 @@
     while (await receive())["type"] != "http.disconnect":
         pass
     scope.cancel()
-
-
-async def _serve_lifespan(receive: Receive, send: Send) -> None:
-    while True:
-        message = await receive()
-        await send({"type": f"{message['type']}.complete"})
-        if message["type"] == "lifespan.shutdown":
-            return
-
-
-async def read_body(receive: Receive) -> bytes:
-    """Returns a request's whole body, cut at the size limit."""
-    parts = []
-    size = 0
-    while True:
-        message = await receive()
-        part = message.get("body", b"")
-        size += len(part)
-        if size <= _MAX_BODY_BYTES:
-            parts.append(part)
-        if not message.get("more_body", False):
-            return b"".join(parts)
-
-
-async def start_response(
-    send: Send, status: int, content_type: bytes, request_id: str
-) -> None:
-    """Sends status and headers."""
-    headers = [(b"content-type", content_type), (b"x-request-id", request_id.encode())]
-    await send({"type": "http.response.start", "status": status, "headers": headers})
-
-
-async def send_part(send: Send, part: bytes, *, more: bool = True) -> None:
-    """Sends a part of the body."""
-    await send({"type": "http.response.body", "body": part, "more_body": more})
-
-
-async def send_json(
-    send: Send, status: int, value: object, *, request_id: str = ""
-) -> None:
-    """Sends a whole JSON answer."""
-    await start_response(send, status, b"application/json", request_id)
-    await send_part(send, msgspec.json.encode(value), more=False)
--- a/src/coppercleat/online/_claims.py
+++ b/src/coppercleat/online/_claims.py
@@ -25,9 +25,9 @@
     Check,
     Platform,
     Put,
-    Row,
     Transaction,
     TransactionRefused,
+    decode_row,
 )
 
 _ATTEMPTS = 4
@@ -88,7 +88,7 @@
             row = (await self.platform.read([row_key])).get(row_key)
             if row is None:
                 continue
-            found = _decode(row)
+            found = decode_row(row, StoredAnswer)
             if found.request_id == request_id:
                 self._versions[row_key] = row.version
                 return None
@@ -114,7 +114,7 @@
             row = (await self.platform.read([row_key])).get(row_key)
             if row is None:
                 break
-            found = _decode(row)
+            found = decode_row(row, StoredAnswer)
             if found.state is ClaimState.ANSWERED:
                 return found
         raise OutcomeUnknownError(f"The request with key {key} gave no answer")
@@ -163,10 +163,3 @@
 
 def _row_key(tenant: TenantId, key: str) -> str:
     return f"answer/{tenant}/{key}"
-
-
-def _decode(row: Row) -> StoredAnswer:
-    try:
-        return msgspec.json.decode(row.value, type=StoredAnswer)
-    except (msgspec.DecodeError, msgspec.ValidationError) as error:
-        raise PlatformUnavailableError(f"A row does not fit: {error}") from error
--- a/src/coppercleat/orders/_lease.py
+++ b/src/coppercleat/orders/_lease.py
@@ -10,7 +10,6 @@
 import attrs
 import msgspec
 
-from coppercleat.errors import PlatformUnavailableError
 from coppercleat.ids import InstanceId
 from coppercleat.platform import (
     ABSENT,
@@ -20,6 +19,7 @@
     Put,
     Transaction,
     TransactionRefused,
+    decode_row,
 )
 
 
@@ -92,10 +92,7 @@
         row = (await self.platform.read([key])).get(key)
         if row is None:
             return None, ABSENT
-        try:
-            return msgspec.json.decode(row.value, type=LeaseRow), row.version
-        except (msgspec.DecodeError, msgspec.ValidationError) as error:
-            raise PlatformUnavailableError(f"A row does not fit: {error}") from error
+        return decode_row(row, LeaseRow), row.version
 
     async def take(
         self,
--- a/src/coppercleat/platform/__init__.py
+++ b/src/coppercleat/platform/__init__.py
@@ -16,6 +16,7 @@
     Row,
     Transaction,
     TransactionRefused,
+    decode_row,
 )
 
 __all__ = [
@@ -33,5 +34,6 @@
     "Row",
     "Transaction",
     "TransactionRefused",
+    "decode_row",
     "paced",
 ]
--- a/src/coppercleat/platform/_port.py
+++ b/src/coppercleat/platform/_port.py
@@ -10,11 +10,16 @@
 
 import enum
 from collections.abc import Sequence
-from typing import Protocol
+from typing import Protocol, TypeVar
 
 import msgspec
 
-from coppercleat.errors import CoppercleatError, Outcome, error_kind
+from coppercleat.errors import (
+    CoppercleatError,
+    Outcome,
+    PlatformUnavailableError,
+    error_kind,
+)
 
 ABSENT = 0
 """The version of a row that does not exist."""
@@ -27,6 +32,21 @@
     version: int
 
 
+_T = TypeVar("_T")
+
+
+def decode_row(row: Row, kind: type[_T]) -> _T:
+    """Decodes a row's JSON.
+
+    Raises:
+      PlatformUnavailableError: It does not fit; so nothing is known.
+    """
+    try:
+        return msgspec.json.decode(row.value, type=kind)
+    except (msgspec.DecodeError, msgspec.ValidationError) as error:
+        raise PlatformUnavailableError(f"A row does not fit: {error}") from error
+
+
 class Check(msgspec.Struct, frozen=True):
     """A condition: the row has this version; ``ABSENT`` for no row."""
 
--- a/src/coppercleat/rpc/_application.py
+++ b/src/coppercleat/rpc/_application.py
@@ -2,11 +2,18 @@
 
 from __future__ import annotations
 
-from collections.abc import Awaitable, Callable, MutableMapping
 from typing import Any
 
 from connectrpc.codec import proto_binary_codec, proto_json_codec
 
+from coppercleat.asgi import (
+    Application,
+    Receive,
+    Scope,
+    Send,
+    send_json,
+    serve_lifespan,
+)
 from coppercleat.instance import Instance
 from coppercleat.rpc._batch import BatchRpc
 from coppercleat.rpc._online import OnlineRpc
@@ -15,10 +22,6 @@
 from coppercleat.v1.online_connect import OnlineServiceASGIApplication
 from coppercleat.v1.operator_connect import OperatorServiceASGIApplication
 
-Application = Callable[
-    [MutableMapping[str, Any], Callable[..., Any], Callable[..., Any]], Awaitable[None]
-]
-
 
 def rpc_application(instance: Instance) -> Application:
     """Returns the application of all services; it counts calls in flight."""
@@ -35,17 +38,14 @@
     ]
     by_path = {service.path: service for service in services}
 
-    async def application(
-        scope: MutableMapping[str, Any],
-        receive: Callable[..., Any],
-        send: Callable[..., Any],
-    ) -> None:
+    async def application(scope: Scope, receive: Receive, send: Send) -> None:
         if scope["type"] == "lifespan":
-            await _lifespan(receive, send)
+            await serve_lifespan(receive, send)
             return
         service = by_path.get(scope["path"].rpartition("/")[0])
         if service is None:
-            await _not_found(send)
+            error = {"code": "unimplemented", "message": "There is no such RPC."}
+            await send_json(send, 404, error)
             return
         instance.in_flight += 1
         try:
@@ -54,18 +54,3 @@
             instance.in_flight -= 1
 
     return application
-
-
-async def _lifespan(receive: Callable[..., Any], send: Callable[..., Any]) -> None:
-    while True:
-        message = await receive()
-        await send({"type": f"{message['type']}.complete"})
-        if message["type"] == "lifespan.shutdown":
-            return
-
-
-async def _not_found(send: Callable[..., Any]) -> None:
-    headers = [(b"content-type", b"application/json")]
-    await send({"type": "http.response.start", "status": 404, "headers": headers})
-    body = b'{"code":"unimplemented","message":"There is no such RPC."}'
-    await send({"type": "http.response.body", "body": body})
--- a/tests/standins/control.py
+++ b/tests/standins/control.py
@@ -11,7 +11,7 @@
 import msgspec
 import trio
 
-from coppercleat.emulator import read_body, send_json
+from coppercleat.asgi import read_body, send_json, serve_lifespan
 from coppercleat.rpc import serve_application
 
 
@@ -31,11 +31,8 @@
 
     async def __call__(self, scope: Any, receive: Any, send: Any) -> None:
         if scope["type"] == "lifespan":
-            while True:
-                message = await receive()
-                await send({"type": f"{message['type']}.complete"})
-                if message["type"] == "lifespan.shutdown":
-                    return
+            await serve_lifespan(receive, send)
+            return
         if scope["path"] != "/control":
             await self.serve(scope, receive, send)
             return
--- a/tests/standins/platform.py
+++ b/tests/standins/platform.py
@@ -15,7 +15,7 @@
 import msgspec
 import trio
 
-from coppercleat.emulator import read_body, send_json, send_part, start_response
+from coppercleat.asgi import read_body, send_json, send_part, start_response
 from coppercleat.platform import (
     Listing,
     MemoryPlatform,
--- a/tests/standins/service.py
+++ b/tests/standins/service.py
@@ -7,7 +7,7 @@
 import msgspec
 import trio
 
-from coppercleat.emulator import read_body, send_part, start_response
+from coppercleat.asgi import read_body, send_part, start_response
 from tests.standins.control import Controlled, arguments, run_standin, start
 
 
