--- a/Makefile
+++ b/Makefile
@@ -4,8 +4,9 @@
 VENV := .venv
 BIN := $(VENV)/bin
 STAMP := $(VENV)/.installed
+RUNTIME := --constraint requirements.lock
 
-.PHONY: setup demo test lint format types generated behave bench slopes chaos membership generate reference clean
+.PHONY: setup demo test lint format types generated behave bench slopes chaos membership generate reference binary clean
 
 setup: $(STAMP)
 
@@ -36,6 +37,11 @@
 	  --py_out=src --connectrpc_out=src proto/coppercleat/v1/*.proto
 	rm -f src/__init__.py
 
+binary: setup
+	mkdir -p dist
+	$(BIN)/shiv --console-script coppercleat --output-file dist/coppercleat \
+	  --python '/usr/bin/env python3' . $(RUNTIME)
+
 reference: setup
 	$(BIN)/python -m tools.reference
 
