Say what two loops do; ask who lives in one place

Cause: a last reading of the whole change. Measured: lint and types clean; the late-job and no-repeat scenarios pass. Conclusion: behaviour is as before.

--- a/src/coppercleat/batch/_claiming.py
+++ b/src/coppercleat/batch/_claiming.py
@@ -55,6 +55,7 @@
         self._sweep_until = 0.0
 
     async def run(self) -> None:
+        """Looks for work at each hint and poll, until cancelled."""
         while True:
             self.state.look = trio.Event()
             try:
--- a/src/coppercleat/batch/_lateness.py
+++ b/src/coppercleat/batch/_lateness.py
@@ -26,6 +26,7 @@
         self._watched: list[OpenJob] = []
 
     def watch(self, jobs: Sequence[OpenJob]) -> None:
+        """Takes all open jobs; keeps those that fall to this instance."""
         watched = [
             j for j in jobs if j.row.due_at and self.state.fleet.is_steward(j.row.job)
         ]
--- a/src/coppercleat/instance/_fleet.py
+++ b/src/coppercleat/instance/_fleet.py
@@ -204,7 +204,7 @@
 
     def live(self) -> int:
         """Returns how many instances are thought alive, this one included."""
-        return len(self.detector.alive(trio.current_time()))
+        return len(self.alive())
 
     def alive(self) -> list[InstanceId]:
         """Returns the instances thought alive, this one included."""
@@ -226,8 +226,7 @@
 
     def is_steward(self, job: JobId) -> bool:
         """Returns whether this instance watches over a job's due time."""
-        alive = self.detector.alive(trio.current_time())
-        return owner(job, alive) == self.settings.instance.id
+        return owner(job, self.alive()) == self.settings.instance.id
 
     def feeder_of(self, record: UpstreamRecord) -> InstanceId | None:
         """Returns the instance that feeds batch to an upstream."""
