--- a/bench/slopes.py
+++ b/bench/slopes.py
@@ -28,7 +28,6 @@
     MemberLine,
     OnlineArrivals,
 )
-from coppercleat.platform import Node, NodeRole
 from coppercleat.routing import (
     RoutingTable,
     UpstreamRecord,
@@ -36,6 +35,7 @@
     assign_feeders,
     choose,
 )
+from coppercleat.storage import Node, NodeRole
 from coppercleat.upstreams import EventParser, LoadReport, UpstreamClient
 from tests.harness import Deployment, Fleet, until
 
--- /dev/null
+++ b/deploy/start.py
@@ -0,0 +1,11 @@
+"""Starts one instance from a checkout: the platform runs it with its settings."""
+
+import pathlib
+import sys
+
+sys.path.insert(0, str(pathlib.Path(__file__).resolve().parent.parent / "src"))
+
+from coppercleat.cli import main  # noqa: E402 - the path comes first
+
+if __name__ == "__main__":
+    sys.exit(main(sys.argv[1:]))
--- a/src/coppercleat/batch/_claiming.py
+++ b/src/coppercleat/batch/_claiming.py
@@ -17,7 +17,7 @@
 from coppercleat.errors import NotFoundError, PlatformUnavailableError
 from coppercleat.ids import InstanceId, TenantId
 from coppercleat.observability import part_logger
-from coppercleat.platform import AnswerLostError, Check, paced
+from coppercleat.storage import AnswerLostError, Check, paced
 
 _PROBED_SEGMENTS = 64
 _CLAIM_READS_PER_S = 50.0
--- a/src/coppercleat/batch/_committing.py
+++ b/src/coppercleat/batch/_committing.py
@@ -12,7 +12,7 @@
 from coppercleat.batch._work import SegmentWork
 from coppercleat.errors import PlatformUnavailableError
 from coppercleat.observability import part_logger
-from coppercleat.platform import AnswerLostError
+from coppercleat.storage import AnswerLostError
 
 _COMMIT_RETRY_S = 0.5
 _COMMIT_RETRY_MAX_S = 5.0
--- a/src/coppercleat/batch/_runner.py
+++ b/src/coppercleat/batch/_runner.py
@@ -15,7 +15,7 @@
 from coppercleat.errors import PlatformUnavailableError
 from coppercleat.ids import UpstreamId
 from coppercleat.observability import part_logger
-from coppercleat.platform import AnswerLostError
+from coppercleat.storage import AnswerLostError
 
 _DRAIN_POLL_S = 0.05
 _RELEASE_S = 1.0
--- a/src/coppercleat/batch/_state.py
+++ b/src/coppercleat/batch/_state.py
@@ -14,8 +14,8 @@
 from coppercleat.configuration import Deployment, Document, Kind
 from coppercleat.ids import InstanceId
 from coppercleat.observability import Metrics
-from coppercleat.platform import paced
 from coppercleat.settings import BatchSettings
+from coppercleat.storage import paced
 
 _WATCH_READS_PER_S = 300.0
 
--- a/src/coppercleat/batch/_store.py
+++ b/src/coppercleat/batch/_store.py
@@ -50,7 +50,7 @@
     TenantId,
     random_token,
 )
-from coppercleat.platform import (
+from coppercleat.storage import (
     ABSENT,
     AnswerLostError,
     Check,
--- /dev/null
+++ b/src/coppercleat/cli/_gateway.py
@@ -0,0 +1,30 @@
+"""``gateway``: an instance on the users' platform."""
+
+from __future__ import annotations
+
+from collections.abc import Sequence
+
+import trio
+from absl import flags
+
+from coppercleat.cli._registry import ExitCode, command
+from coppercleat.observability import EventRing, configure_logs
+from coppercleat.platform import run_on_platform, settings_path
+
+
+def _define(values: flags.FlagValues) -> None:
+    flags.DEFINE_enum(
+        "log_level",
+        "info",
+        ["debug", "info", "warning", "error"],
+        "Least level logged.",
+        flag_values=values,
+    )
+
+
+@command("gateway", "Runs one gateway instance on the users' platform.", define=_define)
+def gateway(values: flags.FlagValues, arguments: Sequence[str]) -> int:
+    """Runs ``gateway``."""
+    configure_logs(level=values.log_level, as_json=True, ring=EventRing())
+    trio.run(run_on_platform, settings_path())
+    return ExitCode.OK
--- a/src/coppercleat/cli/_main.py
+++ b/src/coppercleat/cli/_main.py
@@ -2,21 +2,19 @@
 
 from __future__ import annotations
 
+import importlib
 import sys
 from collections.abc import Sequence
 
 from absl import flags
 
-from coppercleat.cli import (  # noqa: F401 - importing registers the commands
-    _batch,
-    _configuration,
-    _fleet,
-    _infer,
-    _serve,
-)
 from coppercleat.cli._registry import COMMANDS, Command, ExitCode
-from coppercleat.errors import CoppercleatError, SettingsError
-from coppercleat.rpc import RpcError
+from coppercleat.errors import CoppercleatError, RpcError, SettingsError
+
+_MODULES = {"gateway": ("_gateway",)}
+"""Modules of the commands that must stay small in memory, by first word."""
+
+_ALL_MODULES = ("_batch", "_configuration", "_fleet", "_gateway", "_infer", "_serve")
 
 _LONGEST_NAME_WORDS = 2
 _EXIT_CODES_HELP = (
@@ -28,6 +26,9 @@
 def main(argv: Sequence[str] | None = None) -> int:
     """Runs the command line and returns the exit code."""
     words = list(sys.argv[1:] if argv is None else argv)
+    # Importing a module registers its commands.
+    for module in _MODULES.get(words[0] if words else "", _ALL_MODULES):
+        importlib.import_module(f"coppercleat.cli.{module}")
     command = _find(words)
     if command is None:
         wants_help = not words or words[0] in ("help", "--help", "-h")
--- a/src/coppercleat/configuration/_store.py
+++ b/src/coppercleat/configuration/_store.py
@@ -17,7 +17,7 @@
 from coppercleat.configuration._kinds import Kind
 from coppercleat.configuration._operations import Change, Operation
 from coppercleat.ids import Revision
-from coppercleat.platform import (
+from coppercleat.storage import (
     ABSENT,
     AnswerLostError,
     Check,
--- a/src/coppercleat/errors/__init__.py
+++ b/src/coppercleat/errors/__init__.py
@@ -22,6 +22,7 @@
     UpstreamRefusedError,
     UpstreamUnavailableError,
 )
+from coppercleat.errors._rpc import RpcError
 
 __all__ = [
     "ERROR_KINDS",
@@ -35,6 +36,7 @@
     "OutcomeUnknownError",
     "OverloadedError",
     "PlatformUnavailableError",
+    "RpcError",
     "SettingsError",
     "StoppingError",
     "UnauthenticatedError",
--- /dev/null
+++ b/src/coppercleat/gateway/__init__.py
@@ -0,0 +1,7 @@
+"""A gateway instance: online requests and jobs over one fleet of upstreams."""
+
+from coppercleat.gateway._gateway import Gateway
+from coppercleat.gateway._jobs_desk import JobAnswer, JobsDesk
+from coppercleat.gateway._run import GatewayEdges, run_gateway
+
+__all__ = ["Gateway", "GatewayEdges", "JobAnswer", "JobsDesk", "run_gateway"]
--- /dev/null
+++ b/src/coppercleat/gateway/_gateway.py
@@ -0,0 +1,149 @@
+"""One gateway instance: its parts put together."""
+
+from __future__ import annotations
+
+import random
+import time
+
+import trio
+
+from coppercleat.gateway._jobs_desk import JobsDesk
+from coppercleat.ids import random_token
+from coppercleat.jobs import JobBoard, JobWorker, Ledger
+from coppercleat.observability import part_logger
+from coppercleat.serving import (
+    Catalogue,
+    Forwarder,
+    GatewaySettings,
+    OnlineRequest,
+    Peers,
+    Placement,
+    Refusal,
+    RefusalReason,
+    Reply,
+    Route,
+    RouteTable,
+    UpstreamCaller,
+    UpstreamState,
+    Watch,
+)
+from coppercleat.storage import Platform
+
+STARTING_RETRY_S = 0.5
+"""When to come back to an instance that knows no routes yet."""
+
+_log = part_logger("gateway")
+
+
+class Gateway:
+    """All parts of a gateway instance.
+
+    Attributes:
+      stopping: Whether a planned stop has begun.
+      in_flight: Clients' calls that have not ended.
+    """
+
+    def __init__(
+        self,
+        settings: GatewaySettings,
+        *,
+        platform: Platform,
+        catalogue: Catalogue,
+        caller: UpstreamCaller,
+        rng: random.Random | None = None,
+    ) -> None:
+        """Builds the parts; nothing runs yet.
+
+        Args:
+          settings: This instance's settings.
+          platform: What must last.
+          catalogue: Routes and upstreams as others have written them.
+          caller: Reaches upstreams.
+          rng: Source of randomness.
+        """
+        self.settings = settings
+        self.rng = rng or random.SystemRandom()
+        self.stopping = False
+        self.in_flight = 0
+        self.boot = random_token(self.rng)
+        self.placement = Placement(settings.zone, rng=self.rng)
+        self.watch = Watch(
+            settings,
+            catalogue,
+            platform,
+            self.placement,
+            boot=self.boot,
+            rng=self.rng,
+        )
+        self.peers = Peers(
+            settings,
+            self.placement,
+            incarnation=time.time_ns() // 1_000_000,
+            rng=self.rng,
+        )
+        self.forwarder = Forwarder(self.placement, caller, on_change=self._work_changed)
+        self.board = JobBoard(platform)
+        ledger = Ledger(platform, clock=time.time, rng=self.rng)
+        self.worker = JobWorker(
+            ledger,
+            self.board,
+            self.placement,
+            caller,
+            owner=self.watch.owner_name,
+            routes=lambda: self.watch.table,
+            owner_lives=self.watch.owner_lives,
+            living=self.watch.living,
+            holds_lease=self.watch.holds_lease,
+            on_change=self._work_changed,
+        )
+        self.desk = JobsDesk(
+            ledger,
+            self.board,
+            self.worker,
+            quota_tolerance=settings.quota_tolerance,
+        )
+        self._connect()
+
+    def _connect(self) -> None:
+        """Tells each part whom to ask and whom to tell."""
+        self.watch.on_members = self.peers.listed
+        self.peers.version = lambda: self.watch.version
+        self.peers.starved = self.watch.starved
+        self.peers.knowledge = self.watch.knowledge
+        self.peers.on_knowledge = self.watch.take_knowledge
+        self.peers.on_counts = self.worker.make_room
+
+    def _work_changed(self, state: UpstreamState, started: bool) -> None:
+        self.peers.work_changed(urgent=started)
+        if started:
+            self.worker.make_room()
+
+    @property
+    def ready(self) -> bool:
+        """Whether new clients should come here."""
+        return self.watch.ready and not self.stopping
+
+    async def run(self) -> None:
+        """Runs all parts until cancelled."""
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(self.watch.run)
+            nursery.start_soon(self.peers.run)
+            nursery.start_soon(self.worker.run)
+
+    def route(self, host: str, path: str) -> Route | Refusal:
+        """Returns the route of a request, or why there is none."""
+        table: RouteTable | None = self.watch.table
+        if table is None:
+            return Refusal(
+                reason=RefusalReason.NO_CONFIGURATION,
+                detail="this instance knows no routes yet",
+                retry_after_s=STARTING_RETRY_S,
+            )
+        route = table.match(host, path)
+        if route is None:
+            return Refusal(reason=RefusalReason.NO_ROUTE, detail="no such route")
+        return route
+
+    async def forward(self, request: OnlineRequest, route: Route, reply: Reply) -> None:
+        """Answers an online request."""
+        await self.forwarder.forward(request, route, reply)
--- a/src/coppercleat/instance/_fleet.py
+++ b/src/coppercleat/instance/_fleet.py
@@ -12,7 +12,6 @@
 from coppercleat.ids import InstanceId, JobId, UpstreamId, ZoneId
 from coppercleat.membership import Detector
 from coppercleat.observability import part_logger
-from coppercleat.platform import Node, NodeRole, Platform, paced
 from coppercleat.routing import (
     PeerArrivals,
     RoutingTable,
@@ -22,6 +21,7 @@
     subset,
 )
 from coppercleat.settings import Settings
+from coppercleat.storage import Node, NodeRole, Platform, paced
 from coppercleat.upstreams import UpstreamClient
 
 _OTHERS_POLL_FACTOR = 4
--- a/src/coppercleat/instance/_instance.py
+++ b/src/coppercleat/instance/_instance.py
@@ -19,8 +19,8 @@
 from coppercleat.observability import EventRing, Metrics, part_logger
 from coppercleat.online import AnswerStore, OnlineServices, Pipeline, pick_version
 from coppercleat.orders import OrderKeeper
-from coppercleat.platform import HttpPlatform, Platform
 from coppercleat.settings import Settings
+from coppercleat.storage import HttpPlatform, Platform
 
 _MS = 1000
 _READY_POLL_S = 0.02
--- a/src/coppercleat/instance/_keeper.py
+++ b/src/coppercleat/instance/_keeper.py
@@ -18,7 +18,7 @@
 from coppercleat.errors import PlatformUnavailableError
 from coppercleat.ids import Revision
 from coppercleat.observability import Metrics, part_logger
-from coppercleat.platform import AnswerLostError, paced
+from coppercleat.storage import AnswerLostError, paced
 
 _POLL_S = 2.0
 _POLLS_PER_S = 50.0
--- /dev/null
+++ b/src/coppercleat/jobs/__init__.py
@@ -0,0 +1,30 @@
+"""Jobs of many items, whose results are listed in the order of completion."""
+
+from coppercleat.jobs._board import JobBoard
+from coppercleat.jobs._ledger import (
+    Finished,
+    Held,
+    Ledger,
+    OverQuota,
+    ResultsPage,
+    Submission,
+    Superseded,
+)
+from coppercleat.jobs._records import ItemSpec, ItemState, JobRow, ResultRow
+from coppercleat.jobs._worker import JobWorker
+
+__all__ = [
+    "Finished",
+    "Held",
+    "ItemSpec",
+    "ItemState",
+    "JobBoard",
+    "JobRow",
+    "JobWorker",
+    "Ledger",
+    "OverQuota",
+    "ResultRow",
+    "ResultsPage",
+    "Submission",
+    "Superseded",
+]
--- /dev/null
+++ b/src/coppercleat/jobs/_board.py
@@ -0,0 +1,95 @@
+"""All jobs as this instance knows them, from the changes that the platform shows."""
+
+from __future__ import annotations
+
+from collections.abc import Callable, Iterator
+
+import trio
+
+from coppercleat.ids import JobId
+from coppercleat.jobs._ledger import Held
+from coppercleat.jobs._records import JOB_SPACE, JobRow
+from coppercleat.observability import part_logger
+from coppercleat.storage import HistoryLostError, Platform, Row, decode_row
+
+_log = part_logger("jobs")
+
+
+class JobBoard:
+    """Follows the rows of jobs.
+
+    Attributes:
+      held: By job id.
+      loaded: Whether all jobs have been read once.
+      fresh_at: When the board was last as new as the platform, in trio's time.
+      on_change: Told of each job that has changed.
+    """
+
+    def __init__(self, platform: Platform) -> None:
+        self.platform = platform
+        self.held: dict[JobId, Held] = {}
+        self.loaded = False
+        self.fresh_at = float("-inf")
+        self.on_change: Callable[[Held], None] = lambda held: None
+        self._version = 0
+
+    def __iter__(self) -> Iterator[Held]:
+        return iter(list(self.held.values()))
+
+    def get(self, job: JobId) -> Held | None:
+        """Returns a job, None if it is not known here (yet)."""
+        return self.held.get(job)
+
+    def observe(self, held: Held) -> None:
+        """Takes a job as just read or written here, if it is newer."""
+        known = self.held.get(held.row.job)
+        if known is None or known.version < held.version:
+            self.held[held.row.job] = held
+            self.on_change(held)
+
+    def finished_tokens(self, host: str, prefix: str) -> int:
+        """Returns tokens of listed and ended items of a host and route prefix."""
+        return sum(
+            sum(held.row.tokens) - held.row.waiting_tokens
+            for held in self.held.values()
+            if held.row.host == host and held.row.path.startswith(prefix)
+        )
+
+    async def refresh(self) -> None:
+        """Reads what has changed, or everything if the changes are lost."""
+        began = trio.current_time()
+        try:
+            if not self.loaded:
+                await self._read_all()
+            changes = await self.platform.changes(JOB_SPACE, after=self._version)
+        except HistoryLostError:
+            _log.info("Changes were lost, jobs are read anew.", after=self._version)
+            await self._read_all()
+            changes = await self.platform.changes(JOB_SPACE, after=self._version)
+        for changed in changes.rows:
+            if changed.row is None:
+                self.held.pop(JobId(changed.key.removeprefix(f"{JOB_SPACE}/")), None)
+            else:
+                self._take(changed.key, changed.row)
+        self._version = max(self._version, changes.version)
+        self.fresh_at = began
+
+    async def _read_all(self) -> None:
+        # The version is read first: what changes meanwhile is shown again.
+        self._version = await self.platform.newest_version()
+        for part in await self.platform.parts(JOB_SPACE):
+            prefix, after = f"{JOB_SPACE}/", ""
+            while True:
+                rows = await self.platform.scan(prefix, after=after, part=part)
+                for key, row in rows:
+                    self._take(key, row)
+                if not rows:
+                    break
+                after = rows[-1][0]
+        self.loaded = True
+
+    def _take(self, key: str, row: Row) -> None:
+        try:
+            self.observe(Held(decode_row(row, JobRow), row.version))
+        except Exception as error:  # noqa: BLE001 - one bad row must not hide the rest
+            _log.error("A job's row does not fit.", key=key, reason=str(error))
--- /dev/null
+++ b/src/coppercleat/jobs/_ledger.py
@@ -0,0 +1,378 @@
+"""Transactions by which jobs are accepted, taken, committed, ended and read."""
+
+from __future__ import annotations
+
+import random
+from collections.abc import Callable, Iterable, Sequence
+
+import msgspec
+
+from coppercleat.errors import PlatformUnavailableError
+from coppercleat.ids import JobId, random_token
+from coppercleat.jobs._records import (
+    MAX_SLICES,
+    NOBODY,
+    SLICE_BYTES,
+    GateRow,
+    ItemSpec,
+    ItemState,
+    JobRow,
+    PartialRow,
+    ResultRow,
+    gate_key,
+    input_key,
+    job_key,
+    partial_key,
+    result_key,
+    results_before,
+)
+from coppercleat.serving import Route
+from coppercleat.storage import (
+    ABSENT,
+    AnswerLostError,
+    Check,
+    Platform,
+    Put,
+    Row,
+    Transaction,
+    TransactionRefused,
+    decode_row,
+)
+
+MAX_READ_BYTES = 700_000
+"""Text of results in one answer; a caller is promised at most 1 MB."""
+
+_READ_ROWS = 60
+_ACCEPT_TRIES = 5
+_END_TRIES = 8
+_MAX_PARTIAL_BYTES = 400_000
+"""Events kept in one transaction, which holds 1 MB in base64."""
+
+_MAX_COMMIT_BYTES = 500_000
+
+
+class Submission(msgspec.Struct, frozen=True, kw_only=True):
+    """A job as its client sends it."""
+
+    job: JobId
+    host: str
+    path: str
+    items: list[ItemSpec]
+
+
+class Held(msgspec.Struct, frozen=True):
+    """A job's row and its version."""
+
+    row: JobRow
+    version: int
+
+
+class OverQuota(msgspec.Struct, frozen=True):
+    """Sentinel: the job does not fit and nothing of it runs.
+
+    Attributes:
+      waiting: Tokens that wait already.
+    """
+
+    waiting: int
+
+
+class Finished(msgspec.Struct, frozen=True, kw_only=True):
+    """An item that is to be listed."""
+
+    index: int
+    item: str
+    state: ItemState
+    text: bytes
+
+
+class ResultsPage(msgspec.Struct, frozen=True, kw_only=True):
+    """Results of a job from a position on."""
+
+    total: int
+    next: int
+    results: list[ResultRow]
+
+
+class Superseded(msgspec.Struct, frozen=True):
+    """Sentinel: the job was changed by another; ``held`` is what it is now."""
+
+    held: Held | None
+
+
+class Ledger:
+    """Reads and writes jobs; every change is under a condition."""
+
+    def __init__(
+        self, platform: Platform, *, clock: Callable[[], float], rng: random.Random
+    ) -> None:
+        """Prepares the ledger.
+
+        Args:
+          platform: Where rows and objects lie.
+          clock: Unix time in seconds.
+          rng: Source of randomness for object names.
+        """
+        self.platform = platform
+        self.clock = clock
+        self.rng = rng
+
+    # Acceptance.
+
+    async def accept(
+        self,
+        submission: Submission,
+        route: Route,
+        *,
+        owner: str,
+        finished_tokens: Callable[[str, str], int],
+        tolerance: float = 0.0,
+    ) -> Held | OverQuota:
+        """Accepts a job once; a repeated submission finds the first.
+
+        Args:
+          submission: The job.
+          route: Its route.
+          owner: Who will run it.
+          finished_tokens: Tokens of listed or ended items of all jobs of a host
+            and route prefix, as far as is known here; too few is safe.
+          tolerance: Share by which the limit may be exceeded.
+
+        Raises:
+          PlatformUnavailableError: Nothing was accepted.
+          AnswerLostError: It may have been.
+        """
+        key = job_key(submission.job)
+        gate = gate_key(route.prefix)
+        now = self.clock()
+        stored, row = await self._store_input(submission, route, owner=owner, now=now)
+        tokens = sum(row.tokens)
+        limited = route.max_waiting_tokens > 0
+        known = [gate] if limited else []
+        for _ in range(_ACCEPT_TRIES):
+            rows = await self.platform.read(known, part=submission.host)
+            if key in rows:
+                return _held(rows[key])
+            checks = [Check(key, ABSENT)]
+            puts = [Put(key, msgspec.json.encode(row)), *stored]
+            if limited:
+                accepted, version = _gate(rows.get(gate))
+                finished = finished_tokens(submission.host, route.prefix)
+                waiting = max(0, accepted - finished)
+                if waiting + tokens > route.max_waiting_tokens * (1 + tolerance):
+                    return OverQuota(waiting)
+                checks.append(Check(gate, version))
+                opened = GateRow(accepted_tokens=accepted + tokens)
+                puts.append(Put(gate, msgspec.json.encode(opened)))
+            answer = await self.platform.transact(
+                Transaction(checks=checks, puts=puts, part=submission.host)
+            )
+            if not isinstance(answer, TransactionRefused):
+                return Held(row, answer[key])
+            known = [key, gate] if limited else [key]
+        raise PlatformUnavailableError("Too many jobs are accepted at once")
+
+    async def _store_input(
+        self, submission: Submission, route: Route, *, owner: str, now: float
+    ) -> tuple[list[Put], JobRow]:
+        """Returns rows of input and the job's row; large input becomes an object."""
+        packed = msgspec.msgpack.encode(submission.items)
+        slices = [
+            packed[i : i + SLICE_BYTES] for i in range(0, len(packed), SLICE_BYTES)
+        ]
+        name = ""
+        if len(slices) > MAX_SLICES:
+            name = f"input-{submission.job}-{random_token(self.rng)}"
+            try:
+                await self.platform.put_object(name, packed)
+            except AnswerLostError as error:
+                # The object is under a name of its own: nothing refers to it yet.
+                raise PlatformUnavailableError(error.message) from error
+            slices = []
+        puts = [Put(input_key(submission.job, n), s) for n, s in enumerate(slices)]
+        row = JobRow(
+            job=submission.job,
+            host=submission.host,
+            path=submission.path,
+            tokens=tuple(item.tokens for item in submission.items),
+            accepted_at=now,
+            due_at=now + route.completion_target_s,
+            expires_at=now + route.retention_s,
+            owner=owner,
+            slices=len(slices),
+            input_object=name,
+        )
+        return puts, row
+
+    # Reading.
+
+    async def find(self, host: str, job: JobId) -> Held | None:
+        """Returns a job, None if there is none."""
+        rows = await self.platform.read([job_key(job)], part=host)
+        row = rows.get(job_key(job))
+        return _held(row) if row else None
+
+    async def items(self, row: JobRow) -> list[ItemSpec]:
+        """Returns a job's items."""
+        if row.input_object:
+            packed = await self.platform.get_object(row.input_object)
+            if packed is None:
+                raise PlatformUnavailableError(f"The input of {row.job} is missing")
+        else:
+            found = await self.platform.scan(f"input/{row.job}/", part=row.host)
+            if len(found) != row.slices:
+                raise PlatformUnavailableError(f"Input of {row.job} is missing")
+            packed = b"".join(slice_row.value for _, slice_row in found)
+        return msgspec.msgpack.decode(packed, type=list[ItemSpec])
+
+    async def partials(self, row: JobRow) -> dict[int, PartialRow]:
+        """Returns what running items had made when it was last kept."""
+        prefix = f"partial/{row.job}/"
+        found = await self.platform.scan(prefix, part=row.host)
+        return {
+            int(key.removeprefix(prefix)): msgspec.msgpack.decode(
+                partial.value, type=PartialRow
+            )
+            for key, partial in found
+        }
+
+    async def results(
+        self, host: str, job: JobId, total: int, *, after: int
+    ) -> ResultsPage:
+        """Returns results from a position on, as many as one answer may hold."""
+        found = await self.platform.scan(
+            f"result/{job}/",
+            after=results_before(job, after),
+            limit=_READ_ROWS,
+            part=host,
+        )
+        results: list[ResultRow] = []
+        size = 0
+        rows = iter(found)
+        for _, row in rows:
+            result = msgspec.msgpack.decode(row.value, type=ResultRow)
+            slices = [result.text]
+            for _ in range(result.more):
+                _, further = next(rows, ("", None))
+                if further is None:
+                    return _page(total, after, results)
+                slices.append(further.value)
+            size += sum(map(len, slices))
+            if results and size > MAX_READ_BYTES:
+                break
+            results.append(msgspec.structs.replace(result, text=b"".join(slices)))
+        return _page(total, after, results)
+
+    # Changes by the owner.
+
+    async def take(self, held: Held, *, owner: str) -> Held | Superseded:
+        """Makes another the owner of a job, or nobody."""
+        return await self._change(held, msgspec.structs.replace(held.row, owner=owner))
+
+    async def commit(
+        self,
+        held: Held,
+        finished: Sequence[Finished],
+        partials: dict[int, PartialRow],
+        *,
+        owner: str | None = None,
+    ) -> Held | Superseded:
+        """Lists finished items and keeps what running ones have made.
+
+        Args:
+          held: The job as it was last seen.
+          finished: Items to list next, in order.
+          partials: By item index.
+          owner: The new owner; None for the same.
+        """
+        row = held.row
+        listed = (*row.listed, *(item.index for item in finished))
+        puts: list[Put] = []
+        for position, item in enumerate(finished, len(row.listed)):
+            puts += _result_puts(row.job, position, item)
+        puts += [
+            Put(partial_key(row.job, index), msgspec.msgpack.encode(partial))
+            for index, partial in partials.items()
+        ]
+        owner = row.owner if owner is None else owner
+        changed = msgspec.structs.replace(row, listed=listed, owner=owner)
+        return await self._change(held, changed, puts)
+
+    async def end(self, host: str, job: JobId) -> bool:
+        """Ends a job for its client; returns whether there is one."""
+        for _ in range(_END_TRIES):
+            held = await self.find(host, job)
+            if held is None:
+                return False
+            if held.row.ended:
+                return True
+            ended = msgspec.structs.replace(held.row, ended=True, owner=NOBODY)
+            if isinstance(await self._change(held, ended), Held):
+                return True
+        raise PlatformUnavailableError(f"The job {job} changes too often")
+
+    async def _change(
+        self, held: Held, row: JobRow, puts: Iterable[Put] = ()
+    ) -> Held | Superseded:
+        key = job_key(row.job)
+        answer = await self.platform.transact(
+            Transaction(
+                checks=[Check(key, held.version)],
+                puts=[Put(key, msgspec.json.encode(row)), *puts],
+                part=row.host,
+            )
+        )
+        if isinstance(answer, TransactionRefused):
+            return Superseded(await self.find(row.host, row.job))
+        return Held(row, answer[key])
+
+
+def fits_one_commit(finished: Sequence[Finished]) -> int:
+    """Returns how many of the items fit into one transaction, at least one."""
+    size = 0
+    for count, item in enumerate(finished):
+        size += len(item.text)
+        if count and size > _MAX_COMMIT_BYTES:
+            return count
+    return len(finished)
+
+
+def bounded_partials(partials: dict[int, PartialRow]) -> dict[int, PartialRow]:
+    """Leaves out what does not fit into a row or into one transaction."""
+    kept: dict[int, PartialRow] = {}
+    total = 0
+    for index, partial in partials.items():
+        size = sum(len(event) + 8 for event in partial.events)
+        if size > SLICE_BYTES or total + size > _MAX_PARTIAL_BYTES:
+            continue
+        kept[index] = partial
+        total += size
+    return kept
+
+
+def _page(total: int, after: int, results: list[ResultRow]) -> ResultsPage:
+    return ResultsPage(total=total, next=after + len(results), results=results)
+
+
+def _held(row: Row) -> Held:
+    return Held(decode_row(row, JobRow), row.version)
+
+
+def _gate(row: Row | None) -> tuple[int, int]:
+    """Returns tokens ever accepted, and the version of the gate."""
+    if row is None:
+        return 0, ABSENT
+    return decode_row(row, GateRow).accepted_tokens, row.version
+
+
+def _result_puts(job: JobId, position: int, item: Finished) -> list[Put]:
+    slices = [
+        item.text[i : i + SLICE_BYTES] for i in range(0, len(item.text), SLICE_BYTES)
+    ] or [b""]
+    first = ResultRow(
+        item=item.item, state=item.state, text=slices[0], more=len(slices) - 1
+    )
+    puts = [Put(result_key(job, position), msgspec.msgpack.encode(first))]
+    for number, part in enumerate(slices[1:], 1):
+        puts.append(Put(result_key(job, position, number), part))
+    return puts
--- /dev/null
+++ b/src/coppercleat/jobs/_run.py
@@ -0,0 +1,145 @@
+"""One job in the hands of its owner: what is pending, running and done."""
+
+from __future__ import annotations
+
+import enum
+
+import attrs
+
+from coppercleat.ids import UpstreamId
+from coppercleat.jobs._ledger import Finished, Held
+from coppercleat.jobs._records import ItemSpec, ItemState, PartialRow
+
+
+class ItemEnd(enum.Enum):
+    """How a run of an item ended."""
+
+    COMPLETE = "complete"
+    YIELDED = "yielded"
+    NOT_RUN = "not_run"
+    BROKEN = "broken"
+    FAILED = "failed"
+    IMPOSSIBLE = "impossible"
+
+
+@attrs.define(eq=False, kw_only=True)
+class ItemRun:
+    """One item and what it has made so far.
+
+    Attributes:
+      events: Data of the events so far.
+      last_event: Number of the last one; None before the first.
+      failures: Runs that the upstream answered with a failure.
+      kept_events: How many events the platform keeps.
+      upstream: Where it runs now; empty if it does not.
+      not_before: When it may run again, in trio's time.
+    """
+
+    index: int
+    spec: ItemSpec
+    events: list[bytes] = attrs.field(factory=list)
+    last_event: int | None = None
+    failures: int = 0
+    kept_events: int = 0
+    upstream: UpstreamId = UpstreamId("")
+    not_before: float = 0.0
+
+    def finished(self, state: ItemState) -> Finished:
+        """Returns the item as it is to be listed."""
+        text = b"\n".join(self.events) if state is ItemState.COMPLETED else b""
+        return Finished(index=self.index, item=self.spec.id, state=state, text=text)
+
+    def partial(self) -> PartialRow:
+        """Returns what is to be kept of it."""
+        return PartialRow(
+            last_event=self.last_event or 0,
+            events=list(self.events),
+            failures=self.failures,
+        )
+
+    def restore(self, partial: PartialRow) -> None:
+        """Goes on from what was kept."""
+        self.failures = partial.failures
+        if partial.events:
+            self.events = list(partial.events)
+            self.last_event = partial.last_event
+            self.kept_events = len(self.events)
+
+
+class JobRun:
+    """All items of a job that are not listed yet.
+
+    Attributes:
+      held: The job's row as last read or written.
+      pending: Items that wait for a slot, in order.
+      running: Items at upstreams, by index.
+      finished: Items done and not yet listed.
+    """
+
+    def __init__(
+        self, held: Held, items: list[ItemSpec], partials: dict[int, PartialRow]
+    ) -> None:
+        self.held = held
+        self.pending: list[ItemRun] = []
+        self.running: dict[int, ItemRun] = {}
+        self.finished: list[Finished] = []
+        listed = set(held.row.listed)
+        for index, spec in enumerate(items):
+            if index in listed:
+                continue
+            item = ItemRun(index=index, spec=spec)
+            if index in partials:
+                item.restore(partials[index])
+            self.pending.append(item)
+
+    @property
+    def due_at(self) -> float:
+        """When the job is due, in Unix seconds."""
+        return self.held.row.due_at
+
+    @property
+    def all_listed(self) -> bool:
+        """Whether nothing is left to do."""
+        return not (self.pending or self.running or self.finished)
+
+    def start(self, item: ItemRun, upstream: UpstreamId) -> None:
+        """Moves an item from pending to running."""
+        self.pending.remove(item)
+        item.upstream = upstream
+        self.running[item.index] = item
+
+    def stop(
+        self, item: ItemRun, end: ItemEnd, *, max_attempts: int, not_before: float
+    ) -> None:
+        """Moves an item on after a run."""
+        self.running.pop(item.index, None)
+        item.upstream = UpstreamId("")
+        item.not_before = not_before
+        if end is ItemEnd.FAILED:
+            item.failures += 1
+        if end is ItemEnd.COMPLETE:
+            self.finished.append(item.finished(ItemState.COMPLETED))
+        elif end is ItemEnd.IMPOSSIBLE or item.failures >= max(1, max_attempts):
+            self.finished.append(item.finished(ItemState.FAILED))
+        else:
+            self.pending.append(item)
+            self.pending.sort(key=lambda waiting: waiting.index)
+
+    def fail_all(self) -> None:
+        """Lists all that is pending as failed."""
+        self.finished += [item.finished(ItemState.FAILED) for item in self.pending]
+        self.pending.clear()
+
+    def unkept(self, least_events: int) -> dict[int, PartialRow]:
+        """Returns what to keep of items with that many events not kept yet."""
+        kept = {}
+        for item in [*self.running.values(), *self.pending]:
+            if item.events and len(item.events) - item.kept_events >= least_events:
+                kept[item.index] = item.partial()
+        return kept
+
+    def note_kept(self, partials: dict[int, PartialRow]) -> None:
+        """Notes that the platform keeps these events."""
+        for item in [*self.running.values(), *self.pending]:
+            if item.index in partials:
+                item.kept_events = len(partials[item.index].events)
--- /dev/null
+++ b/src/coppercleat/jobs/_worker.py
@@ -0,0 +1,534 @@
+"""Runs the items of the jobs that this instance owns."""
+
+from __future__ import annotations
+
+import contextlib
+import time
+from collections.abc import Callable, Iterator
+
+import attrs
+import trio
+
+from coppercleat.errors import CoppercleatError
+from coppercleat.ids import JobId, RequestId, UpstreamId
+from coppercleat.jobs._board import JobBoard
+from coppercleat.jobs._ledger import (
+    Held,
+    Ledger,
+    Superseded,
+    bounded_partials,
+    fits_one_commit,
+)
+from coppercleat.jobs._records import NOBODY
+from coppercleat.jobs._run import ItemEnd, ItemRun, JobRun
+from coppercleat.observability import part_logger
+from coppercleat.routing import ranked
+from coppercleat.serving import (
+    EventSplitter,
+    Nowhere,
+    OnlineRequest,
+    Placement,
+    Route,
+    RouteTable,
+    UpstreamAnswer,
+    UpstreamBrokeError,
+    UpstreamCaller,
+    UpstreamState,
+)
+from coppercleat.upstreams import Attempt, AttemptState
+
+REFRESH_S = 0.4
+"""Pause between looks at what has changed: an ended job must stop within 3 s."""
+
+STALE_S = 2.0
+"""With a view of the jobs older than this no item is started: the job may have ended
+or have another owner."""
+
+RESERVED_SLOTS = 1
+"""Slots at each upstream that batch leaves free, so that an online request finds one;
+by the rounds in docs/design/platform.md."""
+
+KEEP_EVERY_S = 1.5
+"""How often the events of running items are kept on the platform: a killed instance
+costs at most this much work again, at one transaction a job."""
+
+KEEP_LEAST_EVENTS = 20
+"""Fewer new events are not worth a write."""
+
+STALL_S = 1.0
+"""An item without an event for this long goes elsewhere; events come 20 ms apart, and
+the first after at most 0.1 s beside a full batch."""
+
+_TICK_S = 0.02
+_IDLE_TICK_S = 0.2
+_RETRY_S = 0.25
+_BROKEN_PAUSE_S = 0.1
+_AVOID_S = 0.3
+"""For how long an upstream that refused an item as full gets none."""
+
+_COMMIT_GATHER_S = 0.05
+"""Items that finish within this time are listed by one transaction."""
+
+_TAKE_STAGGER_S = 0.6
+"""The next in line takes an orphaned job so much later than the one before."""
+
+_UNPROCESSABLE = 422
+_SERVER_ERROR = 500
+
+_log = part_logger("jobs")
+
+
+@attrs.define(eq=False)
+class _Running:
+    """An item at an upstream, and how to stop it."""
+
+    run: JobRun
+    item: ItemRun
+    state: UpstreamState
+    scope: trio.CancelScope
+
+
+class JobWorker:
+    """Takes jobs, runs their items in free slots, and commits what they give.
+
+    Attributes:
+      stopping: Whether no more items may be started.
+    """
+
+    def __init__(
+        self,
+        ledger: Ledger,
+        board: JobBoard,
+        placement: Placement,
+        caller: UpstreamCaller,
+        *,
+        owner: str,
+        routes: Callable[[], RouteTable | None],
+        owner_lives: Callable[[str], bool],
+        living: Callable[[], list[str]],
+        holds_lease: Callable[[], bool],
+        on_change: Callable[[UpstreamState, bool], None],
+    ) -> None:
+        """Prepares the worker.
+
+        Args:
+          ledger: Commits results.
+          board: All jobs as known here.
+          placement: Chooses upstreams and counts what is in flight.
+          caller: Reaches upstreams.
+          owner: Names this start of this instance.
+          routes: Returns the routes in force.
+          owner_lives: Tells whether the owner of a job is alive.
+          living: Names all living instances.
+          holds_lease: Tells whether others still take this instance as alive.
+          on_change: Told of each item that starts (True) or ends (False).
+        """
+        self.ledger = ledger
+        self.board = board
+        self.placement = placement
+        self.caller = caller
+        self.owner = owner
+        self.routes = routes
+        self.owner_lives = owner_lives
+        self.living = living
+        self.holds_lease = holds_lease
+        self.on_change = on_change
+        self.stopping = False
+        self.runs: dict[JobId, JobRun] = {}
+        self._running: list[_Running] = []
+        self._avoided: dict[UpstreamId, float] = {}
+        self._orphans: dict[JobId, float] = {}
+        self._taking: set[JobId] = set()
+        self._wake = trio.Event()
+        self._nursery: trio.Nursery | None = None
+        board.on_change = self._job_changed
+
+    async def run(self) -> None:
+        """Works until cancelled."""
+        async with trio.open_nursery() as nursery:
+            self._nursery = nursery
+            nursery.start_soon(self._follow_forever)
+            nursery.start_soon(self._start_forever)
+
+    # Which jobs are ours.
+
+    def own(self, held: Held) -> None:
+        """Begins a job that was just accepted here."""
+        self.board.observe(held)
+
+    async def _follow_forever(self) -> None:
+        while True:
+            try:
+                await self.board.refresh()
+            except CoppercleatError as error:
+                _log.debug("Jobs could not be read.", reason=str(error))
+            self._look_for_orphans()
+            await trio.sleep(REFRESH_S)
+
+    def _job_changed(self, held: Held) -> None:
+        job = held.row.job
+        run = self.runs.get(job)
+        if run is not None and run.held.version < held.version:
+            if held.row.owner != self.owner or held.row.ended:
+                self._drop(run, "ended" if held.row.ended else "taken over")
+        elif run is None and held.row.open and held.row.owner == self.owner:
+            self._begin(held)
+
+    def _begin(self, held: Held) -> None:
+        job = held.row.job
+        if job in self._taking or self._nursery is None or self.stopping:
+            return
+        self._taking.add(job)
+        self._nursery.start_soon(self._run_job, held)
+
+    def _look_for_orphans(self) -> None:
+        """Takes jobs whose owner is gone; the first in line begins."""
+        if not self.holds_lease() or not self.board.loaded or self.stopping:
+            return
+        now = trio.current_time()
+        for held in self.board:
+            job = held.row.job
+            if not held.row.open or job in self.runs or job in self._taking:
+                self._orphans.pop(job, None)
+            elif held.row.owner == self.owner:
+                self._begin(held)
+            elif held.row.owner != NOBODY and self.owner_lives(held.row.owner):
+                self._orphans.pop(job, None)
+            else:
+                since = self._orphans.setdefault(job, now)
+                place = ranked(job, self.living()).index(self.owner)
+                if now - since >= place * _TAKE_STAGGER_S:
+                    self._taking.add(job)
+                    assert self._nursery is not None
+                    self._nursery.start_soon(self._take_orphan, held)
+
+    async def _take_orphan(self, held: Held) -> None:
+        try:
+            taken = await self.ledger.take(held, owner=self.owner)
+        except CoppercleatError as error:
+            _log.info("A job could not be taken.", job=held.row.job, reason=str(error))
+            self._taking.discard(held.row.job)
+            return
+        if isinstance(taken, Superseded):
+            self._taking.discard(held.row.job)
+            if taken.held is not None:
+                self.board.observe(taken.held)
+            return
+        _log.info("Job taken over.", job=held.row.job, owner_before=held.row.owner)
+        self.board.observe(taken)
+        await self._run_job(taken)
+
+    # One job.
+
+    async def _run_job(self, held: Held) -> None:
+        """Runs a job until all its items are listed or it is no longer ours."""
+        job = held.row.job
+        try:
+            run = await self._load(held)
+            if run is None:
+                return
+            self.runs[job] = run
+            self._wake.set()
+            await self._commit_forever(run)
+        finally:
+            self.runs.pop(job, None)
+            self._taking.discard(job)
+
+    async def _load(self, held: Held) -> JobRun | None:
+        while True:
+            try:
+                items = await self.ledger.items(held.row)
+                partials = await self.ledger.partials(held.row)
+                return JobRun(held, items, partials)
+            except CoppercleatError as error:
+                _log.info("A job waits for input.", job=held.row.job, reason=str(error))
+            await trio.sleep(_RETRY_S)
+            newest = self.board.get(held.row.job)
+            if newest is None or newest.row.owner != self.owner:
+                return None
+            held = newest
+
+    async def _commit_forever(self, run: JobRun) -> None:
+        kept_at = trio.current_time()
+        while run.held.row.job in self.runs:
+            now = trio.current_time()
+            partials = {}
+            if now - kept_at >= KEEP_EVERY_S:
+                partials = bounded_partials(run.unkept(KEEP_LEAST_EVENTS))
+                kept_at = now
+            if run.finished or partials:
+                if not await self._commit(run, partials):
+                    return
+            elif run.all_listed:
+                _log.info("Job done.", job=run.held.row.job, items=run.held.row.total)
+                return
+            await trio.sleep(_COMMIT_GATHER_S)
+
+    async def _commit(
+        self, run: JobRun, partials: dict, *, owner: str | None = None
+    ) -> bool:
+        """Commits once; returns whether the job is still ours."""
+        batch = run.finished[: fits_one_commit(run.finished)]
+        try:
+            held = await self.ledger.commit(run.held, batch, partials, owner=owner)
+        except CoppercleatError as error:
+            _log.info(
+                "A commit waits.",
+                job=run.held.row.job,
+                finished=len(batch),
+                kind=error.kind,
+                reason=error.message,
+            )
+            await trio.sleep(_RETRY_S)
+            return True
+        if isinstance(held, Superseded):
+            return self._settle(run, held)
+        run.held = held
+        del run.finished[: len(batch)]
+        run.note_kept(partials)
+        self.board.observe(held)
+        return True
+
+    def _settle(self, run: JobRun, superseded: Superseded) -> bool:
+        """Learns what a refused commit means; returns whether the job is ours.
+
+        A commit whose answer was lost shows as a newer row with the same owner, in
+        which the items stand that it listed.
+        """
+        held = superseded.held
+        if held is None or held.row.ended or held.row.owner != self.owner:
+            self._drop(run, "changed by another")
+            if held is not None:
+                self.board.observe(held)
+            return False
+        listed = set(held.row.listed)
+        run.held = held
+        run.finished = [item for item in run.finished if item.index not in listed]
+        self.board.observe(held)
+        return True
+
+    def _drop(self, run: JobRun, why: str) -> None:
+        job = run.held.row.job
+        self.runs.pop(job, None)
+        for running in list(self._running):
+            if running.run is run:
+                running.scope.cancel()
+        _log.info("Job given up.", job=job, why=why)
+
+    # Items.
+
+    async def _start_forever(self) -> None:
+        while True:
+            started = self._start_some()
+            pending = any(run.pending for run in self.runs.values())
+            if not started:
+                with trio.move_on_after(_TICK_S if pending else _IDLE_TICK_S):
+                    await self._wake.wait()
+            else:
+                await trio.sleep(0)
+            self._wake = trio.Event()
+
+    def _start_some(self) -> bool:
+        """Starts the most urgent item that finds a slot; returns whether one did."""
+        now = trio.current_time()
+        table = self.routes()
+        fresh = now - self.board.fresh_at < STALE_S and self.holds_lease()
+        if self.stopping or table is None or not fresh:
+            return False
+        avoided = [u for u, until in self._avoided.items() if now < until]
+        for run in sorted(self.runs.values(), key=lambda run: run.due_at):
+            row = run.held.row
+            route = table.match(row.host, row.path)
+            if route is None or time.time() > row.expires_at:
+                if run.pending:
+                    _log.warning("Items given up.", job=row.job, route=route is None)
+                    run.fail_all()
+                continue
+            for item in run.pending:
+                if item.not_before > now:
+                    continue
+                state = self.placement.choose_batch(
+                    route, reserve=RESERVED_SLOTS, avoid=avoided, now=now
+                )
+                if isinstance(state, Nowhere):
+                    break
+                self._start(run, item, state, route)
+                return True
+        return False
+
+    def _start(
+        self, run: JobRun, item: ItemRun, state: UpstreamState, route: Route
+    ) -> None:
+        running = _Running(run, item, state, trio.CancelScope())
+        run.start(item, state.id)
+        self._running.append(running)
+        state.batch += 1
+        state.health.started()
+        self.on_change(state, True)
+        assert self._nursery is not None
+        self._nursery.start_soon(self._run_item, running, route)
+
+    async def _run_item(self, running: _Running, route: Route) -> None:
+        run, item, state = running.run, running.item, running.state
+        attempt = Attempt()
+        end = ItemEnd.YIELDED
+        with self._counted(running), running.scope:
+            end = await self._attempt(running, attempt)
+        if end in (ItemEnd.BROKEN, ItemEnd.FAILED):
+            _judge_failure(state, attempt)
+        elif end is ItemEnd.COMPLETE:
+            state.health.succeeded()
+        elif end is ItemEnd.NOT_RUN:
+            self._avoided[state.id] = trio.current_time() + _AVOID_S
+        pause = _BROKEN_PAUSE_S if end is not ItemEnd.YIELDED else 0.0
+        not_before = trio.current_time() + pause
+        run.stop(item, end, max_attempts=route.max_attempts, not_before=not_before)
+        write = _log.info if end is not ItemEnd.YIELDED else _log.debug
+        write(
+            "Item run ended.",
+            job=run.held.row.job,
+            item=item.spec.id,
+            upstream=state.id,
+            ended=end.value,
+            events=len(item.events),
+            failures=item.failures,
+        )
+        self._wake.set()
+
+    @contextlib.contextmanager
+    def _counted(self, running: _Running) -> Iterator[None]:
+        try:
+            yield
+        finally:
+            running.state.batch -= 1
+            running.state.health.abandoned()
+            self._running.remove(running)
+            self.on_change(running.state, False)
+
+    async def _attempt(self, running: _Running, attempt: Attempt) -> ItemEnd:
+        item, state = running.item, running.state
+        request = OnlineRequest(
+            request_id=RequestId(item.spec.id),
+            method="POST",
+            host=running.run.held.row.host,
+            target=item.spec.target.encode(),
+            headers=item.spec.headers,
+            body=item.spec.body,
+            allowed_s=0.0,
+        )
+        stall = trio.CancelScope(deadline=trio.current_time() + STALL_S)
+        end = ItemEnd.BROKEN
+        with stall:
+            try:
+                async with self.caller.exchange(
+                    state.upstream,
+                    request,
+                    attempt=attempt,
+                    allowed_s=None,
+                    resume_after=item.last_event,
+                ) as answer:
+                    end = await _collect(item, state, answer, stall)
+            except UpstreamBrokeError as error:
+                _log.info(
+                    "Item broke off.",
+                    item=item.spec.id,
+                    upstream=state.id,
+                    reason=str(error),
+                )
+                return ItemEnd.BROKEN
+        return end
+
+    # Making room.
+
+    def make_room(self) -> None:
+        """Cuts items where online requests need their slots.
+
+        The instance with the most items at an overfull upstream cuts one; what it
+        has made is kept and goes on elsewhere.
+        """
+        for state in {running.state.id: running.state for running in self._running}:
+            self._make_room_at(self.placement.states.get(state))
+
+    def _make_room_at(self, state: UpstreamState | None) -> None:
+        if state is None or not state.batch:
+            return
+        excess = self.placement.load(state) - (state.upstream.slots - RESERVED_SLOTS)
+        if excess <= 0:
+            return
+        peers = self.placement.peer_batch(state.id)
+        own = self.owner.rpartition("/")[0]
+        if any((count, peer) > (state.batch, own) for peer, count in peers.items()):
+            return
+        here = [
+            running
+            for running in self._running
+            if running.state is state and not running.scope.cancel_called
+        ]
+        stopping = state.batch - len(here)
+        here.sort(key=lambda running: (running.run.due_at, -len(running.item.events)))
+        for running in here[::-1][: max(0, excess - stopping)]:
+            running.scope.cancel()
+
+    # Stopping.
+
+    async def hand_over(self) -> None:
+        """Stops all items and gives up all jobs, with what the items have made."""
+        self.stopping = True
+        for running in list(self._running):
+            running.scope.cancel()
+        async with trio.open_nursery() as nursery:
+            for run in list(self.runs.values()):
+                nursery.start_soon(self._release, run)
+
+    async def _release(self, run: JobRun) -> None:
+        self.runs.pop(run.held.row.job, None)
+        while run.running:
+            await trio.sleep(_TICK_S)
+        for _ in range(3):
+            partials = bounded_partials(run.unkept(1))
+            if not await self._commit(run, partials, owner=NOBODY):
+                return
+            if run.held.row.owner == NOBODY:
+                _log.info("Job handed over.", job=run.held.row.job)
+                return
+
+
+async def _collect(
+    item: ItemRun, state: UpstreamState, answer: UpstreamAnswer, stall: trio.CancelScope
+) -> ItemEnd:
+    """Takes an item's events and returns how the run ended."""
+    if answer.other_instance:
+        state.gone = True
+        return ItemEnd.NOT_RUN
+    if answer.refused:
+        return ItemEnd.NOT_RUN
+    if answer.status == _UNPROCESSABLE:
+        return ItemEnd.IMPOSSIBLE
+    if answer.status >= _SERVER_ERROR:
+        return ItemEnd.FAILED
+    if answer.status != 200:
+        return ItemEnd.BROKEN
+    splitter = EventSplitter()
+    async for data in answer.body:
+        for event in splitter.feed(data):
+            expected = None if item.last_event is None else item.last_event + 1
+            if event.number is None or expected not in (None, event.number):
+                _log.warning(
+                    "An event is out of order.",
+                    item=item.spec.id,
+                    event=event.number,
+                    expected=expected,
+                )
+                return ItemEnd.BROKEN
+            item.last_event = event.number
+            item.events.append(event.data)
+            stall.deadline = trio.current_time() + STALL_S
+    return ItemEnd.COMPLETE if not splitter.rest.strip() else ItemEnd.BROKEN
+
+
+def _judge_failure(state: UpstreamState, attempt: Attempt) -> None:
+    now = trio.current_time()
+    if attempt.state is AttemptState.QUEUED:
+        state.health.unreachable(now)
+    else:
+        state.health.failed(now)
--- a/src/coppercleat/membership/_envelope.py
+++ b/src/coppercleat/membership/_envelope.py
@@ -11,6 +11,7 @@
 import hashlib
 import hmac
 from collections.abc import Sequence
+from typing import Any, Generic, TypeVar
 
 import msgspec
 
@@ -23,11 +24,14 @@
 _HEADER_BYTES = len(_FORMAT) + _MAC_BYTES
 
 
-class _Sealed(msgspec.Struct, array_like=True):
+_M = TypeVar("_M")
+
+
+class _Sealed(msgspec.Struct, Generic[_M], array_like=True):
     sender: InstanceId
     incarnation: int
     number: int
-    message: Message
+    message: _M
 
 
 class Garbage(msgspec.Struct, frozen=True):
@@ -58,7 +62,7 @@
         self._number = 0
         self._encoder = msgspec.msgpack.Encoder()
 
-    def seal(self, message: Message) -> bytes:
+    def seal(self, message: msgspec.Struct) -> bytes:
         """Returns the bytes to send."""
         self._number += 1
         payload = self._encoder.encode(
@@ -70,12 +74,18 @@
 class EnvelopeReader:
     """Opens envelopes from any member."""
 
-    def __init__(self, *, keys: Sequence[str]) -> None:
+    def __init__(self, *, keys: Sequence[str], messages: Any = Message) -> None:
+        """Prepares the reader.
+
+        Args:
+          keys: Keys that are accepted.
+          messages: Union of the kinds of messages that may come.
+        """
         self._keys = [_key_bytes(key) for key in keys]
         self._latest: dict[InstanceId, tuple[int, int]] = {}
-        self._decoder = msgspec.msgpack.Decoder(_Sealed)
+        self._decoder = msgspec.msgpack.Decoder(_Sealed[messages])
 
-    def open(self, data: bytes) -> tuple[InstanceId, Message] | Garbage:
+    def open(self, data: bytes) -> tuple[InstanceId, Any] | Garbage:
         """Returns sender and message, or why the bytes are dropped."""
         if len(data) > MAX_MESSAGE_BYTES:
             return Garbage("too_long")
--- a/src/coppercleat/membership/_messages.py
+++ b/src/coppercleat/membership/_messages.py
@@ -8,7 +8,7 @@
 
 from coppercleat.configuration import Change, Snapshot
 from coppercleat.ids import InstanceId, JobId, Revision, UpstreamId, ZoneId
-from coppercleat.platform import Node
+from coppercleat.storage import Node
 
 _MAX_MEMBERS = 64
 _MAX_CHANGES = 512
--- a/src/coppercleat/online/_claims.py
+++ b/src/coppercleat/online/_claims.py
@@ -19,7 +19,7 @@
     PlatformUnavailableError,
 )
 from coppercleat.ids import RequestId, TenantId
-from coppercleat.platform import (
+from coppercleat.storage import (
     ABSENT,
     AnswerLostError,
     Check,
--- a/src/coppercleat/orders/_keeper.py
+++ b/src/coppercleat/orders/_keeper.py
@@ -18,9 +18,9 @@
     plan_orders,
     wanted_versions,
 )
-from coppercleat.platform import Platform
 from coppercleat.routing import UpstreamRecord, owner
 from coppercleat.settings import OrderSettings
+from coppercleat.storage import Platform
 from coppercleat.upstreams import OrderRefusedError, UpstreamClient
 
 _log = part_logger("orders")
--- a/src/coppercleat/orders/_lease.py
+++ b/src/coppercleat/orders/_lease.py
@@ -11,7 +11,7 @@
 import msgspec
 
 from coppercleat.ids import InstanceId
-from coppercleat.platform import (
+from coppercleat.storage import (
     ABSENT,
     AnswerLostError,
     Check,
--- a/src/coppercleat/platform/__init__.py
+++ b/src/coppercleat/platform/__init__.py
@@ -1,39 +1,12 @@
-"""What must last: ports to the platform's services, and their adapters."""
+"""The users' platform: its names, formats and calls, translated; nothing is decided."""
 
-from coppercleat.platform._http import HttpPlatform
-from coppercleat.platform._memory import MemoryPlatform
-from coppercleat.platform._pace import paced
-from coppercleat.platform._port import (
-    ABSENT,
-    AnswerLostError,
-    Check,
-    Listing,
-    Node,
-    NodeRole,
-    NodeState,
-    Platform,
-    Put,
-    Row,
-    Transaction,
-    TransactionRefused,
-    decode_row,
-)
+from coppercleat.platform._edges import run_on_platform
+from coppercleat.platform._settings import load_platform_settings, settings_path
+from coppercleat.platform._store import StoreClient
 
 __all__ = [
-    "ABSENT",
-    "AnswerLostError",
-    "Check",
-    "HttpPlatform",
-    "Listing",
-    "MemoryPlatform",
-    "Node",
-    "NodeRole",
-    "NodeState",
-    "Platform",
-    "Put",
-    "Row",
-    "Transaction",
-    "TransactionRefused",
-    "decode_row",
-    "paced",
+    "StoreClient",
+    "load_platform_settings",
+    "run_on_platform",
+    "settings_path",
 ]
--- /dev/null
+++ b/src/coppercleat/platform/_catalogue.py
@@ -0,0 +1,187 @@
+"""Routes and upstreams as the operator and the upstreams write them to the store."""
+
+from __future__ import annotations
+
+from typing import Any
+
+import msgspec
+
+from coppercleat.ids import UpstreamId, ZoneId
+from coppercleat.observability import part_logger
+from coppercleat.platform._names import RouteWord
+from coppercleat.platform._store import StoreClient
+from coppercleat.serving import (
+    ClientLimits,
+    Route,
+    RouteConfig,
+    RouteKind,
+    Target,
+    Upstream,
+)
+
+_MS = 1000
+_DRAINING = "draining"
+_CONFIG_KEY = "op/config"
+_UPSTREAM_TABLE = "servers"
+
+_KINDS = {
+    RouteWord.IDEMPOTENT: RouteKind.IDEMPOTENT,
+    RouteWord.NON_IDEMPOTENT: RouteKind.AT_MOST_ONCE,
+    RouteWord.STREAM: RouteKind.STREAM,
+    RouteWord.BATCH: RouteKind.BATCH,
+}
+
+_log = part_logger("platform")
+
+
+class _Split(msgspec.Struct):
+    service: str
+    weight: float = 1.0
+
+
+class _WireRoute(msgspec.Struct, rename="camel"):
+    name: str
+    hostname: str
+    prefix: str
+    route_type: RouteWord
+    timeout_ms: float
+    target_latency_ms: float = 1000
+    gap_target_ms: float = 0
+    max_attempts: int = 1
+    priority: int = 0
+    service: str = ""
+    traffic_split: list[_Split] = []
+    resumable: bool = False
+    completion_target_ms: float = 0
+    retention_s: float = 0
+    # Not a number of things: tokens that may wait on the route.
+    max_count: int = 0
+
+
+class _WireLimits(msgspec.Struct, rename="camel"):
+    max_header_bytes: int = 16_384
+    max_body_bytes: int = 4_194_304
+    header_timeout_ms: float = 3000
+    idle_timeout_ms: float = 15_000
+
+
+class _WireConfig(msgspec.Struct):
+    """The operator's document; its routes are checked one by one."""
+
+    version: int
+    routes: list[msgspec.Raw] = []
+    limits: _WireLimits = msgspec.field(default_factory=_WireLimits)
+
+
+class _WireUpstream(msgspec.Struct, rename="camel"):
+    service: str
+    address: str
+    zone: str = ""
+    slots: int = 1
+    state: str = "ready"
+    cold_left_ms: float = 0
+
+
+class PlatformCatalogue:
+    """Reads routes and upstreams from the store."""
+
+    def __init__(self, store: StoreClient) -> None:
+        self.store = store
+        self._route_version = 0
+        self._routes: RouteConfig | None = None
+        self._upstreams: dict[str, tuple[int, Upstream]] = {}
+
+    async def read_routes(self) -> RouteConfig | None:
+        """See ``Catalogue.read_routes``; what does not fit changes nothing."""
+        rows = await self.store.read([_CONFIG_KEY])
+        row = rows.get(_CONFIG_KEY)
+        if row is None or row.version == self._route_version:
+            return self._routes
+        self._route_version = row.version
+        try:
+            self._routes = decode_routes(row.value)
+        except (msgspec.DecodeError, msgspec.ValidationError) as error:
+            _log.error(
+                "The configuration does not fit.",
+                key=_CONFIG_KEY,
+                version=row.version,
+                reason=str(error),
+            )
+        return self._routes
+
+    async def read_upstreams(self) -> list[Upstream]:
+        """See ``Catalogue.read_upstreams``; an entry that does not fit is left out."""
+        decoded: dict[str, tuple[int, Upstream]] = {}
+        for key, row in await self.store.rows_of(_UPSTREAM_TABLE):
+            known = self._upstreams.get(key)
+            if known is not None and known[0] == row.version:
+                decoded[key] = known
+                continue
+            try:
+                decoded[key] = (row.version, decode_upstream(key, row.value))
+            except (msgspec.DecodeError, msgspec.ValidationError) as error:
+                _log.error(
+                    "An upstream's entry does not fit.",
+                    key=key,
+                    version=row.version,
+                    reason=str(error),
+                )
+                if known is not None:
+                    decoded[key] = (row.version, known[1])
+        self._upstreams = decoded
+        return [upstream for _, upstream in decoded.values()]
+
+
+def decode_upstream(key: str, value: bytes) -> Upstream:
+    """Decodes an upstream's entry."""
+    wire = msgspec.json.decode(value, type=_WireUpstream)
+    return Upstream(
+        id=UpstreamId(key),
+        service=wire.service,
+        address=wire.address,
+        zone=ZoneId(wire.zone),
+        slots=max(1, wire.slots),
+        draining=wire.state == _DRAINING,
+        cold_s=wire.cold_left_ms / _MS,
+    )
+
+
+def decode_routes(value: bytes) -> RouteConfig:
+    """Decodes the operator's document; a route that does not fit is left out."""
+    wire = msgspec.json.decode(value, type=_WireConfig)
+    routes = []
+    for raw in wire.routes:
+        try:
+            routes.append(_route(msgspec.json.decode(raw, type=_WireRoute)))
+        except msgspec.ValidationError as error:
+            _log.error("A route does not fit.", version=wire.version, reason=str(error))
+    limits = ClientLimits(
+        header_bytes=wire.limits.max_header_bytes,
+        body_bytes=wire.limits.max_body_bytes,
+        header_timeout_s=wire.limits.header_timeout_ms / _MS,
+        idle_timeout_s=wire.limits.idle_timeout_ms / _MS,
+    )
+    return RouteConfig(version=wire.version, routes=tuple(routes), limits=limits)
+
+
+def _route(wire: _WireRoute) -> Route:
+    targets = [Target(split.service, split.weight) for split in wire.traffic_split]
+    if not targets:
+        targets = [Target(wire.service, 1.0)]
+    values: dict[str, Any] = {
+        "name": wire.name,
+        "host": wire.hostname.lower(),
+        "prefix": wire.prefix,
+        "kind": _KINDS[wire.route_type],
+        "targets": tuple(targets),
+        "timeout_s": wire.timeout_ms / _MS,
+        "target_latency_s": wire.target_latency_ms / _MS,
+        "gap_target_s": wire.gap_target_ms / _MS,
+        "max_attempts": max(1, wire.max_attempts),
+        "priority": wire.priority,
+        "resumable": wire.resumable,
+        "completion_target_s": wire.completion_target_ms / _MS,
+        "retention_s": wire.retention_s,
+        "max_waiting_tokens": wire.max_count,
+    }
+    return Route(**values)
--- /dev/null
+++ b/src/coppercleat/platform/_edges.py
@@ -0,0 +1,88 @@
+"""The ports of a gateway on the users' platform, and how it is started there."""
+
+from __future__ import annotations
+
+import logging
+import pathlib
+from collections.abc import Callable
+
+import trio
+from hypercorn.config import Config
+from hypercorn.trio import serve
+
+from coppercleat.gateway import Gateway, run_gateway
+from coppercleat.platform._catalogue import PlatformCatalogue
+from coppercleat.platform._ingress import Ingress, Readiness
+from coppercleat.platform._settings import load_platform_settings
+from coppercleat.platform._store import StoreClient
+from coppercleat.platform._upstream_calls import HttpUpstreamCaller
+from coppercleat.serving import GatewaySettings
+
+_BACKLOG = 1024
+_KEEP_ALIVE_S = 120.0
+"""Clients use connections that were idle for up to 4/5 of their limit, 15 s by the
+operator; the client closes first."""
+
+_MAX_HEADER_BYTES = 65_536
+_MANY = 1_000_000_000
+
+
+class PlatformEdges:
+    """Serves a gateway's ports; see ``GatewayEdges``."""
+
+    def __init__(self, path: pathlib.Path) -> None:
+        self.path = path
+
+    async def serve(
+        self,
+        gateway: Gateway,
+        *,
+        shutdown: Callable,
+        graceful_s: float,
+        task_status: trio.TaskStatus[None] = trio.TASK_STATUS_IGNORED,
+    ) -> None:
+        """See ``GatewayEdges.serve``."""
+        logging.getLogger("hypercorn.error").setLevel(logging.CRITICAL)
+        async with trio.open_nursery() as nursery:
+            asked = _config(gateway.settings.readiness, graceful_s=0.1)
+            nursery.start_soon(_serve, Readiness(gateway), asked, trio.sleep_forever)
+            clients = _config(gateway.settings.clients, graceful_s=graceful_s)
+            task_status.started()
+            await _serve(Ingress(gateway), clients, shutdown)
+            await trio.sleep_forever()
+
+    def reload(self) -> GatewaySettings:
+        """See ``GatewayEdges.reload``."""
+        return load_platform_settings(self.path).gateway
+
+
+async def _serve(application: Callable, config: Config, shutdown: Callable) -> None:
+    await serve(application, config, shutdown_trigger=shutdown)  # type: ignore[arg-type]
+
+
+def _config(address: str, *, graceful_s: float) -> Config:
+    config = Config()
+    config.bind = [address]
+    config.backlog = _BACKLOG
+    config.graceful_timeout = graceful_s
+    config.keep_alive_timeout = _KEEP_ALIVE_S
+    config.keep_alive_max_requests = _MANY
+    config.h11_max_incomplete_size = _MAX_HEADER_BYTES
+    config.accesslog = None
+    config.errorlog = None
+    config.include_server_header = False
+    config.include_date_header = False
+    return config
+
+
+async def run_on_platform(path: pathlib.Path) -> None:
+    """Runs a gateway instance by the platform's settings file until it is stopped."""
+    settings = load_platform_settings(path)
+    store = StoreClient(settings.store)
+    gateway = Gateway(
+        settings.gateway,
+        platform=store,
+        catalogue=PlatformCatalogue(store),
+        caller=HttpUpstreamCaller(),
+    )
+    await run_gateway(gateway, PlatformEdges(path))
--- /dev/null
+++ b/src/coppercleat/platform/_upstream_calls.py
@@ -0,0 +1,158 @@
+"""Requests to upstreams: one connection each, closed after its answer.
+
+A connection that is never used again cannot deliver the extra or late answers that
+an upstream may send, and closing it ends the run.
+"""
+
+from __future__ import annotations
+
+import contextlib
+from collections.abc import AsyncIterator
+from typing import Any
+
+import httpcore
+
+from coppercleat.platform._names import CONNECTION_HEADERS, HeaderName
+from coppercleat.serving import (
+    Header,
+    OnlineRequest,
+    Upstream,
+    UpstreamAnswer,
+    UpstreamBrokeError,
+)
+from coppercleat.upstreams import Attempt, AttemptState
+
+CONNECT_TIMEOUT_S = 0.25
+"""Connecting takes about 2 ms; an upstream that does not answer by then is taken as
+unreachable, with most of a request's 0.3 s still unspent elsewhere."""
+
+_MS = 1000
+_MISDIRECTED = 421
+_BROKEN = (
+    httpcore.NetworkError,
+    httpcore.ProtocolError,
+    httpcore.TimeoutException,
+)
+_REPLACED = frozenset(
+    {
+        *CONNECTION_HEADERS,
+        b"content-length",
+        b"host",
+        HeaderName.REQUEST_ID,
+        HeaderName.DEADLINE_MS,
+        HeaderName.EXPECT_INSTANCE,
+        HeaderName.LAST_EVENT_ID,
+    }
+)
+
+
+class HttpUpstreamCaller:
+    """Sends requests as the platform's upstreams take them."""
+
+    @contextlib.asynccontextmanager
+    async def exchange(
+        self,
+        upstream: Upstream,
+        request: OnlineRequest,
+        *,
+        attempt: Attempt,
+        allowed_s: float | None,
+        resume_after: int | None,
+    ) -> AsyncIterator[UpstreamAnswer]:
+        """See ``UpstreamCaller.exchange``."""
+        host, _, port = upstream.address.rpartition(":")
+        origin = httpcore.Origin(b"http", host.encode(), int(port))
+        connection = httpcore.AsyncHTTPConnection(origin=origin)
+
+        async def trace(event: str, info: dict[str, Any]) -> None:
+            if event.endswith("send_request_headers.started"):
+                attempt.move(AttemptState.SENT)
+
+        wire = httpcore.Request(
+            request.method,
+            httpcore.URL(
+                scheme=b"http",
+                host=host.encode(),
+                port=int(port),
+                target=request.target,
+            ),
+            headers=_headers(upstream, request, allowed_s, resume_after),
+            content=request.body or None,
+            extensions={"timeout": {"connect": CONNECT_TIMEOUT_S}, "trace": trace},
+        )
+        try:
+            response = await connection.handle_async_request(wire)
+            yield _answer(request, response, attempt)
+        except _BROKEN as error:
+            raise _broke(upstream, error, attempt) from error
+        finally:
+            await connection.aclose()
+
+
+def _headers(
+    upstream: Upstream,
+    request: OnlineRequest,
+    allowed_s: float | None,
+    resume_after: int | None,
+) -> list[Header]:
+    headers = [(b"host", request.host.encode())]
+    headers += [h for h in request.headers if h[0].lower() not in _REPLACED]
+    headers.append((HeaderName.REQUEST_ID, request.request_id.encode()))
+    headers.append((HeaderName.EXPECT_INSTANCE, upstream.id.encode()))
+    if allowed_s is not None:
+        left_ms = max(1, int(allowed_s * _MS))
+        headers.append((HeaderName.DEADLINE_MS, str(left_ms).encode()))
+    if resume_after is not None:
+        headers.append((HeaderName.LAST_EVENT_ID, str(resume_after).encode()))
+    if request.body or request.method not in ("GET", "HEAD"):
+        headers.append((b"content-length", str(len(request.body)).encode()))
+    return headers
+
+
+def _answer(
+    request: OnlineRequest, response: httpcore.Response, attempt: Attempt
+) -> UpstreamAnswer:
+    """Takes the head of an answer apart."""
+    by_name = {name.lower(): value for name, value in response.headers}
+    other = response.status == _MISDIRECTED
+    refused = HeaderName.NOT_EXECUTED in by_name
+    if other or refused:
+        attempt.move(AttemptState.REFUSED)
+    else:
+        echoed = by_name.get(HeaderName.REQUEST_ID, b"").decode("latin-1")
+        if echoed != request.request_id:
+            attempt.move(AttemptState.LOST)
+            raise UpstreamBrokeError("the answer belongs to another request")
+    headers = [
+        (name, value)
+        for name, value in response.headers
+        if name.lower() not in CONNECTION_HEADERS
+    ]
+    return UpstreamAnswer(
+        status=response.status,
+        headers=headers,
+        refused=refused,
+        other_instance=other,
+        body=_body(response, attempt),
+    )
+
+
+async def _body(response: httpcore.Response, attempt: Attempt) -> AsyncIterator[bytes]:
+    try:
+        async for data in response.aiter_stream():
+            yield data
+    except _BROKEN as error:
+        kind = type(error).__name__
+        raise UpstreamBrokeError(f"the answer was cut: {kind}") from error
+    if attempt.state is AttemptState.SENT:
+        attempt.move(AttemptState.ANSWERED)
+
+
+def _broke(
+    upstream: Upstream, error: Exception, attempt: Attempt
+) -> UpstreamBrokeError:
+    if attempt.state is AttemptState.SENT:
+        attempt.move(AttemptState.LOST)
+    return UpstreamBrokeError(
+        f"{upstream.id} at {upstream.address}: {type(error).__name__} {error}"
+    )
--- a/src/coppercleat/routing/_health.py
+++ b/src/coppercleat/routing/_health.py
@@ -73,8 +73,15 @@
         """Notes a failure; several in a row, or a failed trial, eject."""
         self.failures += 1
         trial = self.state is HealthState.HALF_OPEN
-        if not trial and self.failures < _FAILURES_TO_EJECT:
-            return
+        if trial or self.failures >= _FAILURES_TO_EJECT:
+            self._eject(now)
+
+    def unreachable(self, now: float) -> None:
+        """Notes that no connection could be made, which ejects at once."""
+        self.failures += 1
+        self._eject(now)
+
+    def _eject(self, now: float) -> None:
         pause = min(_LONGEST_EJECTION_S, _FIRST_EJECTION_S * 2**self._ejections)
         self._ejections += 1
         self._until = now + pause
--- a/src/coppercleat/routing/_subset.py
+++ b/src/coppercleat/routing/_subset.py
@@ -5,8 +5,8 @@
 from collections.abc import Sequence
 
 from coppercleat.ids import InstanceId, ZoneId
-from coppercleat.platform import Node
 from coppercleat.routing._rendezvous import ranked
+from coppercleat.storage import Node
 
 FOLLOWED_LOCAL = 48
 FOLLOWED_REMOTE = 16
--- a/src/coppercleat/routing/_table.py
+++ b/src/coppercleat/routing/_table.py
@@ -7,8 +7,8 @@
 import attrs
 
 from coppercleat.ids import UpstreamId, ZoneId
-from coppercleat.platform import Node, NodeRole, NodeState
 from coppercleat.routing._health import Health
+from coppercleat.storage import Node, NodeRole, NodeState
 from coppercleat.upstreams import LoadReport
 
 _LEAVING = "leaving"
--- a/src/coppercleat/rpc/_client.py
+++ b/src/coppercleat/rpc/_client.py
@@ -14,6 +14,8 @@
 
 import httpcore
 
+from coppercleat.errors import RpcError
+
 _END_FLAG = 0x02
 _HEADER = struct.Struct(">BI")
 _PACKAGE = "coppercleat.v1"
@@ -21,30 +23,6 @@
 _BROKEN = (httpcore.NetworkError, httpcore.ProtocolError, httpcore.TimeoutException)
 
 
-class RpcError(Exception):
-    """A call failed.
-
-    Attributes:
-      code: The RPC status code.
-      info: What ``ErrorInfo`` says: kind, outcome, retryAfterMs, remedy.
-    """
-
-    def __init__(self, code: str, message: str, info: dict[str, Any]) -> None:
-        self.code = code
-        self.info = info
-        super().__init__(message)
-
-    @property
-    def kind(self) -> str:
-        """The stable kind of the error."""
-        return self.info.get("kind", self.code)
-
-    @property
-    def outcome(self) -> str:
-        """Whether the work may have run: NOT_RUN, RUN or UNKNOWN."""
-        return self.info.get("outcome", "OUTCOME_UNKNOWN").removeprefix("OUTCOME_")
-
-
 class RpcClient:
     """Calls one entry instance, or the balancer before several."""
 
--- a/src/coppercleat/server/_entry.py
+++ b/src/coppercleat/server/_entry.py
@@ -7,9 +7,9 @@
 from coppercleat.admin import admin_application
 from coppercleat.instance import Instance, stop_on_signal
 from coppercleat.observability import EventRing, configure_logs
-from coppercleat.platform import Platform
 from coppercleat.rpc import rpc_application, serve_application
 from coppercleat.settings import Settings
+from coppercleat.storage import Platform
 
 
 async def run_entry(settings: Settings, *, platform: Platform | None = None) -> None:
--- a/src/coppercleat/server/_standalone.py
+++ b/src/coppercleat/server/_standalone.py
@@ -5,7 +5,6 @@
 import trio
 
 from coppercleat.emulator import EngineApp, EngineSpeed
-from coppercleat.platform import MemoryPlatform, Node, NodeRole
 from coppercleat.rpc import serve_application
 from coppercleat.server._entry import run_entry
 from coppercleat.settings import (
@@ -16,6 +15,7 @@
     PlatformSettings,
     Settings,
 )
+from coppercleat.storage import MemoryPlatform, Node, NodeRole
 
 STANDALONE_SERVICE = "standalone"
 STANDALONE_VERSION = "built-in"
--- /dev/null
+++ b/src/coppercleat/serving/__init__.py
@@ -0,0 +1,63 @@
+"""Serves requests that are passed on unchanged, over one fleet of upstreams."""
+
+from coppercleat.serving._events import EventSplitter, StreamEvent
+from coppercleat.serving._forwarding import RETRY_AFTER_S, Forwarder
+from coppercleat.serving._model import (
+    ClientLimits,
+    Header,
+    OnlineRequest,
+    Refusal,
+    RefusalReason,
+    Reply,
+    Route,
+    RouteConfig,
+    RouteKind,
+    RouteTable,
+    Target,
+    Upstream,
+)
+from coppercleat.serving._node import GatewaySettings, StoreRates
+from coppercleat.serving._peers import Peers
+from coppercleat.serving._placement import InFlight, Nowhere, Placement, UpstreamState
+from coppercleat.serving._progress import AttemptEnd, NextStep, RequestProgress
+from coppercleat.serving._upstream_call import (
+    UpstreamAnswer,
+    UpstreamBrokeError,
+    UpstreamCaller,
+)
+from coppercleat.serving._watch import Catalogue, UpstreamList, Watch
+
+__all__ = [
+    "RETRY_AFTER_S",
+    "AttemptEnd",
+    "Catalogue",
+    "ClientLimits",
+    "EventSplitter",
+    "Forwarder",
+    "GatewaySettings",
+    "Header",
+    "InFlight",
+    "NextStep",
+    "Nowhere",
+    "OnlineRequest",
+    "Peers",
+    "Placement",
+    "Refusal",
+    "RefusalReason",
+    "Reply",
+    "RequestProgress",
+    "Route",
+    "RouteConfig",
+    "RouteKind",
+    "RouteTable",
+    "StoreRates",
+    "StreamEvent",
+    "Target",
+    "Upstream",
+    "UpstreamAnswer",
+    "UpstreamBrokeError",
+    "UpstreamCaller",
+    "UpstreamList",
+    "UpstreamState",
+    "Watch",
+]
--- /dev/null
+++ b/src/coppercleat/serving/_forwarding.py
@@ -0,0 +1,332 @@
+"""Passes a client's request to an upstream, and on to another where that is safe."""
+
+from __future__ import annotations
+
+import contextlib
+from collections.abc import Callable, Iterator
+
+import attrs
+import trio
+
+from coppercleat.ids import UpstreamId
+from coppercleat.observability import part_logger
+from coppercleat.serving._events import EventSplitter
+from coppercleat.serving._model import (
+    Header,
+    OnlineRequest,
+    Refusal,
+    RefusalReason,
+    Reply,
+    Route,
+    RouteKind,
+)
+from coppercleat.serving._placement import Nowhere, Placement, UpstreamState
+from coppercleat.serving._progress import AttemptEnd, NextStep, RequestProgress
+from coppercleat.serving._upstream_call import (
+    UpstreamAnswer,
+    UpstreamBrokeError,
+    UpstreamCaller,
+)
+from coppercleat.upstreams import Attempt, AttemptState
+
+RETRY_AFTER_S = 0.1
+"""When a client may come back: a slot of a full fleet frees in about this time."""
+
+FIRST_EVENT_STALL_S = 0.8
+"""Without a first event for this long, a request that may move goes elsewhere. Well
+past the time to read the longest prompt beside a full batch (about 0.1 s)."""
+
+GAP_STALL_S = 0.6
+"""The same between events, which come some 20 ms apart."""
+
+_MAX_BUFFERED_BYTES = 1_000_000
+"""An answer to an idempotent request is held back up to this size, so that the
+request can still go elsewhere if the answer is cut."""
+
+_SERVER_ERROR = 500
+
+_log = part_logger("forward")
+
+
+@attrs.define
+class _Exchange:
+    """One request on its way."""
+
+    request: OnlineRequest
+    route: Route
+    reply: Reply
+    progress: RequestProgress
+    ends_at: float
+    tried: set[UpstreamId] = attrs.field(factory=set)
+    upstream: str = ""
+    reason: str = ""
+    arrived_at: float = 0.0
+    first_at: float = 0.0
+
+
+class Forwarder:
+    """Forwards requests of all routes but those of batch jobs."""
+
+    def __init__(
+        self,
+        placement: Placement,
+        caller: UpstreamCaller,
+        *,
+        on_change: Callable[[UpstreamState, bool], None],
+    ) -> None:
+        """Prepares the forwarder.
+
+        Args:
+          placement: Chooses upstreams and counts what is in flight.
+          caller: Reaches upstreams.
+          on_change: Told of each request that starts (True) or ends (False).
+        """
+        self.placement = placement
+        self.caller = caller
+        self.on_change = on_change
+        self.in_flight = 0
+
+    async def forward(
+        self, request: OnlineRequest, route: Route, reply: Reply
+    ) -> NextStep:
+        """Answers a request and returns how it ended."""
+        now = trio.current_time()
+        ends_at = now + min(request.allowed_s, route.timeout_s)
+        exchange = _Exchange(
+            request, route, reply, RequestProgress(route), ends_at, arrived_at=now
+        )
+        exchange.progress.last_event = request.resume_after
+        step = NextStep.ABORT
+        timed_out = False
+        self.in_flight += 1
+        try:
+            with trio.move_on_at(ends_at) as scope:
+                step = await self._attempts(exchange)
+            if scope.cancelled_caught:
+                timed_out = True
+                step = exchange.progress.give_up()
+            await _conclude(exchange, step, timed_out=timed_out)
+        finally:
+            self.in_flight -= 1
+            self._explain(exchange, step, timed_out=timed_out)
+        return step
+
+    async def _attempts(self, exchange: _Exchange) -> NextStep:
+        while True:
+            now = trio.current_time()
+            chosen = self.placement.choose_online(
+                exchange.route, tried=exchange.tried, now=now
+            )
+            if isinstance(chosen, Nowhere):
+                exchange.reason = chosen.reason
+                return exchange.progress.give_up()
+            exchange.tried.add(chosen.id)
+            end = await self._attempt(exchange, chosen)
+            step = exchange.progress.after(end)
+            if step not in (NextStep.TRY_ELSEWHERE, NextStep.RESUME_ELSEWHERE):
+                return step
+            _log.info(
+                "Going elsewhere.",
+                request=exchange.request.request_id,
+                upstream=chosen.id,
+                ended=end.value,
+                reason=exchange.reason,
+                last_event=exchange.progress.last_event,
+            )
+
+    async def _attempt(self, exchange: _Exchange, state: UpstreamState) -> AttemptEnd:
+        attempt = Attempt()
+        exchange.upstream = state.id
+        try:
+            end = await self._attempt_until_stall(exchange, state, attempt)
+        except trio.Cancelled:
+            # The time is up or the client has left: the run counts all the same.
+            if attempt.state is not AttemptState.QUEUED:
+                exchange.progress.runs += 1
+            raise
+        self._judge(state, attempt, end)
+        return end
+
+    async def _attempt_until_stall(
+        self, exchange: _Exchange, state: UpstreamState, attempt: Attempt
+    ) -> AttemptEnd:
+        moving = exchange.progress.may_move
+        stall = trio.CancelScope()
+        if moving:
+            stall.deadline = trio.current_time() + FIRST_EVENT_STALL_S
+        end = AttemptEnd.LOST
+        with self._counted(state), stall:
+            try:
+                async with self.caller.exchange(
+                    state.upstream,
+                    exchange.request,
+                    attempt=attempt,
+                    allowed_s=exchange.ends_at - trio.current_time(),
+                    resume_after=exchange.progress.last_event,
+                ) as answer:
+                    end = await self._pass_on(exchange, state, answer, stall)
+            except UpstreamBrokeError as error:
+                exchange.reason = str(error)
+                end = _end_of(attempt, exchange.progress)
+        if stall.cancelled_caught:
+            exchange.reason = "the upstream fell silent"
+            end = _end_of(attempt, exchange.progress)
+        return end
+
+    async def _pass_on(
+        self,
+        exchange: _Exchange,
+        state: UpstreamState,
+        answer: UpstreamAnswer,
+        stall: trio.CancelScope,
+    ) -> AttemptEnd:
+        """Passes an answer on and returns how the attempt ended."""
+        if answer.other_instance:
+            state.gone = True
+            exchange.reason = "another upstream has the address"
+            return AttemptEnd.NOT_RUN
+        if answer.refused:
+            exchange.reason = f"the upstream refused with {answer.status}"
+            return AttemptEnd.NOT_RUN
+        if answer.status >= _SERVER_ERROR and exchange.progress.may_move:
+            exchange.reason = f"the upstream answered {answer.status}"
+            return AttemptEnd.LOST
+        if exchange.route.kind is RouteKind.STREAM and answer.status < 300:
+            return await self._pass_events(exchange, answer, stall)
+        return await self._pass_body(exchange, answer)
+
+    async def _pass_events(
+        self, exchange: _Exchange, answer: UpstreamAnswer, stall: trio.CancelScope
+    ) -> AttemptEnd:
+        """Passes whole events on as they come, so that a cut can be mended."""
+        progress = exchange.progress
+        splitter = EventSplitter()
+        async for data in answer.body:
+            whole = []
+            for event in splitter.feed(data):
+                if not _follows(event.number, progress.last_event):
+                    exchange.reason = f"event {event.number} is out of order"
+                    return AttemptEnd.CUT
+                if event.number is not None:
+                    progress.last_event = event.number
+                whole.append(event.raw)
+            if not whole:
+                continue
+            if progress.may_move:
+                stall.deadline = trio.current_time() + GAP_STALL_S
+            await _start(exchange, answer.status, answer.headers)
+            await exchange.reply.send(b"".join(whole))
+        await _start(exchange, answer.status, answer.headers)
+        if splitter.rest:
+            await exchange.reply.send(splitter.rest)
+        exchange.progress.finished = True
+        await exchange.reply.finish()
+        return AttemptEnd.COMPLETE
+
+    async def _pass_body(
+        self, exchange: _Exchange, answer: UpstreamAnswer
+    ) -> AttemptEnd:
+        """Passes any other body on; holds it back while it could be mended."""
+        held: list[bytes] = []
+        size = 0
+        async for data in answer.body:
+            size += len(data)
+            if exchange.progress.may_move and size <= _MAX_BUFFERED_BYTES:
+                held.append(data)
+                continue
+            await _start(exchange, answer.status, answer.headers)
+            await exchange.reply.send(b"".join([*held, data]))
+            held.clear()
+        await _start(exchange, answer.status, answer.headers)
+        if held:
+            await exchange.reply.send(b"".join(held))
+        exchange.progress.finished = True
+        await exchange.reply.finish()
+        return AttemptEnd.COMPLETE
+
+    def _judge(self, state: UpstreamState, attempt: Attempt, end: AttemptEnd) -> None:
+        """Notes what an attempt tells of the upstream's health."""
+        now = trio.current_time()
+        if end is AttemptEnd.COMPLETE:
+            state.health.succeeded()
+        elif attempt.state is AttemptState.QUEUED:
+            state.health.unreachable(now)
+        elif end is not AttemptEnd.NOT_RUN:
+            state.health.failed(now)
+
+    @contextlib.contextmanager
+    def _counted(self, state: UpstreamState) -> Iterator[None]:
+        state.online += 1
+        state.health.started()
+        self.on_change(state, True)
+        try:
+            yield
+        finally:
+            state.online -= 1
+            state.health.abandoned()
+            self.on_change(state, False)
+
+    def _explain(self, exchange: _Exchange, step: NextStep, *, timed_out: bool) -> None:
+        """Logs how a request ended, with what decided it."""
+        now = trio.current_time()
+        if exchange.progress.finished:
+            # The client may close its connection before the attempt is wound up.
+            step = NextStep.DONE
+        write = _log.info if step is NextStep.DONE else _log.warning
+        write(
+            "Request ended.",
+            request=exchange.request.request_id,
+            route=exchange.route.name,
+            outcome=step.value,
+            upstream=exchange.upstream,
+            tries=exchange.progress.tries,
+            runs=exchange.progress.runs,
+            last_event=exchange.progress.last_event,
+            timed_out=timed_out,
+            reason=exchange.reason,
+            first_ms=_ms(exchange.first_at - exchange.arrived_at),
+            total_ms=_ms(now - exchange.arrived_at),
+            allowed_ms=_ms(exchange.ends_at - exchange.arrived_at),
+        )
+
+
+def _ms(seconds: float) -> int:
+    return max(0, round(seconds * 1000))
+
+
+def _follows(number: int | None, last: int | None) -> bool:
+    """Whether an event is the next one after the last passed on."""
+    return number is None or last is None or number == last + 1
+
+
+def _end_of(attempt: Attempt, progress: RequestProgress) -> AttemptEnd:
+    """Returns how an attempt ended that broke."""
+    if attempt.state is AttemptState.QUEUED:
+        return AttemptEnd.NOT_RUN
+    return AttemptEnd.CUT if progress.started else AttemptEnd.LOST
+
+
+async def _start(exchange: _Exchange, status: int, headers: list[Header]) -> None:
+    """Sends the head of the first answer; later ones go on in the same body."""
+    if exchange.progress.started:
+        return
+    exchange.progress.started = True
+    exchange.first_at = trio.current_time()
+    await exchange.reply.start(status, headers)
+
+
+async def _conclude(exchange: _Exchange, step: NextStep, *, timed_out: bool) -> None:
+    """Gives the final answer where the upstream's own was not passed on."""
+    if step is NextStep.ABORT:
+        await exchange.reply.abort()
+    elif step is NextStep.REFUSE_AS_NOT_RUN:
+        await exchange.reply.refuse(
+            Refusal(
+                reason=RefusalReason.NOT_RUN,
+                detail=exchange.reason or "no upstream took the request",
+                retry_after_s=RETRY_AFTER_S,
+            )
+        )
+    elif step is NextStep.ANSWER_BROKEN:
+        reason = RefusalReason.TIMED_OUT if timed_out else RefusalReason.BROKEN
+        await exchange.reply.refuse(Refusal(reason=reason, detail=exchange.reason))
--- /dev/null
+++ b/src/coppercleat/serving/_peers.py
@@ -0,0 +1,243 @@
+"""What gateway instances tell each other: signs of life, work in flight, routes."""
+
+from __future__ import annotations
+
+import random
+from collections.abc import Callable
+from typing import Any
+
+import msgspec
+import trio
+
+from coppercleat.ids import InstanceId, Revision, ZoneId
+from coppercleat.membership import (
+    Detector,
+    EnvelopeReader,
+    EnvelopeWriter,
+    Garbage,
+    Heartbeat,
+    Links,
+    MemberLine,
+)
+from coppercleat.observability import part_logger
+from coppercleat.serving._model import RouteConfig, Upstream
+from coppercleat.serving._node import GatewaySettings
+from coppercleat.serving._placement import InFlight, Placement
+
+HEARTBEAT_S = 0.5
+SUSPECT_AFTER_S = 2.0
+"""Four heartbeats: one lost message or a busy moment is no death."""
+
+_FANOUT = 4
+_TELL_ALL = 16
+"""Up to this many members all are told of work in flight; beyond, those of the own
+availability zone, whose upstreams this instance mostly uses."""
+
+_GATHER_S = 0.03
+"""Ends of requests are told together this often; starts at once."""
+
+_ASK_PAUSE_S = 0.3
+
+_log = part_logger("peers")
+
+
+class WorkInFlight(msgspec.Struct, frozen=True, tag="work", array_like=True):
+    """All that the sender has in flight; replaces what it told before."""
+
+    counts: tuple[InFlight, ...]
+
+
+class KnowledgeWanted(msgspec.Struct, frozen=True, tag="ask", array_like=True):
+    """Asks for routes newer than a version, and for the list of upstreams."""
+
+    after: int
+
+
+class Knowledge(msgspec.Struct, frozen=True, tag="know", array_like=True):
+    """Routes and upstreams as the sender knows them.
+
+    Attributes:
+      config: None if the asker's is as new.
+      upstreams_age_s: Seconds since the sender read the list from the platform.
+    """
+
+    config: RouteConfig | None
+    upstreams: tuple[Upstream, ...]
+    upstreams_age_s: float
+
+
+_Messages = Heartbeat | WorkInFlight | KnowledgeWanted | Knowledge
+_Handler = Callable[["Peers", InstanceId, Any], None]
+_HANDLERS: dict[type[msgspec.Struct], _Handler] = {}
+
+
+def _handles(message: type[msgspec.Struct]) -> Callable[[_Handler], _Handler]:
+    """Registers the handler of a kind of message."""
+
+    def register(handler: _Handler) -> _Handler:
+        _HANDLERS[message] = handler
+        return handler
+
+    return register
+
+
+class Peers:
+    """This instance's end of all that gateway instances tell each other.
+
+    Attributes:
+      detector: Which instances are heard of.
+      knowledge: Returns what this instance would tell an asker.
+      on_knowledge: Told what a peer knows.
+      on_counts: Told when a peer's work in flight has changed.
+    """
+
+    def __init__(
+        self,
+        settings: GatewaySettings,
+        placement: Placement,
+        *,
+        incarnation: int,
+        rng: random.Random,
+    ) -> None:
+        self.settings = settings
+        self.placement = placement
+        own = MemberLine(
+            settings.instance,
+            settings.peers,
+            settings.zone,
+            incarnation,
+            0,
+            Revision(0),
+        )
+        self.detector = Detector(
+            own, suspect_after_s=SUSPECT_AFTER_S, fanout=_FANOUT, rng=rng
+        )
+        self.version: Callable[[], int] = lambda: 0
+        self.starved: Callable[[], bool] = lambda: False
+        self.knowledge: Callable[[int], Knowledge | None] = lambda after: None
+        self.on_knowledge: Callable[[Knowledge], None] = lambda knowledge: None
+        self.on_counts: Callable[[], None] = lambda: None
+        # Peers share no secret on this network; the name keeps fleets apart.
+        self._reader = EnvelopeReader(keys=[settings.fleet_name], messages=_Messages)
+        self._writer = EnvelopeWriter(
+            settings.instance, incarnation, key=settings.fleet_name
+        )
+        self._links = Links(settings.peers)
+        self._asked_at = float("-inf")
+        self._changed = trio.Event()
+        self._urgent = trio.Event()
+
+    async def run(self) -> None:
+        """Sends and receives until cancelled."""
+        try:
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(self._links.receive, self._receive)
+                nursery.start_soon(self._beat_forever)
+                nursery.start_soon(self._tell_forever)
+        finally:
+            self._links.close()
+
+    def work_changed(self, *, urgent: bool) -> None:
+        """Notes that work in flight has changed; starts are urgent, ends are not."""
+        self._changed.set()
+        if urgent:
+            self._urgent.set()
+
+    def listed(self, members: list[tuple[InstanceId, str, ZoneId]]) -> None:
+        """Takes instances and their addresses as the platform keeps them."""
+        self.detector.observe_list(members, trio.current_time())
+
+    def others(self) -> list[InstanceId]:
+        """Returns the other instances that are heard of."""
+        return self.detector.alive(trio.current_time())[1:]
+
+    # Sending.
+
+    async def _beat_forever(self) -> None:
+        while True:
+            now = trio.current_time()
+            heartbeat, targets = self.detector.tick(
+                now, revision=Revision(self.version())
+            )
+            self._writer.incarnation = self.detector.own.incarnation
+            for instance in targets:
+                self._send(instance, heartbeat)
+            if not self.detector.alive(now)[1:]:
+                for address in self.settings.seeds:
+                    if address != self.settings.peers:
+                        self._links.send(address, self._writer.seal(heartbeat))
+            self._forget_silent(now)
+            self._ask_if_behind(now)
+            self.work_changed(urgent=False)
+            await trio.sleep(HEARTBEAT_S)
+
+    def _forget_silent(self, now: float) -> None:
+        for peer in self.placement.peers():
+            if not self.detector.is_alive(peer, now):
+                self.placement.forget_peer(peer)
+                _log.warning("A peer fell silent.", peer=peer)
+                self.on_counts()
+
+    def _ask_if_behind(self, now: float) -> None:
+        """Asks whoever has newer routes, or anybody while the store is away."""
+        _, ahead = self.detector.highest_revision()
+        if ahead is None and self.starved():
+            others = self.others()
+            ahead = others[int(now * 10) % len(others)] if others else None
+        if ahead is None or now - self._asked_at < _ASK_PAUSE_S:
+            return
+        self._asked_at = now
+        self._send(ahead, KnowledgeWanted(self.version()))
+
+    async def _tell_forever(self) -> None:
+        while True:
+            await self._changed.wait()
+            with trio.move_on_after(_GATHER_S):
+                await self._urgent.wait()
+            self._changed = trio.Event()
+            self._urgent = trio.Event()
+            work = WorkInFlight(tuple(self.placement.own()))
+            for instance in self._audience():
+                self._send(instance, work)
+
+    def _audience(self) -> list[InstanceId]:
+        others = self.others()
+        if len(others) <= _TELL_ALL:
+            return others
+        own = self.settings.zone
+        return [i for i in others if self.detector.zone_of(i) == own]
+
+    def _send(self, instance: InstanceId, message: msgspec.Struct) -> None:
+        member = self.detector.members.get(instance)
+        if member is not None:
+            self._links.send(member.address, self._writer.seal(message))
+
+    # Receiving.
+
+    async def _receive(self, data: bytes) -> None:
+        opened = self._reader.open(data)
+        if isinstance(opened, Garbage):
+            _log.debug("A message was dropped.", reason=opened.reason)
+            return
+        sender, message = opened
+        if sender != self.settings.instance:
+            _HANDLERS[type(message)](self, sender, message)
+
+    @_handles(Heartbeat)
+    def _on_heartbeat(self, sender: InstanceId, heartbeat: Heartbeat) -> None:
+        self.detector.observe(heartbeat, trio.current_time())
+
+    @_handles(WorkInFlight)
+    def _on_work(self, sender: InstanceId, work: WorkInFlight) -> None:
+        self.placement.observe_peer(sender, work.counts)
+        self.on_counts()
+
+    @_handles(KnowledgeWanted)
+    def _on_wanted(self, sender: InstanceId, wanted: KnowledgeWanted) -> None:
+        knowledge = self.knowledge(wanted.after)
+        if knowledge is not None:
+            self._send(sender, knowledge)
+
+    @_handles(Knowledge)
+    def _on_known(self, sender: InstanceId, knowledge: Knowledge) -> None:
+        self.on_knowledge(knowledge)
--- /dev/null
+++ b/src/coppercleat/serving/_placement.py
@@ -0,0 +1,203 @@
+"""Which upstream takes the next request, from what all instances have in flight."""
+
+from __future__ import annotations
+
+import random
+from collections.abc import Collection, Iterable, Iterator
+
+import attrs
+import msgspec
+
+from coppercleat.ids import InstanceId, UpstreamId, ZoneId
+from coppercleat.routing import Health
+from coppercleat.serving._model import Route, Target, Upstream
+
+OTHER_ZONE_LOAD = 1.5
+"""Price of another availability zone, in requests in flight: the way there is a
+millisecond longer and its bytes cost money, a full upstream costs far more."""
+
+TIE_LOAD = 0.5
+"""Random load added when upstreams are compared, so that instances which see
+the same counts do not all choose the same one."""
+
+
+class InFlight(msgspec.Struct, frozen=True, array_like=True):
+    """What one instance has in flight at one upstream."""
+
+    upstream: UpstreamId
+    online: int
+    batch: int
+
+
+class Nowhere(msgspec.Struct, frozen=True):
+    """Sentinel: no upstream can take the request.
+
+    Attributes:
+      reason: Why, in words.
+    """
+
+    reason: str
+
+
+@attrs.define(eq=False)
+class UpstreamState:
+    """One upstream as this instance sees it.
+
+    Attributes:
+      online: Online requests of this instance in flight there.
+      batch: Batch items of this instance in flight there.
+      gone: Whether it has been found to have left, before the list shows it.
+    """
+
+    upstream: Upstream
+    health: Health = attrs.field(factory=Health)
+    online: int = 0
+    batch: int = 0
+    gone: bool = False
+
+    @property
+    def id(self) -> UpstreamId:
+        """The upstream's id."""
+        return self.upstream.id
+
+
+class Placement:
+    """Counts requests in flight and chooses upstreams by them.
+
+    Attributes:
+      zone: This instance's availability zone.
+      states: By upstream id.
+    """
+
+    def __init__(self, zone: ZoneId, *, rng: random.Random) -> None:
+        self.zone = zone
+        self.states: dict[UpstreamId, UpstreamState] = {}
+        self._rng = rng
+        self._peers: dict[InstanceId, dict[UpstreamId, InFlight]] = {}
+
+    # What is known.
+
+    def replace(self, upstreams: Iterable[Upstream]) -> list[UpstreamId]:
+        """Takes the list of upstreams; returns the ids that are gone."""
+        listed = {upstream.id: upstream for upstream in upstreams}
+        gone = [known for known in self.states if known not in listed]
+        for upstream_id in gone:
+            self.states.pop(upstream_id).gone = True
+        for upstream in listed.values():
+            state = self.states.get(upstream.id)
+            if state is None:
+                self.states[upstream.id] = UpstreamState(upstream)
+            else:
+                state.upstream = upstream
+        return gone
+
+    def observe_peer(self, peer: InstanceId, counts: Iterable[InFlight]) -> None:
+        """Takes all that a peer has in flight; replaces what it told before."""
+        self._peers[peer] = {count.upstream: count for count in counts}
+
+    def forget_peer(self, peer: InstanceId) -> None:
+        """Drops the counts of a peer that is gone."""
+        self._peers.pop(peer, None)
+
+    def peers(self) -> list[InstanceId]:
+        """Returns the peers that have told anything."""
+        return list(self._peers)
+
+    def own(self) -> list[InFlight]:
+        """Returns what this instance has in flight, to be told to peers."""
+        return [
+            InFlight(state.id, state.online, state.batch)
+            for state in self.states.values()
+            if state.online or state.batch
+        ]
+
+    def peer_batch(self, upstream: UpstreamId) -> dict[InstanceId, int]:
+        """Returns how many batch items each peer has at an upstream."""
+        found = {}
+        for peer, counts in self._peers.items():
+            count = counts.get(upstream)
+            if count is not None and count.batch:
+                found[peer] = count.batch
+        return found
+
+    def load(self, state: UpstreamState) -> int:
+        """Returns all that is in flight at an upstream, of all instances."""
+        total = state.online + state.batch
+        for counts in self._peers.values():
+            count = counts.get(state.id)
+            if count is not None:
+                total += count.online + count.batch
+        return total
+
+    def free_slots(self, state: UpstreamState) -> int:
+        """Returns slots that nobody is known to use; negative if overfull."""
+        return state.upstream.slots - self.load(state)
+
+    # Decisions.
+
+    def choose_online(
+        self, route: Route, *, tried: Collection[UpstreamId], now: float
+    ) -> UpstreamState | Nowhere:
+        """Chooses for an online request: a free slot near by, else the least full.
+
+        Args:
+          route: The request's route.
+          tried: Upstreams not to be tried again.
+          now: Seconds on this instance's clock.
+        """
+        service = self._service(route.targets)
+        serving = [s for s in self._usable(service) if s.id not in tried]
+        if not serving:
+            return Nowhere(f"no upstream serves {service}")
+        healthy = [s for s in serving if s.health.may_try(now)] or serving
+        return min(healthy, key=self._online_cost)
+
+    def choose_batch(
+        self, route: Route, *, reserve: int, avoid: Collection[UpstreamId], now: float
+    ) -> UpstreamState | Nowhere:
+        """Chooses for a batch item: an upstream with more free slots than a reserve.
+
+        Args:
+          route: The job's route.
+          reserve: Slots at each upstream that are kept for online requests.
+          avoid: Upstreams not to be used now.
+          now: Seconds on this instance's clock.
+        """
+        service = self._service(route.targets)
+        free = [
+            state
+            for state in self._usable(service)
+            if state.id not in avoid
+            and self.free_slots(state) > reserve
+            and state.health.may_try(now)
+        ]
+        if not free:
+            return Nowhere(f"no slot is free at {service}")
+        return min(free, key=self._batch_cost)
+
+    def _usable(self, service: str) -> Iterator[UpstreamState]:
+        """Yields upstreams of a service that are not leaving."""
+        for state in self.states.values():
+            if state.upstream.service != service or state.gone:
+                continue
+            if not state.upstream.draining:
+                yield state
+
+    def _service(self, targets: tuple[Target, ...]) -> str:
+        """Draws one of a route's services by weight."""
+        if len(targets) == 1:
+            return targets[0].service
+        weights = [target.weight for target in targets]
+        if not any(weights):
+            return targets[0].service
+        return self._rng.choices(targets, weights)[0].service
+
+    def _online_cost(self, state: UpstreamState) -> tuple[bool, float]:
+        return self.free_slots(state) <= 0, self._batch_cost(state)
+
+    def _batch_cost(self, state: UpstreamState) -> float:
+        cost = self.load(state) / max(1, state.upstream.slots) * 8
+        cost += self._rng.random() * TIE_LOAD
+        if state.upstream.zone != self.zone:
+            cost += OTHER_ZONE_LOAD
+        return cost
--- /dev/null
+++ b/src/coppercleat/serving/_progress.py
@@ -0,0 +1,107 @@
+"""What may still be done for a request, from how its attempts ended."""
+
+from __future__ import annotations
+
+import enum
+
+import attrs
+
+from coppercleat.serving._model import Route
+
+
+class AttemptEnd(enum.Enum):
+    """How an attempt at one upstream ended."""
+
+    COMPLETE = "complete"
+    NOT_RUN = "not_run"
+    LOST = "lost"
+    CUT = "cut"
+
+
+class NextStep(enum.Enum):
+    """What to do after an attempt."""
+
+    DONE = "done"
+    TRY_ELSEWHERE = "try_elsewhere"
+    RESUME_ELSEWHERE = "resume_elsewhere"
+    REFUSE_AS_NOT_RUN = "refuse_as_not_run"
+    ANSWER_BROKEN = "answer_broken"
+    ABORT = "abort"
+
+
+MAX_TRIES = 6
+"""Upstreams that may be asked for one request, those that did not run it included;
+bounds the time that a request spends among full or unreachable upstreams."""
+
+
+@attrs.define
+class RequestProgress:
+    """Counts the attempts of one request; holds no clock and does no I/O.
+
+    Attributes:
+      route: The route's rules.
+      tries: Attempts begun.
+      runs: Attempts that may have run.
+      last_event: Number of the last event passed on; None before the first.
+      started: Whether a part of an answer has been passed on.
+      finished: Whether all of it has; the client may leave from then on.
+    """
+
+    route: Route
+    tries: int = 0
+    runs: int = 0
+    last_event: int | None = None
+    started: bool = False
+    finished: bool = False
+
+    @property
+    def may_have_run(self) -> bool:
+        """Whether any upstream may have begun to work on the request."""
+        return self.runs > 0
+
+    @property
+    def may_move(self) -> bool:
+        """Whether the request could go elsewhere if the attempt now ended."""
+        if self.started and not self.route.resumable:
+            return False
+        return self.route.repeatable and self._runs_left
+
+    @property
+    def _runs_left(self) -> bool:
+        return self.runs + 1 < self.route.max_attempts and self.tries < MAX_TRIES
+
+    def after(self, end: AttemptEnd) -> NextStep:
+        """Counts an attempt that ended and returns the next step."""
+        self.tries += 1
+        movable = self.may_move
+        if end is not AttemptEnd.NOT_RUN:
+            self.runs += 1
+        return _NEXT[end](self, movable)
+
+    def give_up(self) -> NextStep:
+        """Returns how to end when nothing more can be tried."""
+        if self.started:
+            return NextStep.ABORT
+        return (
+            NextStep.ANSWER_BROKEN if self.may_have_run else NextStep.REFUSE_AS_NOT_RUN
+        )
+
+
+def _after_not_run(progress: RequestProgress, movable: bool) -> NextStep:
+    if progress.tries >= MAX_TRIES:
+        return progress.give_up()
+    return NextStep.RESUME_ELSEWHERE if progress.started else NextStep.TRY_ELSEWHERE
+
+
+def _after_lost(progress: RequestProgress, movable: bool) -> NextStep:
+    if not movable:
+        return progress.give_up()
+    return NextStep.RESUME_ELSEWHERE if progress.started else NextStep.TRY_ELSEWHERE
+
+
+_NEXT = {
+    AttemptEnd.COMPLETE: lambda progress, movable: NextStep.DONE,
+    AttemptEnd.NOT_RUN: _after_not_run,
+    AttemptEnd.LOST: _after_lost,
+    AttemptEnd.CUT: _after_lost,
+}
--- /dev/null
+++ b/src/coppercleat/serving/_upstream_call.py
@@ -0,0 +1,63 @@
+"""The port by which requests reach upstreams."""
+
+from __future__ import annotations
+
+import contextlib
+from collections.abc import AsyncIterator
+from typing import Protocol
+
+import attrs
+
+from coppercleat.serving._model import Header, OnlineRequest, Upstream
+from coppercleat.upstreams import Attempt
+
+
+class UpstreamBrokeError(Exception):
+    """The exchange ended before the answer was whole; the attempt tells more."""
+
+
+@attrs.define(kw_only=True)
+class UpstreamAnswer:
+    """The head of an upstream's answer, and its body as it comes.
+
+    Attributes:
+      headers: Without those that concern one connection only.
+      refused: Whether the upstream says that it did not run the request.
+      other_instance: Whether another upstream than the one expected answered.
+      body: Parts of the body; raises ``UpstreamBrokeError`` where it is cut.
+    """
+
+    status: int
+    headers: list[Header]
+    refused: bool
+    other_instance: bool
+    body: AsyncIterator[bytes]
+
+
+class UpstreamCaller(Protocol):
+    """Opens exchanges with upstreams."""
+
+    def exchange(
+        self,
+        upstream: Upstream,
+        request: OnlineRequest,
+        *,
+        attempt: Attempt,
+        allowed_s: float | None,
+        resume_after: int | None,
+    ) -> contextlib.AbstractAsyncContextManager[UpstreamAnswer]:
+        """Sends a request and returns the head of the answer.
+
+        Leaving the context closes the connection, which ends the run.
+
+        Args:
+          upstream: Where to send it.
+          request: What to send.
+          attempt: Moved along, so that the caller knows what is proved.
+          allowed_s: Seconds the upstream may take; None for no limit.
+          resume_after: Number of the last event already had; None for none.
+
+        Raises:
+          UpstreamBrokeError: No whole head of an answer to this request came.
+        """
+        ...
--- /dev/null
+++ b/src/coppercleat/serving/_watch.py
@@ -0,0 +1,340 @@
+"""Follows routes, upstreams and instances on the platform, and through peers."""
+
+from __future__ import annotations
+
+import random
+from collections.abc import Callable
+from typing import Protocol
+
+import attrs
+import msgspec
+import trio
+
+from coppercleat.errors import CoppercleatError, PlatformUnavailableError
+from coppercleat.ids import InstanceId, UpstreamId, ZoneId
+from coppercleat.observability import part_logger
+from coppercleat.serving._model import RouteConfig, RouteTable, Upstream
+from coppercleat.serving._node import GatewaySettings
+from coppercleat.serving._peers import Knowledge
+from coppercleat.serving._placement import Placement
+from coppercleat.storage import (
+    ABSENT,
+    Check,
+    Platform,
+    Put,
+    Transaction,
+    TransactionRefused,
+    decode_row,
+    paced,
+)
+
+POLL_S = 0.5
+"""Pause between reads of routes and of upstreams: with a read's own time it is a
+quarter of the bounds within which a change must be in force (2 s)."""
+
+_READ_SHARE = 0.25
+"""Share of the store's reads that the whole fleet spends on one kind of poll."""
+
+LEASE_RENEW_S = 1.0
+LEASE_S = 3.5
+"""An instance whose row stands still for this long is taken as gone: three missed
+renewals and the time of a slow store."""
+
+_DOUBT_S = 1.8
+"""Upstreams missing right after an outage of the store may come back for so long;
+the platform says about two seconds."""
+
+_MANY_GONE = 0.5
+"""When more than this share of the list is missing at once, it is in doubt too."""
+
+_STARVED_S = 1.0
+
+_RENEW_TRIES = 3
+
+_INSTANCE_PREFIX = "instance/"
+
+_log = part_logger("watch")
+
+
+class Catalogue(Protocol):
+    """What the operator and the upstreams have written on the platform."""
+
+    async def read_routes(self) -> RouteConfig | None:
+        """Returns the newest routes, None if there are none yet."""
+        ...
+
+    async def read_upstreams(self) -> list[Upstream]:
+        """Returns all listed upstreams."""
+        ...
+
+
+class InstanceRow(msgspec.Struct, frozen=True, kw_only=True):
+    """An instance's own row; its version grows with each renewal.
+
+    Attributes:
+      boot: Names one start of the instance.
+    """
+
+    boot: str
+    peers: str
+    zone: ZoneId
+    leaving: bool = False
+
+
+class UpstreamList:
+    """Decides which upstreams to keep when some are missing from the list."""
+
+    def __init__(self) -> None:
+        self._known: dict[UpstreamId, Upstream] = {}
+        self._doubted_until: dict[UpstreamId, float] = {}
+
+    def observe(
+        self, listed: list[Upstream], *, after_outage: bool, now: float
+    ) -> list[Upstream]:
+        """Takes the list as just read and returns the upstreams to use.
+
+        Args:
+          listed: What the platform lists.
+          after_outage: Whether reads before this one failed.
+          now: Seconds on this instance's clock.
+        """
+        current = {upstream.id: upstream for upstream in listed}
+        addresses = {upstream.address for upstream in listed}
+        missing = [u for i, u in self._known.items() if i not in current]
+        many = len(missing) > _MANY_GONE * max(1, len(self._known))
+        for upstream in missing:
+            if (after_outage or many) and upstream.id not in self._doubted_until:
+                self._doubted_until[upstream.id] = now + _DOUBT_S
+            in_doubt = now < self._doubted_until.get(upstream.id, now)
+            if in_doubt and upstream.address not in addresses:
+                current[upstream.id] = upstream
+        for known in list(self._doubted_until):
+            if known not in current or any(u.id == known for u in listed):
+                del self._doubted_until[known]
+        self._known = current
+        return list(current.values())
+
+
+@attrs.define
+class _Sight:
+    """When another instance's row was last seen to change."""
+
+    row: InstanceRow
+    version: int
+    changed_at: float
+
+
+class Watch:
+    """Keeps routes, upstreams and instances as new as can be had.
+
+    Attributes:
+      table: The routes in force; None while none are known.
+      upstreams_known: Whether a list of upstreams has come from anywhere.
+      on_upstreams_gone: Told of upstreams that are no longer used.
+    """
+
+    def __init__(
+        self,
+        settings: GatewaySettings,
+        catalogue: Catalogue,
+        platform: Platform,
+        placement: Placement,
+        *,
+        boot: str,
+        rng: random.Random,
+    ) -> None:
+        self.settings = settings
+        self.catalogue = catalogue
+        self.platform = platform
+        self.placement = placement
+        self.boot = boot
+        self.rng = rng
+        self.table: RouteTable | None = None
+        self.upstreams_known = False
+        self.on_members: Callable[[list[tuple[InstanceId, str, ZoneId]]], None] = (
+            lambda members: None
+        )
+        self._list = UpstreamList()
+        self._upstreams: tuple[Upstream, ...] = ()
+        self._upstreams_at = float("-inf")
+        self._routes_read_at = float("-inf")
+        self._renewed_at = float("-inf")
+        self._own_version = ABSENT
+        self._sights: dict[InstanceId, _Sight] = {}
+        self._leaving = False
+        self._away = False
+
+    # What others ask.
+
+    @property
+    def version(self) -> int:
+        """The version of the routes in force, 0 for none."""
+        return self.table.config.version if self.table else 0
+
+    @property
+    def ready(self) -> bool:
+        """Whether requests can be served."""
+        return self.table is not None and self.upstreams_known
+
+    def holds_lease(self) -> bool:
+        """Returns whether others must still take this instance as alive."""
+        return trio.current_time() - self._renewed_at < LEASE_S - LEASE_RENEW_S / 2
+
+    def starved(self) -> bool:
+        """Returns whether the store has not been read for a while."""
+        now = trio.current_time()
+        return now - min(self._upstreams_at, self._routes_read_at) > _STARVED_S
+
+    def owner_lives(self, owner: str) -> bool:
+        """Returns whether the start of an instance named ``owner`` is alive."""
+        if owner == self.owner_name:
+            return True
+        instance, _, boot = owner.rpartition("/")
+        sight = self._sights.get(InstanceId(instance))
+        if sight is None or sight.row.boot != boot or sight.row.leaving:
+            return False
+        return trio.current_time() - sight.changed_at < LEASE_S
+
+    @property
+    def owner_name(self) -> str:
+        """Names this start of this instance."""
+        return f"{self.settings.instance}/{self.boot}"
+
+    def living(self) -> list[str]:
+        """Returns the names of all living instances, this one included."""
+        names = [f"{i}/{s.row.boot}" for i, s in self._sights.items()]
+        return [self.owner_name, *(n for n in names if self.owner_lives(n))]
+
+    def knowledge(self, after: int) -> Knowledge | None:
+        """Returns what a peer that asks should be told."""
+        if self.table is None:
+            return None
+        config = self.table.config if self.version > after else None
+        age = trio.current_time() - self._upstreams_at
+        return Knowledge(config, self._upstreams, min(age, 1e9))
+
+    def take_knowledge(self, knowledge: Knowledge) -> None:
+        """Takes what a peer knows, where it is newer."""
+        if knowledge.config is not None:
+            self._adopt(knowledge.config, source="a peer")
+        read_at = trio.current_time() - knowledge.upstreams_age_s
+        if knowledge.upstreams and read_at > self._upstreams_at + _STARVED_S:
+            self._use(list(knowledge.upstreams), after_outage=False)
+            self._upstreams_at = read_at
+
+    # What is polled.
+
+    async def run(self) -> None:
+        """Polls until cancelled."""
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(self._forever, self._poll_routes, POLL_S)
+            nursery.start_soon(self._forever, self._poll_upstreams, POLL_S)
+            nursery.start_soon(self._forever, self._renew, LEASE_RENEW_S)
+            nursery.start_soon(self._forever, self._poll_instances, LEASE_RENEW_S)
+
+    async def _forever(self, poll: Callable, pause_s: float) -> None:
+        while True:
+            try:
+                await poll()
+                self._note_reach(reached=True)
+            except CoppercleatError as error:
+                self._note_reach(reached=False, reason=str(error))
+            reads = self.settings.store.reads_per_s * _READ_SHARE
+            pause = paced(pause_s, len(self._sights) + 1, reads)
+            await trio.sleep(pause * self.rng.uniform(0.8, 1.1))
+
+    def _note_reach(self, *, reached: bool, reason: str = "") -> None:
+        if reached and self._away:
+            _log.info("The store is back.")
+        if not reached and not self._away:
+            _log.warning("The store is away.", reason=reason)
+        self._away = not reached
+
+    async def _poll_routes(self) -> None:
+        config = await self.catalogue.read_routes()
+        self._routes_read_at = trio.current_time()
+        if config is not None:
+            self._adopt(config, source="the store")
+
+    def _adopt(self, config: RouteConfig, *, source: str) -> None:
+        if config.version <= self.version:
+            return
+        self.table = RouteTable(config)
+        _log.info(
+            "Routes adopted.",
+            version=config.version,
+            routes=len(config.routes),
+            source=source,
+        )
+
+    async def _poll_upstreams(self) -> None:
+        now = trio.current_time()
+        after_outage = now - self._upstreams_at > 2 * _STARVED_S
+        listed = await self.catalogue.read_upstreams()
+        self._use(listed, after_outage=after_outage)
+        self._upstreams_at = trio.current_time()
+
+    def _use(self, listed: list[Upstream], *, after_outage: bool) -> None:
+        now = trio.current_time()
+        used = self._list.observe(listed, after_outage=after_outage, now=now)
+        before = set(self.placement.states)
+        gone = self.placement.replace(used)
+        for upstream in used:
+            if upstream.id not in before:
+                _log.info("Upstream listed.", upstream=upstream.id, zone=upstream.zone)
+        for upstream_id in gone:
+            _log.info("Upstream gone.", upstream=upstream_id)
+        self._upstreams = tuple(used)
+        self.upstreams_known = True
+
+    async def _renew(self) -> None:
+        """Renews this instance's own row, under its last version."""
+        key = _INSTANCE_PREFIX + self.settings.instance
+        row = InstanceRow(
+            boot=self.boot,
+            peers=self.settings.peers,
+            zone=self.settings.zone,
+            leaving=self._leaving,
+        )
+        for _ in range(_RENEW_TRIES):
+            began = trio.current_time()
+            answer = await self.platform.transact(
+                Transaction(
+                    checks=[Check(key, self._own_version)],
+                    puts=[Put(key, msgspec.json.encode(row))],
+                )
+            )
+            if not isinstance(answer, TransactionRefused):
+                self._own_version = answer[key]
+                self._renewed_at = began
+                return
+            # An earlier start of this instance, or a renewal whose answer was lost.
+            rows = await self.platform.read([key])
+            self._own_version = rows[key].version if key in rows else ABSENT
+        raise PlatformUnavailableError("The own row changes under this instance")
+
+    async def leave(self) -> None:
+        """Tells the others that this instance stops; they need not wait."""
+        self._leaving = True
+        try:
+            with trio.move_on_after(LEASE_RENEW_S):
+                await self._renew()
+        except CoppercleatError as error:
+            _log.warning("Leaving could not be told.", reason=str(error))
+
+    async def _poll_instances(self) -> None:
+        rows = await self.platform.scan(_INSTANCE_PREFIX)
+        now = trio.current_time()
+        seen: set[InstanceId] = set()
+        for key, row in rows:
+            instance = InstanceId(key.removeprefix(_INSTANCE_PREFIX))
+            seen.add(instance)
+            if instance == self.settings.instance:
+                continue
+            sight = self._sights.get(instance)
+            if sight is None or sight.version != row.version:
+                decoded = decode_row(row, InstanceRow)
+                self._sights[instance] = _Sight(decoded, row.version, now)
+        for instance in set(self._sights) - seen:
+            del self._sights[instance]
+        self.on_members([(i, s.row.peers, s.row.zone) for i, s in self._sights.items()])
--- /dev/null
+++ b/src/coppercleat/storage/__init__.py
@@ -0,0 +1,45 @@
+"""What must last: the port to rows, objects and the node list, and one in memory."""
+
+from coppercleat.storage._http import HttpPlatform
+from coppercleat.storage._memory import MemoryPlatform
+from coppercleat.storage._pace import paced
+from coppercleat.storage._port import (
+    ABSENT,
+    AnswerLostError,
+    ChangedRow,
+    Changes,
+    Check,
+    HistoryLostError,
+    Listing,
+    Node,
+    NodeRole,
+    NodeState,
+    Platform,
+    Put,
+    Row,
+    Transaction,
+    TransactionRefused,
+    decode_row,
+)
+
+__all__ = [
+    "ABSENT",
+    "AnswerLostError",
+    "ChangedRow",
+    "Changes",
+    "Check",
+    "HistoryLostError",
+    "HttpPlatform",
+    "Listing",
+    "MemoryPlatform",
+    "Node",
+    "NodeRole",
+    "NodeState",
+    "Platform",
+    "Put",
+    "Row",
+    "Transaction",
+    "TransactionRefused",
+    "decode_row",
+    "paced",
+]
--- a/src/coppercleat/platform/_http.py
+++ b/src/coppercleat/storage/_http.py
@@ -17,7 +17,7 @@
 import trio
 
 from coppercleat.errors import PlatformUnavailableError
-from coppercleat.platform._port import (
+from coppercleat.storage._port import (
     AnswerLostError,
     Listing,
     Row,
--- a/src/coppercleat/platform/_port.py
+++ b/src/coppercleat/storage/_port.py
@@ -4,6 +4,10 @@
 that the table draws from one counter, so that a version is never seen
 twice, not even after a row was deleted and put again. A transaction checks
 versions and then changes rows, all or nothing.
+
+The first segment of a key names its space: ``job/7`` lies in the space ``job``.
+A row also lies in a part; a transaction touches rows of one part only, and
+parts are served side by side. The empty part is the usual one.
 """
 
 from __future__ import annotations
@@ -67,6 +71,7 @@
     checks: Sequence[Check] = ()
     puts: Sequence[Put] = ()
     deletes: Sequence[str] = ()
+    part: str = ""
 
 
 class TransactionRefused(msgspec.Struct, frozen=True):
@@ -79,6 +84,36 @@
     reason: tuple[str, ...]
 
 
+class ChangedRow(msgspec.Struct, frozen=True):
+    """A row that was put, or deleted if ``row`` is None."""
+
+    part: str
+    key: str
+    row: Row | None
+
+
+class Changes(msgspec.Struct, frozen=True):
+    """What changed in a space.
+
+    Attributes:
+      rows: In the order of the changes.
+      version: Where to go on.
+    """
+
+    rows: tuple[ChangedRow, ...]
+    version: int
+
+
+@error_kind(
+    "history_lost",
+    status="unavailable",
+    outcome=Outcome.NOT_RUN,
+    remedy="Scan the space anew and go on from the version that the scan shows.",
+)
+class HistoryLostError(CoppercleatError):
+    """The changes asked for are no longer kept."""
+
+
 class NodeRole(enum.Enum):
     """What a listed node is."""
 
@@ -139,16 +174,32 @@
     when it may have.
     """
 
-    async def read(self, keys: Sequence[str]) -> dict[str, Row]:
-        """Returns the rows that exist among ``keys``, from one moment."""
+    async def read(self, keys: Sequence[str], *, part: str = "") -> dict[str, Row]:
+        """Returns the rows that exist among ``keys``."""
         ...
 
     async def scan(
-        self, prefix: str, *, after: str = "", limit: int = 1000
+        self, prefix: str, *, after: str = "", limit: int = 1000, part: str = ""
     ) -> list[tuple[str, Row]]:
         """Returns rows by key order, those with ``prefix`` past ``after``."""
         ...
 
+    async def changes(self, space: str, *, after: int) -> Changes:
+        """Returns what changed in a space after a version, in all parts.
+
+        Raises:
+          HistoryLostError: The platform no longer keeps these changes.
+        """
+        ...
+
+    async def parts(self, space: str) -> list[str]:
+        """Returns the parts in which a space has rows."""
+        ...
+
+    async def newest_version(self) -> int:
+        """Returns the version of the newest transaction."""
+        ...
+
     async def transact(
         self, transaction: Transaction
     ) -> dict[str, int] | TransactionRefused:
--- a/tests/exploration/_explorer.py
+++ b/tests/exploration/_explorer.py
@@ -16,7 +16,7 @@
 import attrs
 
 from coppercleat.errors import CoppercleatError
-from coppercleat.platform import AnswerLostError, MemoryPlatform, Transaction
+from coppercleat.storage import AnswerLostError, MemoryPlatform, Transaction
 
 
 class Fault(enum.Enum):
--- a/tests/exploration/_models.py
+++ b/tests/exploration/_models.py
@@ -25,7 +25,7 @@
 )
 from coppercleat.errors import CoppercleatError
 from coppercleat.online import AnswerStore
-from coppercleat.platform import Put, Transaction
+from coppercleat.storage import Put, Transaction
 
 _JOB = "job/j"
 _SEGMENT = "segment/j/000000"
--- a/tests/features/steps/configuration_steps.py
+++ b/tests/features/steps/configuration_steps.py
@@ -139,7 +139,7 @@
 def stale_change(context):
     """Commits at the platform itself, as another instance's change would be."""
     from coppercleat.configuration import ConfigurationStore, Document, Kind, Operation
-    from coppercleat.platform import HttpPlatform
+    from coppercleat.storage import HttpPlatform
 
     url = f"http://127.0.0.1:{context.fleet.ports['platform']}"
 
--- a/tests/features/steps/decision_steps.py
+++ b/tests/features/steps/decision_steps.py
@@ -39,7 +39,6 @@
     JobHint,
     MemberLine,
 )
-from coppercleat.platform import Node, NodeRole
 from coppercleat.routing import (
     Health,
     NoUpstream,
@@ -49,6 +48,7 @@
     choose,
 )
 from coppercleat.settings import parse_settings
+from coppercleat.storage import Node, NodeRole
 from coppercleat.upstreams import Attempt, AttemptState, EventParser, LoadReport
 
 KEY = "a key that only tests know"
--- a/tests/standins/platform.py
+++ b/tests/standins/platform.py
@@ -1,6 +1,6 @@
 """Stand-in for the platform: table service, object store and node list.
 
-Speaks the protocol of ``coppercleat.platform`` over HTTP, with knobs for
+Speaks the protocol of ``coppercleat.storage`` over HTTP, with knobs for
 latency, outage, lost answers, stale reads and the lag of the list. A path
 prefix ``/from/ZONE`` says where the caller is; that zone may be cut off, and
 is given its own addresses for nodes, so that a proxy can stand on each way.
@@ -16,7 +16,7 @@
 import trio
 
 from coppercleat.asgi import read_body, send_json, send_part, start_response
-from coppercleat.platform import (
+from coppercleat.storage import (
     Listing,
     MemoryPlatform,
     Node,
