--- a/src/coppercleat/gateway/_jobs_desk.py
+++ b/src/coppercleat/gateway/_jobs_desk.py
@@ -12,6 +12,7 @@
 from coppercleat.errors import CoppercleatError, PlatformUnavailableError
 from coppercleat.ids import JobId
 from coppercleat.jobs import (
+    NOBODY,
     Held,
     JobBoard,
     JobRow,
@@ -119,7 +120,7 @@
                 accepted = await self.ledger.accept(
                     submission,
                     route,
-                    owner=self.worker.owner if not self.worker.stopping else "",
+                    owner=self.worker.owner if self.worker.may_own else NOBODY,
                     finished_tokens=self.board.finished_tokens,
                     tolerance=self.quota_tolerance,
                 )
--- a/src/coppercleat/instance/_instance.py
+++ b/src/coppercleat/instance/_instance.py
@@ -19,8 +19,9 @@
 from coppercleat.observability import EventRing, Metrics, part_logger
 from coppercleat.online import AnswerStore, OnlineServices, Pipeline, pick_version
 from coppercleat.orders import OrderKeeper
+from coppercleat.platform import StoreClient
 from coppercleat.settings import Settings
-from coppercleat.storage import HttpPlatform, Platform
+from coppercleat.storage import Platform
 
 _MS = 1000
 _READY_POLL_S = 0.02
@@ -63,7 +64,7 @@
         self.in_flight = 0
         self.platform_reachable = True
         self._platform_failures = 0
-        self.platform: Platform = platform or HttpPlatform(
+        self.platform: Platform = platform or StoreClient(
             settings.platform.url,
             timeout_s=settings.platform.timeout_s,
             on_call=self._on_platform_call,
--- a/src/coppercleat/jobs/__init__.py
+++ b/src/coppercleat/jobs/__init__.py
@@ -10,10 +10,11 @@
     Submission,
     Superseded,
 )
-from coppercleat.jobs._records import ItemSpec, ItemState, JobRow, ResultRow
+from coppercleat.jobs._records import NOBODY, ItemSpec, ItemState, JobRow, ResultRow
 from coppercleat.jobs._worker import JobWorker
 
 __all__ = [
+    "NOBODY",
     "Finished",
     "Held",
     "ItemSpec",
--- a/src/coppercleat/jobs/_worker.py
+++ b/src/coppercleat/jobs/_worker.py
@@ -104,7 +104,7 @@
         *,
         owner: str,
         routes: Callable[[], RouteTable | None],
-        owner_lives: Callable[[str], bool],
+        owner_lives: Callable[..., bool],
         living: Callable[[], list[str]],
         holds_lease: Callable[[], bool],
         on_change: Callable[[UpstreamState, bool], None],
@@ -118,7 +118,8 @@
           caller: Reaches upstreams.
           owner: Names this start of this instance.
           routes: Returns the routes in force.
-          owner_lives: Tells whether the owner of a job is alive.
+          owner_lives: Tells whether the owner of a job is alive, given since when
+            its name has been known here.
           living: Names all living instances.
           holds_lease: Tells whether others still take this instance as alive.
           on_change: Told of each item that starts (True) or ends (False).
@@ -137,6 +138,7 @@
         self.runs: dict[JobId, JobRun] = {}
         self._running: list[_Running] = []
         self._avoided: dict[UpstreamId, float] = {}
+        self._met: dict[str, float] = {}
         self._orphans: dict[JobId, float] = {}
         self._taking: set[JobId] = set()
         self._wake = trio.Event()
@@ -152,6 +154,11 @@
 
     # Which jobs are ours.
 
+    @property
+    def may_own(self) -> bool:
+        """Whether a new job may be put into the hands of this instance."""
+        return self.holds_lease() and not self.stopping
+
     def own(self, held: Held) -> None:
         """Begins a job that was just accepted here."""
         self.board.observe(held)
@@ -192,7 +199,7 @@
                 self._orphans.pop(job, None)
             elif held.row.owner == self.owner:
                 self._begin(held)
-            elif held.row.owner != NOBODY and self.owner_lives(held.row.owner):
+            elif self._owner_lives(held.row.owner, now):
                 self._orphans.pop(job, None)
             else:
                 since = self._orphans.setdefault(job, now)
@@ -202,6 +209,10 @@
                     assert self._nursery is not None
                     self._nursery.start_soon(self._take_orphan, held)
 
+    def _owner_lives(self, owner: str, now: float) -> bool:
+        since = self._met.setdefault(owner, now)
+        return owner != NOBODY and self.owner_lives(owner, since=since)
+
     async def _take_orphan(self, held: Held) -> None:
         try:
             taken = await self.ledger.take(held, owner=self.owner)
--- a/src/coppercleat/observability/_logs.py
+++ b/src/coppercleat/observability/_logs.py
@@ -3,13 +3,17 @@
 from __future__ import annotations
 
 import logging
-import sys
+import time
 from typing import Any
 
+import msgspec
 import structlog
 
+from coppercleat.observability._output import LineBudget, LineOutput
 from coppercleat.observability._ring import EventRing
 
+_STANDARD_OUTPUT = 1
+
 _LEVELS = {
     "debug": logging.DEBUG,
     "info": logging.INFO,
@@ -19,13 +23,18 @@
 
 
 def configure_logs(*, level: str, as_json: bool, ring: EventRing) -> None:
-    """Sets up logging to standard error, and to the ring at every level."""
+    """Sets up logging to standard output, and to the ring at every level.
+
+    Lines are bounded in number and never waited for; the ring keeps the latest
+    whether they were written or not.
+    """
     renderer: Any = (
-        structlog.processors.JSONRenderer()
+        structlog.processors.JSONRenderer(serializer=_encode)
         if as_json
         else structlog.dev.ConsoleRenderer(colors=False)
     )
     threshold = _LEVELS[level]
+    output = LineOutput(_STANDARD_OUTPUT)
 
     def drop_below_level(logger: Any, method: str, event: Any) -> Any:
         if _LEVELS.get(method, logging.ERROR) < threshold:
@@ -38,10 +47,12 @@
             structlog.processors.TimeStamper(fmt="iso", utc=True),
             ring,
             drop_below_level,
+            LineBudget(time.monotonic),
             structlog.processors.format_exc_info,
             renderer,
         ],
-        logger_factory=structlog.WriteLoggerFactory(file=sys.stderr),
+        wrapper_class=structlog.BoundLogger,
+        logger_factory=lambda *names: output,
         cache_logger_on_first_use=True,
     )
 
@@ -49,3 +60,7 @@
 def part_logger(part: str) -> Any:
     """Returns the logger of a part; its name prefixes each sentence."""
     return structlog.get_logger(part=part)
+
+
+def _encode(event: Any, **options: Any) -> str:
+    return msgspec.json.encode(event, enc_hook=str).decode()
--- a/src/coppercleat/platform/_edges.py
+++ b/src/coppercleat/platform/_edges.py
@@ -78,7 +78,7 @@
 async def run_on_platform(path: pathlib.Path) -> None:
     """Runs a gateway instance by the platform's settings file until it is stopped."""
     settings = load_platform_settings(path)
-    store = StoreClient(settings.store)
+    store = StoreClient(f"http://{settings.store}")
     gateway = Gateway(
         settings.gateway,
         platform=store,
--- a/src/coppercleat/platform/_ingress.py
+++ b/src/coppercleat/platform/_ingress.py
@@ -16,6 +16,7 @@
 from coppercleat.jobs import ItemSpec, ItemState, ResultsPage, Submission
 from coppercleat.platform._names import CONNECTION_HEADERS, HeaderName, Path
 from coppercleat.serving import (
+    ClientLimits,
     Header,
     OnlineRequest,
     Refusal,
@@ -36,6 +37,7 @@
     RefusalReason.NO_ROUTE: 404,
     RefusalReason.BAD_REQUEST: 400,
     RefusalReason.TOO_LARGE: 413,
+    RefusalReason.HEADERS_TOO_LARGE: 431,
     RefusalReason.NOT_RUN: 503,
     RefusalReason.OVER_QUOTA: 429,
     RefusalReason.TIMED_OUT: 504,
@@ -158,10 +160,12 @@
             self.gateway.in_flight -= 1
 
     async def _answer(self, scope: Scope, receive: Receive, reply: HttpReply) -> None:
+        limits = self._limits()
+        _check_header_size(scope, limits.header_bytes)
         headers = {name.lower(): value for name, value in scope["headers"]}
         host = headers.get(b"host", b"").decode("latin-1").partition(":")[0].lower()
         path = scope["raw_path"].decode("latin-1")
-        body = await _read_body(receive, self._max_body())
+        body = await _read_body(receive, limits.body_bytes)
         if body is None:
             return
         for prefix, method, handle in _JOB_CALLS:
@@ -184,9 +188,9 @@
                 receive, lambda: self.gateway.forward(request, route, reply)
             )
 
-    def _max_body(self) -> int:
+    def _limits(self) -> ClientLimits:
         table = self.gateway.watch.table
-        return table.config.limits.body_bytes if table else _NO_LIMIT_KNOWN
+        return table.config.limits if table else ClientLimits()
 
     async def _submit(
         self, submission: Submission, route: Route, reply: HttpReply
@@ -198,7 +202,16 @@
         await reply.whole(_JOB_STATUS[answer.answer], extra, b"")
 
 
-_NO_LIMIT_KNOWN = 4_194_304
+def _check_header_size(scope: Scope, limit: int) -> None:
+    size = len(scope["raw_path"]) + len(scope["query_string"])
+    size += sum(len(name) + len(value) + 4 for name, value in scope["headers"])
+    if size > limit:
+        raise _BadCallError(
+            Refusal(
+                reason=RefusalReason.HEADERS_TOO_LARGE,
+                detail=f"the headers exceed {limit} bytes",
+            )
+        )
 
 
 async def _read_body(receive: Receive, limit: int) -> bytes | None:
--- a/src/coppercleat/platform/_store.py
+++ b/src/coppercleat/platform/_store.py
@@ -20,9 +20,11 @@
     Changes,
     HistoryLostError,
     Listing,
+    Node,
     Row,
     Transaction,
     TransactionRefused,
+    decode_row,
 )
 
 CALL_TIMEOUT_S = 2.0
@@ -38,6 +40,9 @@
 """Statuses that promise that nothing was done."""
 
 _RETRY_AFTER_MS = 300
+_NODE_PREFIX = "node/"
+"""Rows of the product's own node list, one a node."""
+
 _LOWEST = "!"
 _HIGHEST = "\x7f"
 """Sort before and after whatever may follow in a key: keys are printable ASCII."""
@@ -108,7 +113,7 @@
 
     def __init__(
         self,
-        address: str,
+        url: str,
         *,
         timeout_s: float = CALL_TIMEOUT_S,
         on_call: Callable[[bool], None] | None = None,
@@ -116,11 +121,11 @@
         """Prepares the pool; connects on first use.
 
         Args:
-          address: ``IP:PORT``.
+          url: Base URL.
           timeout_s: Seconds for one call, connecting included.
           on_call: Told after each call whether the store answered.
         """
-        self.url = f"http://{address}"
+        self.url = url.rstrip("/")
         self.timeout_s = timeout_s
         self._on_call = on_call or (lambda answered: None)
         self._pool = httpcore.AsyncConnectionPool(
@@ -260,7 +265,8 @@
 
     async def list_nodes(self) -> Listing:
         """See ``Platform.list_nodes``."""
-        return Listing(())
+        rows = await self.scan(_NODE_PREFIX)
+        return Listing(tuple(decode_row(row, Node) for _, row in rows))
 
     # Calls.
 
--- a/src/coppercleat/serving/_model.py
+++ b/src/coppercleat/serving/_model.py
@@ -135,6 +135,7 @@
     NO_ROUTE = "no_route"
     BAD_REQUEST = "bad_request"
     TOO_LARGE = "too_large"
+    HEADERS_TOO_LARGE = "headers_too_large"
     NOT_RUN = "not_run"
     OVER_QUOTA = "over_quota"
     TIMED_OUT = "timed_out"
--- a/src/coppercleat/serving/_watch.py
+++ b/src/coppercleat/serving/_watch.py
@@ -159,6 +159,7 @@
         self._upstreams_at = float("-inf")
         self._routes_read_at = float("-inf")
         self._renewed_at = float("-inf")
+        self._instances_read_at = float("-inf")
         self._own_version = ABSENT
         self._sights: dict[InstanceId, _Sight] = {}
         self._leaving = False
@@ -185,13 +186,23 @@
         now = trio.current_time()
         return now - min(self._upstreams_at, self._routes_read_at) > _STARVED_S
 
-    def owner_lives(self, owner: str) -> bool:
-        """Returns whether the start of an instance named ``owner`` is alive."""
+    def owner_lives(self, owner: str, *, since: float) -> bool:
+        """Returns whether the start of an instance named ``owner`` is alive.
+
+        An owner writes its row before it takes a job, so one that is not among
+        the rows is gone, if they were read after its name was first met.
+
+        Args:
+          owner: As ``owner_name`` gives it.
+          since: When the name was first met, in trio's time.
+        """
         if owner == self.owner_name:
             return True
         instance, _, boot = owner.rpartition("/")
         sight = self._sights.get(InstanceId(instance))
-        if sight is None or sight.row.boot != boot or sight.row.leaving:
+        if sight is None or sight.row.boot != boot:
+            return self._instances_read_at <= since
+        if sight.row.leaving:
             return False
         return trio.current_time() - sight.changed_at < LEASE_S
 
@@ -202,8 +213,9 @@
 
     def living(self) -> list[str]:
         """Returns the names of all living instances, this one included."""
+        now = trio.current_time()
         names = [f"{i}/{s.row.boot}" for i, s in self._sights.items()]
-        return [self.owner_name, *(n for n in names if self.owner_lives(n))]
+        return [self.owner_name, *(n for n in names if self.owner_lives(n, since=now))]
 
     def knowledge(self, after: int) -> Knowledge | None:
         """Returns what a peer that asks should be told."""
@@ -323,8 +335,10 @@
             _log.warning("Leaving could not be told.", reason=str(error))
 
     async def _poll_instances(self) -> None:
+        began = trio.current_time()
         rows = await self.platform.scan(_INSTANCE_PREFIX)
         now = trio.current_time()
+        self._instances_read_at = began
         seen: set[InstanceId] = set()
         for key, row in rows:
             instance = InstanceId(key.removeprefix(_INSTANCE_PREFIX))
--- a/src/coppercleat/storage/__init__.py
+++ b/src/coppercleat/storage/__init__.py
@@ -1,6 +1,5 @@
 """What must last: the port to rows, objects and the node list, and one in memory."""
 
-from coppercleat.storage._http import HttpPlatform
 from coppercleat.storage._memory import MemoryPlatform
 from coppercleat.storage._pace import paced
 from coppercleat.storage._port import (
@@ -29,7 +28,6 @@
     "Changes",
     "Check",
     "HistoryLostError",
-    "HttpPlatform",
     "Listing",
     "MemoryPlatform",
     "Node",
--- a/src/coppercleat/storage/_memory.py
+++ b/src/coppercleat/storage/_memory.py
@@ -152,12 +152,11 @@
         if failed:
             return TransactionRefused(failed)
         versions = {}
+        self.last_version += 1
         for put in transaction.puts:
-            self.last_version += 1
             self._insert(_stored(part, put.key), Row(put.value, self.last_version))
             versions[put.key] = self.last_version
         for key in transaction.deletes:
-            self.last_version += 1
             self._remove(_stored(part, key))
         return versions
 
--- /dev/null
+++ b/tests/features/gateway.feature
@@ -0,0 +1,200 @@
+Feature: Gateways on the users' platform, as processes before stand-ins
+
+  Scenario Outline: A <route> request when the first runner <fault>
+    Given 1 gateways and 2 runners
+    And every runner is set to <knobs>
+    When a client sends a <route> request
+    Then the answer is <answer> after <runs> runs
+
+    Examples: answers: status, whole or cut, and the events that came
+      | route     | fault                | knobs                                | answer          | runs |
+      | stream    | is well              | {"events": 5}                        | 200 whole 1-5   | 1    |
+      | stream    | breaks off           | {"cut_next": 1}                      | 200 cut 1-2     | 1    |
+      | stream    | breaks off torn      | {"cut_next": 1, "torn": true}        | 200 cut 1-2     | 1    |
+      | stream    | breaks off at once   | {"cut_next": 1, "cut_after": 0}      | 502 whole -     | 1    |
+      | stream    | sheds                | {"shed_next": 1}                     | 200 whole 1-5   | 1    |
+      | stream    | answers for another  | {"cross_next": 1}                    | 502 whole -     | 1    |
+      | stream    | fails                | {"fail_next": 1}                     | 500 whole -     | 1    |
+      | resumable | breaks off           | {"cut_next": 1}                      | 200 whole 1-5   | 2    |
+      | resumable | breaks off torn      | {"cut_next": 1, "torn": true}        | 200 whole 1-5   | 2    |
+      | resumable | answers for another  | {"cross_next": 1}                    | 200 whole 1-5   | 2    |
+      | resumable | fails                | {"fail_next": 1}                     | 200 whole 1-5   | 2    |
+      | resumable | is another instance  | {"instance": "elsewhere"}            | 503 whole -     | 0    |
+      | plain     | breaks off           | {"cut_next": 1}                      | 200 whole 1-5   | 2    |
+      | plain     | fails                | {"fail_next": 1}                     | 200 whole 1-5   | 2    |
+      | once      | breaks off           | {"cut_next": 1, "cut_after": 0}      | 502 whole -     | 1    |
+      | once      | fails                | {"fail_next": 1}                     | 500 whole -     | 1    |
+      | once      | sheds                | {"shed_next": 1}                     | 200 whole 1-5   | 1    |
+
+  Scenario Outline: A call that <case>
+    Given 1 gateways and 1 runners
+    When a client calls <method> <host> <target> with <headers> and <size> bytes
+    Then the answer is <status> at once and no runner has run anything
+
+    Examples:
+      | case                          | method | host             | target           | headers                                      | size   | status |
+      | has no route                  | POST   | nowhere.example  | /ask/x           | {"request-id": "r", "deadline-ms": "5000"}   | 10     | 404    |
+      | has a path of no route        | POST   | stream.example   | /other/x         | {"request-id": "r", "deadline-ms": "5000"}   | 10     | 404    |
+      | has no request id             | POST   | stream.example   | /ask/x           | {"deadline-ms": "5000"}                      | 10     | 400    |
+      | has a deadline of no number   | POST   | stream.example   | /ask/x           | {"request-id": "r", "deadline-ms": "soon"}   | 10     | 400    |
+      | has a negative deadline       | POST   | stream.example   | /ask/x           | {"request-id": "r", "deadline-ms": "-5"}     | 10     | 400    |
+      | has too large a body          | POST   | stream.example   | /ask/x           | {"request-id": "r", "deadline-ms": "5000"}   | 200000 | 413    |
+      | has too large a header        | POST   | stream.example   | /ask/x           | {"request-id": "r", "x-long": "LONG"}        | 10     | 431    |
+      | submits a job that is no JSON | POST   | jobs.example     | /week/submit     | {"request-id": "j"}                          | 10     | 400    |
+      | gets a job's route            | GET    | jobs.example     | /week/submit     | {"request-id": "j"}                          | 0      | 400    |
+      | reads a job that is not there | GET    | jobs.example     | /v1/lots/none    | {}                                           | 0      | 404    |
+      | reads from no position        | GET    | jobs.example     | /v1/lots/none?after=x | {}                                      | 0      | 400    |
+      | ends a job that is not there  | DELETE | jobs.example     | /v1/lots/none    | {}                                           | 0      | 404    |
+
+  Scenario Outline: A job with <fault>
+    Given 1 gateways and 2 runners
+    And every runner is set to <knobs>
+    When a job of <items> items is submitted
+    Then all its items are <state>, each listed once and whole
+
+    Examples:
+      | fault                       | knobs                                 | items | state     |
+      | runners that are well       | {"events": 20}                        | 12    | completed |
+      | cut runs                    | {"events": 20, "cut_next": 5}         | 6     | completed |
+      | torn runs                   | {"cut_next": 3, "torn": true}         | 6     | completed |
+      | answers for another         | {"cross_next": 2}                     | 4     | completed |
+      | some failures               | {"fail_next": 1}                      | 4     | completed |
+      | nothing but failures        | {"failing": true}                     | 3     | failed    |
+      | items that cannot be done   | {"impossible": "item"}                | 3     | failed    |
+
+  Scenario: What is forwarded is what the client sent
+    Given 1 gateways and 1 runners
+    When a client sends a stream request
+    Then the runner got method, target and body unchanged, and a shorter deadline
+
+  Scenario: A client that leaves ends the run
+    Given 1 gateways and 1 runners
+    And every runner is set to {"events": 200, "event_s": 0.05}
+    When a client leaves after the first event of a stream
+    Then the run at the runner ends
+
+  Scenario: A silent runner costs a resumable request a moment, and others the deadline
+    Given 1 gateways and 2 runners
+    And runner 1 is set to {"silent": true}
+    When clients send stream requests with 1500 ms until one meets the silent runner
+    Then that one was answered 504 by its deadline
+    When 6 clients send a resumable request
+    Then all answers are whole
+
+  Scenario: Online requests find a slot beside batch
+    Given 2 gateways and 1 runners
+    And every runner is set to {"events": 60, "event_s": 0.05}
+    When a job of 12 items is submitted
+    And 6 clients send a stream request to gateway 2
+    Then all answers are whole
+    And none waited at the runner until an item was done
+    And all its items are completed, each listed once and whole
+
+  Scenario: A job submitted again is accepted once, at any gateway
+    Given 2 gateways and 1 runners
+    When a job of 4 items is submitted
+    And the same job is submitted again to gateway 2
+    Then all its items are completed, each listed once and whole
+
+  Scenario: A job that does not fit is refused and nothing of it runs
+    Given 2 gateways and 1 runners
+    And every runner is set to {"events": 400, "event_s": 0.05}
+    When jobs of 30 items are submitted until one is refused with 429
+    Then at most 10500 tokens wait and no item of the refused job has run
+
+  Scenario: A job that is ended stops
+    Given 2 gateways and 1 runners
+    And every runner is set to {"events": 400, "event_s": 0.05}
+    When a job of 30 items is submitted
+    And the job is ended at gateway 2
+    Then no item of it runs any more after 3 s
+    And it can be ended again
+
+  Scenario Outline: The gateway that runs a job is <done>
+    Given 3 gateways and 2 runners
+    And every runner is set to {"events": 60, "event_s": 0.05}
+    When a job of 12 items is submitted
+    And gateway 1 is <done> after 1 s
+    Then all its items are completed, each listed once and whole, at gateway 2
+
+    Examples:
+      | done                 |
+      | killed               |
+      | killed and restarted |
+      | stopped as planned   |
+      | paused for 6 s       |
+
+  Scenario Outline: The store <trouble> while a job runs
+    Given 2 gateways and 2 runners
+    When a job of 12 items is submitted
+    And the store is set to <knobs> for 3 s
+    Then all its items are completed, each listed once and whole
+
+    Examples:
+      | trouble                | knobs                                    |
+      | is away                | {"outage": true}                         |
+      | is silent              | {"hang": true}                           |
+      | is slow                | {"latency_s": 0.4}                       |
+      | loses answers          | {"lose_share": 0.4}                      |
+      | answers late           | {"lose_share": 0.4, "late_effect_s": 1.5}|
+      | has lost its history   | {"dropped_before": 1000000}              |
+
+  Scenario: With the store away a job is refused as not run, online requests are served
+    Given 1 gateways and 1 runners
+    And the store is set to {"outage": true}
+    When a job of 2 items is submitted
+    Then the answer is 503 with a time to come back
+    When a client sends a stream request
+    Then the answer is 200 whole 1-5 after 1 runs
+
+  Scenario: A gateway that starts while the store is away learns from its peers
+    Given 2 gateways and 1 runners
+    When the store is set to {"outage": true}
+    And gateway 2 is killed
+    And gateway 2 is started again
+    Then gateway 2 is ready
+    When a client sends a stream request to gateway 2
+    Then the answer is 200 whole 1-5 after 1 runs
+
+  Scenario: A gateway that knows no routes refuses for now, and is not ready
+    Given 1 gateways and 1 runners
+    When the store is set to {"outage": true}
+    And gateway 1 is killed
+    And gateway 1 is started again
+    And a client sends a stream request once the port is open
+    Then the answer is 503 with a time to come back
+    And gateway 1 is not ready
+
+  Scenario: A configuration is in force within 2 s, and one that does not fit changes nothing
+    Given 2 gateways and 1 runners
+    When the operator removes the stream route
+    Then within 2 s every gateway answers a stream request with 404
+    When the operator writes a document that does not fit
+    And a client sends a resumable request
+    Then the answer is 200 whole 1-5 after 1 runs
+
+  Scenario Outline: A runner that <leaves> gets no new request after 2 s
+    Given 1 gateways and 2 runners
+    When runner 1 <leaves>
+    And 2 s pass
+    And 6 clients send a stream request
+    Then all answers are whole
+    And runner 1 has run nothing
+
+    Examples:
+      | leaves     |
+      | is leaving |
+      | is removed |
+
+  Scenario: A planned stop cuts nothing and turns new clients away only at its end
+    Given 2 gateways and 1 runners
+    And every runner is set to {"events": 40, "event_s": 0.05}
+    When 4 clients send a stream request while gateway 1 is stopped as planned
+    Then all answers are whole
+    And gateway 1 has exited with code 0 within 8 s
+
+  Scenario: A reload keeps everything running
+    Given 1 gateways and 1 runners
+    When gateway 1 is told to reload
+    And a client sends a stream request
+    Then the answer is 200 whole 1-5 after 1 runs
--- a/tests/features/steps/configuration_steps.py
+++ b/tests/features/steps/configuration_steps.py
@@ -139,13 +139,13 @@
 def stale_change(context):
     """Commits at the platform itself, as another instance's change would be."""
     from coppercleat.configuration import ConfigurationStore, Document, Kind, Operation
-    from coppercleat.storage import HttpPlatform
+    from coppercleat.platform import StoreClient
 
     url = f"http://127.0.0.1:{context.fleet.ports['platform']}"
 
     async def run():
         await context.fleet.control("platform", stale_reads=False)
-        platform = HttpPlatform(url, timeout_s=2)
+        platform = StoreClient(url, timeout_s=2)
         document = Document()
         store = ConfigurationStore(platform, clock=lambda: 0.0)
         await store.catch_up(document)
--- /dev/null
+++ b/tests/features/steps/gateway_steps.py
@@ -0,0 +1,424 @@
+"""Steps for gateways before stand-ins of the users' platform."""
+
+import json
+import signal
+import time
+
+import httpcore
+import trio
+from behave import given, then, when
+
+from tests.harness import JOBS, ONCE, PLAIN, RESUMABLE, STREAM, Gateways, until
+
+ROUTES = {"stream": STREAM, "resumable": RESUMABLE, "plain": PLAIN, "once": ONCE}
+JOB = "job-1"
+
+
+@given("{gateways:d} gateways and {runners:d} runners")
+def start(context, gateways, runners):
+    context.fleet = Gateways(gateways=gateways, runners=runners)
+    context.fleet.start()
+    context.answers = []
+    context.asked = 0
+
+
+@given("every runner is set to {knobs}")
+def every_runner(context, knobs):
+    for name in context.fleet.runners:
+        # What hits a number of requests hits the first runner only.
+        values = json.loads(knobs)
+        if name != context.fleet.runners[0]:
+            values = {k: v for k, v in values.items() if not k.endswith("_next")}
+        set_knobs(context, name, values)
+
+
+def set_knobs(context, name, values):
+    if values:
+        context.fleet.run(lambda: context.fleet.control(name, **values))
+
+
+@given("runner {number:d} is set to {knobs}")
+def one_runner(context, number, knobs):
+    set_knobs(context, f"runner-{number}", json.loads(knobs))
+
+
+@given("the store is set to {knobs}")
+@when("the store is set to {knobs}")
+def store_has(context, knobs):
+    knobs, _, lasts = knobs.partition(" for ")
+    values = json.loads(knobs)
+    set_knobs(context, "store", values)
+    if lasts:
+        time.sleep(float(lasts.removesuffix(" s")))
+        healthy = {name: type(value)() for name, value in values.items()}
+        set_knobs(context, "store", healthy)
+
+
+def ask(context, route, gateway="gateway-1", **options):
+    context.asked += 1
+    request = f"request-{context.asked}"
+    return context.fleet.ask(gateway, ROUTES[route], request, **options)
+
+
+@when("a client sends a {route} request")
+def one_request(context, route):
+    route, _, gateway = route.partition(" request to ")
+    context.answer = context.fleet.run(
+        lambda: ask(context, route, gateway.replace(" ", "-") or "gateway-1")
+    )
+
+
+@when("a client sends a stream request to gateway {number:d}")
+def one_request_to(context, number):
+    context.answer = context.fleet.run(
+        lambda: ask(context, "stream", f"gateway-{number}")
+    )
+
+
+@when("{count:d} clients send a {route} request")
+def several(context, count, route):
+    ask_all(context, count, route, "gateway-1")
+
+
+@when("{count:d} clients send a {route} request to gateway {number:d}")
+def several_to(context, count, route, number):
+    ask_all(context, count, route, f"gateway-{number}")
+
+
+def ask_all(context, count, route, gateway, beside=None):
+    context.answers = []
+
+    async def one():
+        context.answers.append(await ask(context, route, gateway))
+
+    async def all_of_them():
+        async with trio.open_nursery() as nursery:
+            for _ in range(count):
+                nursery.start_soon(one)
+            if beside is not None:
+                await trio.sleep(0.5)
+                beside()
+
+    context.fleet.run(all_of_them)
+
+
+@then("all answers are whole")
+def all_whole(context):
+    for answer in context.answers:
+        assert answer.status == 200 and answer.whole, answer
+        assert answer.events == list(range(1, len(answer.events) + 1)), answer
+
+
+@then("the answer is {status:d} {end} {events} after {count:d} runs")
+def answer_is(context, status, end, events, count):
+    answer = context.answer
+    assert answer.status == status, answer
+    assert answer.whole == (end == "whole"), answer
+    if events != "-":
+        first, last = map(int, events.split("-"))
+        assert answer.events == list(range(first, last + 1)), answer
+    if status in (200, 500):
+        assert "response-stamp" in answer.headers, answer
+    runs = context.fleet.run(context.fleet.runs)
+    assert len(runs) == count, runs
+    assert len({run["id"] for run in runs}) <= 1, runs
+
+
+@then("the answer is {status:d} with a time to come back")
+def come_back(context, status):
+    assert context.answer.status == status, context.answer
+    assert float(context.answer.headers["retry-after"]) > 0, context.answer
+
+
+@when("a client calls {method} {host} {target} with {headers} and {size:d} bytes")
+def raw_call(context, method, host, target, headers, size):
+    headers = json.loads(headers.replace("LONG", "x" * 100_000))
+    context.began = time.monotonic()
+
+    async def call():
+        return await context.fleet.call(
+            "gateway-1", method, host, target, headers=headers, body=b"x" * size
+        )
+
+    context.answer = context.fleet.run(call)
+
+
+@then("the answer is {status:d} at once and no runner has run anything")
+def refused_at_once(context, status):
+    assert context.answer.status == status, context.answer
+    assert time.monotonic() - context.began < 4, "not at once"
+    assert context.fleet.run(context.fleet.runs) == []
+
+
+@then("the runner got method, target and body unchanged, and a shorter deadline")
+def unchanged(context):
+    (run,) = context.fleet.run(context.fleet.runs)
+    assert run["target"] == STREAM[1] + "x?q=%2F1", run
+    assert run["body"] == f"prompt of {run['id']}", run
+    assert 0 < int(run["deadline_ms"]) <= 5000, run
+
+
+@when("a client leaves after the first event of a stream")
+def leave(context):
+    async def some():
+        with trio.move_on_after(1.0):
+            await ask(context, "stream")
+
+    context.fleet.run(some)
+
+
+@then("the run at the runner ends")
+def run_ends(context):
+    async def ended():
+        runs = await context.fleet.runs()
+        return runs and all(run["ended"] == "left" for run in runs)
+
+    context.fleet.run(lambda: until("the run ends", ended, wait_s=5))
+
+
+@when("clients send stream requests with {ms:d} ms until one meets the silent runner")
+def meet_silent(context, ms):
+    for _ in range(30):
+        began = time.monotonic()
+        answer = context.fleet.run(lambda: ask(context, "stream", deadline_ms=ms))
+        if answer.status != 200:
+            context.answer = answer
+            context.took = time.monotonic() - began
+            return
+    raise AssertionError("no request met the silent runner")
+
+
+@then("that one was answered 504 by its deadline")
+def by_deadline(context):
+    assert context.answer.status == 504, context.answer
+
+
+@then("none waited at the runner until an item was done")
+def none_refused(context):
+    report = context.fleet.run(lambda: context.fleet.control("runner-1"))
+    assert report["waited_s"] < 1.0, report["waited_s"]
+
+
+# Jobs.
+
+
+@when("a job of {count:d} items is submitted")
+def submit(context, count):
+    items = [f"item {index}" for index in range(count)]
+    context.items = items
+    context.answer = context.fleet.run(
+        lambda: context.fleet.submit("gateway-1", JOB, items)
+    )
+
+
+@when("the same job is submitted again to gateway {number:d}")
+def submit_again(context, number):
+    answer = context.fleet.run(
+        lambda: context.fleet.submit(f"gateway-{number}", JOB, context.items)
+    )
+    assert answer.status == 202, answer
+
+
+@then("all its items are {state}, each listed once and whole")
+def job_whole(context, state):
+    state, _, gateway = state.partition(", each listed once and whole, at ")
+    check_job(context, state, "gateway-1")
+
+
+@then("all its items are {state}, each listed once and whole, at gateway {number:d}")
+def job_whole_at(context, state, number):
+    check_job(context, state, f"gateway-{number}")
+
+
+def check_job(context, state, gateway):
+    assert context.answer.status == 202, context.answer
+    results = context.fleet.run(lambda: context.fleet.whole_job(gateway, JOB))
+    wanted = {f"{JOB}-item-{index}" for index in range(len(context.items))}
+    assert {result["id"] for result in results} == wanted
+    assert len(results) == len(wanted)
+    knobs = context.fleet.run(lambda: context.fleet.control("runner-1"))["knobs"]
+    text = "\n".join(f"word {n}" for n in range(1, knobs["events"] + 1))
+    for result in results:
+        word = {"completed": "completed", "failed": "dead_letter"}[state]
+        assert result["state"] == word, result
+        if state == "completed":
+            assert result["text"] == text, result
+
+
+@when("jobs of {count:d} items are submitted until one is refused with {status:d}")
+def until_refused(context, count, status):
+    items = [f"item {index}" for index in range(count)]
+    context.accepted = 0
+    for number in range(20):
+        job = f"many-{number}"
+        gateway = f"gateway-{number % 2 + 1}"
+        answer = context.fleet.run(
+            lambda j=job, g=gateway: context.fleet.submit(g, j, items)
+        )
+        if answer.status == status:
+            context.refused = job
+            return
+        assert answer.status == 202, answer
+        context.accepted += count * 150
+    raise AssertionError("no job was refused")
+
+
+@then("at most {most:d} tokens wait and no item of the refused job has run")
+def quota_kept(context, most):
+    assert context.accepted <= most, context.accepted
+    runs = context.fleet.run(context.fleet.runs)
+    assert not [run for run in runs if run["id"].startswith(context.refused)]
+
+
+@when("the job is ended at gateway {number:d}")
+def end_job(context, number):
+    time.sleep(1.0)
+    end(context, f"gateway-{number}")
+
+
+def end(context, gateway):
+    answer = context.fleet.run(
+        lambda: context.fleet.call(gateway, "DELETE", JOBS[0], f"/v1/lots/{JOB}")
+    )
+    assert answer.status == 200, answer
+
+
+@then("no item of it runs any more after {seconds:d} s")
+def nothing_runs(context, seconds):
+    time.sleep(seconds)
+    before = len(context.fleet.run(context.fleet.runs))
+    report = context.fleet.run(lambda: context.fleet.control("runner-1"))
+    assert report["running"] == 0, report["running"]
+    time.sleep(1.0)
+    assert len(context.fleet.run(context.fleet.runs)) == before
+
+
+@then("it can be ended again")
+def end_again(context):
+    end(context, "gateway-1")
+
+
+# Processes.
+
+
+@when("gateway {number:d} is {done} after {seconds:d} s")
+def do_later(context, number, done, seconds):
+    time.sleep(seconds)
+    do_to_gateway(context, number, done)
+
+
+@when("gateway {number:d} is killed")
+def kill_gateway(context, number):
+    do_to_gateway(context, number, "killed")
+
+
+@when("gateway {number:d} is started again")
+def start_again(context, number):
+    context.fleet.start_gateway(f"gateway-{number}")
+
+
+@when("gateway {number:d} is told to reload")
+def reload_gateway(context, number):
+    context.fleet.processes[f"gateway-{number}"].signal(signal.SIGHUP)
+    time.sleep(0.5)
+
+
+def do_to_gateway(context, number, done):
+    name = f"gateway-{number}"
+    process = context.fleet.processes[name]
+    if done.startswith("killed"):
+        process.kill()
+    if done.endswith("restarted"):
+        context.fleet.start_gateway(name)
+    if done == "stopped as planned":
+        process.signal(signal.SIGTERM)
+    if done.startswith("paused"):
+        process.signal(signal.SIGSTOP)
+        time.sleep(float(done.split()[-2]))
+        process.signal(signal.SIGCONT)
+
+
+@then("gateway {number:d} is ready")
+def is_ready(context, number):
+    context.fleet.run(lambda: context.fleet.ready(f"gateway-{number}"))
+
+
+@then("gateway {number:d} is not ready")
+def is_not_ready(context, number):
+    status = context.fleet.run(lambda: context.fleet.readiness(f"gateway-{number}"))
+    assert status == 503, status
+
+
+@when("a client sends a stream request once the port is open")
+def once_open(context):
+    async def answered():
+        try:
+            return await ask(context, "stream")
+        except httpcore.NetworkError:
+            return None
+
+    context.answer = context.fleet.run(lambda: until("the port is open", answered))
+
+
+@when("{count:d} clients send a stream request while gateway 1 is stopped as planned")
+def beside_stop(context, count):
+    process = context.fleet.processes["gateway-1"]
+    context.stopped_at = time.monotonic()
+    ask_all(
+        context,
+        count,
+        "stream",
+        "gateway-1",
+        beside=lambda: process.signal(signal.SIGTERM),
+    )
+
+
+@then("gateway {number:d} has exited with code {code:d} within {seconds:d} s")
+def has_exited(context, number, code, seconds):
+    assert context.fleet.processes[f"gateway-{number}"].wait() == code
+    assert time.monotonic() - context.stopped_at < seconds + 1
+
+
+# The operator and the runners.
+
+
+@when("the operator removes the stream route")
+def remove_route(context):
+    routes = [r for r in context.fleet.config["routes"] if r["name"] != "r-stream"]
+    context.fleet.run(lambda: context.fleet.apply_config(routes=routes))
+
+
+@then("within {seconds:d} s every gateway answers a stream request with {status:d}")
+def within(context, seconds, status):
+    time.sleep(seconds)
+    for name in context.fleet.names:
+        answer = context.fleet.run(lambda n=name: ask(context, "stream", n))
+        assert answer.status == status, answer
+
+
+@when("the operator writes a document that does not fit")
+def bad_document(context):
+    context.fleet.run(lambda: context.fleet.put("op/config", b'{"version": "no"'))
+    time.sleep(1.5)
+
+
+@when("runner {number:d} is leaving")
+def leaving(context, number):
+    name = f"runner-{number}"
+    context.fleet.run(lambda: context.fleet.list_runner(name, state="draining"))
+
+
+@when("runner {number:d} is removed")
+def removed(context, number):
+    context.fleet.run(lambda: context.fleet.unlist_runner(f"runner-{number}"))
+
+
+@when("{seconds:d} s pass")
+def passing(context, seconds):
+    time.sleep(seconds)
+
+
+@then("runner {number:d} has run nothing")
+def ran_nothing(context, number):
+    report = context.fleet.run(lambda: context.fleet.control(f"runner-{number}"))
+    assert report["runs"] == [], report["runs"]
--- a/tests/harness/__init__.py
+++ b/tests/harness/__init__.py
@@ -1,6 +1,28 @@
-"""Starts stand-ins and entry instances as processes, and looks at them."""
+"""Starts stand-ins and instances as processes, and looks at them."""
 
 from tests.harness._fleet import Deployment, Fleet
+from tests.harness._gateways import (
+    JOBS,
+    ONCE,
+    PLAIN,
+    RESUMABLE,
+    STREAM,
+    Answer,
+    Gateways,
+)
 from tests.harness._processes import Process, free_port, until
 
-__all__ = ["Deployment", "Fleet", "Process", "free_port", "until"]
+__all__ = [
+    "JOBS",
+    "ONCE",
+    "PLAIN",
+    "RESUMABLE",
+    "STREAM",
+    "Answer",
+    "Deployment",
+    "Fleet",
+    "Gateways",
+    "Process",
+    "free_port",
+    "until",
+]
--- /dev/null
+++ b/tests/harness/_gateways.py
@@ -0,0 +1,370 @@
+"""Gateway instances as processes, before stand-ins of the users' platform."""
+
+from __future__ import annotations
+
+import base64
+import json
+import os
+import pathlib
+import shutil
+import signal
+import tempfile
+from collections.abc import Awaitable, Callable
+from typing import Any, TypeVar
+
+import attrs
+import httpcore
+import msgspec
+import trio
+import yaml
+
+from coppercleat.platform import StoreClient
+from coppercleat.storage import Put, Transaction, TransactionRefused
+from tests.harness._processes import Process, free_port, until
+
+_T = TypeVar("_T")
+SERVICE = "menus"
+STREAM = ("stream.example", "/ask/")
+RESUMABLE = ("resumable.example", "/check/")
+PLAIN = ("plain.example", "/calc/")
+ONCE = ("once.example", "/pay/")
+JOBS = ("jobs.example", "/week/")
+_ZONES = ("burgos-a", "logrono-b", "vitoria-c")
+
+
+@attrs.define
+class Answer:
+    """What a client got.
+
+    Attributes:
+      whole: Whether the body came to its end.
+    """
+
+    status: int
+    headers: dict[str, str]
+    body: bytes
+    whole: bool
+
+    @property
+    def events(self) -> list[int]:
+        """Numbers of the events in the body, in order."""
+        lines = self.body.decode().splitlines()
+        return [int(line[4:]) for line in lines if line.startswith("id: ")]
+
+
+class Gateways:
+    """Starts gateways, runners and the store, and ends them."""
+
+    def __init__(self, *, gateways: int, runners: int) -> None:
+        self.directory = pathlib.Path(tempfile.mkdtemp(prefix="coppercleat-"))
+        self.processes: dict[str, Process] = {}
+        self.ports: dict[str, dict[str, int]] = {}
+        self.store_port = free_port()
+        self.versions: dict[str, int] = {}
+        self.config: dict[str, Any] = default_config()
+        self.runners = [f"runner-{n + 1}" for n in range(runners)]
+        self.names = [f"gateway-{n + 1}" for n in range(gateways)]
+
+    def start(self) -> None:
+        """Starts everything and waits until all gateways are ready."""
+        self._process("store", "tests.standins.platform", self.store_port)
+        for name in self.runners:
+            self.ports[name] = {"http": free_port()}
+            port = self.ports[name]["http"]
+            self._process(name, "tests.standins.runner", port, f"--name={name}")
+        trio.run(self._publish)
+        for name in self.names:
+            self.start_gateway(name)
+        for name in self.names:
+            trio.run(self.ready, name)
+
+    def close(self) -> None:
+        """Ends everything."""
+        for process in self.processes.values():
+            process.signal(signal.SIGCONT)
+            process.close()
+        shutil.rmtree(self.directory)
+
+    def run(self, function: Callable[..., Awaitable[_T]], *args: Any) -> _T:
+        """Runs an async function."""
+        return trio.run(function, *args)
+
+    def _process(self, name: str, module: str, port: int, *flags: str) -> None:
+        arguments = ["-m", module, "--port", str(port), *flags]
+        self.processes[name] = Process(name, arguments)
+
+    def start_gateway(self, name: str) -> None:
+        """Starts a gateway, or starts it again under the same name and ports."""
+        ports = self.ports.setdefault(
+            name, {use: free_port() for use in ("front", "readiness", "control")}
+        )
+        settings = self.settings(name, ports)
+        path = self.directory / f"{name}.yaml"
+        path.write_text(yaml.safe_dump(settings))
+        os.environ["COPPERCLEAT_CONFIG"] = str(path)
+        arguments = ["deploy/start.py", "gateway", "--log_level=debug"]
+        self.processes[name] = Process(name, arguments)
+
+    def settings(self, name: str, ports: dict[str, int]) -> dict[str, Any]:
+        """Returns the settings file of a gateway, as the platform writes it."""
+        seeds = [
+            f"127.0.0.1:{p['control']}" for p in self.ports.values() if "control" in p
+        ]
+        zone = _ZONES[self.names.index(name) % len(_ZONES)]
+        return {
+            "nodeName": name,
+            "role": "gateway",
+            "zone": zone,
+            "region": "norte-es",
+            "ip": "127.0.0.1",
+            "listenAddrs": {use: f"127.0.0.1:{port}" for use, port in ports.items()},
+            "portRange": [ports["control"], ports["control"]],
+            "seedNodes": seeds[:3],
+            "bounds": {"graceS": 8, "configApplyMs": 2000, "quotaOvershoot": 0.1},
+            "platform": {
+                "address": f"127.0.0.1:{self.store_port}",
+                "writesPerS": 800,
+                "readsPerS": 2000,
+            },
+            "aNewField": {"that": ["nobody", "knows"]},
+        }
+
+    # The operator and the runners.
+
+    async def _publish(self) -> None:
+        await until("the store starts", lambda: _answers(self.store_port))
+        for name in self.runners:
+            port = self.ports[name]["http"]
+            await until(f"{name} starts", lambda p=port: _answers(p))
+            await self.list_runner(name)
+        await self.apply_config()
+
+    async def list_runner(self, name: str, *, state: str = "ready") -> None:
+        """Writes a runner's entry."""
+        entry = {
+            "service": SERVICE,
+            "address": f"127.0.0.1:{self.ports[name]['http']}",
+            "zone": _ZONES[self.runners.index(name) % len(_ZONES)],
+            "version": "v1",
+            "slots": 8,
+            "state": state,
+            "coldLeftMs": 0,
+            "seqNo": 1,
+        }
+        await self.put(f"servers/{name}", entry)
+
+    async def unlist_runner(self, name: str) -> None:
+        """Removes a runner's entry."""
+        async with _store(self.store_port) as store:
+            await store.transact(Transaction(deletes=[f"servers/{name}"]))
+
+    async def apply_config(self, **changes: Any) -> None:
+        """Writes a new version of the operator's document."""
+        self.config |= changes
+        self.config["version"] += 3
+        await self.put("op/config", self.config)
+
+    async def put(self, key: str, value: Any) -> None:
+        """Writes a row as the platform's own writers do, under no condition."""
+        data = value if isinstance(value, bytes) else msgspec.json.encode(value)
+        async with _store(self.store_port) as store:
+            answer = await store.transact(Transaction(puts=[Put(key, data)]))
+            assert not isinstance(answer, TransactionRefused)
+
+    async def rows(self, prefix: str, part: str = "") -> list[tuple[str, Any]]:
+        """Returns rows of the store."""
+        async with _store(self.store_port) as store:
+            return await store.scan(prefix, part=part)
+
+    async def control(self, name: str, **knobs: Any) -> dict[str, Any]:
+        """Sets knobs of a stand-in, and returns its report."""
+        port = self.store_port if name == "store" else self.ports[name]["http"]
+        async with httpcore.AsyncConnectionPool() as pool:
+            body = json.dumps(knobs).encode()
+            method = "POST" if knobs else "GET"
+            url = f"http://127.0.0.1:{port}/control"
+            response = await pool.request(method, url, content=body)
+            return json.loads(response.content)
+
+    async def runs(self) -> list[dict[str, Any]]:
+        """Returns all runs of all runners."""
+        found: list[dict[str, Any]] = []
+        for name in self.runners:
+            report = await self.control(name)
+            found += [{**run, "runner": name} for run in report["runs"]]
+        return found
+
+    # Clients.
+
+    async def ready(self, name: str) -> None:
+        """Waits until a gateway says that it is ready."""
+
+        async def says_so() -> bool:
+            process = self.processes[name]
+            assert process.running, f"{name} ended: {process.output()[-3000:]}"
+            return await self.readiness(name) == 200
+
+        await until(f"{name} is ready", says_so)
+
+    async def readiness(self, name: str) -> int:
+        """Returns the status of a gateway's readiness, 0 for no answer."""
+        port = self.ports[name]["readiness"]
+        try:
+            async with httpcore.AsyncConnectionPool() as pool:
+                url = f"http://127.0.0.1:{port}/v1/readiness"
+                with trio.fail_after(2):
+                    return (await pool.request("GET", url)).status
+        except (httpcore.NetworkError, httpcore.ProtocolError, trio.TooSlowError):
+            return 0
+
+    async def call(
+        self,
+        name: str,
+        method: str,
+        host: str,
+        target: str,
+        *,
+        headers: dict[str, str] | None = None,
+        body: bytes = b"",
+    ) -> Answer:
+        """Makes a client's call on a connection of its own."""
+        port = self.ports[name]["front"]
+        wire = [("host", host), *(headers or {}).items()]
+        if body:
+            wire.append(("content-length", str(len(body))))
+        parts: list[bytes] = []
+        url = f"http://127.0.0.1:{port}{target}"
+        async with (
+            httpcore.AsyncConnectionPool() as pool,
+            pool.stream(method, url, headers=wire, content=body or None) as response,
+        ):
+            whole = True
+            try:
+                async for part in response.aiter_stream():
+                    parts.append(part)
+            except (httpcore.NetworkError, httpcore.ProtocolError):
+                whole = False
+            found = {k.decode().lower(): v.decode() for k, v in response.headers}
+            return Answer(response.status, found, b"".join(parts), whole)
+
+    async def ask(
+        self,
+        name: str,
+        route: tuple[str, str],
+        request: str,
+        *,
+        deadline_ms: int = 5000,
+        **headers: str,
+    ) -> Answer:
+        """Sends an online request."""
+        host, prefix = route
+        sent = {"request-id": request, "deadline-ms": str(deadline_ms)}
+        sent |= {key.replace("_", "-"): value for key, value in headers.items()}
+        body = f"prompt of {request}".encode()
+        target = prefix + "x?q=%2F1"
+        return await self.call(name, "POST", host, target, headers=sent, body=body)
+
+    async def submit(self, name: str, job: str, items: list[str]) -> Answer:
+        """Submits a job with items of these bodies."""
+        wire = [
+            {
+                "id": f"{job}-item-{index}",
+                "path": f"{JOBS[1]}{index}",
+                "headers": {"Model-Name": "m", "Token-Count": "100,50"},
+                "body": base64.b64encode(text.encode()).decode(),
+                "tokens": 150,
+            }
+            for index, text in enumerate(items)
+        ]
+        body = json.dumps({"items": wire}).encode()
+        headers = {"request-id": job}
+        return await self.call(
+            name, "POST", JOBS[0], JOBS[1] + "submit", headers=headers, body=body
+        )
+
+    async def results(self, name: str, job: str, after: int = 0) -> dict[str, Any]:
+        """Reads a job's results."""
+        target = f"/v1/lots/{job}?after={after}"
+        answer = await self.call(name, "GET", JOBS[0], target)
+        assert answer.status == 200, answer
+        return json.loads(answer.body)
+
+    async def whole_job(self, name: str, job: str) -> list[dict[str, Any]]:
+        """Waits until all results of a job are listed, and returns them."""
+
+        async def done() -> list[dict[str, Any]] | None:
+            try:
+                page = await self.results(name, job)
+            except (AssertionError, httpcore.NetworkError):
+                return None
+            return page["results"] if page["next"] == page["total"] else None
+
+        return await until(f"{job} is whole", done)
+
+
+def default_config() -> dict[str, Any]:
+    """Returns an operator's document with a route of each kind."""
+
+    def route(name: str, where: tuple[str, str], kind: str, **more: Any) -> dict:
+        fields = {
+            "name": name,
+            "hostname": where[0],
+            "prefix": where[1],
+            "routeType": kind,
+            "timeoutMs": 5000,
+            "targetLatencyMs": 300,
+            "priority": 0,
+            "service": SERVICE,
+            "maxAttempts": 1,
+        }
+        return fields | more
+
+    return {
+        "version": 1,
+        "routes": [
+            route("r-stream", STREAM, "stream", gapTargetMs=200),
+            route("r-resumable", RESUMABLE, "stream", maxAttempts=3, resumable=True),
+            route("r-plain", PLAIN, "idempotent", maxAttempts=3),
+            route("r-once", ONCE, "non_idempotent"),
+            route(
+                "r-jobs",
+                JOBS,
+                "batch",
+                maxAttempts=3,
+                completionTargetMs=18_000,
+                retentionS=60,
+                maxCount=10_000,
+            ),
+        ],
+        "services": [{"name": SERVICE, "healthPath": "/health", "maxConns": 290}],
+        "limits": {
+            "maxHeaderBytes": 16_384,
+            "maxBodyBytes": 100_000,
+            "headerTimeoutMs": 3000,
+            "idleTimeoutMs": 15_000,
+        },
+    }
+
+
+def _store(port: int) -> Any:
+    return _Closing(StoreClient(f"http://127.0.0.1:{port}"))
+
+
+class _Closing:
+    def __init__(self, store: StoreClient) -> None:
+        self.store = store
+
+    async def __aenter__(self) -> StoreClient:
+        return self.store
+
+    async def __aexit__(self, *error: object) -> None:
+        await self.store.aclose()
+
+
+async def _answers(port: int) -> bool:
+    try:
+        async with httpcore.AsyncConnectionPool() as pool:
+            await pool.request("GET", f"http://127.0.0.1:{port}/control")
+    except httpcore.NetworkError:
+        return False
+    return True
--- a/tests/standins/platform.py
+++ b/tests/standins/platform.py
@@ -1,13 +1,15 @@
-"""Stand-in for the platform: table service, object store and node list.
+"""Stand-in for the users' platform: its store, by its published protocol.
 
-Speaks the protocol of ``coppercleat.storage`` over HTTP, with knobs for
-latency, outage, lost answers, stale reads and the lag of the list. A path
-prefix ``/from/ZONE`` says where the caller is; that zone may be cut off, and
-is given its own addresses for nodes, so that a proxy can stand on each way.
+Rows under conditions, the feed of changes, objects, and the product's own list of
+nodes as rows; with knobs for latency, outage, lost answers, stale reads, dropped
+history and the lag of the list. A path prefix ``/from/ZONE`` says where the caller
+is; that zone may be cut off, and is given its own addresses for nodes, so that a
+proxy can stand on each way.
 """
 
 from __future__ import annotations
 
+import base64
 import random
 from typing import Any
 from urllib.parse import parse_qs, unquote
@@ -17,15 +19,20 @@
 
 from coppercleat.asgi import read_body, send_json, send_part, start_response
 from coppercleat.storage import (
-    Listing,
+    Check,
     MemoryPlatform,
     Node,
+    Put,
     Row,
     Transaction,
     TransactionRefused,
 )
 from tests.standins.control import Controlled, arguments, run_standin, start
 
+_MOST_ROWS = 500
+_MOST_BYTES = 700_000
+_MOST_ENTRIES = 100
+
 
 class Knobs(msgspec.Struct, kw_only=True):
     """What a test can set.
@@ -37,6 +44,7 @@
       lose_next: So many further changes take effect and lose their answer.
       lose_share: Share of changes that do, at random from the seed.
       late_effect_s: Lost changes take effect so much later.
+      dropped_before: Changes up to this version are no longer kept.
       stale_reads: Reads see the state when this was set.
       list_lag_s: Age of the node list given out.
       cut_zones: Zones whose calls hang.
@@ -50,6 +58,7 @@
     lose_next: int = 0
     lose_share: float = 0.0
     late_effect_s: float = 0.0
+    dropped_before: int = 0
     stale_reads: bool = False
     list_lag_s: float = 0.0
     cut_zones: list[str] = msgspec.field(default_factory=list)
@@ -95,46 +104,104 @@
             await send_json(send, 503, {"error": "outage"})
             return
         await trio.sleep(self.knobs.latency_s)
-        if path.startswith("/v1/objects"):
+        query = {
+            name: values[0]
+            for name, values in parse_qs(scope["query_string"].decode()).items()
+        }
+        if path.startswith("/v1/blob-"):
             await self._objects(scope, path, body, send)
-        elif path == "/v1/nodes":
-            await send_json(send, 200, Listing(tuple(self._nodes(zone))))
-        elif path == "/v1/transact":
+        elif path == "/v1/rows-tx":
             await self._transact(body, send)
+        elif path == "/v1/rows-feed":
+            await self._feed(query, send)
+        elif path == "/v1/rows-parts":
+            parts = await self.memory.parts(query["table"])
+            await send_json(send, 200, {"parts": parts, "truncated": False})
+        elif query["table"] == "node":
+            await self._answer(send, self._nodes(zone), truncated=False)
         else:
-            await self._rows(path, body, send)
+            await self._rows(query, send)
 
-    def _nodes(self, zone: str) -> list[Node]:
+    def _nodes(self, zone: str) -> list[tuple[str, str, Row]]:
         now = trio.current_time()
         seen: list[Node] = []
         for at, nodes in self.listings:
             if at <= now - self.knobs.list_lag_s or not seen:
                 seen = nodes
         addresses = self.knobs.addresses.get(zone, {})
-        return [
+        listed = [
             msgspec.structs.replace(n, address=addresses.get(n.id, n.address))
             for n in seen
         ]
+        self.memory.reads += 1
+        return [("", f"node/{n.id}", Row(msgspec.json.encode(n), 1)) for n in listed]
 
-    async def _rows(self, path: str, body: bytes, send: Any) -> None:
-        request = msgspec.json.decode(body)
+    async def _rows(self, query: dict[str, str], send: Any) -> None:
         memory = self.memory
         if self.frozen is not None:
             memory = MemoryPlatform()
             memory.rows, memory.keys = self.frozen
-        if path == "/v1/read":
-            rows = memory.read_now(request["keys"])
-            found = sorted(rows.items())
-        else:
-            found = memory.scan_now(
-                request["prefix"], after=request["after"], limit=request["limit"]
-            )
-        if memory is not self.memory:
-            self.memory.reads += 1
-        await send_json(send, 200, {"rows": found})
+        table, part = query["table"], query.get("part", "")
+        begin, end = query.get("from", ""), query.get("to", "\x7f")
+        limit = min(_MOST_ROWS, int(query.get("limit", _MOST_ROWS)))
+        self.memory.reads += 1
+        everything = await memory.scan(f"{table}/", part=part, limit=1_000_000)
+        found = [
+            (part, key, row)
+            for key, row in everything
+            if begin <= key.partition("/")[2] < end
+        ]
+        size = 0
+        kept = []
+        for entry in found[:limit]:
+            size += len(entry[2].value)
+            if kept and size > _MOST_BYTES:
+                break
+            kept.append(entry)
+        await self._answer(send, kept, truncated=len(kept) < len(found))
+
+    async def _feed(self, query: dict[str, str], send: Any) -> None:
+        after = int(query["after"])
+        if after < self.knobs.dropped_before:
+            await send_json(send, 410, {})
+            return
+        changes = await self.memory.changes(query["table"], after=after)
+        rows = [(c.part, c.key, c.row) for c in changes.rows]
+        await self._answer(send, rows, truncated=False)
+
+    async def _answer(
+        self, send: Any, rows: list[tuple[str, str, Row | None]], *, truncated: bool
+    ) -> None:
+        wire = []
+        for part, key, row in rows:
+            table, _, name = key.partition("/")
+            entry: dict[str, Any] = {"table": table, "part": part, "key": name}
+            if row is None:
+                entry["tombstone"] = True
+            else:
+                entry["value"] = base64.b64encode(row.value).decode()
+                entry["ver"] = row.version
+            wire.append(entry)
+        answer = {
+            "rows": wire,
+            "truncated": truncated,
+            "ver": self.memory.last_version,
+            "nowMs": int(trio.current_time() * 1000),
+        }
+        await send_json(send, 200, answer)
 
     async def _transact(self, body: bytes, send: Any) -> None:
-        transaction = msgspec.json.decode(body, type=Transaction)
+        wire = msgspec.json.decode(body)
+        entries = [*wire["expectedRev"], *wire["put"], *wire["remove"]]
+        if len(entries) > _MOST_ENTRIES or len({e["part"] for e in entries}) > 1:
+            await send_json(send, 400, {"error": "too many entries, or parts"})
+            return
+        transaction = Transaction(
+            checks=[Check(_key(e), e["ver"]) for e in wire["expectedRev"]],
+            puts=[Put(_key(e), base64.b64decode(e["value"])) for e in wire["put"]],
+            deletes=[_key(e) for e in wire["remove"]],
+            part=entries[0]["part"] if entries else "",
+        )
         lost = self._loses()
         if lost and self.knobs.late_effect_s:
             self.nursery.start_soon(self._later, transaction)
@@ -142,10 +209,23 @@
         result = self.memory.transact_now(transaction)
         if lost:
             await trio.sleep_forever()
-        if isinstance(result, TransactionRefused):
-            await send_json(send, 409, result)
-        else:
-            await send_json(send, 200, {"versions": result})
+        if not isinstance(result, TransactionRefused):
+            await send_json(send, 200, {"ver": self.memory.last_version})
+            return
+        keys = [check.key for check in transaction.checks]
+        found = await self.memory.read(keys, part=transaction.part)
+        rows = [
+            {
+                "table": key.partition("/")[0],
+                "part": transaction.part,
+                "key": key.partition("/")[2],
+                "value": base64.b64encode(row.value).decode(),
+                "ver": row.version,
+            }
+            for key, row in found.items()
+        ]
+        answer = {"rows": rows, "ver": self.memory.last_version}
+        await send_json(send, 412, answer)
 
     async def _later(self, transaction: Transaction) -> None:
         await trio.sleep(self.knobs.late_effect_s)
@@ -158,15 +238,17 @@
         return self.rng.random() < self.knobs.lose_share
 
     async def _objects(self, scope: Any, path: str, body: bytes, send: Any) -> None:
-        name = unquote(path.removeprefix("/v1/objects").removeprefix("/"))
-        if not name:
+        call, _, name = path.removeprefix("/v1/").partition("/")
+        name = unquote(name)
+        if call == "blob-list":
             query = parse_qs(scope["query_string"].decode())
             prefix = query.get("prefix", [""])[0]
-            await send_json(send, 200, await self.memory.list_objects(prefix))
-        elif scope["method"] == "PUT":
+            names = await self.memory.list_objects(prefix)
+            await send_json(send, 200, {"names": names, "truncated": False})
+        elif call == "blob-put":
             await self.memory.put_object(name, body)
             await send_json(send, 200, {})
-        elif scope["method"] == "DELETE":
+        elif call == "blob-drop":
             await self.memory.delete_object(name)
             await send_json(send, 200, {})
         else:
@@ -176,6 +258,10 @@
             await send_part(send, found or b"", more=False)
 
 
+def _key(entry: dict[str, Any]) -> str:
+    return f"{entry['table']}/{entry['key']}"
+
+
 async def main(port: int) -> None:
     """Serves until killed."""
     async with trio.open_nursery() as nursery:
--- /dev/null
+++ b/tests/standins/runner.py
@@ -0,0 +1,187 @@
+"""Stand-in for a model runner of the users' platform, by its published protocol.
+
+Admits requests as they come into its slots, streams numbered events, resumes after
+the last event that the caller has, and logs each run; with knobs for its faults.
+"""
+
+from __future__ import annotations
+
+from typing import Any
+
+import msgspec
+import trio
+
+from coppercleat.asgi import read_body
+from tests.standins.control import Controlled, arguments, run_standin, start
+
+
+class Knobs(msgspec.Struct, kw_only=True):
+    """What a test can set; counts are of further requests that it hits.
+
+    Attributes:
+      events: Events of a whole answer.
+      event_s: Time between events.
+      slots: Requests that run side by side.
+      queue: Requests that wait beyond these.
+      instance: Its id; a request that expects another gets 421.
+      shed_next: So many requests are refused as not executed.
+      cut_next: So many answers are cut.
+      cut_after: After so many events.
+      torn: Whether the cut falls into the middle of an event.
+      cross_next: So many answers bear another request's id.
+      fail_next: So many requests are answered with a failure.
+      failing: Whether all are.
+      fail_status: Which failure that is.
+      impossible: Items with this text in their body are answered with 422.
+      silent: Take requests and send nothing.
+    """
+
+    events: int = 5
+    event_s: float = 0.01
+    slots: int = 8
+    queue: int = 24
+    instance: str = ""
+    shed_next: int = 0
+    cut_next: int = 0
+    cut_after: int = 2
+    torn: bool = False
+    cross_next: int = 0
+    fail_next: int = 0
+    failing: bool = False
+    fail_status: int = 500
+    impossible: str = ""
+    silent: bool = False
+
+
+class CutError(Exception):
+    """Ends an answer in the middle."""
+
+
+class RunnerStandin(Controlled):
+    """Serves requests with faults and logs what it ran."""
+
+    def __init__(self, name: str) -> None:
+        super().__init__(Knobs(instance=name))
+        self.name = name
+        self.runs: list[dict[str, Any]] = []
+        self.running = 0
+        self.waiting = 0
+        self.waited_s = 0.0
+        self.most_running = 0
+
+    def report(self) -> dict[str, Any]:
+        return {
+            "runs": self.runs,
+            "running": self.running,
+            "most_running": self.most_running,
+            "waited_s": self.waited_s,
+        }
+
+    async def serve(self, scope: Any, receive: Any, send: Any) -> None:
+        knobs = self.knobs
+        headers = {name.decode(): value.decode() for name, value in scope["headers"]}
+        body = await read_body(receive)
+        if headers.get("expect-instance") not in (None, knobs.instance):
+            await self._answer(send, 421, [(b"instance-id", knobs.instance.encode())])
+            return
+        if self.running + self.waiting >= knobs.slots + knobs.queue or knobs.shed_next:
+            knobs.shed_next -= knobs.shed_next > 0
+            await self._answer(send, 503, [(b"not-executed", b"1")])
+            return
+        run = {
+            "id": headers.get("request-id", ""),
+            "target": scope["raw_path"].decode() + _query(scope),
+            "body": body.decode("latin-1"),
+            "deadline_ms": headers.get("deadline-ms"),
+            "after": headers.get("last-event-id"),
+            "events": 0,
+            "ended": "",
+        }
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(_cancel_when_left, receive, nursery.cancel_scope)
+            await self._wait_for_slot()
+            self.runs.append(run)
+            try:
+                await self._run(run, send)
+                run["ended"] = "complete"
+            finally:
+                run["ended"] = run["ended"] or "left"
+                self.running -= 1
+            nursery.cancel_scope.cancel()
+
+    async def _wait_for_slot(self) -> None:
+        began = trio.current_time()
+        self.waiting += 1
+        try:
+            while self.running >= self.knobs.slots:
+                await trio.sleep(0.002)
+        finally:
+            self.waiting -= 1
+        self.running += 1
+        self.most_running = max(self.most_running, self.running)
+        self.waited_s = max(self.waited_s, trio.current_time() - began)
+
+    async def _run(self, run: dict[str, Any], send: Any) -> None:
+        knobs = self.knobs
+        if knobs.silent:
+            await trio.sleep_forever()
+        echoed = run["id"]
+        if knobs.cross_next > 0:
+            knobs.cross_next -= 1
+            echoed = "another"
+        stamp = (b"response-stamp", f"{self.name}.{run['id']}".encode())
+        head = [(b"request-id", echoed.encode()), stamp]
+        if knobs.impossible and knobs.impossible in run["body"]:
+            await self._answer(send, 422, head)
+            return
+        if knobs.failing or knobs.fail_next > 0:
+            knobs.fail_next -= knobs.fail_next > 0
+            await self._answer(send, knobs.fail_status, head)
+            return
+        cut = knobs.cut_next > 0
+        knobs.cut_next -= cut
+        await send({"type": "http.response.start", "status": 200, "headers": head})
+        first = int(run["after"]) + 1 if run["after"] is not None else 1
+        for number in range(first, knobs.events + 1):
+            await trio.sleep(knobs.event_s)
+            data = f"id: {number}\ndata: word {number}\n\n".encode()
+            if cut and run["events"] >= knobs.cut_after:
+                if knobs.torn:
+                    await send(_part(data[:9]))
+                run["ended"] = "cut"
+                raise CutError
+            await send(_part(data))
+            run["events"] += 1
+        await send({"type": "http.response.body", "body": b""})
+
+    async def _answer(
+        self, send: Any, status: int, headers: list[tuple[bytes, bytes]]
+    ) -> None:
+        head = [*headers, (b"content-length", b"0")]
+        await send({"type": "http.response.start", "status": status, "headers": head})
+        await send({"type": "http.response.body", "body": b""})
+
+
+def _part(data: bytes) -> dict[str, Any]:
+    return {"type": "http.response.body", "body": data, "more_body": True}
+
+
+def _query(scope: Any) -> str:
+    query = scope["query_string"].decode()
+    return f"?{query}" if query else ""
+
+
+async def _cancel_when_left(receive: Any, scope: trio.CancelScope) -> None:
+    while (await receive())["type"] != "http.disconnect":
+        pass
+    scope.cancel()
+
+
+async def main(port: int, name: str) -> None:
+    """Serves until killed."""
+    await run_standin(RunnerStandin(name), port)
+
+
+if __name__ == "__main__":
+    options = arguments("name")
+    start(main, options.port, options.name)
