--- a/Makefile
+++ b/Makefile
@@ -33,9 +33,11 @@
 	$(BIN)/mypy
 
 generate: setup
+	rm -rf build/generated && mkdir -p build/generated
 	PATH="$(CURDIR)/$(BIN):$$PATH" $(BIN)/python -m grpc_tools.protoc -I proto \
-	  --py_out=src --connectrpc_out=src proto/coppercleat/v1/*.proto
-	rm -f src/__init__.py
+	  --py_out=build/generated --connectrpc_out=build/generated \
+	  proto/coppercleat/v1/*.proto
+	cp build/generated/coppercleat/v1/*.py src/coppercleat/v1/
 
 binary: setup
 	mkdir -p dist
@@ -46,10 +48,10 @@
 	$(BIN)/python -m tools.reference
 
 generated: generate reference
-	git diff --exit-code --stat -- src/coppercleat/v1 docs/operations
+	git diff --exit-code --stat -- src docs/operations
 
 behave: setup
-	$(BIN)/behave --no-capture tests/features
+	$(BIN)/python -m tools.behave_shards
 
 bench: setup
 	$(BIN)/python -m bench.online
--- a/src/coppercleat/gateway/__init__.py
+++ b/src/coppercleat/gateway/__init__.py
@@ -2,6 +2,14 @@
 
 from coppercleat.gateway._gateway import Gateway
 from coppercleat.gateway._jobs_desk import JobAnswer, JobsDesk
+from coppercleat.gateway._metrics import GatewayMetrics
 from coppercleat.gateway._run import GatewayEdges, run_gateway
 
-__all__ = ["Gateway", "GatewayEdges", "JobAnswer", "JobsDesk", "run_gateway"]
+__all__ = [
+    "Gateway",
+    "GatewayEdges",
+    "GatewayMetrics",
+    "JobAnswer",
+    "JobsDesk",
+    "run_gateway",
+]
--- a/src/coppercleat/gateway/_gateway.py
+++ b/src/coppercleat/gateway/_gateway.py
@@ -5,9 +5,11 @@
 import random
 import time
 
+import aioprometheus
 import trio
 
 from coppercleat.gateway._jobs_desk import JobsDesk
+from coppercleat.gateway._metrics import GatewayMetrics
 from coppercleat.ids import random_token
 from coppercleat.jobs import JobBoard, JobWorker, Ledger
 from coppercleat.observability import part_logger
@@ -50,6 +52,7 @@
         platform: Platform,
         catalogue: Catalogue,
         caller: UpstreamCaller,
+        metrics: GatewayMetrics,
         rng: random.Random | None = None,
     ) -> None:
         """Builds the parts; nothing runs yet.
@@ -59,6 +62,7 @@
           platform: What must last.
           catalogue: Routes and upstreams as others have written them.
           caller: Reaches upstreams.
+          metrics: Counts what happens.
           rng: Source of randomness.
         """
         self.settings = settings
@@ -81,7 +85,13 @@
             incarnation=time.time_ns() // 1_000_000,
             rng=self.rng,
         )
-        self.forwarder = Forwarder(self.placement, caller, on_change=self._work_changed)
+        self.metrics = metrics
+        self.forwarder = Forwarder(
+            self.placement,
+            caller,
+            on_change=self._work_changed,
+            on_end=metrics.request_ended,
+        )
         self.board = JobBoard(platform)
         ledger = Ledger(platform, clock=time.time, rng=self.rng)
         self.worker = JobWorker(
@@ -95,12 +105,15 @@
             living=self.watch.living,
             holds_lease=self.watch.holds_lease,
             on_change=self._work_changed,
+            on_item_end=metrics.item_run_ended,
+            on_commit=metrics.committed,
         )
         self.desk = JobsDesk(
             ledger,
             self.board,
             self.worker,
             quota_tolerance=settings.quota_tolerance,
+            on_submit=lambda answer: metrics.jobs.inc({"outcome": answer}),
         )
         self._connect()
 
@@ -144,6 +157,17 @@
             return Refusal(reason=RefusalReason.NO_ROUTE, detail="no such route")
         return route
 
+    def render_metrics(self) -> bytes:
+        """Returns the metrics page as text."""
+        metrics = self.metrics
+        metrics.in_flight.set({}, self.in_flight)
+        metrics.route_version.set({}, self.watch.version)
+        metrics.peers.set({}, len(self.peers.others()))
+        metrics.owned_jobs.set({}, len(self.worker.runs))
+        metrics.late_jobs.set({}, self.worker.late_jobs())
+        page, _ = aioprometheus.render(metrics.registry, [])
+        return page
+
     async def forward(self, request: OnlineRequest, route: Route, reply: Reply) -> None:
         """Answers an online request."""
         await self.forwarder.forward(request, route, reply)
--- a/src/coppercleat/gateway/_jobs_desk.py
+++ b/src/coppercleat/gateway/_jobs_desk.py
@@ -81,6 +81,7 @@
         worker: JobWorker,
         *,
         quota_tolerance: float,
+        on_submit: Callable[[str], None],
     ) -> None:
         """Prepares the desk.
 
@@ -90,11 +91,13 @@
           worker: Runs the jobs accepted here.
           quota_tolerance: Share by which waiting tokens may exceed their limit;
             half of it is used, the rest covers what was not seen in time.
+          on_submit: Told how each submission was answered.
         """
         self.ledger = ledger
         self.board = board
         self.worker = worker
         self.quota_tolerance = quota_tolerance / 2
+        self.on_submit = on_submit
 
     async def submit(self, submission: Submission, route: Route) -> DeskReply:
         """Accepts a job once, or says truthfully that nothing of it will run."""
@@ -102,6 +105,7 @@
         reply = DeskReply(answer=JobAnswer.UNKNOWN)
         with trio.move_on_after(ACCEPT_WITHIN_S):
             reply = await self._accept(submission, route)
+        self.on_submit(reply.answer.value)
         _log.info(
             "Job submitted.",
             job=submission.job,
--- /dev/null
+++ b/src/coppercleat/gateway/_metrics.py
@@ -0,0 +1,75 @@
+"""Counters and latency histograms of a gateway instance."""
+
+from __future__ import annotations
+
+import aioprometheus
+from aioprometheus.collectors import Registry
+
+from coppercleat.serving import RequestEnd
+
+_SECONDS = [
+    0.01, 0.02, 0.035, 0.05, 0.075, 0.1, 0.15, 0.2, 0.3, 0.5, 0.75, 1.0, 2.0, 5.0, 10.0,
+]  # fmt: skip
+
+
+class GatewayMetrics:
+    """The instance's collectors; each name begins with ``coppercleat_``.
+
+    Attributes:
+      registry: What the metrics page renders.
+    """
+
+    def __init__(self) -> None:
+        self.registry = Registry()
+        self.requests = self._counter("requests_total", "Requests by how they ended")
+        self.tries = self._counter("tries_total", "Upstreams asked for requests")
+        self.first_event = aioprometheus.Histogram(
+            "coppercleat_first_event_seconds",
+            "Time from arrival to the first part of the answer",
+            registry=self.registry,
+            buckets=_SECONDS,
+        )
+        self.total = aioprometheus.Histogram(
+            "coppercleat_total_seconds",
+            "Time from arrival to the end",
+            registry=self.registry,
+            buckets=_SECONDS,
+        )
+        self.items = self._counter("item_runs_total", "Runs of items by how they ended")
+        self.commits = self._counter("commits_total", "Commits of jobs by outcome")
+        self.jobs = self._counter("jobs_total", "Submitted jobs by answer")
+        self.store_calls = self._counter(
+            "store_calls_total", "Calls to the platform's store, answered or not"
+        )
+        self.in_flight = self._gauge("in_flight", "Clients' calls in flight")
+        self.route_version = self._gauge("route_version", "Version of the routes")
+        self.peers = self._gauge("peers_heard", "Other instances that are heard of")
+        self.owned_jobs = self._gauge("owned_jobs", "Jobs that this instance runs")
+        self.late_jobs = self._gauge("late_jobs", "Owned jobs past their due time")
+
+    def request_ended(self, end: RequestEnd) -> None:
+        """Counts a request that has ended."""
+        route = {"route": end.route}
+        self.requests.inc({**route, "outcome": end.outcome})
+        self.tries.add(route, end.tries)
+        self.total.observe(route, end.total_s)
+        if end.first_s is not None:
+            self.first_event.observe(route, end.first_s)
+
+    def item_run_ended(self, outcome: str) -> None:
+        """Counts a run of an item."""
+        self.items.inc({"outcome": outcome})
+
+    def committed(self, outcome: str) -> None:
+        """Counts a commit."""
+        self.commits.inc({"outcome": outcome})
+
+    def store_called(self, answered: bool) -> None:
+        """Counts a call to the store."""
+        self.store_calls.inc({"answered": str(answered).lower()})
+
+    def _counter(self, name: str, doc: str) -> aioprometheus.Counter:
+        return aioprometheus.Counter(f"coppercleat_{name}", doc, registry=self.registry)
+
+    def _gauge(self, name: str, doc: str) -> aioprometheus.Gauge:
+        return aioprometheus.Gauge(f"coppercleat_{name}", doc, registry=self.registry)
--- a/src/coppercleat/jobs/_worker.py
+++ b/src/coppercleat/jobs/_worker.py
@@ -108,6 +108,8 @@
         living: Callable[[], list[str]],
         holds_lease: Callable[[], bool],
         on_change: Callable[[UpstreamState, bool], None],
+        on_item_end: Callable[[str], None],
+        on_commit: Callable[[str], None],
     ) -> None:
         """Prepares the worker.
 
@@ -123,6 +125,8 @@
           living: Names all living instances.
           holds_lease: Tells whether others still take this instance as alive.
           on_change: Told of each item that starts (True) or ends (False).
+          on_item_end: Told how each run of an item ended.
+          on_commit: Told how each commit ended.
         """
         self.ledger = ledger
         self.board = board
@@ -134,6 +138,8 @@
         self.living = living
         self.holds_lease = holds_lease
         self.on_change = on_change
+        self.on_item_end = on_item_end
+        self.on_commit = on_commit
         self.stopping = False
         self.runs: dict[JobId, JobRun] = {}
         self._running: list[_Running] = []
@@ -152,6 +158,11 @@
             nursery.start_soon(self._follow_forever)
             nursery.start_soon(self._start_forever)
 
+    def late_jobs(self) -> int:
+        """Returns how many jobs of this instance are past their due time."""
+        now = time.time()
+        return sum(run.due_at < now for run in self.runs.values())
+
     # Which jobs are ours.
 
     @property
@@ -283,6 +294,7 @@
         try:
             held = await self.ledger.commit(run.held, batch, partials, owner=owner)
         except CoppercleatError as error:
+            self.on_commit(error.kind)
             _log.info(
                 "A commit waits.",
                 job=run.held.row.job,
@@ -293,7 +305,9 @@
             await trio.sleep(_RETRY_S)
             return True
         if isinstance(held, Superseded):
+            self.on_commit("superseded")
             return self._settle(run, held)
+        self.on_commit("done")
         run.held = held
         del run.finished[: len(batch)]
         run.note_kept(partials)
@@ -394,6 +408,7 @@
         pause = _BROKEN_PAUSE_S if end is not ItemEnd.YIELDED else 0.0
         not_before = trio.current_time() + pause
         run.stop(item, end, max_attempts=route.max_attempts, not_before=not_before)
+        self.on_item_end(end.value)
         write = _log.info if end is not ItemEnd.YIELDED else _log.debug
         write(
             "Item run ended.",
--- a/src/coppercleat/platform/_edges.py
+++ b/src/coppercleat/platform/_edges.py
@@ -10,7 +10,7 @@
 from hypercorn.config import Config
 from hypercorn.trio import serve
 
-from coppercleat.gateway import Gateway, run_gateway
+from coppercleat.gateway import Gateway, GatewayMetrics, run_gateway
 from coppercleat.platform._catalogue import PlatformCatalogue
 from coppercleat.platform._ingress import Ingress, Readiness
 from coppercleat.platform._settings import load_platform_settings
@@ -78,11 +78,13 @@
 async def run_on_platform(path: pathlib.Path) -> None:
     """Runs a gateway instance by the platform's settings file until it is stopped."""
     settings = load_platform_settings(path)
-    store = StoreClient(f"http://{settings.store}")
+    metrics = GatewayMetrics()
+    store = StoreClient(f"http://{settings.store}", on_call=metrics.store_called)
     gateway = Gateway(
         settings.gateway,
         platform=store,
         catalogue=PlatformCatalogue(store),
         caller=HttpUpstreamCaller(),
+        metrics=metrics,
     )
     await run_gateway(gateway, PlatformEdges(path))
--- a/src/coppercleat/platform/_ingress.py
+++ b/src/coppercleat/platform/_ingress.py
@@ -390,5 +390,7 @@
         reply = HttpReply(send, closing=lambda: False)
         if scope["path"] == Path.READINESS:
             await reply.whole(200 if self.gateway.ready else 503, [_TEXT], b"")
+        elif scope["path"] == Path.METRICS:
+            await reply.whole(200, [_TEXT], self.gateway.render_metrics())
         else:
             await reply.whole(404, [_TEXT], b"no such page")
--- a/src/coppercleat/serving/__init__.py
+++ b/src/coppercleat/serving/__init__.py
@@ -1,7 +1,7 @@
 """Serves requests that are passed on unchanged, over one fleet of upstreams."""
 
 from coppercleat.serving._events import EventSplitter, StreamEvent
-from coppercleat.serving._forwarding import RETRY_AFTER_S, Forwarder
+from coppercleat.serving._forwarding import RETRY_AFTER_S, Forwarder, RequestEnd
 from coppercleat.serving._model import (
     ClientLimits,
     Header,
@@ -45,6 +45,7 @@
     "Refusal",
     "RefusalReason",
     "Reply",
+    "RequestEnd",
     "RequestProgress",
     "Route",
     "RouteConfig",
--- a/src/coppercleat/serving/_forwarding.py
+++ b/src/coppercleat/serving/_forwarding.py
@@ -48,6 +48,22 @@
 _log = part_logger("forward")
 
 
+@attrs.define(frozen=True, kw_only=True)
+class RequestEnd:
+    """How a request ended, for metrics.
+
+    Attributes:
+      route: The route's name.
+      first_s: Seconds to the first part of the answer; None if none came.
+    """
+
+    route: str
+    outcome: str
+    tries: int
+    first_s: float | None
+    total_s: float
+
+
 @attrs.define
 class _Exchange:
     """One request on its way."""
@@ -73,6 +89,7 @@
         caller: UpstreamCaller,
         *,
         on_change: Callable[[UpstreamState, bool], None],
+        on_end: Callable[[RequestEnd], None],
     ) -> None:
         """Prepares the forwarder.
 
@@ -80,10 +97,12 @@
           placement: Chooses upstreams and counts what is in flight.
           caller: Reaches upstreams.
           on_change: Told of each request that starts (True) or ends (False).
+          on_end: Told how each request ended.
         """
         self.placement = placement
         self.caller = caller
         self.on_change = on_change
+        self.on_end = on_end
         self.in_flight = 0
 
     async def forward(
@@ -272,6 +291,16 @@
         if exchange.progress.finished:
             # The client may close its connection before the attempt is wound up.
             step = NextStep.DONE
+        first_s = exchange.first_at - exchange.arrived_at
+        self.on_end(
+            RequestEnd(
+                route=exchange.route.name,
+                outcome=step.value,
+                tries=exchange.progress.tries + 1,
+                first_s=first_s if exchange.first_at else None,
+                total_s=now - exchange.arrived_at,
+            )
+        )
         write = _log.info if step is NextStep.DONE else _log.warning
         write(
             "Request ended.",
@@ -284,7 +313,7 @@
             last_event=exchange.progress.last_event,
             timed_out=timed_out,
             reason=exchange.reason,
-            first_ms=_ms(exchange.first_at - exchange.arrived_at),
+            first_ms=_ms(first_s),
             total_ms=_ms(now - exchange.arrived_at),
             allowed_ms=_ms(exchange.ends_at - exchange.arrived_at),
         )
--- a/tests/features/gateway.feature
+++ b/tests/features/gateway.feature
@@ -126,6 +126,7 @@
 
   Scenario Outline: The store <trouble> while a job runs
     Given 2 gateways and 2 runners
+    And every runner is set to {"events": 40, "event_s": 0.05}
     When a job of 12 items is submitted
     And the store is set to <knobs> for 3 s
     Then all its items are completed, each listed once and whole
--- a/tests/harness/_processes.py
+++ b/tests/harness/_processes.py
@@ -21,14 +21,21 @@
 DEFAULT_WAIT_S = 60.0
 
 
-_next_port = 20_000 + (os.getpid() * 97) % 10_000
+_PORTS_FROM = 20_000
+_PORTS = 12_000
+_SHARDS = 12
+"""Each shard of a test run takes ports of its own; see tools/behave_shards.py."""
+
+_shard = int(os.environ.get("COPPERCLEAT_TEST_SHARD", str(os.getpid() % _SHARDS)))
+_first_port = _PORTS_FROM + _shard % _SHARDS * (_PORTS // _SHARDS)
+_next_port = _first_port
 
 
 def free_port() -> int:
-    """Returns a TCP port that was free a moment ago; never the same twice."""
+    """Returns a TCP port that was free a moment ago; not the same again soon."""
     global _next_port  # noqa: PLW0603 - one counter for the whole test process
     while True:
-        _next_port = 20_000 + (_next_port - 20_000 + 1) % 12_000
+        _next_port = _first_port + (_next_port - _first_port + 1) % (_PORTS // _SHARDS)
         with socket.socket() as probe:
             probe.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
             try:
--- /dev/null
+++ b/tools/behave_shards.py
@@ -0,0 +1,157 @@
+"""Runs the scenarios side by side in a few processes, and adds up what they say.
+
+Each process takes scenarios from one queue, so that none waits for a slow feature.
+A scenario that KNOWN-RED.txt lists may fail; if it passes, that is said.
+"""
+
+from __future__ import annotations
+
+import collections
+import json
+import os
+import pathlib
+import subprocess
+import sys
+import tempfile
+import threading
+import time
+
+FEATURES = "tests/features"
+KNOWN_RED = pathlib.Path("KNOWN-RED.txt")
+SHARDS = max(1, min(6, (os.cpu_count() or 2) - 2))
+"""Processes at once: a scenario starts up to 20 processes that mostly wait."""
+
+BATCH = 6
+BATCH_TIMEOUT_S = 900
+_FAILED_TAIL = 6000
+
+
+def list_scenarios() -> list[tuple[str, str]]:
+    """Returns location and name of every scenario, rows of outlines apart."""
+    listed = subprocess.run(
+        [sys.executable, "-m", "behave", "--dry-run", "-f", "json", FEATURES],
+        capture_output=True,
+        text=True,
+        check=False,
+    )
+    text = listed.stdout
+    features, _ = json.JSONDecoder().raw_decode(text, text.index("["))
+    return [
+        (element["location"], element["name"])
+        for feature in features
+        for element in feature.get("elements", ())
+        if element["type"] != "background"
+    ]
+
+
+def known_red() -> list[str]:
+    """Returns the names of scenarios that are known to fail."""
+    if not KNOWN_RED.exists():
+        return []
+    lines = KNOWN_RED.read_text(encoding="utf-8").splitlines()
+    return [line.partition("|")[0].strip() for line in lines if line.strip()]
+
+
+def batches(scenarios: list[tuple[str, str]]) -> list[list[tuple[str, str]]]:
+    """Puts a few scenarios of a feature together, since each start costs a second."""
+    by_feature: dict[str, list[tuple[str, str]]] = {}
+    for scenario in scenarios:
+        by_feature.setdefault(scenario[0].partition(":")[0], []).append(scenario)
+    return [
+        of_feature[begin : begin + BATCH]
+        for of_feature in by_feature.values()
+        for begin in range(0, len(of_feature), BATCH)
+    ]
+
+
+class Run:
+    """One run of all scenarios.
+
+    Attributes:
+      failed: Location, name and output of each scenario that failed.
+      took: Seconds and first location of each batch.
+    """
+
+    def __init__(self, scenarios: list[tuple[str, str]]) -> None:
+        self.waiting = collections.deque(batches(scenarios))
+        self.passed: list[str] = []
+        self.failed: list[tuple[str, str, str]] = []
+        self.took: list[tuple[float, str]] = []
+
+    def work(self, shard: int) -> None:
+        """Runs batches until none is left."""
+        environment = {**os.environ, "COPPERCLEAT_TEST_SHARD": str(shard)}
+        while True:
+            try:
+                batch = self.waiting.popleft()
+            except IndexError:
+                return
+            began = time.monotonic()
+            passed, output = run_batch([at for at, _ in batch], environment)
+            self.took.append((time.monotonic() - began, batch[0][0]))
+            for location, name in batch:
+                if location in passed:
+                    self.passed.append(name)
+                else:
+                    self.failed.append((location, name, output))
+                    print(f"FAILED {location} {name}", flush=True)
+
+
+def run_batch(locations: list[str], environment: dict[str, str]) -> tuple[set, str]:
+    """Runs scenarios; returns the locations of those that passed, and the output."""
+    with tempfile.TemporaryDirectory() as directory:
+        report = pathlib.Path(directory) / "report.json"
+        command = [sys.executable, "-m", "behave", "--no-capture", "--no-color"]
+        command += ["-f", "json", "-o", str(report), "-f", "plain", *locations]
+        try:
+            done = subprocess.run(
+                command,
+                env=environment,
+                capture_output=True,
+                text=True,
+                errors="replace",
+                timeout=BATCH_TIMEOUT_S,
+                check=False,
+            )
+        except subprocess.TimeoutExpired as error:
+            return set(), f"not done within {BATCH_TIMEOUT_S} s: {error.output!r}"
+        if not report.exists():
+            return set(), done.stdout + done.stderr
+        features = json.loads(report.read_text(encoding="utf-8"))
+    passed = {
+        element["location"]
+        for feature in features
+        for element in feature.get("elements", ())
+        if element.get("status") == "passed"
+    }
+    return passed, done.stdout + done.stderr
+
+
+def main() -> int:
+    """Runs everything and prints the counts last."""
+    scenarios = list_scenarios()
+    run = Run(scenarios)
+    workers = [
+        threading.Thread(target=run.work, args=(shard,)) for shard in range(SHARDS)
+    ]
+    for worker in workers:
+        worker.start()
+    for worker in workers:
+        worker.join()
+    red = known_red()
+    unlisted = [failure for failure in run.failed if failure[1] not in red]
+    for location, name, output in run.failed:
+        print(f"--- {location} {name}\n{output[-_FAILED_TAIL:]}")
+        if name in red:
+            print(f"known red, see KNOWN-RED.txt: {name}")
+    for name in red:
+        if name in run.passed:
+            print(f"no longer red, take it off KNOWN-RED.txt: {name}")
+    slowest = ", ".join(f"{s:.0f} s {at}" for s, at in sorted(run.took)[:-6:-1])
+    print(f"slowest: {slowest}")
+    print(f"{len(run.passed)} passed, {len(unlisted)} failed")
+    return 1 if unlisted or not scenarios else 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
