Send each part of an answer whole or not at all

Ruled out: odd answers of upstreams (seven kinds, now scenarios, all 502 and the process lives). Change: each ASGI message is shielded; an exception in a call is logged.

--- a/src/coppercleat/observability/__init__.py
+++ b/src/coppercleat/observability/__init__.py
@@ -2,6 +2,14 @@
 
 from coppercleat.observability._logs import configure_logs, part_logger
 from coppercleat.observability._metrics import Metrics
+from coppercleat.observability._output import LineBudget, LineOutput
 from coppercleat.observability._ring import EventRing
 
-__all__ = ["EventRing", "Metrics", "configure_logs", "part_logger"]
+__all__ = [
+    "EventRing",
+    "LineBudget",
+    "LineOutput",
+    "Metrics",
+    "configure_logs",
+    "part_logger",
+]
--- a/src/coppercleat/platform/_ingress.py
+++ b/src/coppercleat/platform/_ingress.py
@@ -5,6 +5,7 @@
 import base64
 import binascii
 from collections.abc import Awaitable, Callable
+from typing import Any
 from urllib.parse import parse_qs, unquote
 
 import msgspec
@@ -14,6 +15,7 @@
 from coppercleat.gateway import Gateway, JobAnswer
 from coppercleat.ids import JobId, RequestId
 from coppercleat.jobs import ItemSpec, ItemState, ResultsPage, Submission
+from coppercleat.observability import part_logger
 from coppercleat.platform._names import CONNECTION_HEADERS, HeaderName, Path
 from coppercleat.serving import (
     ClientLimits,
@@ -25,6 +27,8 @@
     RouteKind,
 )
 
+_log = part_logger("ingress")
+
 MAX_ITEMS = 200
 """Items of one job, by the platform."""
 
@@ -94,14 +98,25 @@
 class HttpReply:
     """Sends an answer over ASGI; see ``Reply``.
 
-    Attributes:
-      closing: Whether the connection is to be closed after the answer.
+    Each message is sent whole or not at all: the server counts a message as sent
+    before it waits for the socket, so one that is cancelled in between would leave
+    the connection in a state that the server does not expect, and ends the process.
     """
 
     def __init__(self, send: Send, *, closing: Callable[[], bool]) -> None:
-        self._send = send
+        """Prepares the reply.
+
+        Args:
+          send: The ASGI server's.
+          closing: Tells whether the connection is to be closed after the answer.
+        """
+        self._unshielded_send = send
         self._closing = closing
 
+    async def _send(self, message: dict[str, Any]) -> None:
+        with trio.CancelScope(shield=True):
+            await self._unshielded_send(message)
+
     async def start(self, status: int, headers: list[Header]) -> None:
         """See ``Reply.start``."""
         if self._closing():
@@ -156,6 +171,10 @@
             await self._answer(scope, receive, reply)
         except _BadCallError as error:
             await reply.refuse(error.refusal)
+        except Exception as error:
+            # The server ends the answer; its own log is off.
+            _log.exception("A call failed.", path=scope["path"], reason=repr(error))
+            raise
         finally:
             self.gateway.in_flight -= 1
 
--- a/tests/features/gateway.feature
+++ b/tests/features/gateway.feature
@@ -62,6 +62,21 @@
       | nothing but failures        | {"failing": true}                     | 3     | failed    |
       | items that cannot be done   | {"impossible": "item"}                | 3     | failed    |
 
+  Scenario Outline: A runner that answers with <what>
+    Given 1 gateways and a runner that answers <bytes>
+    When a client sends a stream request
+    Then the answer is 502 and gateway 1 still serves
+
+    Examples:
+      | what                  | bytes                                                       |
+      | no HTTP               | what is this\r\n\r\n                                        |
+      | an upgrade            | HTTP/1.1 101 Switching\r\nrequest-id: request-1\r\n\r\n      |
+      | an interim status     | HTTP/1.1 103 Hints\r\n\r\n                                  |
+      | a broken length       | HTTP/1.1 200 OK\r\nrequest-id: request-1\r\ncontent-length: x\r\n\r\n |
+      | two lengths           | HTTP/1.1 200 OK\r\nrequest-id: request-1\r\ncontent-length: 1\r\ncontent-length: 2\r\n\r\n |
+      | a broken header       | HTTP/1.1 200 OK\r\nrequest-id: request-1\r\nno colon\r\n\r\n |
+      | nothing               | \x20                                                        |
+
   Scenario: What is forwarded is what the client sent
     Given 1 gateways and 1 runners
     When a client sends a stream request
--- /dev/null
+++ b/tests/features/serving_decisions.feature
@@ -0,0 +1,114 @@
+Feature: Decisions of the serving path, each on its own with the clock passed in
+
+  Scenario Outline: A stream in parts <parts>
+    Then its events are <events> and <rest> is left over
+
+    Examples: parts are divided by |, line feeds written as \n
+      | parts                                        | events     | rest     |
+      | id: 1\ndata: a\n\n                           | 1:a        | -        |
+      | id: 1\nda / ta: a\n / \nid: 2\ndata: b\n\n   | 1:a 2:b    | -        |
+      | id: 1\r\ndata: a\r\n\r\n                     | 1:a        | -        |
+      | id: 1\ndata: a\n\nid: 2\ndata                | 1:a        | id: 2\ndata |
+      | version: 3\nid: 4\ndata: a\ndata: b\n\n      | 4:a+b      | -        |
+      | data: x\n\n                                  | none:x     | -        |
+
+  Scenario Outline: A request of a <kind> route whose attempts end <ends>
+    Then the last step is <step>
+
+    Examples: R resumable with 3 attempts, S stream, I idempotent with 3, O once; a cut comes after a part was passed on
+      | kind | ends                                      | step              |
+      | S    | complete                                  | done              |
+      | S    | not_run                                   | try_elsewhere     |
+      | S    | not_run not_run not_run not_run not_run not_run | refuse_as_not_run |
+      | S    | lost                                      | answer_broken     |
+      | S    | not_run lost                              | answer_broken     |
+      | S    | cut                                       | abort             |
+      | R    | lost                                      | try_elsewhere     |
+      | R    | cut                                       | resume_elsewhere  |
+      | R    | cut cut                                   | resume_elsewhere  |
+      | R    | cut cut cut                               | abort             |
+      | R    | cut not_run                               | resume_elsewhere  |
+      | R    | lost lost lost                            | answer_broken     |
+      | I    | lost                                      | try_elsewhere     |
+      | I    | lost lost lost                            | answer_broken     |
+      | O    | lost                                      | answer_broken     |
+      | O    | not_run                                   | try_elsewhere     |
+
+  Scenario Outline: Placing <what> among <upstreams>
+    Then the choice for <what> is <choice>
+
+    Examples: id:zone:own online:own batch:peers' online:peers' batch, 8 slots; D draining, G gone, E ejected
+      | what   | upstreams                          | choice |
+      | online | x:a:0:0:0:0 y:b:0:0:0:0            | x      |
+      | online | x:a:4:0:0:0 y:b:0:0:0:0            | y      |
+      | online | x:a:0:0:4:0 y:b:0:0:0:0            | y      |
+      | online | x:a:0:0:8:0 y:b:7:0:0:0            | y      |
+      | online | x:a:0:0:0:0:D y:b:7:0:0:0          | y      |
+      | online | x:a:0:0:0:0:G y:b:7:0:0:0          | y      |
+      | online | x:a:0:0:0:0:E y:b:7:0:0:0          | y      |
+      | online | x:a:9:0:0:0:E                      | x      |
+      | online | x:a:0:0:0:0:D                      | nowhere |
+      | batch  | x:a:0:0:0:0 y:b:0:0:0:0            | x      |
+      | batch  | x:a:3:4:0:0 y:b:1:5:0:0            | y      |
+      | batch  | x:a:3:4:0:0 y:b:1:0:5:1            | nowhere |
+      | batch  | x:a:0:0:0:0:E                      | nowhere |
+
+  Scenario Outline: Upstreams that are missing from the list <when>
+    Given a list of upstreams x y z
+    When <time> s pass <when>, and then <listed> are listed
+    Then <used> are used
+    And after <more> s more with <listed> the list is <last>
+
+    Examples:
+      | when            | time | listed | used  | more | last  |
+      | in a calm time  | 1    | x y    | x y   | 1    | x y   |
+      | after an outage | 5    | x y    | x y z | 1    | x y z |
+      | after an outage | 5    | x y    | x y z | 3    | x y   |
+      | in a calm time  | 1    | x      | x y z | 3    | x     |
+      | after an outage | 5    | x y z  | x y z | 3    | x y z |
+
+  Scenario Outline: Racing acceptances of jobs of <tokens> tokens under a limit of <limit>
+    When <jobs> jobs are accepted side by side
+    Then <accepted> of them are accepted and the others refused as over quota
+
+    Examples:
+      | tokens | limit | jobs | accepted |
+      | 100    | 1000  | 5    | 5        |
+      | 100    | 1000  | 20   | 10       |
+      | 100    | 0     | 20   | 20       |
+      | 2000   | 1000  | 1    | 0        |
+
+  Scenario Outline: A job of <items> items committed with <trouble>
+    When its items are committed two at a time with <trouble>
+    Then every item stands once in the results, in the order of its commit
+
+    Examples:
+      | items | trouble               |
+      | 7     | no trouble            |
+      | 7     | every answer lost     |
+      | 7     | another owner between |
+      | 7     | long texts            |
+
+  Scenario: An ended job takes no more results
+    When a job of 4 items is ended and then committed
+    Then the commit is refused and nothing is listed
+
+  Scenario: Large input becomes an object, small input rows
+    Then a job of 3 items of 100 bytes has rows of input and reads back
+    And a job of 150 items of 10000 bytes has an object and reads back
+
+  Scenario Outline: <events> lines in a second with a budget of 3
+    Then <written> lines are written and the next window tells of <left_out>
+
+    Examples:
+      | events | written | left_out |
+      | 2      | 2       | 0        |
+      | 3      | 3       | 0        |
+      | 9      | 3       | 6        |
+
+  Scenario: A reader that never reads delays no writer
+    Then 20000 lines to a full pipe return at once and are counted
+
+  Scenario: An answer whose time is up while its head is sent is not torn
+    When an answer is given in a scope that is cancelled
+    Then head, body and end have been sent, in order
--- a/tests/features/steps/gateway_steps.py
+++ b/tests/features/steps/gateway_steps.py
@@ -22,6 +22,23 @@
     context.asked = 0
 
 
+@given("{gateways:d} gateways and a runner that answers {garbage}")
+def start_with_garbage(context, gateways, garbage):
+    context.fleet = Gateways(gateways=gateways, runners=1, garbage=garbage)
+    context.fleet.start()
+    context.answers = []
+    context.asked = 0
+
+
+@then("the answer is {status:d} and gateway {number:d} still serves")
+def still_serves(context, status, number):
+    assert context.answer.status == status, context.answer
+    process = context.fleet.processes[f"gateway-{number}"]
+    time.sleep(0.5)
+    assert process.running, process.output()[-2000:]
+    is_ready(context, number)
+
+
 @given("every runner is set to {knobs}")
 def every_runner(context, knobs):
     for name in context.fleet.runners:
--- /dev/null
+++ b/tests/features/steps/serving_steps.py
@@ -0,0 +1,375 @@
+"""Steps that ask decisions of the serving path and of jobs."""
+
+import os
+import random
+import time
+
+import structlog
+import trio
+from behave import given, then, when
+
+from coppercleat.ids import InstanceId, JobId, UpstreamId, ZoneId
+from coppercleat.jobs import (
+    Finished,
+    Held,
+    ItemSpec,
+    ItemState,
+    Ledger,
+    OverQuota,
+    Submission,
+    Superseded,
+)
+from coppercleat.observability import LineBudget, LineOutput
+from coppercleat.platform import HttpReply
+from coppercleat.serving import (
+    AttemptEnd,
+    EventSplitter,
+    InFlight,
+    Nowhere,
+    Placement,
+    RequestProgress,
+    Route,
+    RouteKind,
+    Target,
+    Upstream,
+    UpstreamList,
+)
+from coppercleat.storage import AnswerLostError, MemoryPlatform
+
+HOST, PREFIX = "jobs.example", "/week/"
+KINDS = {
+    "S": (RouteKind.STREAM, False, 1),
+    "R": (RouteKind.STREAM, True, 3),
+    "I": (RouteKind.IDEMPOTENT, False, 3),
+    "O": (RouteKind.AT_MOST_ONCE, False, 1),
+}
+
+
+def make_route(letter="S", **more):
+    kind, resumable, attempts = KINDS[letter]
+    return Route(
+        name="r",
+        host=HOST,
+        prefix=PREFIX,
+        kind=kind,
+        targets=(Target("menus", 1.0),),
+        timeout_s=5.0,
+        resumable=resumable,
+        max_attempts=attempts,
+        **more,
+    )
+
+
+def unescape(text):
+    return text.replace("\\r", "\r").replace("\\n", "\n").encode()
+
+
+@then("its events are {events} and {rest} is left over")
+def split_events(context, events, rest):
+    parts = context.scenario.name.partition("in parts ")[2].partition(" -- @")[0]
+    splitter = EventSplitter()
+    found = []
+    for part in parts.split(" / "):
+        for event in splitter.feed(unescape(part)):
+            data = event.data.decode().replace("\n", "+")
+            found.append(f"{str(event.number).lower()}:{data}")
+    assert " ".join(found) == events, found
+    assert splitter.rest == (b"" if rest == "-" else unescape(rest)), splitter.rest
+
+
+@then("the last step is {step}")
+def last_step(context, step):
+    words = context.scenario.name.partition(" -- @")[0].split()
+    progress = RequestProgress(make_route(words[4]))
+    for end in words[9:]:
+        if end == "cut":
+            progress.started = True
+        found = progress.after(AttemptEnd(end))
+    assert found.value == step, found
+
+
+@then("the choice for {what} is {choice}")
+def placed(context, what, choice):
+    text = context.scenario.name.partition("among ")[2].partition(" -- @")[0]
+    placement = Placement(ZoneId("a"), rng=random.Random(1))
+    upstreams, peers = [], []
+    for line in text.split():
+        name, zone, _, _, online, batch, *flags = line.split(":")
+        upstreams.append(
+            Upstream(
+                id=UpstreamId(name),
+                service="menus",
+                address=f"10.0.0.1:{len(upstreams)}",
+                zone=ZoneId(zone),
+                slots=8,
+                draining="D" in flags,
+            )
+        )
+        peers.append(InFlight(UpstreamId(name), int(online), int(batch)))
+    placement.replace(upstreams)
+    placement.observe_peer(InstanceId("peer"), peers)
+    for line in text.split():
+        name, _, online, batch, _, _, *flags = line.split(":")
+        state = placement.states[UpstreamId(name)]
+        state.online, state.batch = int(online), int(batch)
+        state.gone = "G" in flags
+        if "E" in flags:
+            state.health.unreachable(0.0)
+    if what == "online":
+        found = placement.choose_online(make_route(), tried=(), now=0.0)
+    else:
+        found = placement.choose_batch(make_route(), reserve=1, avoid=(), now=0.0)
+    assert ("nowhere" if isinstance(found, Nowhere) else found.id) == choice, found
+
+
+def upstreams_named(names):
+    return [
+        Upstream(
+            id=UpstreamId(name),
+            service="menus",
+            address=f"{name}:1",
+            zone=ZoneId("a"),
+        )
+        for name in names.split()
+    ]
+
+
+@given("a list of upstreams {names}")
+def list_has(context, names):
+    context.now = 0.0
+    context.list = UpstreamList()
+    context.list.observe(upstreams_named(names), after_outage=False, now=0.0)
+
+
+@when("{seconds:d} s pass {how}, and then {names} are listed")
+def list_later(context, seconds, how, names):
+    context.now += seconds
+    context.used = context.list.observe(
+        upstreams_named(names), after_outage="outage" in how, now=context.now
+    )
+
+
+@then("{names} are used")
+def are_used(context, names):
+    assert sorted(u.id for u in context.used) == names.split(), context.used
+
+
+@then("after {more:d} s more with {names} the list is {last}")
+def later_list(context, more, names, last):
+    used = context.list.observe(
+        upstreams_named(names), after_outage=False, now=context.now + more
+    )
+    assert sorted(u.id for u in used) == last.split(), used
+
+
+# Jobs.
+
+
+def make_ledger(platform=None):
+    platform = platform or MemoryPlatform()
+    return Ledger(platform, clock=lambda: 0.0, rng=random.Random(1))
+
+
+def submission(name, items, *, body=b"x", tokens=10):
+    specs = [
+        ItemSpec(f"{name}-{index}", PREFIX, [], body, tokens) for index in range(items)
+    ]
+    return Submission(job=JobId(name), host=HOST, path=PREFIX + "s", items=specs)
+
+
+def accept(ledger, job, limit=0):
+    return ledger.accept(
+        job,
+        make_route(max_waiting_tokens=limit),
+        owner="me/1",
+        finished_tokens=lambda host, prefix: 0,
+    )
+
+
+@when("{jobs:d} jobs are accepted side by side")
+def accept_many(context, jobs):
+    words = context.scenario.name.split()
+    tokens, limit = int(words[5]), int(words[-3] if "--" in words else words[-1])
+    ledger = make_ledger()
+    context.accepted = []
+
+    async def one(number):
+        job = submission(f"job-{number}", 1, tokens=tokens)
+        while True:
+            try:
+                context.accepted.append(await accept(ledger, job, limit))
+                return
+            except Exception:  # noqa: BLE001 - too many at once: come again
+                await trio.sleep(0)
+
+    async def every():
+        async with trio.open_nursery() as nursery:
+            for number in range(jobs):
+                nursery.start_soon(one, number)
+
+    trio.run(every)
+
+
+@then("{accepted:d} of them are accepted and the others refused as over quota")
+def accepted_count(context, accepted):
+    found = [a for a in context.accepted if isinstance(a, Held)]
+    others = [a for a in context.accepted if isinstance(a, OverQuota)]
+    assert len(found) == accepted, context.accepted
+    assert len(found) + len(others) == len(context.accepted)
+
+
+class Losing(MemoryPlatform):
+    """Loses the answer of every change that takes effect."""
+
+    losing = False
+
+    async def transact(self, transaction):
+        answer = await super().transact(transaction)
+        if self.losing:
+            raise AnswerLostError("lost")
+        return answer
+
+
+@when("its items are committed two at a time with {trouble}")
+def commit_all(context, trouble):
+    count = int(context.scenario.name.split()[3])
+    platform = Losing()
+    ledger = make_ledger(platform)
+    text = b"w" * 120_000 if trouble == "long texts" else b"word"
+
+    async def run():
+        held = await accept(ledger, submission("job", count))
+        done = [
+            Finished(index=i, item=f"job-{i}", state=ItemState.COMPLETED, text=text)
+            for i in range(count)
+        ]
+        platform.losing = trouble == "every answer lost"
+        while done:
+            if trouble == "another owner between":
+                taken = await ledger.take(held, owner="other/1")
+                assert isinstance(taken, Held)
+                held, stale = taken, held
+                refused = await ledger.commit(stale, done[:2], {})
+                assert isinstance(refused, Superseded)
+            try:
+                answer = await ledger.commit(held, done[:2], {})
+            except AnswerLostError:
+                platform.losing = False
+                answer = await ledger.commit(held, done[:2], {})
+                assert isinstance(answer, Superseded), "applied twice"
+                held = answer.held
+                platform.losing = True
+            else:
+                held = answer
+            listed = set(held.row.listed)
+            done = [item for item in done if item.index not in listed]
+        context.results = []
+        while len(context.results) < count:
+            after = len(context.results)
+            page = await ledger.results(HOST, JobId("job"), count, after=after)
+            assert page.results and page.next == after + len(page.results), page
+            context.results += page.results
+        context.row = held.row
+
+    trio.run(run)
+    context.item_text, context.count = text, count
+
+
+@then("every item stands once in the results, in the order of its commit")
+def all_listed(context):
+    assert context.row.listed == tuple(range(context.count))
+    names = [result.item for result in context.results]
+    assert names == [f"job-{i}" for i in range(context.count)], names
+    assert all(result.text == context.item_text for result in context.results)
+
+
+@when("a job of {count:d} items is ended and then committed")
+def end_then_commit(context, count):
+    async def run():
+        ledger = make_ledger()
+        held = await accept(ledger, submission("job", count))
+        assert await ledger.end(HOST, JobId("job"))
+        item = Finished(index=0, item="job-0", state=ItemState.COMPLETED, text=b"x")
+        context.answer = await ledger.commit(held, [item], {})
+        context.page = await ledger.results(HOST, JobId("job"), count, after=0)
+
+    trio.run(run)
+
+
+@then("the commit is refused and nothing is listed")
+def commit_refused(context):
+    assert isinstance(context.answer, Superseded)
+    assert context.answer.held.row.ended
+    assert context.page.results == []
+
+
+@then("a job of {count:d} items of {size:d} bytes has {place} and reads back")
+def input_kept(context, count, size, place):
+    async def run():
+        ledger = make_ledger()
+        job = submission("job", count, body=b"b" * size)
+        held = await accept(ledger, job)
+        assert bool(held.row.input_object) == (place == "an object"), held.row
+        assert await ledger.items(held.row) == job.items
+
+    trio.run(run)
+
+
+# Logs.
+
+
+@then("{written:d} lines are written and the next window tells of {left_out:d}")
+def budgeted(context, written, left_out):
+    events = int(context.scenario.name.split()[0])
+    now = 0.0
+    budget = LineBudget(lambda: now, lines=3)
+    passed = 0
+    for _ in range(events):
+        try:
+            budget(None, "info", {"part": "p"})
+            passed += 1
+        except structlog.DropEvent:
+            pass
+    assert passed == written, passed
+    now = 1.5
+    told = budget(None, "info", {"part": "p"}).get("left_out_before", 0)
+    assert told == left_out, told
+
+
+@then("{lines:d} lines to a full pipe return at once and are counted")
+def never_waits(context, lines):
+    reader, writer = os.pipe()
+    output = LineOutput(writer)
+    began = time.monotonic()
+    for _ in range(lines):
+        output.msg("x" * 100)
+    assert time.monotonic() - began < 5
+    assert output.left_out > lines / 2, output.left_out
+    os.close(reader)
+    os.close(writer)
+
+
+@when("an answer is given in a scope that is cancelled")
+def answer_in_cancelled_scope(context):
+    context.sent = []
+
+    async def send(message):
+        # As an ASGI server does: it waits for the socket, then counts as sent.
+        await trio.lowlevel.checkpoint()
+        context.sent.append(message["type"])
+
+    async def run():
+        reply = HttpReply(send, closing=lambda: False)
+        with trio.CancelScope() as scope:
+            scope.cancel()
+            await reply.start(200, [])
+            await reply.send(b"data")
+            await reply.finish()
+
+    trio.run(run)
+
+
+@then("head, body and end have been sent, in order")
+def sent_whole(context):
+    head, body = "http.response.start", "http.response.body"
+    assert context.sent == [head, body, body], context.sent
--- a/tests/harness/_gateways.py
+++ b/tests/harness/_gateways.py
@@ -55,7 +55,7 @@
 class Gateways:
     """Starts gateways, runners and the store, and ends them."""
 
-    def __init__(self, *, gateways: int, runners: int) -> None:
+    def __init__(self, *, gateways: int, runners: int, garbage: str = "") -> None:
         self.directory = pathlib.Path(tempfile.mkdtemp(prefix="coppercleat-"))
         self.processes: dict[str, Process] = {}
         self.ports: dict[str, dict[str, int]] = {}
@@ -63,6 +63,7 @@
         self.versions: dict[str, int] = {}
         self.config: dict[str, Any] = default_config()
         self.runners = [f"runner-{n + 1}" for n in range(runners)]
+        self.garbage = garbage
         self.names = [f"gateway-{n + 1}" for n in range(gateways)]
 
     def start(self) -> None:
@@ -71,7 +72,10 @@
         for name in self.runners:
             self.ports[name] = {"http": free_port()}
             port = self.ports[name]["http"]
-            self._process(name, "tests.standins.runner", port, f"--name={name}")
+            kind, flag = "runner", f"--name={name}"
+            if self.garbage:
+                kind, flag = "garbage", f"--answer={self.garbage}"
+            self._process(name, f"tests.standins.{kind}", port, flag)
         trio.run(self._publish)
         for name in self.names:
             self.start_gateway(name)
@@ -367,4 +371,6 @@
             await pool.request("GET", f"http://127.0.0.1:{port}/control")
     except httpcore.NetworkError:
         return False
+    except httpcore.ProtocolError:
+        return True
     return True
--- /dev/null
+++ b/tests/standins/garbage.py
@@ -0,0 +1,29 @@
+"""Stand-in for a runner that answers each request with bytes of its own."""
+
+from __future__ import annotations
+
+import trio
+
+from tests.standins.control import arguments, start
+
+
+async def main(port: int, answer: str) -> None:
+    """Serves until killed."""
+    data = answer.encode().decode("unicode_escape").encode("latin-1")
+
+    async def serve(stream: trio.SocketStream) -> None:
+        async with stream:
+            request = b""
+            while b"\r\n\r\n" not in request:
+                part = await stream.receive_some(65_536)
+                if not part:
+                    return
+                request += part
+            await stream.send_all(data)
+
+    await trio.serve_tcp(serve, port, host="127.0.0.1")
+
+
+if __name__ == "__main__":
+    options = arguments("answer")
+    start(main, options.port, options.answer)
