Let no ambiguous status promise anything; give slow calls their time; keep failures

A 429 or 503 of an upstream that does not say that it did not run the request was passed on, where clients take it as a promise. The silence limit of streams held for idempotent calls too: a call of 1.5 s was cut at 0.8 s and run three times. Failures of an item without events were forgotten at a takeover, so that it could be run too often. Change: such a status counts as lost (502, or tried elsewhere); the limit holds for streams that may move, and follows the route's targets; failures are kept; items are given up 10 s after they may be, since clocks differ; a large part of the list missing in calm times is doubted for 1 s only; connecting may take 0.1 s, so that an unreachable upstream costs a third of a request's target.

--- a/src/coppercleat/jobs/_run.py
+++ b/src/coppercleat/jobs/_run.py
@@ -32,6 +32,7 @@
       last_event: Number of the last one; None before the first.
       failures: Runs that the upstream answered with a failure.
       kept_events: How many events the platform keeps.
+      kept_failures: How many failures it knows.
       upstream: Where it runs now; empty if it does not.
       not_before: When it may run again, in trio's time.
     """
@@ -42,6 +43,7 @@
     last_event: int | None = None
     failures: int = 0
     kept_events: int = 0
+    kept_failures: int = 0
     upstream: UpstreamId = UpstreamId("")
     not_before: float = 0.0
 
@@ -67,7 +69,7 @@
 
     def restore(self, partial: PartialRow) -> None:
         """Goes on from what was kept."""
-        self.failures = partial.failures
+        self.failures = self.kept_failures = partial.failures
         if partial.events:
             self.events = list(partial.events)
             self.last_event = partial.last_event
@@ -169,7 +171,9 @@
         """Returns what to keep of items with that many events not kept yet."""
         kept = {}
         for item in [*self.running.values(), *self.pending]:
-            if item.events and len(item.events) - item.kept_events >= least_events:
+            grown = len(item.events) - item.kept_events
+            failed = item.failures > item.kept_failures
+            if (item.events and grown >= least_events) or failed:
                 kept[item.index] = item.partial()
         return kept
 
@@ -178,3 +182,4 @@
         for item in [*self.running.values(), *self.pending]:
             if item.index in partials:
                 item.kept_events = len(partials[item.index].events)
+                item.kept_failures = partials[item.index].failures
--- a/src/coppercleat/jobs/_worker.py
+++ b/src/coppercleat/jobs/_worker.py
@@ -60,6 +60,10 @@
 """An item without an event for this long goes elsewhere; events come 20 ms apart, and
 the first after at most 0.1 s beside a full batch."""
 
+EXPIRY_MARGIN_S = 10.0
+"""Items are given up so much later than they may be: the clocks of the instance that
+accepted a job and of the one that runs it may differ by seconds."""
+
 _TICK_S = 0.02
 _IDLE_TICK_S = 0.2
 _RETRY_S = 0.25
@@ -392,7 +396,8 @@
         for run in sorted(self.runs.values(), key=lambda run: run.due_at):
             row = run.held.row
             route = table.match(row.host, row.path)
-            if route is None or time.time() > row.expires_at:
+            expired = time.time() > row.expires_at + EXPIRY_MARGIN_S
+            if route is None or expired:
                 if run.pending:
                     _log.warning("Items given up.", job=row.job, route=route is None)
                     run.fail_all()
--- a/src/coppercleat/platform/_upstream_calls.py
+++ b/src/coppercleat/platform/_upstream_calls.py
@@ -22,7 +22,7 @@
 )
 from coppercleat.upstreams import Attempt, AttemptState
 
-CONNECT_TIMEOUT_S = 0.25
+CONNECT_TIMEOUT_S = 0.1
 """Connecting takes about 2 ms; an upstream that does not answer by then is taken as
 unreachable, with most of a request's 0.3 s still unspent elsewhere."""
 
--- a/src/coppercleat/serving/_forwarding.py
+++ b/src/coppercleat/serving/_forwarding.py
@@ -33,10 +33,13 @@
 """When a client may come back: a slot of a full fleet frees in about this time."""
 
 FIRST_EVENT_STALL_S = 0.8
-"""Without a first event for this long, a request that may move goes elsewhere. Well
-past the time to read the longest prompt beside a full batch (about 0.1 s)."""
+FIRST_EVENT_STALL_TARGETS = 2.5
+"""Without a first event for this long, or so many times the route's target, a stream
+that may be resumed goes elsewhere. Well past the time to read the longest prompt
+beside a full batch (about 0.1 s)."""
 
 GAP_STALL_S = 0.6
+GAP_STALL_TARGETS = 3.0
 """The same between events, which come some 20 ms apart."""
 
 _MAX_BUFFERED_BYTES = 1_000_000
@@ -44,6 +47,9 @@
 request can still go elsewhere if the answer is cut."""
 
 _SERVER_ERROR = 500
+_PROMISES = frozenset({408, 429, 503})
+"""Statuses by which clients take a request as not run. From an upstream that does not
+say so itself they prove nothing, and are not passed on."""
 
 _log = part_logger("forward")
 
@@ -169,10 +175,12 @@
     async def _attempt_until_stall(
         self, exchange: _Exchange, state: UpstreamState, attempt: Attempt
     ) -> AttemptEnd:
-        moving = exchange.progress.may_move
+        route = exchange.route
         stall = trio.CancelScope()
-        if moving:
-            stall.deadline = trio.current_time() + FIRST_EVENT_STALL_S
+        # Other answers may take as long as the route allows: silence proves nothing.
+        if route.kind is RouteKind.STREAM and exchange.progress.may_move:
+            patience = FIRST_EVENT_STALL_TARGETS * route.target_latency_s
+            stall.deadline = trio.current_time() + max(FIRST_EVENT_STALL_S, patience)
         end = AttemptEnd.LOST
         with self._counted(state), stall:
             try:
@@ -207,6 +215,9 @@
         if answer.refused:
             exchange.reason = f"the upstream refused with {answer.status}"
             return AttemptEnd.NOT_RUN
+        if answer.status in _PROMISES:
+            exchange.reason = f"{answer.status} does not say whether it was run"
+            return AttemptEnd.LOST
         if answer.status >= _SERVER_ERROR and exchange.progress.may_move:
             exchange.reason = f"the upstream answered {answer.status}"
             return AttemptEnd.LOST
@@ -232,7 +243,8 @@
             if not whole:
                 continue
             if progress.may_move:
-                stall.deadline = trio.current_time() + GAP_STALL_S
+                patience = GAP_STALL_TARGETS * exchange.route.gap_target_s
+                stall.deadline = trio.current_time() + max(GAP_STALL_S, patience)
             await _start(exchange, answer.status, answer.headers)
             await exchange.reply.send(b"".join(whole))
         await _start(exchange, answer.status, answer.headers)
--- a/src/coppercleat/serving/_watch.py
+++ b/src/coppercleat/serving/_watch.py
@@ -45,7 +45,9 @@
 the platform says about two seconds."""
 
 _MANY_GONE = 0.5
-"""When more than this share of the list is missing at once, it is in doubt too."""
+_SHORT_DOUBT_S = 1.0
+"""When more than this share of the list is missing at once, it is in doubt too, but for
+less: it may be true, and leaving upstreams must get nothing new after 2 s."""
 
 _STARVED_S = 1.0
 
@@ -104,7 +106,8 @@
         many = len(missing) > _MANY_GONE * max(1, len(self._known))
         for upstream in missing:
             if (after_outage or many) and upstream.id not in self._doubted_until:
-                self._doubted_until[upstream.id] = now + _DOUBT_S
+                doubt_s = _DOUBT_S if after_outage else _SHORT_DOUBT_S
+                self._doubted_until[upstream.id] = now + doubt_s
             in_doubt = now < self._doubted_until.get(upstream.id, now)
             if in_doubt and upstream.address not in addresses:
                 current[upstream.id] = upstream
--- a/tests/features/gateway.feature
+++ b/tests/features/gateway.feature
@@ -19,6 +19,10 @@
       | resumable | breaks off torn      | {"cut_next": 1, "torn": true}        | 200 whole 1-5   | 2    |
       | resumable | answers for another  | {"cross_next": 1}                    | 200 whole 1-5   | 2    |
       | resumable | fails                | {"fail_next": 1}                     | 200 whole 1-5   | 2    |
+      | stream    | is busy, says not how | {"fail_next": 1, "fail_status": 503} | 502 whole -    | 1    |
+      | stream    | limits, says not how | {"fail_next": 1, "fail_status": 429} | 502 whole -     | 1    |
+      | plain     | is busy, says not how | {"fail_next": 1, "fail_status": 503} | 200 whole 1-5  | 2    |
+      | plain     | takes 1.5 s          | {"event_s": 0.3}                     | 200 whole 1-5   | 1    |
       | resumable | is another instance  | {"instance": "elsewhere"}            | 503 whole -     | 0    |
       | plain     | breaks off           | {"cut_next": 1}                      | 200 whole 1-5   | 2    |
       | plain     | fails                | {"fail_next": 1}                     | 200 whole 1-5   | 2    |
