Wait a moment for a handover; divide the worker from the runs of items

Cause: once in seven runs the handover scenario made 2,552 events instead of 1,440: the new owner had loaded the job 1 ms before the old owner's word came.

--- a/src/coppercleat/gateway/_gateway.py
+++ b/src/coppercleat/gateway/_gateway.py
@@ -11,7 +11,7 @@
 from coppercleat.gateway._jobs_desk import JobsDesk
 from coppercleat.gateway._metrics import GatewayMetrics
 from coppercleat.ids import random_token
-from coppercleat.jobs import JobBoard, JobWorker, Ledger
+from coppercleat.jobs import ItemRunner, JobBoard, JobWorker, Ledger
 from coppercleat.observability import part_logger
 from coppercleat.serving import (
     Catalogue,
@@ -94,19 +94,23 @@
         )
         self.board = JobBoard(platform)
         ledger = Ledger(platform, clock=time.time, rng=self.rng)
+        self.items = ItemRunner(
+            self.placement,
+            caller,
+            instance=settings.instance,
+            on_change=self._work_changed,
+            on_end=metrics.item_run_ended,
+        )
         self.worker = JobWorker(
             ledger,
             self.board,
-            self.placement,
-            caller,
+            self.items,
             owner=self.watch.owner_name,
             routes=lambda: self.watch.table,
             owner_lives=self.watch.owner_lives,
             living=self.watch.living,
             holds_lease=self.watch.holds_lease,
-            on_change=self._work_changed,
             on_taken=self.peers.job_taken,
-            on_item_end=metrics.item_run_ended,
             on_commit=metrics.committed,
         )
         self.desk = JobsDesk(
@@ -125,14 +129,14 @@
         self.peers.starved = self.watch.starved
         self.peers.knowledge = self.watch.knowledge
         self.peers.on_knowledge = self.watch.take_knowledge
-        self.peers.on_counts = self.worker.make_room
+        self.peers.on_counts = self.items.make_room
         self.peers.on_taken = self.worker.taken_elsewhere
         self.peers.on_handover = self.worker.handed_over
 
     def _work_changed(self, state: UpstreamState, started: bool) -> None:
         self.peers.work_changed(urgent=started)
         if started:
-            self.worker.make_room()
+            self.items.make_room()
 
     @property
     def ready(self) -> bool:
--- a/src/coppercleat/jobs/__init__.py
+++ b/src/coppercleat/jobs/__init__.py
@@ -1,6 +1,7 @@
 """Jobs of many items, whose results are listed in the order of completion."""
 
 from coppercleat.jobs._board import JobBoard
+from coppercleat.jobs._items import ItemRunner
 from coppercleat.jobs._ledger import (
     Finished,
     Held,
@@ -17,6 +18,7 @@
     "NOBODY",
     "Finished",
     "Held",
+    "ItemRunner",
     "ItemSpec",
     "ItemState",
     "JobBoard",
--- /dev/null
+++ b/src/coppercleat/jobs/_items.py
@@ -0,0 +1,259 @@
+"""Runs items at upstreams, and cuts them where online requests need the slots."""
+
+from __future__ import annotations
+
+import contextlib
+from collections.abc import Callable, Iterator
+
+import attrs
+import trio
+
+from coppercleat.ids import RequestId, UpstreamId
+from coppercleat.jobs._run import ItemEnd, ItemRun, JobRun
+from coppercleat.observability import part_logger
+from coppercleat.serving import (
+    EventSplitter,
+    Nowhere,
+    OnlineRequest,
+    Placement,
+    Route,
+    UpstreamAnswer,
+    UpstreamBrokeError,
+    UpstreamCaller,
+    UpstreamState,
+)
+from coppercleat.upstreams import Attempt, AttemptState
+
+RESERVED_SLOTS = 1
+"""Slots at each upstream that batch leaves free, so that an online request finds one;
+by the rounds in docs/design/platform.md."""
+
+STALL_S = 1.0
+"""An item without an event for this long goes elsewhere; events come 20 ms apart, and
+the first after at most 0.1 s beside a full batch."""
+
+_BROKEN_PAUSE_S = 0.1
+"""An item whose run broke waits so long, so that a faulty upstream is not hammered."""
+
+_AVOID_S = 0.3
+"""For how long an upstream that refused an item as full gets none."""
+
+_UNPROCESSABLE = 422
+_SERVER_ERROR = 500
+
+_log = part_logger("jobs")
+
+
+@attrs.define(eq=False)
+class Running:
+    """An item in a slot of an upstream, and how to stop it."""
+
+    run: JobRun
+    item: ItemRun
+    state: UpstreamState
+    scope: trio.CancelScope
+
+
+class ItemRunner:
+    """Starts and stops runs of items; whose turn it is, others decide."""
+
+    def __init__(
+        self,
+        placement: Placement,
+        caller: UpstreamCaller,
+        *,
+        instance: str,
+        on_change: Callable[[UpstreamState, bool], None],
+        on_end: Callable[[str], None],
+    ) -> None:
+        """Prepares the runner.
+
+        Args:
+          placement: Chooses upstreams and counts what is in flight.
+          caller: Reaches upstreams.
+          instance: This instance's id, to agree with peers on who cuts.
+          on_change: Told of each run that starts (True) or ends (False).
+          on_end: Told how each run ended.
+        """
+        self.placement = placement
+        self.caller = caller
+        self.instance = instance
+        self.on_change = on_change
+        self.on_end = on_end
+        self._running: list[Running] = []
+        self._avoided: dict[UpstreamId, float] = {}
+
+    def find_slot(self, route: Route) -> UpstreamState | None:
+        """Returns an upstream with a slot for an item, None if there is none."""
+        now = trio.current_time()
+        state = self.placement.choose_batch(
+            route,
+            reserve=RESERVED_SLOTS,
+            avoid=[u for u, until in self._avoided.items() if now < until],
+            now=now,
+        )
+        return None if isinstance(state, Nowhere) else state
+
+    def stop_job(self, run: JobRun) -> None:
+        """Stops all items of a job."""
+        for running in self._running:
+            if running.run is run:
+                running.scope.cancel()
+
+    def stop_all(self) -> None:
+        """Stops all items."""
+        for running in self._running:
+            running.scope.cancel()
+
+    def claim_slot(self, run: JobRun, item: ItemRun, state: UpstreamState) -> Running:
+        """Counts a run before anything else can be placed."""
+        running = Running(run, item, state, trio.CancelScope())
+        run.start(item, state.id)
+        self._running.append(running)
+        state.batch += 1
+        state.health.started()
+        self.on_change(state, True)
+        return running
+
+    async def run(self, running: Running, route: Route) -> None:
+        """Runs an item once, in the slot that was claimed for it."""
+        run, item, state = running.run, running.item, running.state
+        attempt = Attempt()
+        end = ItemEnd.YIELDED
+        with self._counted(running), running.scope:
+            end = await self._attempt(running, attempt)
+        if end in (ItemEnd.BROKEN, ItemEnd.FAILED):
+            _judge_failure(state, attempt)
+        elif end is ItemEnd.COMPLETE:
+            state.health.succeeded()
+        elif end is ItemEnd.NOT_RUN:
+            self._avoided[state.id] = trio.current_time() + _AVOID_S
+        pause = _BROKEN_PAUSE_S if end is not ItemEnd.YIELDED else 0.0
+        not_before = trio.current_time() + pause
+        run.stop(item, end, max_attempts=route.max_attempts, not_before=not_before)
+        self.on_end(end.value)
+        write = _log.info if end is not ItemEnd.YIELDED else _log.debug
+        write(
+            "Item run ended.",
+            job=run.held.row.job,
+            item=item.spec.id,
+            upstream=state.id,
+            ended=end.value,
+            events=len(item.events),
+            failures=item.failures,
+        )
+
+    @contextlib.contextmanager
+    def _counted(self, running: Running) -> Iterator[None]:
+        try:
+            yield
+        finally:
+            running.state.batch -= 1
+            running.state.health.abandoned()
+            self._running.remove(running)
+            self.on_change(running.state, False)
+
+    async def _attempt(self, running: Running, attempt: Attempt) -> ItemEnd:
+        item, state = running.item, running.state
+        request = OnlineRequest(
+            request_id=RequestId(item.spec.id),
+            method="POST",
+            host=running.run.held.row.host,
+            target=item.spec.target.encode(),
+            headers=item.spec.headers,
+            body=item.spec.body,
+            allowed_s=0.0,
+        )
+        stall = trio.CancelScope(deadline=trio.current_time() + STALL_S)
+        end = ItemEnd.BROKEN
+        with stall:
+            try:
+                async with self.caller.exchange(
+                    state.upstream,
+                    request,
+                    attempt=attempt,
+                    allowed_s=None,
+                    resume_after=item.last_event,
+                ) as answer:
+                    end = await _collect(item, state, answer, stall)
+            except UpstreamBrokeError as error:
+                _log.info(
+                    "Item broke off.",
+                    item=item.spec.id,
+                    upstream=state.id,
+                    reason=str(error),
+                )
+                return ItemEnd.BROKEN
+        return end
+
+    # Making room.
+
+    def make_room(self) -> None:
+        """Cuts items where online requests need their slots.
+
+        The instance with the most items at an overfull upstream cuts one; what it
+        has made is kept and goes on elsewhere.
+        """
+        for state in {running.state.id: running.state for running in self._running}:
+            self._make_room_at(self.placement.states.get(state))
+
+    def _make_room_at(self, state: UpstreamState | None) -> None:
+        if state is None or not state.batch:
+            return
+        excess = self.placement.load(state) - (state.upstream.slots - RESERVED_SLOTS)
+        if excess <= 0:
+            return
+        peers = self.placement.peer_batch(state.id)
+        own = (state.batch, self.instance)
+        if any((count, peer) > own for peer, count in peers.items()):
+            return
+        here = [
+            running
+            for running in self._running
+            if running.state is state and not running.scope.cancel_called
+        ]
+        stopping = state.batch - len(here)
+        here.sort(key=lambda running: (running.run.due_at, -len(running.item.events)))
+        for running in here[::-1][: max(0, excess - stopping)]:
+            running.scope.cancel()
+
+
+async def _collect(
+    item: ItemRun, state: UpstreamState, answer: UpstreamAnswer, stall: trio.CancelScope
+) -> ItemEnd:
+    """Takes an item's events and returns how the run ended."""
+    if answer.other_instance:
+        state.gone = True
+        return ItemEnd.NOT_RUN
+    if answer.refused:
+        return ItemEnd.NOT_RUN
+    if answer.status == _UNPROCESSABLE:
+        return ItemEnd.IMPOSSIBLE
+    if answer.status >= _SERVER_ERROR:
+        return ItemEnd.FAILED
+    if answer.status != 200:
+        return ItemEnd.BROKEN
+    splitter = EventSplitter()
+    async for data in answer.body:
+        for event in splitter.feed(data):
+            expected = None if item.last_event is None else item.last_event + 1
+            if event.number is None or expected not in (None, event.number):
+                _log.warning(
+                    "An event is out of order.",
+                    item=item.spec.id,
+                    event=event.number,
+                    expected=expected,
+                )
+                return ItemEnd.BROKEN
+            item.last_event = event.number
+            item.events.append(event.data)
+            stall.deadline = trio.current_time() + STALL_S
+    return ItemEnd.COMPLETE if not splitter.rest.strip() else ItemEnd.BROKEN
+
+
+def _judge_failure(state: UpstreamState, attempt: Attempt) -> None:
+    now = trio.current_time()
+    if attempt.state is AttemptState.QUEUED:
+        state.health.unreachable(now)
+    else:
+        state.health.failed(now)
--- a/src/coppercleat/jobs/_worker.py
+++ b/src/coppercleat/jobs/_worker.py
@@ -1,17 +1,16 @@
-"""Runs the items of the jobs that this instance owns."""
+"""Takes jobs, decides whose items run next, and commits what they give."""
 
 from __future__ import annotations
 
-import contextlib
 import time
-from collections.abc import Callable, Iterator
+from collections.abc import Callable
 
-import attrs
 import trio
 
 from coppercleat.errors import CoppercleatError
-from coppercleat.ids import JobId, RequestId, UpstreamId
+from coppercleat.ids import JobId
 from coppercleat.jobs._board import JobBoard
+from coppercleat.jobs._items import ItemRunner, Running
 from coppercleat.jobs._ledger import (
     Held,
     Ledger,
@@ -20,23 +19,14 @@
     fits_one_commit,
 )
 from coppercleat.jobs._records import NOBODY
-from coppercleat.jobs._run import ItemEnd, ItemRun, JobRun
+from coppercleat.jobs._run import JobRun
 from coppercleat.observability import part_logger
 from coppercleat.routing import ranked
 from coppercleat.serving import (
-    EventSplitter,
     ItemEvents,
-    Nowhere,
-    OnlineRequest,
-    Placement,
     Route,
     RouteTable,
-    UpstreamAnswer,
-    UpstreamBrokeError,
-    UpstreamCaller,
-    UpstreamState,
 )
-from coppercleat.upstreams import Attempt, AttemptState
 
 REFRESH_S = 0.4
 """Pause between looks at what has changed: an ended job must stop within 3 s."""
@@ -45,10 +35,6 @@
 """With a view of the jobs older than this no item is started: the job may have ended
 or have another owner."""
 
-RESERVED_SLOTS = 1
-"""Slots at each upstream that batch leaves free, so that an online request finds one;
-by the rounds in docs/design/platform.md."""
-
 KEEP_EVERY_S = 1.5
 """How often the events of running items are kept on the platform: a killed instance
 costs at most this much work again, at one transaction a job."""
@@ -56,45 +42,28 @@
 KEEP_LEAST_EVENTS = 20
 """Fewer new events are not worth a write."""
 
-STALL_S = 1.0
-"""An item without an event for this long goes elsewhere; events come 20 ms apart, and
-the first after at most 0.1 s beside a full batch."""
-
 EXPIRY_MARGIN_S = 10.0
 """Items are given up so much later than they may be: the clocks of the instance that
 accepted a job and of the one that runs it may differ by seconds."""
 
+HANDOVER_WAIT_S = 0.06
+"""There and back between availability zones takes 2 ms, a busy peer some 10 ms."""
+
+_HANDOVER_POLL_S = 0.005
 _TICK_S = 0.02
 _IDLE_TICK_S = 0.2
 _RETRY_S = 0.25
-_BROKEN_PAUSE_S = 0.1
-_AVOID_S = 0.3
-"""For how long an upstream that refused an item as full gets none."""
-
 _COMMIT_GATHER_S = 0.05
 """Items that finish within this time are listed by one transaction."""
 
 _TAKE_STAGGER_S = 0.6
 """The next in line takes an orphaned job so much later than the one before."""
 
-_UNPROCESSABLE = 422
-_SERVER_ERROR = 500
-
 _log = part_logger("jobs")
 
 
-@attrs.define(eq=False)
-class _Running:
-    """An item at an upstream, and how to stop it."""
-
-    run: JobRun
-    item: ItemRun
-    state: UpstreamState
-    scope: trio.CancelScope
-
-
 class JobWorker:
-    """Takes jobs, runs their items in free slots, and commits what they give.
+    """Owns jobs: takes them, has their items run, and commits the results.
 
     Attributes:
       stopping: Whether no more items may be started.
@@ -104,17 +73,14 @@
         self,
         ledger: Ledger,
         board: JobBoard,
-        placement: Placement,
-        caller: UpstreamCaller,
+        items: ItemRunner,
         *,
         owner: str,
         routes: Callable[[], RouteTable | None],
         owner_lives: Callable[..., bool],
         living: Callable[[], list[str]],
         holds_lease: Callable[[], bool],
-        on_change: Callable[[UpstreamState, bool], None],
         on_taken: Callable[[JobId], None],
-        on_item_end: Callable[[str], None],
         on_commit: Callable[[str], None],
     ) -> None:
         """Prepares the worker.
@@ -122,36 +88,28 @@
         Args:
           ledger: Commits results.
           board: All jobs as known here.
-          placement: Chooses upstreams and counts what is in flight.
-          caller: Reaches upstreams.
+          items: Runs items.
           owner: Names this start of this instance.
           routes: Returns the routes in force.
           owner_lives: Tells whether the owner of a job is alive, given since when
             its name has been known here.
           living: Names all living instances.
           holds_lease: Tells whether others still take this instance as alive.
-          on_change: Told of each item that starts (True) or ends (False).
           on_taken: Told of each job taken over here.
-          on_item_end: Told how each run of an item ended.
           on_commit: Told how each commit ended.
         """
         self.ledger = ledger
         self.board = board
-        self.placement = placement
-        self.caller = caller
+        self.items = items
         self.owner = owner
         self.routes = routes
         self.owner_lives = owner_lives
         self.living = living
         self.holds_lease = holds_lease
-        self.on_change = on_change
         self.on_taken = on_taken
-        self.on_item_end = on_item_end
         self.on_commit = on_commit
         self.stopping = False
         self.runs: dict[JobId, JobRun] = {}
-        self._running: list[_Running] = []
-        self._avoided: dict[UpstreamId, float] = {}
         self._met: dict[str, float] = {}
         self._orphans: dict[JobId, float] = {}
         self._taking: set[JobId] = set()
@@ -249,8 +207,15 @@
         _log.info("Job taken over.", job=held.row.job, owner_before=held.row.owner)
         self.board.observe(taken)
         self.on_taken(held.row.job)
+        await self._wait_for_handover(held.row.job)
         await self._run_job(taken)
 
+    async def _wait_for_handover(self, job: JobId) -> None:
+        """Waits a moment for what the owner before had made, if it can be heard."""
+        with trio.move_on_after(HANDOVER_WAIT_S):
+            while job not in self._handed:
+                await trio.sleep(_HANDOVER_POLL_S)
+
     def taken_elsewhere(self, job: JobId) -> list[ItemEvents]:
         """Stops a job that another has taken over; returns what was made of it.
 
@@ -367,9 +332,7 @@
     def _drop(self, run: JobRun, why: str) -> None:
         job = run.held.row.job
         self.runs.pop(job, None)
-        for running in list(self._running):
-            if running.run is run:
-                running.scope.cancel()
+        self.items.stop_job(run)
         _log.info("Job given up.", job=job, why=why)
 
     # Items.
@@ -392,7 +355,6 @@
         fresh = now - self.board.fresh_at < STALE_S and self.holds_lease()
         if self.stopping or table is None or not fresh:
             return False
-        avoided = [u for u, until in self._avoided.items() if now < until]
         for run in sorted(self.runs.values(), key=lambda run: run.due_at):
             row = run.held.row
             route = table.match(row.host, row.path)
@@ -405,136 +367,25 @@
             for item in run.pending:
                 if item.not_before > now:
                     continue
-                state = self.placement.choose_batch(
-                    route, reserve=RESERVED_SLOTS, avoid=avoided, now=now
-                )
-                if isinstance(state, Nowhere):
+                state = self.items.find_slot(route)
+                if state is None:
                     break
-                self._start(run, item, state, route)
+                running = self.items.claim_slot(run, item, state)
+                assert self._nursery is not None
+                self._nursery.start_soon(self._run_item, running, route)
                 return True
         return False
 
-    def _start(
-        self, run: JobRun, item: ItemRun, state: UpstreamState, route: Route
-    ) -> None:
-        running = _Running(run, item, state, trio.CancelScope())
-        run.start(item, state.id)
-        self._running.append(running)
-        state.batch += 1
-        state.health.started()
-        self.on_change(state, True)
-        assert self._nursery is not None
-        self._nursery.start_soon(self._run_item, running, route)
-
-    async def _run_item(self, running: _Running, route: Route) -> None:
-        run, item, state = running.run, running.item, running.state
-        attempt = Attempt()
-        end = ItemEnd.YIELDED
-        with self._counted(running), running.scope:
-            end = await self._attempt(running, attempt)
-        if end in (ItemEnd.BROKEN, ItemEnd.FAILED):
-            _judge_failure(state, attempt)
-        elif end is ItemEnd.COMPLETE:
-            state.health.succeeded()
-        elif end is ItemEnd.NOT_RUN:
-            self._avoided[state.id] = trio.current_time() + _AVOID_S
-        pause = _BROKEN_PAUSE_S if end is not ItemEnd.YIELDED else 0.0
-        not_before = trio.current_time() + pause
-        run.stop(item, end, max_attempts=route.max_attempts, not_before=not_before)
-        self.on_item_end(end.value)
-        write = _log.info if end is not ItemEnd.YIELDED else _log.debug
-        write(
-            "Item run ended.",
-            job=run.held.row.job,
-            item=item.spec.id,
-            upstream=state.id,
-            ended=end.value,
-            events=len(item.events),
-            failures=item.failures,
-        )
+    async def _run_item(self, running: Running, route: Route) -> None:
+        await self.items.run(running, route)
         self._wake.set()
 
-    @contextlib.contextmanager
-    def _counted(self, running: _Running) -> Iterator[None]:
-        try:
-            yield
-        finally:
-            running.state.batch -= 1
-            running.state.health.abandoned()
-            self._running.remove(running)
-            self.on_change(running.state, False)
-
-    async def _attempt(self, running: _Running, attempt: Attempt) -> ItemEnd:
-        item, state = running.item, running.state
-        request = OnlineRequest(
-            request_id=RequestId(item.spec.id),
-            method="POST",
-            host=running.run.held.row.host,
-            target=item.spec.target.encode(),
-            headers=item.spec.headers,
-            body=item.spec.body,
-            allowed_s=0.0,
-        )
-        stall = trio.CancelScope(deadline=trio.current_time() + STALL_S)
-        end = ItemEnd.BROKEN
-        with stall:
-            try:
-                async with self.caller.exchange(
-                    state.upstream,
-                    request,
-                    attempt=attempt,
-                    allowed_s=None,
-                    resume_after=item.last_event,
-                ) as answer:
-                    end = await _collect(item, state, answer, stall)
-            except UpstreamBrokeError as error:
-                _log.info(
-                    "Item broke off.",
-                    item=item.spec.id,
-                    upstream=state.id,
-                    reason=str(error),
-                )
-                return ItemEnd.BROKEN
-        return end
-
-    # Making room.
-
-    def make_room(self) -> None:
-        """Cuts items where online requests need their slots.
-
-        The instance with the most items at an overfull upstream cuts one; what it
-        has made is kept and goes on elsewhere.
-        """
-        for state in {running.state.id: running.state for running in self._running}:
-            self._make_room_at(self.placement.states.get(state))
-
-    def _make_room_at(self, state: UpstreamState | None) -> None:
-        if state is None or not state.batch:
-            return
-        excess = self.placement.load(state) - (state.upstream.slots - RESERVED_SLOTS)
-        if excess <= 0:
-            return
-        peers = self.placement.peer_batch(state.id)
-        own = self.owner.rpartition("/")[0]
-        if any((count, peer) > (state.batch, own) for peer, count in peers.items()):
-            return
-        here = [
-            running
-            for running in self._running
-            if running.state is state and not running.scope.cancel_called
-        ]
-        stopping = state.batch - len(here)
-        here.sort(key=lambda running: (running.run.due_at, -len(running.item.events)))
-        for running in here[::-1][: max(0, excess - stopping)]:
-            running.scope.cancel()
-
     # Stopping.
 
     async def hand_over(self) -> None:
         """Stops all items and gives up all jobs, with what the items have made."""
         self.stopping = True
-        for running in list(self._running):
-            running.scope.cancel()
+        self.items.stop_all()
         async with trio.open_nursery() as nursery:
             for run in list(self.runs.values()):
                 nursery.start_soon(self._release, run)
@@ -550,44 +401,3 @@
             if run.held.row.owner == NOBODY:
                 _log.info("Job handed over.", job=run.held.row.job)
                 return
-
-
-async def _collect(
-    item: ItemRun, state: UpstreamState, answer: UpstreamAnswer, stall: trio.CancelScope
-) -> ItemEnd:
-    """Takes an item's events and returns how the run ended."""
-    if answer.other_instance:
-        state.gone = True
-        return ItemEnd.NOT_RUN
-    if answer.refused:
-        return ItemEnd.NOT_RUN
-    if answer.status == _UNPROCESSABLE:
-        return ItemEnd.IMPOSSIBLE
-    if answer.status >= _SERVER_ERROR:
-        return ItemEnd.FAILED
-    if answer.status != 200:
-        return ItemEnd.BROKEN
-    splitter = EventSplitter()
-    async for data in answer.body:
-        for event in splitter.feed(data):
-            expected = None if item.last_event is None else item.last_event + 1
-            if event.number is None or expected not in (None, event.number):
-                _log.warning(
-                    "An event is out of order.",
-                    item=item.spec.id,
-                    event=event.number,
-                    expected=expected,
-                )
-                return ItemEnd.BROKEN
-            item.last_event = event.number
-            item.events.append(event.data)
-            stall.deadline = trio.current_time() + STALL_S
-    return ItemEnd.COMPLETE if not splitter.rest.strip() else ItemEnd.BROKEN
-
-
-def _judge_failure(state: UpstreamState, attempt: Attempt) -> None:
-    now = trio.current_time()
-    if attempt.state is AttemptState.QUEUED:
-        state.health.unreachable(now)
-    else:
-        state.health.failed(now)
--- a/tests/features/environment.py
+++ b/tests/features/environment.py
@@ -14,6 +14,6 @@
     try:
         if scenario.status == Status.failed:
             for name, process in context.fleet.processes.items():
-                print(f"--- {name}\n{process.output()[-2500:]}")
+                print(f"--- {name}\n{process.output()[-20000:]}")
     finally:
         context.fleet.close()
