Keep no slot free for online requests; cut batch when one comes

Change: batch may fill an upstream; an online request prefers a free slot, then one that batch gives up, then a queue. bench/soak.py: a soak of gateways. Conclusion: a trial until measured.

--- /dev/null
+++ b/bench/soak.py
@@ -0,0 +1,461 @@
+"""A randomized soak of gateways as processes, with faults from outside them.
+
+``python -m bench.soak --seeds 1-50`` plays each seed: clients send streams, calls and
+jobs on connections of their own while gateways are killed, paused, stopped and told to
+reload, the store is away, slow or loses answers, and a proxy cuts, silences or delays
+the ways to the store and to the runners, in series and together. At the end everything
+heals, and what callers and runners saw is held against docs/PROMISES.md.
+A seed that fails leaves its output in ``out/soak-SEED.log``.
+"""
+
+from __future__ import annotations
+
+import argparse
+import json
+import pathlib
+import random
+import signal
+import sys
+import time
+from collections.abc import Awaitable, Callable
+from typing import Any
+
+import attrs
+import httpcore
+import trio
+
+from coppercleat.errors import CoppercleatError
+from tests.harness import JOBS, ONCE, PLAIN, RESUMABLE, STREAM, Answer, Gateways
+
+ROUTES = {"stream": STREAM, "resumable": RESUMABLE, "plain": PLAIN, "once": ONCE}
+AT_MOST_ONCE = ("stream", "once")
+PROMISES = (408, 421, 429, 503)
+EVENTS = 30
+CANCEL_S = 3.0
+"""After a job's end is acknowledged nothing of it may start for longer than this."""
+
+SETTLE_S = 60.0
+_OUT = pathlib.Path("out")
+_NETWORK = (httpcore.NetworkError, httpcore.ProtocolError, httpcore.TimeoutException)
+
+Fault = Callable[["Soak"], Awaitable[None]]
+FAULTS: dict[str, Fault] = {}
+
+
+def fault(action: Fault) -> Fault:
+    """Registers something that may go wrong."""
+    FAULTS[action.__name__] = action
+    return action
+
+
+@attrs.define
+class Job:
+    """A submitted job as its client knows it."""
+
+    id: str
+    items: list[str]
+    statuses: list[int] = attrs.field(factory=list)
+    seen: dict[int, Any] = attrs.field(factory=dict)
+    ended_at: float = 0.0
+
+    @property
+    def accepted(self) -> bool:
+        """Whether any submission was acknowledged."""
+        return 202 in self.statuses
+
+
+class Soak:
+    """One seed's play.
+
+    Attributes:
+      problems: Broken promises, in words.
+    """
+
+    def __init__(self, seed: int, *, length_s: float) -> None:
+        self.seed = seed
+        self.length_s = length_s
+        self.rng = random.Random(seed)
+        self.fleet = Gateways(gateways=4, runners=3, proxied=True)
+        self.answers: dict[str, tuple[str, Answer | None]] = {}
+        self.jobs: list[Job] = []
+        self.done: list[str] = []
+        self.problems: list[str] = []
+        self.down: set[str] = set()
+        self.ends_at = 0.0
+
+    # The play.
+
+    def play(self) -> None:
+        """Plays and checks."""
+        self.fleet.start()
+        try:
+            trio.run(self._play)
+        except Exception as error:  # noqa: BLE001 - a soak that breaks has failed
+            self.problems.append(f"the play ended early: {error!r}")
+        finally:
+            if self.problems:
+                self._keep_output()
+            self.fleet.close()
+
+    async def _play(self) -> None:
+        for name in self.fleet.runners:
+            await self.fleet.control(name, events=EVENTS, event_s=0.02)
+        self.ends_at = trio.current_time() + self.length_s
+        async with trio.open_nursery() as nursery:
+            for number in range(5):
+                nursery.start_soon(self._client, number)
+            nursery.start_soon(self._submitter)
+            nursery.start_soon(self._reader)
+            nursery.start_soon(self._harm)
+        await self._heal()
+        for job in self.jobs:
+            if job.accepted and not job.ended_at:
+                await self._whole(job)
+        await self._check()
+
+    def _playing(self) -> bool:
+        return trio.current_time() < self.ends_at
+
+    def _gateway(self) -> str:
+        return self.rng.choice(self.fleet.names)
+
+    async def _client(self, number: int) -> None:
+        count = 0
+        while self._playing():
+            count += 1
+            kind = self.rng.choice(list(ROUTES))
+            request = f"r-{number}-{count}"
+            self.answers[request] = (kind, None)
+            try:
+                with trio.move_on_after(6):
+                    answer = await self.fleet.ask(
+                        self._gateway(), ROUTES[kind], request, deadline_ms=3000
+                    )
+                    self.answers[request] = (kind, answer)
+            except _NETWORK:
+                pass
+            await trio.sleep(self.rng.uniform(0, 0.3))
+
+    async def _submitter(self) -> None:
+        while self._playing():
+            job = Job(f"j-{len(self.jobs)}", [f"i{n}" for n in range(6)])
+            self.jobs.append(job)
+            for _ in range(self.rng.randint(1, 4)):
+                try:
+                    with trio.move_on_after(4):
+                        gateway = self._gateway()
+                        answer = await self.fleet.submit(gateway, job.id, job.items)
+                        job.statuses.append(answer.status)
+                except _NETWORK:
+                    job.statuses.append(0)
+                if job.accepted and self.rng.random() < 0.8:
+                    break
+            if job.accepted and self.rng.random() < 0.15:
+                await self._end(job)
+            await trio.sleep(self.rng.uniform(0.2, 1.2))
+
+    async def _end(self, job: Job) -> None:
+        try:
+            with trio.move_on_after(4):
+                answer = await self.fleet.call(
+                    self._gateway(), "DELETE", JOBS[0], f"/v1/lots/{job.id}"
+                )
+                if answer.status == 200:
+                    job.ended_at = time.monotonic()
+        except _NETWORK:
+            pass
+
+    async def _reader(self) -> None:
+        while self._playing():
+            if self.jobs:
+                await self._read(self.rng.choice(self.jobs))
+            await trio.sleep(0.1)
+
+    async def _read(self, job: Job) -> int:
+        """Reads some results, compares them with what was read; returns how many."""
+        after = self.rng.randint(0, len(job.seen)) if job.seen else 0
+        try:
+            with trio.move_on_after(4):
+                gateway = self._gateway()
+                target = f"/v1/lots/{job.id}?after={after}"
+                answer = await self.fleet.call(gateway, "GET", JOBS[0], target)
+                if answer.status == 404 and job.accepted:
+                    self.problems.append(f"{job.id}: 404 after it was accepted")
+                if answer.status != 200:
+                    return 0
+                page = json.loads(answer.body)
+                for position, result in enumerate(page["results"], after):
+                    first = job.seen.setdefault(position, result)
+                    if first != result:
+                        self.problems.append(f"{job.id}: position {position} changed")
+                return len(page["results"])
+        except _NETWORK:
+            pass
+        return 0
+
+    async def _harm(self) -> None:
+        while self._playing():
+            name = self.rng.choice(list(FAULTS))
+            self.done.append(name)
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(FAULTS[name], self)
+                if self.rng.random() < 0.5:
+                    other = self.rng.choice(list(FAULTS))
+                    self.done.append(other)
+                    nursery.start_soon(FAULTS[other], self)
+            await trio.sleep(self.rng.uniform(0.1, 1.0))
+
+    async def _heal(self) -> None:
+        await self.fleet.control("store", **HEALTHY_STORE)
+        for name in self.fleet.links:
+            await self.fleet.link(name)
+        for name in self.fleet.runners:
+            await self.fleet.control(name, silent=False)
+            await _insist(lambda n=name: self.fleet.list_runner(n))
+        for name in self.fleet.names:
+            if not self.fleet.processes[name].running:
+                self.fleet.start_gateway(name)
+        for name in self.fleet.names:
+            await self.fleet.ready(name)
+
+    # What must hold.
+
+    async def _whole(self, job: Job) -> None:
+        with trio.move_on_after(SETTLE_S):
+            while len(job.seen) < len(job.items):
+                await self._read(job)
+                await trio.sleep(0.05)
+        names = [result["id"] for result in job.seen.values()]
+        if sorted(names) != [f"{job.id}-item-{n}" for n in range(len(job.items))]:
+            self.problems.append(f"{job.id}: listed are {names}")
+        text = "\n".join(f"word {n}" for n in range(1, EVENTS + 1))
+        for result in job.seen.values():
+            good = result["state"] == "completed" and result["text"] == text
+            if not good and result["state"] != "dead_letter":
+                self.problems.append(f"{job.id}: {result['id']} is not whole")
+
+    async def _check(self) -> None:
+        runs: dict[str, list[dict[str, Any]]] = {}
+        for run in await self.fleet.runs():
+            runs.setdefault(run["id"], []).append(run)
+        for request, (kind, answer) in self.answers.items():
+            ran = runs.get(request, [])
+            if kind in AT_MOST_ONCE and len(ran) > 1:
+                self.problems.append(f"{request} ({kind}) ran {len(ran)} times")
+            if answer is not None:
+                self._check_answer(request, answer, ran)
+        for job in self.jobs:
+            self._check_job(job, runs)
+
+    def _check_answer(
+        self, request: str, answer: Answer, ran: list[dict[str, Any]]
+    ) -> None:
+        if answer.status in PROMISES and ran:
+            self.problems.append(f"{request}: {answer.status}, but it ran")
+        if answer.status != 200:
+            return
+        if request not in answer.headers.get("response-stamp", ""):
+            self.problems.append(f"{request}: another request's answer")
+        events = answer.events
+        if events != list(range(1, len(events) + 1)):
+            self.problems.append(f"{request}: events {events}")
+        if answer.whole and len(events) != EVENTS:
+            self.problems.append(f"{request}: looks whole after {len(events)} events")
+
+    def _check_job(self, job: Job, runs: dict[str, list[dict[str, Any]]]) -> None:
+        names = [f"{job.id}-item-{n}" for n in range(len(job.items))]
+        ran = [run for name in names for run in runs.get(name, ())]
+        refused = job.statuses and all(s in PROMISES for s in job.statuses)
+        if refused and ran:
+            self.problems.append(f"{job.id}: always refused as not run, but it ran")
+        if job.ended_at:
+            late = [r for r in ran if r["at"] > job.ended_at + CANCEL_S]
+            if late:
+                self.problems.append(f"{job.id}: {len(late)} runs after its end")
+
+    def _keep_output(self) -> None:
+        _OUT.mkdir(exist_ok=True)
+        with (_OUT / f"soak-{self.seed}.log").open("w", encoding="utf-8") as out:
+            out.write(json.dumps({"problems": self.problems, "faults": self.done}))
+            for name, process in self.fleet.processes.items():
+                out.write(f"\n--- {name}\n{process.output()}")
+
+
+HEALTHY_STORE = {
+    "outage": False,
+    "hang": False,
+    "latency_s": 0.0,
+    "lose_share": 0.0,
+    "late_effect_s": 0.0,
+    "cut_zones": [],
+}
+
+
+async def _insist(write: Callable[[], Awaitable[None]]) -> None:
+    """Repeats a write of the operator or of a runner until the store takes it."""
+    while True:
+        try:
+            return await write()
+        except CoppercleatError:
+            await trio.sleep(0.1)
+
+
+async def _store_has(soak: Soak, **knobs: Any) -> None:
+    await soak.fleet.control("store", **knobs)
+    await trio.sleep(soak.rng.uniform(0.5, 4.0))
+    healthy = {name: HEALTHY_STORE[name] for name in knobs}
+    await soak.fleet.control("store", **healthy)
+
+
+@fault
+async def store_away(soak: Soak) -> None:
+    """The store answers nothing but 503."""
+    await _store_has(soak, outage=True)
+
+
+@fault
+async def store_silent(soak: Soak) -> None:
+    """The store takes calls and never answers."""
+    await _store_has(soak, hang=True)
+
+
+@fault
+async def store_slow(soak: Soak) -> None:
+    """The store takes long."""
+    await _store_has(soak, latency_s=soak.rng.uniform(0.1, 0.6))
+
+
+@fault
+async def store_loses_answers(soak: Soak) -> None:
+    """Changes take effect and lose their answers, some of them later."""
+    late = soak.rng.choice([0.0, 1.5])
+    await _store_has(soak, lose_share=0.4, late_effect_s=late)
+
+
+@fault
+async def history_lost(soak: Soak) -> None:
+    """The store drops its history of changes."""
+    await soak.fleet.control("store", dropped_before=10**9)
+    await trio.sleep(1.0)
+    await soak.fleet.control("store", dropped_before=0)
+
+
+@fault
+async def way_harmed(soak: Soak) -> None:
+    """One way, to a runner or from a gateway to the store, is harmed."""
+    name = soak.rng.choice(list(soak.fleet.links))
+    harm = soak.rng.choice(
+        [{"cut": True}, {"swallow": True}, {"mute": True}, {"delay_s": 0.1}]
+    )
+    await soak.fleet.link(name, **harm)
+    await trio.sleep(soak.rng.uniform(0.3, 4.0))
+    await soak.fleet.link(name)
+
+
+@fault
+async def gateway_killed(soak: Soak) -> None:
+    """A gateway is killed and starts again after a while."""
+    name = soak._gateway()
+    soak.fleet.processes[name].kill()
+    await trio.sleep(soak.rng.uniform(0.1, 3.0))
+    if not soak.fleet.processes[name].running:
+        soak.fleet.start_gateway(name)
+
+
+@fault
+async def gateway_paused(soak: Soak) -> None:
+    """A gateway stands still, for longer than its lease at times."""
+    process = soak.fleet.processes[soak._gateway()]
+    process.signal(signal.SIGSTOP)
+    await trio.sleep(soak.rng.uniform(0.3, 6.0))
+    process.signal(signal.SIGCONT)
+
+
+@fault
+async def gateway_stopped(soak: Soak) -> None:
+    """A gateway is stopped as planned, and starts again."""
+    name = soak._gateway()
+    process = soak.fleet.processes[name]
+    if not process.running:
+        return
+    process.signal(signal.SIGTERM)
+    with trio.move_on_after(12):
+        while process.running:
+            await trio.sleep(0.05)
+    if process.running:
+        soak.problems.append(f"{name} does not stop")
+        process.kill()
+    if not soak.fleet.processes[name].running:
+        soak.fleet.start_gateway(name)
+
+
+@fault
+async def gateway_reloads(soak: Soak) -> None:
+    """A gateway is told to read its settings again."""
+    soak.fleet.processes[soak._gateway()].signal(signal.SIGHUP)
+
+
+@fault
+async def runner_faulty(soak: Soak) -> None:
+    """A runner cuts, crosses, fails, sheds or says nothing."""
+    name = soak.rng.choice(soak.fleet.runners)
+    knobs = soak.rng.choice(
+        [
+            {"cut_next": 5, "cut_after": soak.rng.randint(0, 9), "torn": True},
+            {"cross_next": 3},
+            {"fail_next": 3},
+            {"shed_next": 5},
+            {"silent": True},
+        ]
+    )
+    await soak.fleet.control(name, **knobs)
+    if "silent" in knobs:
+        await trio.sleep(soak.rng.uniform(0.5, 2.0))
+        await soak.fleet.control(name, silent=False)
+
+
+@fault
+async def runner_leaves(soak: Soak) -> None:
+    """A runner drains, leaves the list, and is listed again."""
+    name = soak.rng.choice(soak.fleet.runners[1:])
+    await _insist(lambda: soak.fleet.list_runner(name, state="draining"))
+    await trio.sleep(soak.rng.uniform(0.2, 2.0))
+    await _insist(lambda: soak.fleet.unlist_runner(name))
+    await trio.sleep(soak.rng.uniform(0.2, 2.0))
+    await _insist(lambda: soak.fleet.list_runner(name))
+
+
+@fault
+async def configuration_changes(soak: Soak) -> None:
+    """The operator writes new versions in quick succession."""
+    for _ in range(soak.rng.randint(1, 6)):
+        await _insist(soak.fleet.apply_config)
+        await trio.sleep(0.1)
+
+
+def main() -> int:
+    """Plays the seeds and prints one JSON line each."""
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("--seeds", default="", help="for example 1-50; else fresh ones")
+    parser.add_argument("--length_s", type=float, default=15.0)
+    options = parser.parse_args()
+    fresh = random.SystemRandom().randrange(10_000, 1_000_000)
+    first, _, last = (options.seeds or f"{fresh}-{fresh + 4}").partition("-")
+    failed = 0
+    for seed in range(int(first), int(last or first) + 1):
+        soak = Soak(seed, length_s=options.length_s)
+        soak.play()
+        failed += bool(soak.problems)
+        line = {
+            "seed": seed,
+            "requests": len(soak.answers),
+            "jobs": sum(job.accepted for job in soak.jobs),
+            "faults": len(soak.done),
+            "problems": soak.problems[:10],
+        }
+        print(json.dumps(line), flush=True)
+    return 1 if failed else 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- a/src/coppercleat/jobs/_items.py
+++ b/src/coppercleat/jobs/_items.py
@@ -24,9 +24,10 @@
 )
 from coppercleat.upstreams import Attempt, AttemptState
 
-RESERVED_SLOTS = 1
-"""Slots at each upstream that batch leaves free, so that an online request finds one;
-by the rounds in docs/design/platform.md."""
+RESERVED_SLOTS = 0
+"""Slots at each upstream that batch leaves free for online requests. None: an item is
+cut within some 5 ms of an online request that needs its slot, while a reserve of one
+in eight is lost to batch all day. Rounds: docs/design/platform.md."""
 
 STALL_S = 1.0
 """An item without an event for this long goes elsewhere; events come 20 ms apart, and
--- a/src/coppercleat/serving/_placement.py
+++ b/src/coppercleat/serving/_placement.py
@@ -21,6 +21,11 @@
 the same counts do not all choose the same one."""
 
 
+_SLOT_FREE, _SLOT_CUT, _SLOT_QUEUED = range(3)
+"""A slot is free; a batch item will be cut for it, which takes some 5 ms; or online
+requests hold all slots, and one must end."""
+
+
 class InFlight(msgspec.Struct, frozen=True, array_like=True):
     """What one instance has in flight at one upstream."""
 
@@ -138,7 +143,7 @@
     def choose_online(
         self, route: Route, *, tried: Collection[UpstreamId], now: float
     ) -> UpstreamState | Nowhere:
-        """Chooses for an online request: a free slot near by, else the least full.
+        """Chooses for an online request: a free slot, else one that batch gives up.
 
         Args:
           route: The request's route.
@@ -192,8 +197,16 @@
             return targets[0].service
         return self._rng.choices(targets, weights)[0].service
 
-    def _online_cost(self, state: UpstreamState) -> tuple[bool, float]:
-        return self.free_slots(state) <= 0, self._batch_cost(state)
+    def _online_cost(self, state: UpstreamState) -> tuple[int, float]:
+        """Returns how soon a slot is there, then how full the upstream is."""
+        rank = _SLOT_FREE
+        if self.free_slots(state) <= 0:
+            rank = _SLOT_CUT if self._batch_load(state) > 0 else _SLOT_QUEUED
+        return rank, self._batch_cost(state)
+
+    def _batch_load(self, state: UpstreamState) -> int:
+        """Returns batch items of all instances that could be cut at an upstream."""
+        return state.batch + sum(self.peer_batch(state.id).values())
 
     def _batch_cost(self, state: UpstreamState) -> float:
         cost = self.load(state) / max(1, state.upstream.slots) * 8
--- a/tests/harness/_gateways.py
+++ b/tests/harness/_gateways.py
@@ -55,7 +55,14 @@
 class Gateways:
     """Starts gateways, runners and the store, and ends them."""
 
-    def __init__(self, *, gateways: int, runners: int, garbage: str = "") -> None:
+    def __init__(
+        self,
+        *,
+        gateways: int,
+        runners: int,
+        garbage: str = "",
+        proxied: bool = False,
+    ) -> None:
         self.directory = pathlib.Path(tempfile.mkdtemp(prefix="coppercleat-"))
         self.processes: dict[str, Process] = {}
         self.ports: dict[str, dict[str, int]] = {}
@@ -64,11 +71,18 @@
         self.config: dict[str, Any] = default_config()
         self.runners = [f"runner-{n + 1}" for n in range(runners)]
         self.garbage = garbage
+        self.proxy_port = free_port() if proxied else 0
+        self.links: dict[str, int] = {}
         self.names = [f"gateway-{n + 1}" for n in range(gateways)]
 
     def start(self) -> None:
         """Starts everything and waits until all gateways are ready."""
         self._process("store", "tests.standins.platform", self.store_port)
+        if self.proxy_port:
+            self._process("proxy", "tests.standins.proxy", self.proxy_port)
+            trio.run(until, "the proxy starts", lambda: _answers(self.proxy_port))
+            for name in [*self.runners, *self.names]:
+                self.links[name] = free_port()
         for name in self.runners:
             self.ports[name] = {"http": free_port()}
             port = self.ports[name]["http"]
@@ -126,13 +140,27 @@
             "seedNodes": seeds[:3],
             "bounds": {"graceS": 8, "configApplyMs": 2000, "quotaOvershoot": 0.1},
             "platform": {
-                "address": f"127.0.0.1:{self.store_port}/from/{name}",
+                "address": f"127.0.0.1:{self._store_way(name)}/from/{name}",
                 "writesPerS": 800,
                 "readsPerS": 2000,
             },
             "aNewField": {"that": ["nobody", "knows"]},
         }
 
+    def _store_way(self, name: str) -> int:
+        """Returns the port by which a gateway reaches the store."""
+        return self.links.get(name, self.store_port)
+
+    async def link(self, name: str, **faults: Any) -> None:
+        """Sets the proxy's link to a runner, or from a gateway to the store."""
+        target = self.store_port
+        if name in self.runners:
+            target = self.ports[name]["http"]
+        link = {"target": f"127.0.0.1:{target}"} | faults
+        report = await self.control("proxy")
+        links = report["knobs"]["links"] | {str(self.links[name]): link}
+        await self.control("proxy", links=links)
+
     # The operator and the runners.
 
     async def _publish(self) -> None:
@@ -141,13 +169,15 @@
             port = self.ports[name]["http"]
             await until(f"{name} starts", lambda p=port: _answers(p))
             await self.list_runner(name)
+        for name in self.links:
+            await self.link(name)
         await self.apply_config()
 
     async def list_runner(self, name: str, *, state: str = "ready") -> None:
         """Writes a runner's entry."""
         entry = {
             "service": SERVICE,
-            "address": f"127.0.0.1:{self.ports[name]['http']}",
+            "address": f"127.0.0.1:{self.links.get(name, self.ports[name]['http'])}",
             "zone": _ZONES[self.runners.index(name) % len(_ZONES)],
             "version": "v1",
             "slots": 8,
@@ -182,7 +212,8 @@
 
     async def control(self, name: str, **knobs: Any) -> dict[str, Any]:
         """Sets knobs of a stand-in, and returns its report."""
-        port = self.store_port if name == "store" else self.ports[name]["http"]
+        known = {"store": self.store_port, "proxy": self.proxy_port}
+        port = known.get(name) or self.ports[name]["http"]
         async with httpcore.AsyncConnectionPool() as pool:
             body = json.dumps(knobs).encode()
             method = "POST" if knobs else "GET"
--- a/tests/standins/runner.py
+++ b/tests/standins/runner.py
@@ -6,6 +6,7 @@
 
 from __future__ import annotations
 
+import time
 from typing import Any
 
 import msgspec
@@ -94,6 +95,7 @@
             "body": body.decode("latin-1"),
             "deadline_ms": headers.get("deadline-ms"),
             "after": headers.get("last-event-id"),
+            "at": time.monotonic(),
             "events": 0,
             "ended": "",
         }
