--- a/src/coppercleat/jobs/__init__.py
+++ b/src/coppercleat/jobs/__init__.py
@@ -11,6 +11,7 @@
     Submission,
     Superseded,
 )
+from coppercleat.jobs._pace import ItemPace
 from coppercleat.jobs._records import NOBODY, ItemSpec, ItemState, JobRow, ResultRow
 from coppercleat.jobs._worker import JobWorker
 
@@ -18,6 +19,7 @@
     "NOBODY",
     "Finished",
     "Held",
+    "ItemPace",
     "ItemRunner",
     "ItemSpec",
     "ItemState",
--- a/src/coppercleat/jobs/_items.py
+++ b/src/coppercleat/jobs/_items.py
@@ -9,6 +9,7 @@
 import trio
 
 from coppercleat.ids import RequestId, UpstreamId
+from coppercleat.jobs._pace import ItemPace
 from coppercleat.jobs._run import ItemEnd, ItemRun, JobRun
 from coppercleat.observability import part_logger
 from coppercleat.serving import (
@@ -83,6 +84,7 @@
         self.on_end = on_end
         self._running: list[Running] = []
         self._avoided: dict[UpstreamId, float] = {}
+        self._pace = ItemPace()
 
     def find_slot(self, route: Route) -> UpstreamState | None:
         """Returns an upstream with a slot for an item, None if there is none."""
@@ -95,6 +97,24 @@
         )
         return None if isinstance(state, Nowhere) else state
 
+    def seconds_left(self, item: ItemRun) -> float:
+        """Returns how long an item takes from now, if it starts at once."""
+        return self._pace.seconds_left(len(item.events))
+
+    def cut_late(self, wall: float) -> None:
+        """Cuts one item that is late anyway, for one that can be done in time.
+
+        Args:
+          wall: Unix time in seconds.
+        """
+        late = [
+            running
+            for running in self._running
+            if wall + self.seconds_left(running.item) > running.run.due_at
+        ]
+        if late and not any(running.scope.cancel_called for running in late):
+            min(late, key=lambda running: len(running.item.events)).scope.cancel()
+
     def stop_job(self, run: JobRun) -> None:
         """Stops all items of a job."""
         for running in self._running:
@@ -121,11 +141,16 @@
         run, item, state = running.run, running.item, running.state
         attempt = Attempt()
         end = ItemEnd.YIELDED
+        began, before = trio.current_time(), len(item.events)
         with self._counted(running), running.scope:
             end = await self._attempt(running, attempt)
+        self._pace.observe_run(
+            events=len(item.events) - before, seconds=trio.current_time() - began
+        )
         if end in (ItemEnd.BROKEN, ItemEnd.FAILED):
             _judge_failure(state, attempt)
         elif end is ItemEnd.COMPLETE:
+            self._pace.observe_item(events=len(item.events))
             state.health.succeeded()
         elif end is ItemEnd.NOT_RUN:
             self._avoided[state.id] = trio.current_time() + _AVOID_S
--- a/tests/features/serving_decisions.feature
+++ b/tests/features/serving_decisions.feature
@@ -114,3 +114,13 @@
   Scenario: An answer whose time is up while its head is sent is not torn
     When an answer is given in a scope that is cancelled
     Then head, body and end have been sent, in order
+
+  Scenario Outline: Items of <lengths> events, one every 20 ms
+    Then an item with <made> events made is taken to need <least> to <most> s more
+
+    Examples: lengths times how many
+      | lengths | made | least | most |
+      | 200x50  | 0    | 3.9   | 4.3  |
+      | 200x50  | 150  | 0.9   | 1.3  |
+      | 200x50  | 300  | 0.0   | 0.2  |
+      | 50x50   | 0    | 0.9   | 1.4  |
--- a/tests/features/steps/serving_steps.py
+++ b/tests/features/steps/serving_steps.py
@@ -12,6 +12,7 @@
 from coppercleat.jobs import (
     Finished,
     Held,
+    ItemPace,
     ItemSpec,
     ItemState,
     Ledger,
@@ -373,3 +374,14 @@
 def sent_whole(context):
     head, body = "http.response.start", "http.response.body"
     assert context.sent == [head, body, body], context.sent
+
+
+@then("an item with {made:d} events made is taken to need {least:g} to {most:g} s more")
+def needs(context, made, least, most):
+    length, times = context.scenario.name.split()[2].split("x")
+    pace = ItemPace()
+    for _ in range(int(times)):
+        pace.observe_run(events=int(length), seconds=int(length) * 0.02)
+        pace.observe_item(events=int(length))
+    found = pace.seconds_left(made)
+    assert least <= found <= most, found
