--- a/src/coppercleat/gateway/_gateway.py
+++ b/src/coppercleat/gateway/_gateway.py
@@ -11,7 +11,7 @@
 from coppercleat.gateway._jobs_desk import JobsDesk
 from coppercleat.gateway._metrics import GatewayMetrics
 from coppercleat.ids import random_token
-from coppercleat.jobs import ItemRunner, JobBoard, JobWorker, Ledger
+from coppercleat.jobs import ItemRunner, JobBoard, JobWorker, Ledger, Sweeper
 from coppercleat.observability import part_logger
 from coppercleat.serving import (
     READ_SHARE,
@@ -115,6 +115,15 @@
             on_taken=self.peers.job_taken,
             on_commit=metrics.committed,
         )
+        self.sweeper = Sweeper(
+            platform,
+            self.board,
+            keep_s=settings.keep_s,
+            clock=time.time,
+            owner=self.watch.owner_name,
+            living=self.watch.living,
+            gate_of=self._gate_of,
+        )
         self.desk = JobsDesk(
             ledger,
             self.board,
@@ -140,6 +149,13 @@
         if started:
             self.items.make_room()
 
+    def _gate_of(self, host: str, path: str) -> str | None:
+        """Returns the prefix whose gate counts a job's tokens, None for none."""
+        table = self.watch.table
+        route = table.match(host, path) if table else None
+        limited = route is not None and route.max_waiting_tokens > 0
+        return route.prefix if route is not None and limited else None
+
     @property
     def ready(self) -> bool:
         """Whether new clients should come here."""
@@ -151,6 +167,7 @@
             nursery.start_soon(self.watch.run)
             nursery.start_soon(self.peers.run)
             nursery.start_soon(self.worker.run)
+            nursery.start_soon(self.sweeper.run)
 
     def route(self, host: str, path: str) -> Route | Refusal:
         """Returns the route of a request, or why there is none."""
--- a/src/coppercleat/jobs/__init__.py
+++ b/src/coppercleat/jobs/__init__.py
@@ -13,6 +13,7 @@
 )
 from coppercleat.jobs._pace import ItemPace
 from coppercleat.jobs._records import NOBODY, ItemSpec, ItemState, JobRow, ResultRow
+from coppercleat.jobs._sweep import Sweeper
 from coppercleat.jobs._worker import JobWorker
 
 __all__ = [
@@ -32,4 +33,5 @@
     "ResultsPage",
     "Submission",
     "Superseded",
+    "Sweeper",
 ]
--- a/src/coppercleat/platform/_settings.py
+++ b/src/coppercleat/platform/_settings.py
@@ -27,6 +27,7 @@
     grace_s: float = 8
     config_apply_ms: float = 2000
     cancel_ms: float = 3000
+    status_s: float = 120
     quota_overshoot: float = 0.1
 
 
@@ -102,6 +103,7 @@
         grace_s=file.bounds.grace_s,
         apply_s=file.bounds.config_apply_ms / _MS,
         drain_s=file.bounds.drain_ms / _MS,
+        keep_s=file.bounds.status_s,
         cancel_s=file.bounds.cancel_ms / _MS,
         quota_tolerance=file.bounds.quota_overshoot,
         store=StoreRates(
--- a/src/coppercleat/serving/_node.py
+++ b/src/coppercleat/serving/_node.py
@@ -27,6 +27,7 @@
       drain_s: Seconds after which a leaving upstream must get no new work.
       cancel_s: Seconds after which nothing of an ended job may start.
       quota_tolerance: Share by which waiting tokens may exceed their limit.
+      keep_s: Seconds after its acceptance for which a job stays readable.
       store: Rates of the platform's store.
       fleet_name: The same on all instances of a fleet, different between fleets.
     """
@@ -42,6 +43,7 @@
     drain_s: float = 2.0
     cancel_s: float = 3.0
     quota_tolerance: float = 0.1
+    keep_s: float = 120.0
     store: StoreRates = StoreRates()
     fleet_name: str = "fleet"
     log_level: str = "info"
--- a/tests/features/serving_decisions.feature
+++ b/tests/features/serving_decisions.feature
@@ -124,3 +124,15 @@
       | 200x50  | 150  | 0.9   | 1.3  |
       | 200x50  | 300  | 0.0   | 0.2  |
       | 50x50   | 0    | 0.9   | 1.4  |
+
+  Scenario Outline: A job of <items> items of <bytes> bytes is swept away when it <when>
+    When a job of <items> items of <bytes> bytes was accepted <ago> s ago and is <state>
+    Then after a sweep <left> rows and objects of it are left, and <tokens> tokens at the gate
+
+    Examples: 10 tokens an item, kept for 120 s and a margin of 60 s
+      | when             | items | bytes | ago | state | left | tokens |
+      | has ended        | 3     | 100   | 200 | ended | no   | 0      |
+      | was large        | 150   | 10000 | 200 | ended | no   | 0      |
+      | has many results | 199   | 100   | 200 | done  | no   | 0      |
+      | is still open    | 3     | 100   | 200 | open  | all  | 30     |
+      | is young         | 3     | 100   | 100 | ended | all  | 30     |
--- a/tests/features/steps/serving_steps.py
+++ b/tests/features/steps/serving_steps.py
@@ -4,8 +4,10 @@
 import random
 import time
 
+import msgspec
 import structlog
 import trio
+import trio.testing
 from behave import given, then, when
 
 from coppercleat.ids import InstanceId, JobId, UpstreamId, ZoneId
@@ -15,10 +17,12 @@
     ItemPace,
     ItemSpec,
     ItemState,
+    JobBoard,
     Ledger,
     OverQuota,
     Submission,
     Superseded,
+    Sweeper,
 )
 from coppercleat.observability import LineBudget, LineOutput
 from coppercleat.platform import HttpReply
@@ -385,3 +389,52 @@
         pace.observe_item(events=int(length))
     found = pace.seconds_left(made)
     assert least <= found <= most, found
+
+
+@when(
+    "a job of {count:d} items of {size:d} bytes was accepted "
+    "{ago:d} s ago and is {state}"
+)
+def old_job(context, count, size, ago, state):
+    context.platform = MemoryPlatform()
+
+    async def run():
+        ledger = make_ledger(context.platform)
+        job = submission("job", count, body=b"b" * size)
+        held = await accept(ledger, job, limit=10_000)
+        assert isinstance(held, Held), held
+        done = [
+            Finished(index=i, item=f"job-{i}", state=ItemState.COMPLETED, text=b"x")
+            for i in range(count if state == "done" else 1)
+        ]
+        held = await ledger.commit(held, done, {})
+        if state == "ended":
+            await ledger.end(HOST, JobId("job"))
+        board = JobBoard(context.platform)
+        await board.refresh()
+        sweeper = Sweeper(
+            context.platform,
+            board,
+            keep_s=120.0,
+            clock=lambda: float(ago),
+            owner="me/1",
+            living=lambda: ["me/1"],
+            gate_of=lambda host, path: PREFIX,
+        )
+        with trio.move_on_after(6):
+            await sweeper.run()
+
+    trio.run(run, clock=trio.testing.MockClock(autojump_threshold=0))
+
+
+@then(
+    "after a sweep {left} rows and objects of it are left, "
+    "and {tokens:d} tokens at the gate"
+)
+def swept(context, left, tokens):
+    rows = context.platform.rows
+    of_job = [key for key in rows if "gate/" not in key]
+    assert bool(of_job) == (left == "all"), of_job
+    assert left == "all" or not context.platform.objects, context.platform.objects
+    (gate,) = [row for key, row in rows.items() if "gate/" in key]
+    assert msgspec.json.decode(gate.value)["accepted_tokens"] == tokens, gate
