--- a/src/coppercleat/jobs/__init__.py
+++ b/src/coppercleat/jobs/__init__.py
@@ -13,6 +13,8 @@
 )
 from coppercleat.jobs._pace import ItemPace
 from coppercleat.jobs._records import NOBODY, ItemSpec, ItemState, JobRow, ResultRow
+from coppercleat.jobs._run import JobRun
+from coppercleat.jobs._schedule import next_turns
 from coppercleat.jobs._sweep import Sweeper
 from coppercleat.jobs._worker import JobWorker
 
@@ -26,6 +28,7 @@
     "ItemState",
     "JobBoard",
     "JobRow",
+    "JobRun",
     "JobWorker",
     "Ledger",
     "OverQuota",
@@ -34,4 +37,5 @@
     "Submission",
     "Superseded",
     "Sweeper",
+    "next_turns",
 ]
--- a/src/coppercleat/jobs/_worker.py
+++ b/src/coppercleat/jobs/_worker.py
@@ -5,7 +5,6 @@
 import time
 from collections.abc import Callable, Iterator
 
-import attrs
 import trio
 
 from coppercleat.errors import CoppercleatError
@@ -20,7 +19,8 @@
     fits_one_commit,
 )
 from coppercleat.jobs._records import NOBODY
-from coppercleat.jobs._run import ItemRun, JobRun
+from coppercleat.jobs._run import JobRun
+from coppercleat.jobs._schedule import next_turns
 from coppercleat.observability import part_logger
 from coppercleat.routing import ranked
 from coppercleat.serving import (
@@ -64,20 +64,6 @@
 _log = part_logger("jobs")
 
 
-@attrs.define(frozen=True)
-class _Turn:
-    """An item that may be started now.
-
-    Attributes:
-      late: Whether it cannot be done by its job's due time.
-    """
-
-    run: JobRun
-    item: ItemRun
-    route: Route
-    late: bool
-
-
 class JobWorker:
     """Owns jobs: takes them, has their items run, and commits the results.
 
@@ -375,11 +361,18 @@
         fresh = now - self.board.fresh_at < STALE_S and self.holds_lease()
         if self.stopping or table is None or not fresh:
             return False
-        for _, turn in sorted(self._turns(table, now), key=lambda pair: pair[0]):
+        wall = time.time()
+        turns = next_turns(
+            self._runnable(table, wall),
+            seconds_left=self.items.seconds_left,
+            now=now,
+            wall=wall,
+        )
+        for turn in turns:
             state = self.items.find_slot(turn.route)
             if state is None:
                 if not turn.late:
-                    self.items.cut_late(time.time())
+                    self.items.cut_late(wall)
                 continue
             running = self.items.claim_slot(turn.run, turn.item, state)
             assert self._nursery is not None
@@ -387,32 +380,18 @@
             return True
         return False
 
-    def _turns(
-        self, table: RouteTable, now: float
-    ) -> Iterator[tuple[tuple[bool, float, int], _Turn]]:
-        """Yields the next item of each job, with its place in the order.
-
-        Items that can still be done in time come first, those due soonest before
-        others; what is late anyway waits until nothing else does.
-        """
-        wall = time.time()
+    def _runnable(
+        self, table: RouteTable, wall: float
+    ) -> Iterator[tuple[JobRun, Route]]:
+        """Yields jobs with their routes; gives up items of those past their time."""
         for run in list(self.runs.values()):
             row = run.held.row
             route = table.match(row.host, row.path)
-            if route is None or wall > row.expires_at + EXPIRY_MARGIN_S:
-                if run.pending:
-                    _log.warning("Items given up.", job=row.job, route=route is None)
-                    run.fail_all()
-                continue
-            turns = []
-            for item in run.pending:
-                if item.not_before > now:
-                    continue
-                late = wall + self.items.seconds_left(item) > row.due_at
-                key = (late, row.due_at, item.index)
-                turns.append((key, _Turn(run, item, route, late)))
-            if turns:
-                yield min(turns, key=lambda pair: pair[0])
+            if route is not None and wall <= row.expires_at + EXPIRY_MARGIN_S:
+                yield run, route
+            elif run.pending:
+                _log.warning("Items given up.", job=row.job, route=route is None)
+                run.fail_all()
 
     async def _run_item(self, running: Running, route: Route) -> None:
         await self.items.run(running, route)
--- a/tests/features/serving_decisions.feature
+++ b/tests/features/serving_decisions.feature
@@ -136,3 +136,14 @@
       | has many results | 199   | 100   | 200 | done  | no   | 0      |
       | is still open    | 3     | 100   | 200 | open  | all  | 30     |
       | is young         | 3     | 100   | 100 | ended | all  | 30     |
+
+  Scenario Outline: Turns among <jobs>
+    Then the turns are <turns>
+
+    Examples: job:due in s:events made by each item, items take 4 s of 200 events; now is 0
+      | jobs                         | turns     |
+      | a:10:0 b:5:0                 | b-0 a-0   |
+      | a:10:0 b:2:0                 | a-0 b-0   |
+      | a:3:0,150                    | a-1       |
+      | a:1:0 b:2:0                  | a-0 b-0   |
+      | a:3:0,150 b:9:0              | a-1 b-0   |
--- a/tests/features/steps/serving_steps.py
+++ b/tests/features/steps/serving_steps.py
@@ -18,11 +18,14 @@
     ItemSpec,
     ItemState,
     JobBoard,
+    JobRow,
+    JobRun,
     Ledger,
     OverQuota,
     Submission,
     Superseded,
     Sweeper,
+    next_turns,
 )
 from coppercleat.observability import LineBudget, LineOutput
 from coppercleat.platform import HttpReply
@@ -438,3 +441,32 @@
     assert left == "all" or not context.platform.objects, context.platform.objects
     (gate,) = [row for key, row in rows.items() if "gate/" in key]
     assert msgspec.json.decode(gate.value)["accepted_tokens"] == tokens, gate
+
+
+@then("the turns are {turns}")
+def turns_are(context, turns):
+    text = context.scenario.name.partition("among ")[2].partition(" -- @")[0]
+    runs = []
+    for line in text.split():
+        name, due, made = line.split(":")
+        row = JobRow(
+            job=JobId(name),
+            host=HOST,
+            path=PREFIX,
+            tokens=(1,) * len(made.split(",")),
+            accepted_at=0.0,
+            due_at=float(due),
+            expires_at=60.0,
+        )
+        specs = submission(name, row.total).items
+        run = JobRun(Held(row, 1), specs, {})
+        for item, events in zip(run.pending, made.split(","), strict=True):
+            item.events = [b"x"] * int(events)
+        runs.append((run, make_route()))
+    found = next_turns(
+        runs,
+        seconds_left=lambda item: 4.0 - len(item.events) * 0.02,
+        now=0.0,
+        wall=0.0,
+    )
+    assert " ".join(turn.item.spec.id for turn in found) == turns, found
