Stop the items of an instance that hears neither the store nor others

Change: such an instance cuts its items, keeps what they made, and starts none; with only the store away it goes on as before. The worker gets its clock passed in. One registry of message handlers serves both kinds of peers. Measured: the new scenario has 3 items running before and 0 after.

--- a/src/coppercleat/gateway/_gateway.py
+++ b/src/coppercleat/gateway/_gateway.py
@@ -107,10 +107,12 @@
             self.board,
             self.items,
             owner=self.watch.owner_name,
+            clock=time.time,
             routes=lambda: self.watch.table,
             owner_lives=self.watch.owner_lives,
             living=self.watch.living,
             holds_lease=self.watch.holds_lease,
+            isolated=self._isolated,
             reads_per_s=settings.store.reads_per_s * READ_SHARE,
             on_taken=self.peers.job_taken,
             on_commit=metrics.committed,
@@ -149,6 +151,12 @@
         if started:
             self.items.make_room()
 
+    def _isolated(self) -> bool:
+        """Whether neither the store nor any other instance can be heard."""
+        if self.watch.holds_lease() or not self.watch.others_known:
+            return False
+        return not self.peers.others()
+
     def _gate_of(self, host: str, path: str) -> str | None:
         """Returns the prefix whose gate counts a job's tokens, None for none."""
         table = self.watch.table
--- a/src/coppercleat/instance/_peers.py
+++ b/src/coppercleat/instance/_peers.py
@@ -3,9 +3,7 @@
 from __future__ import annotations
 
 from collections.abc import Callable
-from typing import Any
 
-import msgspec
 import trio
 
 from coppercleat.configuration import Change
@@ -20,6 +18,7 @@
     EnvelopeReader,
     EnvelopeWriter,
     Garbage,
+    HandlerRegistry,
     Heartbeat,
     JobHint,
     Links,
@@ -40,18 +39,7 @@
 
 _log = part_logger("peers")
 
-_Handler = Callable[["Peers", InstanceId, Any], None]
-_HANDLERS: dict[type[msgspec.Struct], _Handler] = {}
-
-
-def _handles(message: type[msgspec.Struct]) -> Callable[[_Handler], _Handler]:
-    """Registers the handler of a kind of message."""
-
-    def register(handler: _Handler) -> _Handler:
-        _HANDLERS[message] = handler
-        return handler
-
-    return register
+_handlers = HandlerRegistry()
 
 
 class Peers:
@@ -220,13 +208,13 @@
         sender, message = opened
         if sender == self.settings.instance.id:
             return
-        _HANDLERS[type(message)](self, sender, message)
+        _handlers.dispatch(self, sender, message)
 
-    @_handles(Heartbeat)
+    @_handlers.handles(Heartbeat)
     def _on_heartbeat(self, sender: InstanceId, heartbeat: Heartbeat) -> None:
         self.detector.observe(heartbeat, trio.current_time())
 
-    @_handles(ConfigurationPull)
+    @_handlers.handles(ConfigurationPull)
     def _on_pull(self, sender: InstanceId, pull: ConfigurationPull) -> None:
         if pull.wants_nodes and self.fleet.list_read:
             self.send(sender, NodesKnown(self.fleet.nodes))
@@ -239,30 +227,30 @@
         elif changes:
             self.send(sender, ConfigurationChanges(tuple(changes)))
 
-    @_handles(ConfigurationChanges)
+    @_handlers.handles(ConfigurationChanges)
     def _on_changes(self, sender: InstanceId, message: ConfigurationChanges) -> None:
         self.keeper.adopt_changes(message.changes)
 
-    @_handles(ConfigurationSnapshot)
+    @_handlers.handles(ConfigurationSnapshot)
     def _on_snapshot(self, sender: InstanceId, message: ConfigurationSnapshot) -> None:
         self.keeper.adopt_snapshot(message.snapshot)
 
-    @_handles(NodesKnown)
+    @_handlers.handles(NodesKnown)
     def _on_nodes(self, sender: InstanceId, message: NodesKnown) -> None:
         if not self.fleet.list_read:
             self.fleet.take_nodes(message.nodes)
 
-    @_handles(OnlineArrivals)
+    @_handlers.handles(OnlineArrivals)
     def _on_arrivals(self, sender: InstanceId, message: OnlineArrivals) -> None:
         for upstream in self.fleet.arrivals.observe(sender, message.in_flight):
             self.fleet.note_online(upstream)
             self.on_arrivals(upstream)
 
-    @_handles(UpstreamLeaving)
+    @_handlers.handles(UpstreamLeaving)
     def _on_leaving(self, sender: InstanceId, message: UpstreamLeaving) -> None:
         if self.fleet.table.mark_leaving(message.upstream):
             self.spread_leaving(message.upstream)
 
-    @_handles(JobHint)
+    @_handlers.handles(JobHint)
     def _on_job_hint(self, sender: InstanceId, message: JobHint) -> None:
         self.on_job_hint()
--- a/src/coppercleat/jobs/_worker.py
+++ b/src/coppercleat/jobs/_worker.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import time
 from collections.abc import Callable, Iterator
 
 import trio
@@ -78,10 +77,12 @@
         items: ItemRunner,
         *,
         owner: str,
+        clock: Callable[[], float],
         routes: Callable[[], RouteTable | None],
         owner_lives: Callable[..., bool],
         living: Callable[[], list[str]],
         holds_lease: Callable[[], bool],
+        isolated: Callable[[], bool],
         reads_per_s: float,
         on_taken: Callable[[JobId], None],
         on_commit: Callable[[str], None],
@@ -93,11 +94,14 @@
           board: All jobs as known here.
           items: Runs items.
           owner: Names this start of this instance.
+          clock: Unix time in seconds.
           routes: Returns the routes in force.
           owner_lives: Tells whether the owner of a job is alive, given since when
             its name has been known here.
           living: Names all living instances.
           holds_lease: Tells whether others still take this instance as alive.
+          isolated: Tells whether this instance hears neither the store nor any
+            other instance, so that others must have taken its jobs.
           reads_per_s: Looks at what has changed that the whole fleet may take.
           on_taken: Told of each job taken over here.
           on_commit: Told how each commit ended.
@@ -106,10 +110,12 @@
         self.board = board
         self.items = items
         self.owner = owner
+        self.clock = clock
         self.routes = routes
         self.owner_lives = owner_lives
         self.living = living
         self.holds_lease = holds_lease
+        self.isolated = isolated
         self.reads_per_s = reads_per_s
         self.on_taken = on_taken
         self.on_commit = on_commit
@@ -132,7 +138,7 @@
 
     def late_jobs(self) -> int:
         """Returns how many jobs of this instance are past their due time."""
-        now = time.time()
+        now = self.clock()
         return sum(run.due_at < now for run in self.runs.values())
 
     # Which jobs are ours.
@@ -345,6 +351,9 @@
 
     async def _start_forever(self) -> None:
         while True:
+            if self.isolated():
+                # What the items have made is kept here, in case the job stays ours.
+                self.items.stop_all()
             started = self._start_some()
             pending = any(run.pending for run in self.runs.values())
             if not started:
@@ -361,7 +370,7 @@
         fresh = now - self.board.fresh_at < STALE_S and self.holds_lease()
         if self.stopping or table is None or not fresh:
             return False
-        wall = time.time()
+        wall = self.clock()
         turns = next_turns(
             self._runnable(table, wall),
             seconds_left=self.items.seconds_left,
--- a/src/coppercleat/membership/__init__.py
+++ b/src/coppercleat/membership/__init__.py
@@ -7,6 +7,7 @@
     EnvelopeWriter,
     Garbage,
 )
+from coppercleat.membership._handlers import HandlerRegistry
 from coppercleat.membership._links import Links
 from coppercleat.membership._messages import (
     ConfigurationChanges,
@@ -30,6 +31,7 @@
     "EnvelopeReader",
     "EnvelopeWriter",
     "Garbage",
+    "HandlerRegistry",
     "Heartbeat",
     "JobHint",
     "Links",
--- a/src/coppercleat/serving/_peers.py
+++ b/src/coppercleat/serving/_peers.py
@@ -4,7 +4,6 @@
 
 import random
 from collections.abc import Callable
-from typing import Any
 
 import msgspec
 import trio
@@ -15,6 +14,7 @@
     EnvelopeReader,
     EnvelopeWriter,
     Garbage,
+    HandlerRegistry,
     Heartbeat,
     Links,
     MemberLine,
@@ -102,18 +102,7 @@
 _Messages = (
     Heartbeat | WorkInFlight | KnowledgeWanted | Knowledge | JobTaken | JobHandover
 )
-_Handler = Callable[["Peers", InstanceId, Any], None]
-_HANDLERS: dict[type[msgspec.Struct], _Handler] = {}
-
-
-def _handles(message: type[msgspec.Struct]) -> Callable[[_Handler], _Handler]:
-    """Registers the handler of a kind of message."""
-
-    def register(handler: _Handler) -> _Handler:
-        _HANDLERS[message] = handler
-        return handler
-
-    return register
+_handlers = HandlerRegistry()
 
 
 class Peers:
@@ -271,33 +260,33 @@
             return
         sender, message = opened
         if sender != self.settings.instance:
-            _HANDLERS[type(message)](self, sender, message)
+            _handlers.dispatch(self, sender, message)
 
-    @_handles(Heartbeat)
+    @_handlers.handles(Heartbeat)
     def _on_heartbeat(self, sender: InstanceId, heartbeat: Heartbeat) -> None:
         self.detector.observe(heartbeat, trio.current_time())
 
-    @_handles(WorkInFlight)
+    @_handlers.handles(WorkInFlight)
     def _on_work(self, sender: InstanceId, work: WorkInFlight) -> None:
         self.placement.observe_peer(sender, work.counts)
         self.on_counts()
 
-    @_handles(KnowledgeWanted)
+    @_handlers.handles(KnowledgeWanted)
     def _on_wanted(self, sender: InstanceId, wanted: KnowledgeWanted) -> None:
         knowledge = self.knowledge(wanted.after)
         if knowledge is not None:
             self._send(sender, knowledge)
 
-    @_handles(Knowledge)
+    @_handlers.handles(Knowledge)
     def _on_known(self, sender: InstanceId, knowledge: Knowledge) -> None:
         self.on_knowledge(knowledge)
 
-    @_handles(JobTaken)
+    @_handlers.handles(JobTaken)
     def _on_taken(self, sender: InstanceId, taken: JobTaken) -> None:
         items = self.on_taken(taken.job)
         if items:
             self._send(sender, JobHandover(taken.job, items))
 
-    @_handles(JobHandover)
+    @_handlers.handles(JobHandover)
     def _on_handover(self, sender: InstanceId, handover: JobHandover) -> None:
         self.on_handover(handover.job, handover.items)
--- a/src/coppercleat/serving/_watch.py
+++ b/src/coppercleat/serving/_watch.py
@@ -185,6 +185,11 @@
         """Returns whether others must still take this instance as alive."""
         return trio.current_time() - self._renewed_at < LEASE_S - LEASE_RENEW_S / 2
 
+    @property
+    def others_known(self) -> bool:
+        """Whether other instances were alive when they were last looked for."""
+        return any(not sight.row.leaving for sight in self._sights.values())
+
     def starved(self) -> bool:
         """Returns whether the store has not been read for a while."""
         now = trio.current_time()
--- a/tests/features/serving_decisions.feature
+++ b/tests/features/serving_decisions.feature
@@ -147,3 +147,12 @@
       | a:3:0,150                    | a-1       |
       | a:1:0 b:2:0                  | a-0 b-0   |
       | a:3:0,150 b:9:0              | a-1 b-0   |
+
+  Scenario Outline: A worker that <hears> after 1 s
+    When a worker with a job of 3 items <hears> after 1 s
+    Then after 2 s <running> of its items run
+
+    Examples:
+      | hears                            | running |
+      | hears the store and others       | 3       |
+      | hears neither store nor others   | 0       |
--- a/tests/features/steps/serving_steps.py
+++ b/tests/features/steps/serving_steps.py
@@ -1,5 +1,7 @@
 """Steps that ask decisions of the serving path and of jobs."""
 
+import contextlib
+import itertools
 import os
 import random
 import time
@@ -15,11 +17,13 @@
     Finished,
     Held,
     ItemPace,
+    ItemRunner,
     ItemSpec,
     ItemState,
     JobBoard,
     JobRow,
     JobRun,
+    JobWorker,
     Ledger,
     OverQuota,
     Submission,
@@ -37,12 +41,16 @@
     Placement,
     RequestProgress,
     Route,
+    RouteConfig,
     RouteKind,
+    RouteTable,
     Target,
     Upstream,
+    UpstreamAnswer,
     UpstreamList,
 )
 from coppercleat.storage import AnswerLostError, MemoryPlatform
+from coppercleat.upstreams import AttemptState
 
 HOST, PREFIX = "jobs.example", "/week/"
 KINDS = {
@@ -470,3 +478,84 @@
         wall=0.0,
     )
     assert " ".join(turn.item.spec.id for turn in found) == turns, found
+
+
+class Endless:
+    """A caller whose upstreams send an event every 20 ms and never end."""
+
+    @contextlib.asynccontextmanager
+    async def exchange(self, upstream, request, **options):
+        options["attempt"].move(AttemptState.SENT)
+
+        async def body():
+            for number in itertools.count(1):
+                await trio.sleep(0.02)
+                yield f"id: {number}\ndata: w\n\n".encode()
+
+        yield UpstreamAnswer(
+            status=200, headers=[], refused=False, other_instance=False, body=body()
+        )
+
+
+@when("a worker with a job of {count:d} items {hears} after 1 s")
+def worker_hears(context, count, hears):
+    async def run():
+        platform = MemoryPlatform()
+        ledger, board = make_ledger(platform), JobBoard(platform)
+        placement = Placement(ZoneId("a"), rng=random.Random(1))
+        placement.replace([roomy_upstream("x")])
+        cut_off = "neither" in hears
+        began = trio.current_time()
+
+        def cut():
+            return cut_off and trio.current_time() - began >= 1.0
+
+        config = RouteConfig(version=1, routes=(make_route(),))
+        items = ItemRunner(
+            placement,
+            Endless(),
+            instance="me",
+            on_change=lambda state, started: None,
+            on_end=lambda outcome: None,
+        )
+        worker = JobWorker(
+            ledger,
+            board,
+            items,
+            owner="me/1",
+            clock=lambda: 0.0,
+            routes=lambda: RouteTable(config),
+            owner_lives=lambda owner, since: True,
+            living=lambda: ["me/1"],
+            holds_lease=lambda: not cut(),
+            isolated=cut,
+            reads_per_s=100.0,
+            on_taken=lambda job: None,
+            on_commit=lambda outcome: None,
+        )
+        with trio.move_on_after(2):
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(worker.run)
+                await trio.sleep(0.1)
+                held = await accept(ledger, submission("job", count))
+                worker.own(held)
+                await trio.sleep(1.8)
+                context.running = placement.states[UpstreamId("x")].batch
+                nursery.cancel_scope.cancel()
+
+    trio.run(run, clock=trio.testing.MockClock(autojump_threshold=0))
+
+
+def roomy_upstream(name):
+    return Upstream(
+        id=UpstreamId(name),
+        service="menus",
+        address="10.0.0.1:1",
+        zone=ZoneId("a"),
+        slots=8,
+    )
+
+
+@then("after 2 s {running:d} of its items run")
+def items_running(context, running):
+    assert context.running == running, context.running
