--- a/Makefile
+++ b/Makefile
@@ -6,7 +6,7 @@
 STAMP := $(VENV)/.installed
 RUNTIME := --constraint requirements.lock
 
-.PHONY: setup demo test lint format types generated behave bench slopes chaos membership generate reference binary clean
+.PHONY: setup demo test lint format types generated behave bench slopes soak chaos membership generate reference binary clean
 
 setup: $(STAMP)
 
@@ -62,6 +62,9 @@
 membership: setup
 	$(BIN)/python -m bench.membership
 
+soak: setup
+	$(BIN)/python -m bench.soak
+
 chaos: setup
 	$(BIN)/python -m bench.chaos
 
--- a/src/coppercleat/serving/_watch.py
+++ b/src/coppercleat/serving/_watch.py
@@ -36,6 +36,11 @@
 """Share of the store's reads that the whole fleet spends on one kind of poll; there
 are four, the rest is for clients."""
 
+STARTUP_S = 3.0
+STARTUP_PACE = 0.3
+"""For so long after its start an instance polls at this share of the pauses: after all
+have stopped at once, jobs wait until the others' new rows are seen."""
+
 LEASE_RENEW_S = 1.0
 LEASE_S = 3.5
 """An instance whose row stands still for this long is taken as gone: three missed
@@ -254,6 +259,7 @@
             nursery.start_soon(self._forever, self._poll_instances, LEASE_RENEW_S)
 
     async def _forever(self, poll: Callable, pause_s: float) -> None:
+        began = trio.current_time()
         while True:
             try:
                 await poll()
@@ -261,7 +267,9 @@
             except CoppercleatError as error:
                 self._note_reach(reached=False, reason=str(error))
             reads = self.settings.store.reads_per_s * READ_SHARE
-            pause = paced(pause_s, len(self._sights) + 1, reads)
+            starting = trio.current_time() - began < STARTUP_S
+            wanted_s = pause_s * STARTUP_PACE if starting else pause_s
+            pause = paced(wanted_s, len(self._sights) + 1, reads)
             await trio.sleep(pause * self.rng.uniform(0.8, 1.1))
 
     def _note_reach(self, *, reached: bool, reason: str = "") -> None:
--- a/tests/features/gateway.feature
+++ b/tests/features/gateway.feature
@@ -227,3 +227,10 @@
     When gateway 1 is told to reload
     And a client sends a stream request
     Then the answer is 200 whole 1-5 after 1 runs
+
+  Scenario Outline: A short soak, seed <seed>
+    Then a soak of 6 s with seed <seed> breaks no promise
+
+    Examples: a seed that ever failed stays here, with a line on the cause
+      | seed |
+      | 7    |
--- a/tests/features/steps/gateway_steps.py
+++ b/tests/features/steps/gateway_steps.py
@@ -2,6 +2,8 @@
 
 import json
 import signal
+import subprocess
+import sys
 import time
 
 import httpcore
@@ -452,3 +454,11 @@
 def ran_nothing(context, number):
     report = context.fleet.run(lambda: context.fleet.control(f"runner-{number}"))
     assert report["runs"] == [], report["runs"]
+
+
+@then("a soak of {seconds:d} s with seed {seed:d} breaks no promise")
+def short_soak(context, seconds, seed):
+    command = [sys.executable, "-m", "bench.soak"]
+    command += ["--seeds", f"{seed}-{seed}", "--length_s", str(seconds)]
+    done = subprocess.run(command, capture_output=True, text=True, check=False)
+    assert done.returncode == 0, done.stdout + done.stderr
