Send events before what follows them is judged; a torn end is no end

Cause: found by reading. Events that came in one read with one out of order were counted as passed on and never sent, so that a resumed stream would have left them out; and a stream without a length that ended inside an event looked complete. Change: events in order are sent first, then the attempt is cut; a rest after the last whole event is a cut. An event too long counts as a broken answer.

--- a/src/coppercleat/serving/_events.py
+++ b/src/coppercleat/serving/_events.py
@@ -6,6 +6,8 @@
 
 import msgspec
 
+from coppercleat.serving._upstream_call import UpstreamBrokeError
+
 _BLANK_LINE = re.compile(rb"\r?\n\r?\n")
 _MAX_EVENT_BYTES = 4_000_000
 """An event longer than this is no event; bounds what one stream may hold."""
@@ -40,7 +42,7 @@
         """Takes bytes and returns the events they complete.
 
         Raises:
-          ValueError: An event is longer than any may be.
+          UpstreamBrokeError: An event is longer than any may be.
         """
         buffer = self._rest + data
         events = []
@@ -50,7 +52,7 @@
             begin = blank.end()
         self._rest = buffer[begin:]
         if len(self._rest) > _MAX_EVENT_BYTES:
-            raise ValueError(f"an event exceeds {_MAX_EVENT_BYTES} bytes")
+            raise UpstreamBrokeError(f"an event exceeds {_MAX_EVENT_BYTES} bytes")
         return events
 
 
--- a/src/coppercleat/serving/_forwarding.py
+++ b/src/coppercleat/serving/_forwarding.py
@@ -10,7 +10,7 @@
 
 from coppercleat.ids import UpstreamId
 from coppercleat.observability import part_logger
-from coppercleat.serving._events import EventSplitter
+from coppercleat.serving._events import EventSplitter, StreamEvent
 from coppercleat.serving._model import (
     Header,
     OnlineRequest,
@@ -232,25 +232,25 @@
         progress = exchange.progress
         splitter = EventSplitter()
         async for data in answer.body:
-            whole = []
-            for event in splitter.feed(data):
-                if not _follows(event.number, progress.last_event):
-                    exchange.reason = f"event {event.number} is out of order"
-                    return AttemptEnd.CUT
-                if event.number is not None:
-                    progress.last_event = event.number
-                whole.append(event.raw)
-            if not whole:
-                continue
-            if progress.may_move:
-                patience = GAP_STALL_TARGETS * exchange.route.gap_target_s
-                stall.deadline = trio.current_time() + max(GAP_STALL_S, patience)
-            await _start(exchange, answer.status, answer.headers)
-            await exchange.reply.send(b"".join(whole))
+            whole, in_order = _in_order(splitter.feed(data), progress.last_event)
+            if whole:
+                if progress.may_move:
+                    patience = GAP_STALL_TARGETS * exchange.route.gap_target_s
+                    wait_s = max(GAP_STALL_S, patience)
+                    stall.deadline = trio.current_time() + wait_s
+                await _start(exchange, answer.status, answer.headers)
+                # Counted and sent without a checkpoint in between that could part them.
+                numbers = [e.number for e in whole if e.number is not None]
+                progress.last_event = numbers[-1] if numbers else progress.last_event
+                await exchange.reply.send(b"".join(event.raw for event in whole))
+            if not in_order:
+                exchange.reason = "an event is out of order"
+                return _cut(progress)
+        if splitter.rest.strip():
+            exchange.reason = "the answer ended inside an event"
+            return _cut(progress)
         await _start(exchange, answer.status, answer.headers)
-        if splitter.rest:
-            await exchange.reply.send(splitter.rest)
-        exchange.progress.finished = True
+        progress.finished = True
         await exchange.reply.finish()
         return AttemptEnd.COMPLETE
 
@@ -335,16 +335,28 @@
     return max(0, round(seconds * 1000))
 
 
-def _follows(number: int | None, last: int | None) -> bool:
-    """Whether an event is the next one after the last passed on."""
-    return number is None or last is None or number == last + 1
+def _in_order(
+    events: list[StreamEvent], last: int | None
+) -> tuple[list[StreamEvent], bool]:
+    """Returns the events that follow the last one, and whether that is all of them."""
+    for index, event in enumerate(events):
+        if event.number is None:
+            continue
+        if last is not None and event.number != last + 1:
+            return events[:index], False
+        last = event.number
+    return events, True
+
+
+def _cut(progress: RequestProgress) -> AttemptEnd:
+    return AttemptEnd.CUT if progress.started else AttemptEnd.LOST
 
 
 def _end_of(attempt: Attempt, progress: RequestProgress) -> AttemptEnd:
     """Returns how an attempt ended that broke."""
     if attempt.state is AttemptState.QUEUED:
         return AttemptEnd.NOT_RUN
-    return AttemptEnd.CUT if progress.started else AttemptEnd.LOST
+    return _cut(progress)
 
 
 async def _start(exchange: _Exchange, status: int, headers: list[Header]) -> None:
--- a/tests/features/gateway.feature
+++ b/tests/features/gateway.feature
@@ -81,6 +81,18 @@
       | a broken header       | HTTP/1.1 200 OK\r\nrequest-id: request-1\r\nno colon\r\n\r\n |
       | nothing               | \x20                                                        |
 
+  Scenario Outline: A stream without a length that <what>
+    Given 1 gateways and a runner that answers HTTP/1.1 200 OK\r\nrequest-id: request-1\r\n\r\n<events>
+    When a client sends a <route> request
+    Then the stream is <end> and has events <passed>
+
+    Examples:
+      | what                    | route     | events                                                   | end   | passed |
+      | ends                    | stream    | id: 1\ndata: a\n\nid: 2\ndata: b\n\n                     | whole | 1-2    |
+      | ends inside an event    | stream    | id: 1\ndata: a\n\nid: 2\nda                             | cut   | 1-1    |
+      | leaves an event out     | stream    | id: 1\ndata: a\n\nid: 2\ndata: b\n\nid: 4\ndata: d\n\n | cut   | 1-2    |
+      | leaves an event out     | resumable | id: 1\ndata: a\n\nid: 2\ndata: b\n\nid: 4\ndata: d\n\n | cut   | 1-2    |
+
   Scenario: What is forwarded is what the client sent
     Given 1 gateways and 1 runners
     When a client sends a stream request
--- a/tests/features/steps/gateway_steps.py
+++ b/tests/features/steps/gateway_steps.py
@@ -41,6 +41,14 @@
     is_ready(context, number)
 
 
+@then("the stream is {end} and has events {first:d}-{last:d}")
+def stream_is(context, end, first, last):
+    answer = context.answer
+    assert answer.status == 200, answer
+    assert answer.whole == (end == "whole"), answer
+    assert answer.events == list(range(first, last + 1)), answer
+
+
 @given("every runner is set to {knobs}")
 def every_runner(context, knobs):
     for name in context.fleet.runners:
--- a/tests/standins/garbage.py
+++ b/tests/standins/garbage.py
@@ -2,11 +2,20 @@
 
 from __future__ import annotations
 
+import re
+
 import trio
 
 from tests.standins.control import arguments, start
 
 
+def _whole(request: bytes) -> bool:
+    """Whether a request has come to the end of its body."""
+    head, end, body = request.partition(b"\r\n\r\n")
+    length = re.search(rb"content-length: (\d+)", head.lower())
+    return bool(end) and len(body) >= (int(length[1]) if length else 0)
+
+
 async def main(port: int, answer: str) -> None:
     """Serves until killed."""
     data = answer.encode().decode("unicode_escape").encode("latin-1")
@@ -14,12 +23,13 @@
     async def serve(stream: trio.SocketStream) -> None:
         async with stream:
             request = b""
-            while b"\r\n\r\n" not in request:
+            while not _whole(request):
                 part = await stream.receive_some(65_536)
                 if not part:
                     return
                 request += part
             await stream.send_all(data)
+            await stream.send_eof()
 
     await trio.serve_tcp(serve, port, host="127.0.0.1")
 
