Explain a request, job or item from collected log lines

Cause: on-call engineers have log lines only, of many instances; explain asked one living instance. Measured: four new scenarios find the cause of a refusal, a cut stream and a failed item by id alone.

--- a/src/coppercleat/cli/_fleet.py
+++ b/src/coppercleat/cli/_fleet.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import json
+import pathlib
 import sys
 from collections.abc import Sequence
 
@@ -12,6 +13,7 @@
 
 from coppercleat.cli._client import define_client_flags, print_answer, with_client
 from coppercleat.cli._registry import ExitCode, command
+from coppercleat.observability import lines_about
 from coppercleat.rpc import RpcClient
 
 _SERVICE = "OperatorService"
@@ -50,6 +52,12 @@
         "admin", _DEFAULT_ADMIN, "IP:PORT of an admin port.", flag_values=values
     )
     flags.DEFINE_bool("json", False, "Print JSON for scripts.", flag_values=values)
+    flags.DEFINE_multi_string(
+        "log",
+        [],
+        "A file of log lines to read instead, - for standard input; may be repeated.",
+        flag_values=values,
+    )
 
 
 @command(
@@ -61,8 +69,10 @@
 def explain(values: flags.FlagValues, arguments: Sequence[str]) -> int:
     """Runs ``explain``: prints the events that carry the id."""
     if len(arguments) != 1:
-        print("explain: needs one request or job ID", file=sys.stderr)
+        print("explain: needs one request, job or item ID", file=sys.stderr)
         return ExitCode.USAGE
+    if values.log:
+        return _explain_from_logs(values, arguments[0])
 
     async def run() -> list[dict[str, object]]:
         url = f"http://{values.admin}/events?about={arguments[0]}"
@@ -78,6 +88,26 @@
     return ExitCode.OK if events else ExitCode.FAILED
 
 
+def _explain_from_logs(values: flags.FlagValues, identifier: str) -> int:
+    lines: list[str] = []
+    for name in values.log:
+        try:
+            lines += _log_lines(name)
+        except OSError as error:
+            print(f"explain: {name} cannot be read: {error}", file=sys.stderr)
+            return ExitCode.FAILED
+    events = lines_about(identifier, lines)
+    print_answer(values, events, "\n".join(_in_words(event) for event in events))
+    return ExitCode.OK if events else ExitCode.FAILED
+
+
+def _log_lines(name: str) -> list[str]:
+    if name == "-":
+        return sys.stdin.read().splitlines()
+    text = pathlib.Path(name).read_text(encoding="utf-8", errors="replace")
+    return text.splitlines()
+
+
 def _in_words(event: dict[str, object]) -> str:
     details = " ".join(f"{k}={v}" for k, v in event.items() if k not in _HIDDEN)
     return f"{event['timestamp']} {event['part']}: {event['event']} {details}"
--- a/src/coppercleat/observability/__init__.py
+++ b/src/coppercleat/observability/__init__.py
@@ -4,6 +4,7 @@
 from coppercleat.observability._metrics import Metrics
 from coppercleat.observability._output import LineBudget, LineOutput
 from coppercleat.observability._ring import EventRing
+from coppercleat.observability._search import lines_about
 
 __all__ = [
     "EventRing",
@@ -11,5 +12,6 @@
     "LineOutput",
     "Metrics",
     "configure_logs",
+    "lines_about",
     "part_logger",
 ]
--- a/tests/features/gateway.feature
+++ b/tests/features/gateway.feature
@@ -240,6 +240,19 @@
     And a client sends a stream request
     Then the answer is 200 whole 1-5 after 1 runs
 
+  Scenario Outline: The cause of <failure> is found by its id alone
+    Given 2 gateways and 1 runners
+    And every runner is set to <knobs>
+    When <what> fails
+    Then "explain" with its id and the logs of all gateways tells "<cause>"
+
+    Examples:
+      | failure                  | knobs              | what             | cause                             |
+      | a refusal                | {"shed_next": 99}  | a stream request | refused with 503                  |
+      | a stream that broke off  | {"cut_next": 1}    | a stream request | the answer was cut                |
+      | an item that failed      | {"failing": true}  | an item of a job | ended=failed events=0 failures=3  |
+      | an item that failed late | {"failing": true}  | an item of a job | Job submitted. job=job-1          |
+
   Scenario Outline: A short soak, seed <seed>
     Then a soak of 6 s with seed <seed> breaks no promise
 
--- a/tests/features/steps/gateway_steps.py
+++ b/tests/features/steps/gateway_steps.py
@@ -470,3 +470,24 @@
     command += ["--seeds", f"{seed}-{seed}", "--length_s", str(seconds)]
     done = subprocess.run(command, capture_output=True, text=True, check=False)
     assert done.returncode == 0, done.stdout + done.stderr
+
+
+@when("{what} fails")
+def something_fails(context, what):
+    if what == "a stream request":
+        one_request(context, "stream")
+        context.failed_id = f"request-{context.asked}"
+        return
+    submit(context, 2)
+    context.fleet.run(lambda: context.fleet.whole_job("gateway-2", JOB))
+    context.failed_id = f"{JOB}-item-0"
+
+
+@then('"explain" with its id and the logs of all gateways tells "{cause}"')
+def explained(context, cause):
+    command = [sys.executable, "-m", "coppercleat", "explain", context.failed_id]
+    for name in context.fleet.names:
+        command.append(f"--log={context.fleet.processes[name].log}")
+    done = subprocess.run(command, capture_output=True, text=True, check=False)
+    assert done.returncode == 0, done.stderr
+    assert cause in done.stdout, done.stdout
