Take nobody for dead because nothing could be read; read all jobs now and then

Change: a lease is judged by the last read, and what stood still during a gap of reads proves nothing. All jobs are read whole every 6 s, since the store may leave changes out before it drops its history.

--- a/src/coppercleat/jobs/_board.py
+++ b/src/coppercleat/jobs/_board.py
@@ -12,6 +12,10 @@
 from coppercleat.observability import part_logger
 from coppercleat.storage import HistoryLostError, Platform, Row, decode_row
 
+RESCAN_S = 6.0
+"""How often all jobs are read whole, beside their changes: the store may leave changes
+out for a moment before it drops its history, and a job that nobody knows is never run."""
+
 _log = part_logger("jobs")
 
 
@@ -32,6 +36,7 @@
         self.fresh_at = float("-inf")
         self.on_change: Callable[[Held], None] = lambda held: None
         self._version = 0
+        self._rescan_at = float("-inf")
 
     def __iter__(self) -> Iterator[Held]:
         return iter(list(self.held.values()))
@@ -59,7 +64,7 @@
         """Reads what has changed, or everything if the changes are lost."""
         began = trio.current_time()
         try:
-            if not self.loaded:
+            if began >= self._rescan_at:
                 await self._read_all()
             changes = await self.platform.changes(JOB_SPACE, after=self._version)
         except HistoryLostError:
@@ -87,6 +92,7 @@
                     break
                 after = rows[-1][0]
         self.loaded = True
+        self._rescan_at = trio.current_time() + RESCAN_S
 
     def _take(self, key: str, row: Row) -> None:
         try:
--- a/src/coppercleat/serving/_watch.py
+++ b/src/coppercleat/serving/_watch.py
@@ -218,7 +218,8 @@
             return self._instances_read_at <= since
         if sight.row.leaving:
             return False
-        return trio.current_time() - sight.changed_at < LEASE_S
+        # By the last read, not by now: while nothing is read nothing is known to die.
+        return self._instances_read_at - sight.changed_at < LEASE_S
 
     @property
     def owner_name(self) -> str:
@@ -355,6 +356,11 @@
         began = trio.current_time()
         rows = await self.platform.scan(_INSTANCE_PREFIX)
         now = trio.current_time()
+        if began - self._instances_read_at > LEASE_S / 2:
+            # Nobody could renew, or this instance could not look: what stood still
+            # meanwhile proves nothing.
+            for sight in self._sights.values():
+                sight.changed_at = now
         self._instances_read_at = began
         seen: set[InstanceId] = set()
         for key, row in rows:
--- a/tests/features/serving_decisions.feature
+++ b/tests/features/serving_decisions.feature
@@ -156,3 +156,18 @@
       | hears                            | running |
       | hears the store and others       | 3       |
       | hears neither store nor others   | 0       |
+
+  Scenario Outline: The store is away for <away> s while another instance <does>
+    When two instances watch, and the store is away for <away> s while one <does>
+    Then the other takes it as <taken>
+
+    Examples: a lease lasts 3.5 s
+      | away | does  | taken               |
+      | 2    | lives | alive all the while |
+      | 8    | lives | alive all the while |
+      | 2    | dies  | dead within 6 s     |
+      | 8    | dies  | dead within 6 s     |
+
+  Scenario: A job that the changes leave out is found all the same
+    When a job is accepted while the changes show nothing
+    Then a board that has been read before knows it within 10 s
--- a/tests/features/steps/serving_steps.py
+++ b/tests/features/steps/serving_steps.py
@@ -12,6 +12,7 @@
 import trio.testing
 from behave import given, then, when
 
+from coppercleat.errors import PlatformUnavailableError
 from coppercleat.ids import InstanceId, JobId, UpstreamId, ZoneId
 from coppercleat.jobs import (
     Finished,
@@ -36,6 +37,7 @@
 from coppercleat.serving import (
     AttemptEnd,
     EventSplitter,
+    GatewaySettings,
     InFlight,
     Nowhere,
     Placement,
@@ -48,8 +50,9 @@
     Upstream,
     UpstreamAnswer,
     UpstreamList,
+    Watch,
 )
-from coppercleat.storage import AnswerLostError, MemoryPlatform
+from coppercleat.storage import AnswerLostError, Changes, MemoryPlatform
 from coppercleat.upstreams import AttemptState
 
 HOST, PREFIX = "jobs.example", "/week/"
@@ -559,3 +562,110 @@
 @then("after 2 s {running:d} of its items run")
 def items_running(context, running):
     assert context.running == running, context.running
+
+
+class Leaving(MemoryPlatform):
+    """Is away while ``away`` is set."""
+
+    away = False
+
+    async def scan(self, prefix, **options):
+        if self.away:
+            raise PlatformUnavailableError("away")
+        return await super().scan(prefix, **options)
+
+    async def transact(self, transaction):
+        if self.away:
+            raise PlatformUnavailableError("away")
+        return await super().transact(transaction)
+
+
+class NoCatalogue:
+    """Knows nothing."""
+
+    async def read_routes(self):
+        return None
+
+    async def read_upstreams(self):
+        return []
+
+
+def make_watch(name, platform):
+    settings = GatewaySettings(
+        instance=InstanceId(name),
+        zone=ZoneId("a"),
+        clients="10.0.0.1:1",
+        readiness="10.0.0.1:2",
+        peers="10.0.0.1:3",
+    )
+    rng = random.Random(name)
+    placement = Placement(ZoneId("a"), rng=rng)
+    return Watch(settings, NoCatalogue(), platform, placement, boot="b", rng=rng)
+
+
+@when(
+    "two instances watch, and the store is away for {away:d} s while one {does}",
+)
+def watch_through_outage(context, away, does):
+    async def run():
+        platform = Leaving()
+        watcher, other = make_watch("w", platform), make_watch("o", platform)
+        context.alive = []
+        async with trio.open_nursery() as nursery:
+            others = trio.CancelScope()
+
+            async def run_other():
+                with others:
+                    await other.run()
+
+            nursery.start_soon(watcher.run)
+            nursery.start_soon(run_other)
+            await trio.sleep(4)
+            platform.away = True
+            if does == "dies":
+                others.cancel()
+            await trio.sleep(away)
+            platform.away = False
+            for _ in range(70):
+                await trio.sleep(0.1)
+                lives = watcher.owner_lives(other.owner_name, since=0.0)
+                context.alive.append(lives)
+            nursery.cancel_scope.cancel()
+
+    trio.run(run, clock=trio.testing.MockClock(autojump_threshold=0))
+
+
+@then("the other takes it as {taken}")
+def taken_as(context, taken):
+    if taken.startswith("alive"):
+        assert all(context.alive), context.alive
+    else:
+        assert not context.alive[59], context.alive
+
+
+class Forgetful(MemoryPlatform):
+    """Shows no changes of one moment, and says that there were none."""
+
+    async def changes(self, space, *, after):
+        return Changes((), self.last_version)
+
+
+@when("a job is accepted while the changes show nothing")
+def accept_unseen(context):
+    async def run():
+        platform = Forgetful()
+        board = JobBoard(platform)
+        await board.refresh()
+        await accept(make_ledger(platform), submission("job", 3))
+        with trio.move_on_after(10):
+            while board.get(JobId("job")) is None:
+                await trio.sleep(0.4)
+                await board.refresh()
+        context.known = board.get(JobId("job"))
+
+    trio.run(run, clock=trio.testing.MockClock(autojump_threshold=0))
+
+
+@then("a board that has been read before knows it within 10 s")
+def board_knows(context):
+    assert context.known is not None
