--- a/src/coppercleat/jobs/_board.py
+++ b/src/coppercleat/jobs/_board.py
@@ -14,7 +14,7 @@
 
 RESCAN_S = 6.0
 """How often all jobs are read whole, beside their changes: the store may leave changes
-out for a moment before it drops its history, and a job that nobody knows is never run."""
+out for a moment before it drops its history, and a job that nobody knows is not run."""
 
 _log = part_logger("jobs")
 
--- a/src/coppercleat/serving/_watch.py
+++ b/src/coppercleat/serving/_watch.py
@@ -359,8 +359,8 @@
         if began - self._instances_read_at > LEASE_S / 2:
             # Nobody could renew, or this instance could not look: what stood still
             # meanwhile proves nothing.
-            for sight in self._sights.values():
-                sight.changed_at = now
+            for known in self._sights.values():
+                known.changed_at = now
         self._instances_read_at = began
         seen: set[InstanceId] = set()
         for key, row in rows:
