Drop counts of work in flight that are not told anew

Above 16 members only the own zone was told of work in flight, and what the other zones had been told before stayed for ever: slots that were free seemed used, batch got 11 slots of 72 and items were left lying.

--- a/src/coppercleat/serving/_peers.py
+++ b/src/coppercleat/serving/_peers.py
@@ -37,6 +37,10 @@
 """How often members of other zones are told then: 44 of them make 150 messages a
 second, which is what a small machine has time for."""
 
+COUNTS_STALE_S = 2.5
+"""Counts not told anew for this long are dropped: each instance tells them with every
+heartbeat, and counts that stay for ever would keep slots from being used."""
+
 _GATHER_S = 0.03
 """Ends of requests are told together this often; starts at once."""
 
@@ -156,6 +160,7 @@
         self._links = Links(settings.peers)
         self._asked_at = float("-inf")
         self._told_far_at = float("-inf")
+        self._counts_at: dict[InstanceId, float] = {}
         self._changed = trio.Event()
         self._urgent = trio.Event()
 
@@ -210,9 +215,11 @@
 
     def _forget_silent(self, now: float) -> None:
         for peer in self.placement.peers():
-            if not self.detector.is_alive(peer, now):
+            told_s = now - self._counts_at.get(peer, float("-inf"))
+            if told_s > COUNTS_STALE_S or not self.detector.is_alive(peer, now):
                 self.placement.forget_peer(peer)
-                _log.warning("A peer fell silent.", peer=peer)
+                self._counts_at.pop(peer, None)
+                _log.warning("A peer fell silent.", peer=peer, told_s=round(told_s, 1))
                 self.on_counts()
 
     def _ask_if_behind(self, now: float) -> None:
@@ -268,6 +275,7 @@
 
     @_handlers.handles(WorkInFlight)
     def _on_work(self, sender: InstanceId, work: WorkInFlight) -> None:
+        self._counts_at[sender] = trio.current_time()
         self.placement.observe_peer(sender, work.counts)
         self.on_counts()
 
--- a/tests/features/serving_decisions.feature
+++ b/tests/features/serving_decisions.feature
@@ -181,3 +181,12 @@
       | 1   |
       | 9   |
       | 40  |
+
+  Scenario Outline: <members> instances in two zones tell each other of work in flight
+    When <members> instances listen to each other, and one starts 3 requests and ends them
+    Then all the others knew of them and know of their end, and of a peer that fell silent
+
+    Examples: up to 16 all are told at once, beyond the own zone
+      | members |
+      | 4       |
+      | 18      |
--- a/tests/features/steps/serving_steps.py
+++ b/tests/features/steps/serving_steps.py
@@ -40,6 +40,7 @@
     GatewaySettings,
     InFlight,
     Nowhere,
+    Peers,
     Placement,
     RequestProgress,
     Route,
@@ -54,6 +55,7 @@
 )
 from coppercleat.storage import AnswerLostError, Changes, MemoryPlatform
 from coppercleat.upstreams import AttemptState
+from tests.harness import free_port
 
 HOST, PREFIX = "jobs.example", "/week/"
 KINDS = {
@@ -690,3 +692,76 @@
 @then("it is used again at most {seconds:d} s later")
 def used_again(context, seconds):
     assert context.back_after <= seconds + 0.1, context.back_after
+
+
+def make_peers(name, zone, port, seed):
+    settings = GatewaySettings(
+        instance=InstanceId(name),
+        zone=ZoneId(zone),
+        clients="127.0.0.1:1",
+        readiness="127.0.0.1:2",
+        peers=f"127.0.0.1:{port}",
+        seeds=(f"127.0.0.1:{seed}",),
+    )
+    rng = random.Random(name)
+    placement = Placement(ZoneId(zone), rng=rng)
+    placement.replace([roomy_upstream("x")])
+    return Peers(settings, placement, incarnation=1, rng=rng)
+
+
+async def until_load(peers, wanted):
+    """Waits until all see so many requests in flight; returns what they see."""
+    with trio.move_on_after(8):
+        while True:
+            seen = {
+                p.placement.load(p.placement.states[UpstreamId("x")]) for p in peers
+            }
+            if seen == {wanted}:
+                return seen
+            await trio.sleep(0.05)
+    return seen
+
+
+@when(
+    "{count:d} instances listen to each other, and one starts 3 requests and ends them"
+)
+def peers_listen(context, count):
+    ports = [free_port() for _ in range(count)]
+    context.seen = {}
+
+    async def run():
+        peers = [
+            make_peers(f"i{n}", "ab"[n % 2], port, ports[0])
+            for n, port in enumerate(ports)
+        ]
+        async with trio.open_nursery() as nursery:
+            one = trio.CancelScope()
+
+            async def run_one():
+                with one:
+                    await peers[0].run()
+
+            nursery.start_soon(run_one)
+            for other in peers[1:]:
+                nursery.start_soon(other.run)
+            with trio.move_on_after(10):
+                while any(len(p.others()) < count - 1 for p in peers):
+                    await trio.sleep(0.05)
+            state = peers[0].placement.states[UpstreamId("x")]
+            for what, online in (("started", 3), ("ended", 0), ("again", 2)):
+                state.online = online
+                peers[0].work_changed(urgent=online > 0)
+                context.seen[what] = (await until_load(peers, online), online)
+            one.cancel()
+            context.seen["silent"] = (await until_load(peers[1:], 0), 0)
+            nursery.cancel_scope.cancel()
+
+    trio.run(run)
+
+
+@then(
+    "all the others knew of them and know of their end, and of a peer that fell silent"
+)
+def all_knew(context):
+    for what, (seen, wanted) in context.seen.items():
+        assert seen == {wanted}, (what, seen)
