--- a/tests/features/gateway.feature
+++ b/tests/features/gateway.feature
@@ -45,6 +45,10 @@
       | has too large a body          | POST   | stream.example   | /ask/x           | {"request-id": "r", "deadline-ms": "5000"}   | 200000 | 413    |
       | has too large a header        | POST   | stream.example   | /ask/x           | {"request-id": "r", "x-long": "LONG"}        | 10     | 431    |
       | submits a job that is no JSON | POST   | jobs.example     | /week/submit     | {"request-id": "j"}                          | 10     | 400    |
+      | submits no item               | POST   | jobs.example     | /week/submit     | {"request-id": "j", "x-body": "no items"}    | 0      | 400    |
+      | submits too many items        | POST   | jobs.example     | /week/submit     | {"request-id": "j", "x-body": "201 items"}   | 0      | 400    |
+      | submits a body of no base64   | POST   | jobs.example     | /week/submit     | {"request-id": "j", "x-body": "no base64"}   | 0      | 400    |
+      | submits one item id twice     | POST   | jobs.example     | /week/submit     | {"request-id": "j", "x-body": "twice"}       | 0      | 400    |
       | gets a job's route            | GET    | jobs.example     | /week/submit     | {"request-id": "j"}                          | 0      | 400    |
       | reads a job that is not there | GET    | jobs.example     | /v1/lots/none    | {}                                           | 0      | 404    |
       | reads from no position        | GET    | jobs.example     | /v1/lots/none?after=x | {}                                      | 0      | 400    |
@@ -253,6 +257,11 @@
       | an item that failed      | {"failing": true}  | an item of a job | ended=failed events=0 failures=3  |
       | an item that failed late | {"failing": true}  | an item of a job | Job submitted. job=job-1          |
 
+  Scenario: The deploy file builds in a clean checkout, and its role serves
+    Given a clean checkout built as the deploy file says
+    When a client sends a stream request
+    Then the answer is 200 whole 1-5 after 1 runs
+
   Scenario Outline: A short soak, seed <seed>
     Then a soak of 6 s with seed <seed> breaks no promise
 
--- a/tests/features/steps/gateway_steps.py
+++ b/tests/features/steps/gateway_steps.py
@@ -1,10 +1,14 @@
 """Steps for gateways before stand-ins of the users' platform."""
 
 import json
+import pathlib
+import shutil
 import signal
 import subprocess
 import sys
+import tempfile
 import time
+import tomllib
 
 import httpcore
 import trio
@@ -16,6 +20,22 @@
 JOB = "job-1"
 
 
+def job_of(*items):
+    return json.dumps({"items": list(items)}).encode()
+
+
+def wire_item(name, body="eA=="):
+    return {"id": name, "path": "/week/1", "headers": {}, "body": body, "tokens": 1}
+
+
+BODIES = {
+    "no items": job_of(),
+    "201 items": job_of(*(wire_item(f"i{n}") for n in range(201))),
+    "no base64": job_of(wire_item("a", body="?")),
+    "twice": job_of(wire_item("a"), wire_item("a")),
+}
+
+
 @given("{gateways:d} gateways and {runners:d} runners")
 def start(context, gateways, runners):
     context.fleet = Gateways(gateways=gateways, runners=runners)
@@ -175,9 +195,11 @@
     headers = json.loads(headers.replace("LONG", "x" * 100_000))
     context.began = time.monotonic()
 
+    body = BODIES.get(headers.pop("x-body", ""), b"x" * size)
+
     async def call():
         return await context.fleet.call(
-            "gateway-1", method, host, target, headers=headers, body=b"x" * size
+            "gateway-1", method, host, target, headers=headers, body=body
         )
 
     context.answer = context.fleet.run(call)
@@ -491,3 +513,24 @@
     done = subprocess.run(command, capture_output=True, text=True, check=False)
     assert done.returncode == 0, done.stderr
     assert cause in done.stdout, done.stdout
+
+
+@given("a clean checkout built as the deploy file says")
+def clean_checkout(context):
+    context.directory = tempfile.TemporaryDirectory(prefix="coppercleat-build-")
+    context.add_cleanup(context.directory.cleanup)
+    checkout = pathlib.Path(context.directory.name)
+    listed = subprocess.run(
+        ["git", "ls-files", "src", "deploy", "requirements.lock"],
+        capture_output=True,
+        text=True,
+        check=True,
+    )
+    for name in listed.stdout.splitlines():
+        (checkout / name).parent.mkdir(parents=True, exist_ok=True)
+        shutil.copy(name, checkout / name)
+    deploy = tomllib.loads((checkout / "deploy/system.toml").read_text())
+    subprocess.run(deploy["build"], shell=True, cwd=checkout, check=True)
+    context.fleet = Gateways(gateways=1, runners=1, checkout=checkout)
+    context.fleet.start()
+    context.asked = 0
--- a/tests/harness/_gateways.py
+++ b/tests/harness/_gateways.py
@@ -9,6 +9,7 @@
 import shutil
 import signal
 import tempfile
+import tomllib
 from collections.abc import Awaitable, Callable
 from typing import Any, TypeVar
 
@@ -62,6 +63,7 @@
         runners: int,
         garbage: str = "",
         proxied: bool = False,
+        checkout: pathlib.Path | None = None,
     ) -> None:
         self.directory = pathlib.Path(tempfile.mkdtemp(prefix="coppercleat-"))
         self.processes: dict[str, Process] = {}
@@ -71,6 +73,7 @@
         self.config: dict[str, Any] = default_config()
         self.runners = [f"runner-{n + 1}" for n in range(runners)]
         self.garbage = garbage
+        self.checkout = checkout
         self.proxy_port = free_port() if proxied else 0
         self.links: dict[str, int] = {}
         self.names = [f"gateway-{n + 1}" for n in range(gateways)]
@@ -119,10 +122,32 @@
         settings = self.settings(name, ports)
         path = self.directory / f"{name}.yaml"
         path.write_text(yaml.safe_dump(settings))
+        if self.checkout is not None:
+            self.processes[name] = self._deployed(name, self.checkout, path)
+            return
         os.environ["COPPERCLEAT_CONFIG"] = str(path)
         arguments = ["deploy/start.py", "gateway", "--log_level=debug"]
         self.processes[name] = Process(name, arguments)
 
+    def _deployed(
+        self, name: str, checkout: pathlib.Path, settings: pathlib.Path
+    ) -> Process:
+        """Starts a gateway as the deploy file says, with what its build has made."""
+        text = (checkout / "deploy/system.toml").read_text(encoding="utf-8")
+        program, *arguments = tomllib.loads(text)["roles"]["gateway"]["run"].split()
+        environment = {
+            "PATH": os.environ["PATH"],
+            "PYTHONPATH": str(checkout / "target/deps"),
+            "COPPERCLEAT_CONFIG": str(settings),
+        }
+        return Process(
+            name,
+            arguments,
+            program=program,
+            directory=checkout,
+            environment=environment,
+        )
+
     def settings(self, name: str, ports: dict[str, int]) -> dict[str, Any]:
         """Returns the settings file of a gateway, as the platform writes it."""
         seeds = [
--- a/tests/harness/_processes.py
+++ b/tests/harness/_processes.py
@@ -48,14 +48,24 @@
 class Process:
     """One child process of the test, with its log in a file."""
 
-    def __init__(self, name: str, arguments: Sequence[str]) -> None:
+    def __init__(
+        self,
+        name: str,
+        arguments: Sequence[str],
+        *,
+        program: str = sys.executable,
+        directory: pathlib.Path | None = None,
+        environment: dict[str, str] | None = None,
+    ) -> None:
         self.name = name
         self.log = pathlib.Path(tempfile.gettempdir()) / (
             f"coppercleat-{os.getpid()}-{name}.log"
         )
         with self.log.open("ab") as log:
             self.popen = subprocess.Popen(
-                [sys.executable, *arguments],
+                [program, *arguments],
+                cwd=directory,
+                env=environment,
                 stdin=subprocess.DEVNULL,
                 stdout=log,
                 stderr=log,
