Use the field's words for the parts of jobs; leave no object behind a resend

Cause: read as a newcomer: desk, board, ledger and gate are pictures of ours, not terms. A large job sent again left another object of its input behind. Change: JobService, JobIndex, JobRepository, quota rows, preempt; the object of a submission that is not accepted as it is is removed. No change of behaviour otherwise.

--- a/src/coppercleat/gateway/__init__.py
+++ b/src/coppercleat/gateway/__init__.py
@@ -1,7 +1,7 @@
 """A gateway instance: online requests and jobs over one fleet of upstreams."""
 
 from coppercleat.gateway._gateway import Gateway
-from coppercleat.gateway._jobs_desk import JobAnswer, JobsDesk
+from coppercleat.gateway._job_service import JobAnswer, JobService
 from coppercleat.gateway._metrics import GatewayMetrics
 from coppercleat.gateway._run import GatewayEdges, run_gateway
 
@@ -10,6 +10,6 @@
     "GatewayEdges",
     "GatewayMetrics",
     "JobAnswer",
-    "JobsDesk",
+    "JobService",
     "run_gateway",
 ]
--- a/src/coppercleat/gateway/_gateway.py
+++ b/src/coppercleat/gateway/_gateway.py
@@ -8,10 +8,10 @@
 import aioprometheus
 import trio
 
-from coppercleat.gateway._jobs_desk import JobsDesk
+from coppercleat.gateway._job_service import JobService
 from coppercleat.gateway._metrics import GatewayMetrics
 from coppercleat.ids import random_token
-from coppercleat.jobs import ItemRunner, JobBoard, JobWorker, Ledger, Sweeper
+from coppercleat.jobs import ItemRunner, JobIndex, JobRepository, JobWorker, Sweeper
 from coppercleat.observability import part_logger
 from coppercleat.serving import (
     READ_SHARE,
@@ -93,8 +93,8 @@
             on_change=self._work_changed,
             on_end=metrics.request_ended,
         )
-        self.board = JobBoard(platform)
-        ledger = Ledger(platform, clock=time.time, rng=self.rng)
+        self.job_index = JobIndex(platform)
+        repository = JobRepository(platform, clock=time.time, rng=self.rng)
         self.items = ItemRunner(
             self.placement,
             caller,
@@ -103,8 +103,8 @@
             on_end=metrics.item_run_ended,
         )
         self.worker = JobWorker(
-            ledger,
-            self.board,
+            repository,
+            self.job_index,
             self.items,
             owner=self.watch.owner_name,
             clock=time.time,
@@ -119,16 +119,16 @@
         )
         self.sweeper = Sweeper(
             platform,
-            self.board,
+            self.job_index,
             keep_s=settings.keep_s,
             clock=time.time,
             owner=self.watch.owner_name,
             living=self.watch.living,
-            gate_of=self._gate_of,
+            quota_of=self._quota_of,
         )
-        self.desk = JobsDesk(
-            ledger,
-            self.board,
+        self.jobs = JobService(
+            repository,
+            self.job_index,
             self.worker,
             quota_tolerance=settings.quota_tolerance,
             on_submit=lambda answer: metrics.jobs.inc({"outcome": answer}),
@@ -142,14 +142,14 @@
         self.peers.starved = self.watch.starved
         self.peers.knowledge = self.watch.knowledge
         self.peers.on_knowledge = self.watch.take_knowledge
-        self.peers.on_counts = self.items.make_room
+        self.peers.on_counts = self.items.preempt
         self.peers.on_taken = self.worker.taken_elsewhere
         self.peers.on_handover = self.worker.handed_over
 
     def _work_changed(self, state: UpstreamState, started: bool) -> None:
         self.peers.work_changed(urgent=started)
         if started:
-            self.items.make_room()
+            self.items.preempt()
 
     def _isolated(self) -> bool:
         """Whether neither the store nor any other instance can be heard."""
@@ -157,8 +157,8 @@
             return False
         return not self.peers.others()
 
-    def _gate_of(self, host: str, path: str) -> str | None:
-        """Returns the prefix whose gate counts a job's tokens, None for none."""
+    def _quota_of(self, host: str, path: str) -> str | None:
+        """Returns the prefix whose quota counts a job's tokens, None for none."""
         table = self.watch.table
         route = table.match(host, path) if table else None
         limited = route is not None and route.max_waiting_tokens > 0
--- a/src/coppercleat/gateway/_jobs_desk.py
+++ b/src/coppercleat/gateway/_job_service.py
@@ -1,4 +1,4 @@
-"""What clients ask of jobs, answered from the ledger and the board."""
+"""What clients ask of jobs, answered from the repository and the job_index."""
 
 from __future__ import annotations
 
@@ -14,10 +14,10 @@
 from coppercleat.jobs import (
     NOBODY,
     Held,
-    JobBoard,
+    JobIndex,
+    JobRepository,
     JobRow,
     JobWorker,
-    Ledger,
     OverQuota,
     ResultsPage,
     Submission,
@@ -57,7 +57,7 @@
     UNSURE = "unsure"
 
 
-class DeskReply(msgspec.Struct, kw_only=True):
+class JobReply(msgspec.Struct, kw_only=True):
     """An answer about a job.
 
     Attributes:
@@ -71,38 +71,38 @@
     retry_after_s: float = 0.0
 
 
-class JobsDesk:
+class JobService:
     """Accepts, shows and ends jobs at any instance."""
 
     def __init__(
         self,
-        ledger: Ledger,
-        board: JobBoard,
+        repository: JobRepository,
+        job_index: JobIndex,
         worker: JobWorker,
         *,
         quota_tolerance: float,
         on_submit: Callable[[str], None],
     ) -> None:
-        """Prepares the desk.
+        """Prepares the service.
 
         Args:
-          ledger: Where jobs lie.
-          board: What is known of them here.
+          repository: Where jobs lie.
+          job_index: What is known of them here.
           worker: Runs the jobs accepted here.
           quota_tolerance: Share by which waiting tokens may exceed their limit;
             half of it is used, the rest covers what was not seen in time.
           on_submit: Told how each submission was answered.
         """
-        self.ledger = ledger
-        self.board = board
+        self.repository = repository
+        self.job_index = job_index
         self.worker = worker
         self.quota_tolerance = quota_tolerance / 2
         self.on_submit = on_submit
 
-    async def submit(self, submission: Submission, route: Route) -> DeskReply:
+    async def submit(self, submission: Submission, route: Route) -> JobReply:
         """Accepts a job once, or says truthfully that nothing of it will run."""
         began = trio.current_time()
-        reply = DeskReply(answer=JobAnswer.UNKNOWN)
+        reply = JobReply(answer=JobAnswer.UNKNOWN)
         with trio.move_on_after(ACCEPT_WITHIN_S):
             reply = await self._accept(submission, route)
         self.on_submit(reply.answer.value)
@@ -115,17 +115,17 @@
         )
         return reply
 
-    async def _accept(self, submission: Submission, route: Route) -> DeskReply:
-        if not self.board.loaded:
+    async def _accept(self, submission: Submission, route: Route) -> JobReply:
+        if not self.job_index.loaded:
             return _not_run()
         uncertain = False
         while True:
             try:
-                accepted = await self.ledger.accept(
+                accepted = await self.repository.accept(
                     submission,
                     route,
                     owner=self.worker.owner if self.worker.may_own else NOBODY,
-                    finished_tokens=self.board.finished_tokens,
+                    finished_tokens=self.job_index.finished_tokens,
                     tolerance=self.quota_tolerance,
                 )
             except AnswerLostError:
@@ -140,75 +140,75 @@
             if isinstance(accepted, OverQuota):
                 return _over_quota(uncertain=uncertain)
             self.worker.own(accepted)
-            return DeskReply(answer=JobAnswer.ACCEPTED)
+            return JobReply(answer=JobAnswer.ACCEPTED)
 
-    async def results(self, host: str, job: JobId, *, after: int) -> DeskReply:
+    async def results(self, host: str, job: JobId, *, after: int) -> JobReply:
         """Returns results from a position on."""
 
-        async def read() -> DeskReply:
+        async def read() -> JobReply:
             row = await self._row(host, job)
             if row is None:
-                return DeskReply(answer=JobAnswer.ABSENT)
-            page = await self.ledger.results(host, job, row.total, after=after)
-            return DeskReply(answer=JobAnswer.FOUND, page=page)
+                return JobReply(answer=JobAnswer.ABSENT)
+            page = await self.repository.results(host, job, row.total, after=after)
+            return JobReply(answer=JobAnswer.FOUND, page=page)
 
         return await _bounded(read)
 
-    async def item_body(self, host: str, job: JobId, item: str) -> DeskReply:
+    async def item_body(self, host: str, job: JobId, item: str) -> JobReply:
         """Returns the body of an item that is not listed yet."""
 
-        async def read() -> DeskReply:
-            held = await self.ledger.find(host, job)
+        async def read() -> JobReply:
+            held = await self.repository.find(host, job)
             if held is None or held.row.ended:
-                return DeskReply(answer=JobAnswer.ABSENT)
-            specs = await self.ledger.items(held.row)
+                return JobReply(answer=JobAnswer.ABSENT)
+            specs = await self.repository.items(held.row)
             listed = set(held.row.listed)
             for index, spec in enumerate(specs):
                 if spec.id == item and index not in listed:
-                    return DeskReply(answer=JobAnswer.FOUND, body=spec.body)
-            return DeskReply(answer=JobAnswer.ABSENT)
+                    return JobReply(answer=JobAnswer.FOUND, body=spec.body)
+            return JobReply(answer=JobAnswer.ABSENT)
 
         return await _bounded(read)
 
-    async def end(self, host: str, job: JobId) -> DeskReply:
+    async def end(self, host: str, job: JobId) -> JobReply:
         """Ends a job; ending it again is no error."""
 
-        async def write() -> DeskReply:
-            found = await self.ledger.end(host, job)
-            held = await self.ledger.find(host, job)
+        async def write() -> JobReply:
+            found = await self.repository.end(host, job)
+            held = await self.repository.find(host, job)
             if held is not None:
-                self.board.observe(held)
+                self.job_index.observe(held)
             answer = JobAnswer.ENDED if found else JobAnswer.ABSENT
-            return DeskReply(answer=answer)
+            return JobReply(answer=answer)
 
         return await _bounded(write)
 
     async def _row(self, host: str, job: JobId) -> JobRow | None:
-        """Returns a job's row; what never changes may come from the board."""
-        known: Held | None = self.board.get(job)
+        """Returns a job's row; what never changes may come from the job_index."""
+        known: Held | None = self.job_index.get(job)
         if known is not None and known.row.host == host:
             return known.row
-        held = await self.ledger.find(host, job)
+        held = await self.repository.find(host, job)
         if held is not None:
-            self.board.observe(held)
+            self.job_index.observe(held)
         return held.row if held else None
 
 
-async def _bounded(call: Callable[[], Awaitable[DeskReply]]) -> DeskReply:
+async def _bounded(call: Callable[[], Awaitable[JobReply]]) -> JobReply:
     """Answers in time, or says that the answer is not known."""
     with trio.move_on_after(ANSWER_WITHIN_S):
         try:
             return await call()
         except CoppercleatError as error:
             _log.debug("A job could not be read.", reason=str(error))
-    return DeskReply(answer=JobAnswer.UNSURE, retry_after_s=UNAVAILABLE_RETRY_S)
+    return JobReply(answer=JobAnswer.UNSURE, retry_after_s=UNAVAILABLE_RETRY_S)
 
 
-def _not_run() -> DeskReply:
-    return DeskReply(answer=JobAnswer.NOT_RUN, retry_after_s=UNAVAILABLE_RETRY_S)
+def _not_run() -> JobReply:
+    return JobReply(answer=JobAnswer.NOT_RUN, retry_after_s=UNAVAILABLE_RETRY_S)
 
 
-def _over_quota(*, uncertain: bool) -> DeskReply:
+def _over_quota(*, uncertain: bool) -> JobReply:
     if uncertain:
-        return DeskReply(answer=JobAnswer.UNKNOWN)
-    return DeskReply(answer=JobAnswer.OVER_QUOTA, retry_after_s=QUOTA_RETRY_S)
+        return JobReply(answer=JobAnswer.UNKNOWN)
+    return JobReply(answer=JobAnswer.OVER_QUOTA, retry_after_s=QUOTA_RETRY_S)
--- a/src/coppercleat/jobs/__init__.py
+++ b/src/coppercleat/jobs/__init__.py
@@ -1,18 +1,18 @@
 """Jobs of many items, whose results are listed in the order of completion."""
 
-from coppercleat.jobs._board import JobBoard
+from coppercleat.jobs._index import JobIndex
 from coppercleat.jobs._items import ItemRunner
-from coppercleat.jobs._ledger import (
+from coppercleat.jobs._pace import ItemPace
+from coppercleat.jobs._records import NOBODY, ItemSpec, ItemState, JobRow, ResultRow
+from coppercleat.jobs._repository import (
     Finished,
     Held,
-    Ledger,
+    JobRepository,
     OverQuota,
     ResultsPage,
     Submission,
     Superseded,
 )
-from coppercleat.jobs._pace import ItemPace
-from coppercleat.jobs._records import NOBODY, ItemSpec, ItemState, JobRow, ResultRow
 from coppercleat.jobs._run import JobRun
 from coppercleat.jobs._schedule import next_turns
 from coppercleat.jobs._sweep import Sweeper
@@ -26,11 +26,11 @@
     "ItemRunner",
     "ItemSpec",
     "ItemState",
-    "JobBoard",
+    "JobIndex",
     "JobRow",
     "JobRun",
     "JobWorker",
-    "Ledger",
+    "JobRepository",
     "OverQuota",
     "ResultRow",
     "ResultsPage",
--- a/src/coppercleat/jobs/_board.py
+++ b/src/coppercleat/jobs/_index.py
@@ -7,8 +7,8 @@
 import trio
 
 from coppercleat.ids import JobId
-from coppercleat.jobs._ledger import Held
 from coppercleat.jobs._records import JOB_SPACE, JobRow
+from coppercleat.jobs._repository import Held
 from coppercleat.observability import part_logger
 from coppercleat.storage import HistoryLostError, Platform, Row, decode_row
 
@@ -19,13 +19,13 @@
 _log = part_logger("jobs")
 
 
-class JobBoard:
+class JobIndex:
     """Follows the rows of jobs.
 
     Attributes:
       held: By job id.
       loaded: Whether all jobs have been read once.
-      fresh_at: When the board was last as new as the platform, in trio's time.
+      fresh_at: When the index was last as new as the platform, in trio's time.
       on_change: Told of each job that has changed.
     """
 
--- a/src/coppercleat/jobs/_items.py
+++ b/src/coppercleat/jobs/_items.py
@@ -214,16 +214,16 @@
 
     # Making room.
 
-    def make_room(self) -> None:
+    def preempt(self) -> None:
         """Cuts items where online requests need their slots.
 
         The instance with the most items at an overfull upstream cuts one; what it
         has made is kept and goes on elsewhere.
         """
         for state in {running.state.id: running.state for running in self._running}:
-            self._make_room_at(self.placement.states.get(state))
+            self._preempt_at(self.placement.states.get(state))
 
-    def _make_room_at(self, state: UpstreamState | None) -> None:
+    def _preempt_at(self, state: UpstreamState | None) -> None:
         if state is None or not state.batch:
             return
         excess = self.placement.load(state) - (state.upstream.slots - RESERVED_SLOTS)
--- a/src/coppercleat/jobs/_records.py
+++ b/src/coppercleat/jobs/_records.py
@@ -7,7 +7,7 @@
 * ``input/JOB/N``: the items, in slices; or one object, for a large job.
 * ``result/JOB/POSITION``: one listed result; ``.../NN`` goes on with a long one.
 * ``partial/JOB/ITEM``: events that a running item has made so far.
-* ``gate/PREFIX``: tokens ever accepted on a route, so that racing acceptances meet.
+* ``quota/PREFIX``: tokens ever accepted on a route, so that racing acceptances meet.
 """
 
 from __future__ import annotations
@@ -125,7 +125,7 @@
     failures: int = 0
 
 
-class GateRow(msgspec.Struct, frozen=True, kw_only=True):
+class QuotaRow(msgspec.Struct, frozen=True, kw_only=True):
     """Tokens ever accepted on a route, less those of jobs swept away."""
 
     accepted_tokens: int
@@ -157,6 +157,6 @@
     return f"partial/{job}/{index:04d}"
 
 
-def gate_key(prefix: str) -> str:
-    """Returns the key of a route's gate."""
-    return f"gate/{prefix}"
+def quota_key(prefix: str) -> str:
+    """Returns the key of a route's quota."""
+    return f"quota/{prefix}"
--- a/src/coppercleat/jobs/_ledger.py
+++ b/src/coppercleat/jobs/_repository.py
@@ -7,25 +7,26 @@
 
 import msgspec
 
-from coppercleat.errors import PlatformUnavailableError
+from coppercleat.errors import CoppercleatError, PlatformUnavailableError
 from coppercleat.ids import JobId, random_token
 from coppercleat.jobs._records import (
     MAX_SLICES,
     NOBODY,
     SLICE_BYTES,
-    GateRow,
     ItemSpec,
     ItemState,
     JobRow,
     PartialRow,
+    QuotaRow,
     ResultRow,
-    gate_key,
     input_key,
     job_key,
     partial_key,
+    quota_key,
     result_key,
     results_before,
 )
+from coppercleat.observability import part_logger
 from coppercleat.serving import Route
 from coppercleat.storage import (
     ABSENT,
@@ -50,6 +51,8 @@
 
 _MAX_COMMIT_BYTES = 500_000
 
+_log = part_logger("jobs")
+
 
 class Submission(msgspec.Struct, frozen=True, kw_only=True):
     """A job as its client sends it."""
@@ -100,13 +103,13 @@
     held: Held | None
 
 
-class Ledger:
+class JobRepository:
     """Reads and writes jobs; every change is under a condition."""
 
     def __init__(
         self, platform: Platform, *, clock: Callable[[], float], rng: random.Random
     ) -> None:
-        """Prepares the ledger.
+        """Prepares the repository.
 
         Args:
           platform: Where rows and objects lie.
@@ -143,33 +146,35 @@
           AnswerLostError: It may have been.
         """
         key = job_key(submission.job)
-        gate = gate_key(route.prefix)
+        quota = quota_key(route.prefix)
         now = self.clock()
         stored, row = await self._store_input(submission, route, owner=owner, now=now)
         tokens = sum(row.tokens)
         limited = route.max_waiting_tokens > 0
-        known = [gate] if limited else []
+        known = [quota] if limited else []
         for _ in range(_ACCEPT_TRIES):
             rows = await self.platform.read(known, part=submission.host)
             if key in rows:
+                await self._drop_input(row)
                 return _held(rows[key])
             checks = [Check(key, ABSENT)]
             puts = [Put(key, msgspec.json.encode(row)), *stored]
             if limited:
-                accepted, version = _gate(rows.get(gate))
+                accepted, version = _quota(rows.get(quota))
                 finished = finished_tokens(submission.host, route.prefix)
                 waiting = max(0, accepted - finished)
                 if waiting + tokens > route.max_waiting_tokens * (1 + tolerance):
+                    await self._drop_input(row)
                     return OverQuota(waiting)
-                checks.append(Check(gate, version))
-                opened = GateRow(accepted_tokens=accepted + tokens)
-                puts.append(Put(gate, msgspec.json.encode(opened)))
+                checks.append(Check(quota, version))
+                opened = QuotaRow(accepted_tokens=accepted + tokens)
+                puts.append(Put(quota, msgspec.json.encode(opened)))
             answer = await self.platform.transact(
                 Transaction(checks=checks, puts=puts, part=submission.host)
             )
             if not isinstance(answer, TransactionRefused):
                 return Held(row, answer[key])
-            known = [key, gate] if limited else [key]
+            known = [key, quota] if limited else [key]
         raise PlatformUnavailableError("Too many jobs are accepted at once")
 
     async def _store_input(
@@ -204,6 +209,15 @@
         )
         return puts, row
 
+    async def _drop_input(self, row: JobRow) -> None:
+        """Removes the object of a submission that was not accepted as it is."""
+        if not row.input_object:
+            return
+        try:
+            await self.platform.delete_object(row.input_object)
+        except CoppercleatError as error:
+            _log.info("An object stays.", object=row.input_object, kind=error.kind)
+
     # Reading.
 
     async def find(self, host: str, job: JobId) -> Held | None:
@@ -358,11 +372,11 @@
     return Held(decode_row(row, JobRow), row.version)
 
 
-def _gate(row: Row | None) -> tuple[int, int]:
-    """Returns tokens ever accepted, and the version of the gate."""
+def _quota(row: Row | None) -> tuple[int, int]:
+    """Returns tokens ever accepted, and the version of the quota."""
     if row is None:
         return 0, ABSENT
-    return decode_row(row, GateRow).accepted_tokens, row.version
+    return decode_row(row, QuotaRow).accepted_tokens, row.version
 
 
 def _result_puts(job: JobId, position: int, item: Finished) -> list[Put]:
--- a/src/coppercleat/jobs/_run.py
+++ b/src/coppercleat/jobs/_run.py
@@ -7,8 +7,8 @@
 import attrs
 
 from coppercleat.ids import UpstreamId
-from coppercleat.jobs._ledger import Finished, Held
 from coppercleat.jobs._records import ItemSpec, ItemState, PartialRow
+from coppercleat.jobs._repository import Finished, Held
 from coppercleat.serving import ItemEvents
 
 
--- a/src/coppercleat/jobs/_sweep.py
+++ b/src/coppercleat/jobs/_sweep.py
@@ -8,9 +8,9 @@
 import trio
 
 from coppercleat.errors import CoppercleatError
-from coppercleat.jobs._board import JobBoard
-from coppercleat.jobs._ledger import Held
-from coppercleat.jobs._records import GateRow, gate_key, job_key
+from coppercleat.jobs._index import JobIndex
+from coppercleat.jobs._records import QuotaRow, job_key, quota_key
+from coppercleat.jobs._repository import Held
 from coppercleat.observability import part_logger
 from coppercleat.routing import ranked
 from coppercleat.storage import (
@@ -38,39 +38,39 @@
     def __init__(
         self,
         platform: Platform,
-        board: JobBoard,
+        job_index: JobIndex,
         *,
         keep_s: float,
         clock: Callable[[], float],
         owner: str,
         living: Callable[[], list[str]],
-        gate_of: Callable[[str, str], str | None],
+        quota_of: Callable[[str, str], str | None],
     ) -> None:
         """Prepares the sweeper.
 
         Args:
           platform: Where rows and objects lie.
-          board: All jobs as known here.
+          job_index: All jobs as known here.
           keep_s: How long after its acceptance a job must stay readable.
           clock: Unix time in seconds.
           owner: Names this start of this instance.
           living: Names all living instances.
-          gate_of: Returns the prefix whose gate counts a host's and path's tokens,
+          quota_of: Returns the prefix whose quota counts a host's and path's tokens,
             None where no limit holds.
         """
         self.platform = platform
-        self.board = board
+        self.job_index = job_index
         self.keep_s = keep_s
         self.clock = clock
         self.owner = owner
         self.living = living
-        self.gate_of = gate_of
+        self.quota_of = quota_of
 
     async def run(self) -> None:
         """Sweeps until cancelled."""
         while True:
             await trio.sleep(SWEEP_EVERY_S)
-            for held in self.board:
+            for held in self.job_index:
                 if self._is_ours(held):
                     await self._sweep_logged(held)
 
@@ -101,19 +101,19 @@
         return await self._remove_row(held)
 
     async def _remove_row(self, held: Held) -> bool:
-        """Removes a job's row and its tokens from the gate, at once."""
+        """Removes a job's row and its tokens from the quota, at once."""
         row = held.row
         checks = [Check(job_key(row.job), held.version)]
         puts = []
-        prefix = self.gate_of(row.host, row.path)
+        prefix = self.quota_of(row.host, row.path)
         if prefix is not None:
-            key = gate_key(prefix)
+            key = quota_key(prefix)
             rows = await self.platform.read([key], part=row.host)
             if key in rows:
-                gate = decode_row(rows[key], GateRow)
-                left = max(0, gate.accepted_tokens - sum(row.tokens))
+                quota = decode_row(rows[key], QuotaRow)
+                left = max(0, quota.accepted_tokens - sum(row.tokens))
                 checks.append(Check(key, rows[key].version))
-                lowered = GateRow(accepted_tokens=left)
+                lowered = QuotaRow(accepted_tokens=left)
                 puts.append(Put(key, msgspec.json.encode(lowered)))
         answer = await self.platform.transact(
             Transaction(
--- a/src/coppercleat/jobs/_worker.py
+++ b/src/coppercleat/jobs/_worker.py
@@ -8,16 +8,16 @@
 
 from coppercleat.errors import CoppercleatError
 from coppercleat.ids import JobId
-from coppercleat.jobs._board import JobBoard
+from coppercleat.jobs._index import JobIndex
 from coppercleat.jobs._items import ItemRunner, Running
-from coppercleat.jobs._ledger import (
+from coppercleat.jobs._records import NOBODY
+from coppercleat.jobs._repository import (
     Held,
-    Ledger,
+    JobRepository,
     Superseded,
     bounded_partials,
     fits_one_commit,
 )
-from coppercleat.jobs._records import NOBODY
 from coppercleat.jobs._run import JobRun
 from coppercleat.jobs._schedule import next_turns
 from coppercleat.observability import part_logger
@@ -72,8 +72,8 @@
 
     def __init__(
         self,
-        ledger: Ledger,
-        board: JobBoard,
+        repository: JobRepository,
+        job_index: JobIndex,
         items: ItemRunner,
         *,
         owner: str,
@@ -90,8 +90,8 @@
         """Prepares the worker.
 
         Args:
-          ledger: Commits results.
-          board: All jobs as known here.
+          repository: Commits results.
+          job_index: All jobs as known here.
           items: Runs items.
           owner: Names this start of this instance.
           clock: Unix time in seconds.
@@ -106,8 +106,8 @@
           on_taken: Told of each job taken over here.
           on_commit: Told how each commit ended.
         """
-        self.ledger = ledger
-        self.board = board
+        self.repository = repository
+        self.job_index = job_index
         self.items = items
         self.owner = owner
         self.clock = clock
@@ -127,7 +127,7 @@
         self._handed: dict[JobId, list[ItemEvents]] = {}
         self._wake = trio.Event()
         self._nursery: trio.Nursery | None = None
-        board.on_change = self._job_changed
+        job_index.on_change = self._job_changed
 
     async def run(self) -> None:
         """Works until cancelled."""
@@ -150,12 +150,12 @@
 
     def own(self, held: Held) -> None:
         """Begins a job that was just accepted here."""
-        self.board.observe(held)
+        self.job_index.observe(held)
 
     async def _follow_forever(self) -> None:
         while True:
             try:
-                await self.board.refresh()
+                await self.job_index.refresh()
             except CoppercleatError as error:
                 _log.debug("Jobs could not be read.", reason=str(error))
             self._look_for_orphans()
@@ -181,10 +181,10 @@
     def _look_for_orphans(self) -> None:
         """Takes jobs whose owner is gone; the first in line begins."""
         now = trio.current_time()
-        fresh = self.board.loaded and now - self.board.fresh_at < STALE_S
+        fresh = self.job_index.loaded and now - self.job_index.fresh_at < STALE_S
         if not self.holds_lease() or not fresh or self.stopping:
             return
-        for held in self.board:
+        for held in self.job_index:
             job = held.row.job
             if not held.row.open or job in self.runs or job in self._taking:
                 self._orphans.pop(job, None)
@@ -206,7 +206,7 @@
 
     async def _take_orphan(self, held: Held) -> None:
         try:
-            taken = await self.ledger.take(held, owner=self.owner)
+            taken = await self.repository.take(held, owner=self.owner)
         except CoppercleatError as error:
             _log.info("A job could not be taken.", job=held.row.job, reason=str(error))
             self._taking.discard(held.row.job)
@@ -214,10 +214,10 @@
         if isinstance(taken, Superseded):
             self._taking.discard(held.row.job)
             if taken.held is not None:
-                self.board.observe(taken.held)
+                self.job_index.observe(taken.held)
             return
         _log.info("Job taken over.", job=held.row.job, owner_before=held.row.owner)
-        self.board.observe(taken)
+        self.job_index.observe(taken)
         self.on_taken(held.row.job)
         await self._wait_for_handover(held.row.job)
         await self._run_job(taken)
@@ -266,15 +266,15 @@
     async def _load(self, held: Held) -> JobRun | None:
         while True:
             try:
-                items = await self.ledger.items(held.row)
-                partials = await self.ledger.partials(held.row)
+                items = await self.repository.items(held.row)
+                partials = await self.repository.partials(held.row)
                 run = JobRun(held, items, partials)
                 run.take_over(self._handed.pop(held.row.job, []))
                 return run
             except CoppercleatError as error:
                 _log.info("A job waits for input.", job=held.row.job, reason=str(error))
             await trio.sleep(_RETRY_S)
-            newest = self.board.get(held.row.job)
+            newest = self.job_index.get(held.row.job)
             if newest is None or newest.row.owner != self.owner:
                 return None
             held = newest
@@ -301,7 +301,7 @@
         """Commits once; returns whether the job is still ours."""
         batch = run.finished[: fits_one_commit(run.finished)]
         try:
-            held = await self.ledger.commit(run.held, batch, partials, owner=owner)
+            held = await self.repository.commit(run.held, batch, partials, owner=owner)
         except CoppercleatError as error:
             self.on_commit(error.kind)
             _log.info(
@@ -320,7 +320,7 @@
         run.held = held
         del run.finished[: len(batch)]
         run.note_kept(partials)
-        self.board.observe(held)
+        self.job_index.observe(held)
         return True
 
     def _settle(self, run: JobRun, superseded: Superseded) -> bool:
@@ -333,12 +333,12 @@
         if held is None or held.row.ended or held.row.owner != self.owner:
             self._drop(run, "changed by another")
             if held is not None:
-                self.board.observe(held)
+                self.job_index.observe(held)
             return False
         listed = set(held.row.listed)
         run.held = held
         run.finished = [item for item in run.finished if item.index not in listed]
-        self.board.observe(held)
+        self.job_index.observe(held)
         return True
 
     def _drop(self, run: JobRun, why: str) -> None:
@@ -367,7 +367,7 @@
         """Starts the item whose turn it is; returns whether it found a slot."""
         now = trio.current_time()
         table = self.routes()
-        fresh = now - self.board.fresh_at < STALE_S and self.holds_lease()
+        fresh = now - self.job_index.fresh_at < STALE_S and self.holds_lease()
         if self.stopping or table is None or not fresh:
             return False
         wall = self.clock()
--- a/src/coppercleat/platform/_ingress.py
+++ b/src/coppercleat/platform/_ingress.py
@@ -214,7 +214,7 @@
     async def _submit(
         self, submission: Submission, route: Route, reply: HttpReply
     ) -> None:
-        answer = await self.gateway.desk.submit(submission, route)
+        answer = await self.gateway.jobs.submit(submission, route)
         extra = []
         if answer.retry_after_s:
             extra.append(_retry_after(answer.retry_after_s))
@@ -347,7 +347,7 @@
     after = query.get("after", ["0"])[0]
     if not after.isdigit():
         raise _bad("after is no whole number")
-    answer = await gateway.desk.results(host, job, after=int(after))
+    answer = await gateway.jobs.results(host, job, after=int(after))
     body = _encode_page(answer.page) if answer.page else b""
     await _send_job_answer(reply, answer.answer, body, [_JSON], answer.retry_after_s)
 
@@ -356,14 +356,14 @@
     gateway: Gateway, reply: HttpReply, host: str, job: JobId, query: dict
 ) -> None:
     item = query.get("id", [""])[0]
-    answer = await gateway.desk.item_body(host, job, item)
+    answer = await gateway.jobs.item_body(host, job, item)
     await _send_job_answer(reply, answer.answer, answer.body, [], answer.retry_after_s)
 
 
 async def _end_job(
     gateway: Gateway, reply: HttpReply, host: str, job: JobId, query: dict
 ) -> None:
-    answer = await gateway.desk.end(host, job)
+    answer = await gateway.jobs.end(host, job)
     await _send_job_answer(reply, answer.answer, b"", [], answer.retry_after_s)
 
 
--- a/tests/features/serving_decisions.feature
+++ b/tests/features/serving_decisions.feature
@@ -127,7 +127,7 @@
 
   Scenario Outline: A job of <items> items of <bytes> bytes is swept away when it <when>
     When a job of <items> items of <bytes> bytes was accepted <ago> s ago and is <state>
-    Then after a sweep <left> rows and objects of it are left, and <tokens> tokens at the gate
+    Then after a sweep <left> rows and objects of it are left, and <tokens> tokens in use by the quota
 
     Examples: 10 tokens an item, kept for 120 s and a margin of 60 s
       | when             | items | bytes | ago | state | left | tokens |
@@ -170,7 +170,7 @@
 
   Scenario: A job that the changes leave out is found all the same
     When a job is accepted while the changes show nothing
-    Then a board that has been read before knows it within 10 s
+    Then an index that has been read before knows it within 10 s
 
   Scenario Outline: An upstream that is unreachable for <cut> s
     When an upstream that is tried whenever it may be is unreachable for <cut> s
--- a/tests/features/steps/serving_steps.py
+++ b/tests/features/steps/serving_steps.py
@@ -21,11 +21,11 @@
     ItemRunner,
     ItemSpec,
     ItemState,
-    JobBoard,
+    JobIndex,
+    JobRepository,
     JobRow,
     JobRun,
     JobWorker,
-    Ledger,
     OverQuota,
     Submission,
     Superseded,
@@ -186,9 +186,9 @@
 # Jobs.
 
 
-def make_ledger(platform=None):
+def make_repository(platform=None):
     platform = platform or MemoryPlatform()
-    return Ledger(platform, clock=lambda: 0.0, rng=random.Random(1))
+    return JobRepository(platform, clock=lambda: 0.0, rng=random.Random(1))
 
 
 def submission(name, items, *, body=b"x", tokens=10):
@@ -198,8 +198,8 @@
     return Submission(job=JobId(name), host=HOST, path=PREFIX + "s", items=specs)
 
 
-def accept(ledger, job, limit=0):
-    return ledger.accept(
+def accept(repository, job, limit=0):
+    return repository.accept(
         job,
         make_route(max_waiting_tokens=limit),
         owner="me/1",
@@ -211,14 +211,14 @@
 def accept_many(context, jobs):
     words = context.scenario.name.split()
     tokens, limit = int(words[5]), int(words[-3] if "--" in words else words[-1])
-    ledger = make_ledger()
+    repository = make_repository()
     context.accepted = []
 
     async def one(number):
         job = submission(f"job-{number}", 1, tokens=tokens)
         while True:
             try:
-                context.accepted.append(await accept(ledger, job, limit))
+                context.accepted.append(await accept(repository, job, limit))
                 return
             except Exception:  # noqa: BLE001 - too many at once: come again
                 await trio.sleep(0)
@@ -255,11 +255,11 @@
 def commit_all(context, trouble):
     count = int(context.scenario.name.split()[3])
     platform = Losing()
-    ledger = make_ledger(platform)
+    repository = make_repository(platform)
     text = b"w" * 120_000 if trouble == "long texts" else b"word"
 
     async def run():
-        held = await accept(ledger, submission("job", count))
+        held = await accept(repository, submission("job", count))
         done = [
             Finished(index=i, item=f"job-{i}", state=ItemState.COMPLETED, text=text)
             for i in range(count)
@@ -267,16 +267,16 @@
         platform.losing = trouble == "every answer lost"
         while done:
             if trouble == "another owner between":
-                taken = await ledger.take(held, owner="other/1")
+                taken = await repository.take(held, owner="other/1")
                 assert isinstance(taken, Held)
                 held, stale = taken, held
-                refused = await ledger.commit(stale, done[:2], {})
+                refused = await repository.commit(stale, done[:2], {})
                 assert isinstance(refused, Superseded)
             try:
-                answer = await ledger.commit(held, done[:2], {})
+                answer = await repository.commit(held, done[:2], {})
             except AnswerLostError:
                 platform.losing = False
-                answer = await ledger.commit(held, done[:2], {})
+                answer = await repository.commit(held, done[:2], {})
                 assert isinstance(answer, Superseded), "applied twice"
                 held = answer.held
                 platform.losing = True
@@ -287,7 +287,7 @@
         context.results = []
         while len(context.results) < count:
             after = len(context.results)
-            page = await ledger.results(HOST, JobId("job"), count, after=after)
+            page = await repository.results(HOST, JobId("job"), count, after=after)
             assert page.results and page.next == after + len(page.results), page
             context.results += page.results
         context.row = held.row
@@ -307,12 +307,12 @@
 @when("a job of {count:d} items is ended and then committed")
 def end_then_commit(context, count):
     async def run():
-        ledger = make_ledger()
-        held = await accept(ledger, submission("job", count))
-        assert await ledger.end(HOST, JobId("job"))
+        repository = make_repository()
+        held = await accept(repository, submission("job", count))
+        assert await repository.end(HOST, JobId("job"))
         item = Finished(index=0, item="job-0", state=ItemState.COMPLETED, text=b"x")
-        context.answer = await ledger.commit(held, [item], {})
-        context.page = await ledger.results(HOST, JobId("job"), count, after=0)
+        context.answer = await repository.commit(held, [item], {})
+        context.page = await repository.results(HOST, JobId("job"), count, after=0)
 
     trio.run(run)
 
@@ -327,11 +327,14 @@
 @then("a job of {count:d} items of {size:d} bytes has {place} and reads back")
 def input_kept(context, count, size, place):
     async def run():
-        ledger = make_ledger()
+        repository = make_repository()
         job = submission("job", count, body=b"b" * size)
-        held = await accept(ledger, job)
+        held = await accept(repository, job)
         assert bool(held.row.input_object) == (place == "an object"), held.row
-        assert await ledger.items(held.row) == job.items
+        assert await repository.items(held.row) == job.items
+        assert await accept(repository, job) == held
+        objects = repository.platform.objects
+        assert len(objects) == bool(held.row.input_object), "a resend left an object"
 
     trio.run(run)
 
@@ -415,27 +418,27 @@
     context.platform = MemoryPlatform()
 
     async def run():
-        ledger = make_ledger(context.platform)
+        repository = make_repository(context.platform)
         job = submission("job", count, body=b"b" * size)
-        held = await accept(ledger, job, limit=10_000)
+        held = await accept(repository, job, limit=10_000)
         assert isinstance(held, Held), held
         done = [
             Finished(index=i, item=f"job-{i}", state=ItemState.COMPLETED, text=b"x")
             for i in range(count if state == "done" else 1)
         ]
-        held = await ledger.commit(held, done, {})
+        held = await repository.commit(held, done, {})
         if state == "ended":
-            await ledger.end(HOST, JobId("job"))
-        board = JobBoard(context.platform)
-        await board.refresh()
+            await repository.end(HOST, JobId("job"))
+        job_index = JobIndex(context.platform)
+        await job_index.refresh()
         sweeper = Sweeper(
             context.platform,
-            board,
+            job_index,
             keep_s=120.0,
             clock=lambda: float(ago),
             owner="me/1",
             living=lambda: ["me/1"],
-            gate_of=lambda host, path: PREFIX,
+            quota_of=lambda host, path: PREFIX,
         )
         with trio.move_on_after(6):
             await sweeper.run()
@@ -445,15 +448,15 @@
 
 @then(
     "after a sweep {left} rows and objects of it are left, "
-    "and {tokens:d} tokens at the gate"
+    "and {tokens:d} tokens in use by the quota"
 )
 def swept(context, left, tokens):
     rows = context.platform.rows
-    of_job = [key for key in rows if "gate/" not in key]
+    of_job = [key for key in rows if "quota/" not in key]
     assert bool(of_job) == (left == "all"), of_job
     assert left == "all" or not context.platform.objects, context.platform.objects
-    (gate,) = [row for key, row in rows.items() if "gate/" in key]
-    assert msgspec.json.decode(gate.value)["accepted_tokens"] == tokens, gate
+    (quota,) = [row for key, row in rows.items() if "quota/" in key]
+    assert msgspec.json.decode(quota.value)["accepted_tokens"] == tokens, quota
 
 
 @then("the turns are {turns}")
@@ -506,7 +509,7 @@
 def worker_hears(context, count, hears):
     async def run():
         platform = MemoryPlatform()
-        ledger, board = make_ledger(platform), JobBoard(platform)
+        repository, job_index = make_repository(platform), JobIndex(platform)
         placement = Placement(ZoneId("a"), rng=random.Random(1))
         placement.replace([roomy_upstream("x")])
         cut_off = "neither" in hears
@@ -524,8 +527,8 @@
             on_end=lambda outcome: None,
         )
         worker = JobWorker(
-            ledger,
-            board,
+            repository,
+            job_index,
             items,
             owner="me/1",
             clock=lambda: 0.0,
@@ -542,7 +545,7 @@
             async with trio.open_nursery() as nursery:
                 nursery.start_soon(worker.run)
                 await trio.sleep(0.1)
-                held = await accept(ledger, submission("job", count))
+                held = await accept(repository, submission("job", count))
                 worker.own(held)
                 await trio.sleep(1.8)
                 context.running = placement.states[UpstreamId("x")].batch
@@ -656,19 +659,19 @@
 def accept_unseen(context):
     async def run():
         platform = Forgetful()
-        board = JobBoard(platform)
-        await board.refresh()
-        await accept(make_ledger(platform), submission("job", 3))
+        job_index = JobIndex(platform)
+        await job_index.refresh()
+        await accept(make_repository(platform), submission("job", 3))
         with trio.move_on_after(10):
-            while board.get(JobId("job")) is None:
+            while job_index.get(JobId("job")) is None:
                 await trio.sleep(0.4)
-                await board.refresh()
-        context.known = board.get(JobId("job"))
+                await job_index.refresh()
+        context.known = job_index.get(JobId("job"))
 
     trio.run(run, clock=trio.testing.MockClock(autojump_threshold=0))
 
 
-@then("a board that has been read before knows it within 10 s")
+@then("an index that has been read before knows it within 10 s")
 def board_knows(context):
     assert context.known is not None
 
