Derive polls, renewals and leases from the deployment's bounds and the store's rates

A deployment with tighter bounds would not be followed, and 720 instances renewing each second would take 720 of 800 writes. Ruled out: passing the pauses as settings of their own; the bounds say all. Change: serving/_pauses.py works each pause out; leases are 3.5 renewals, whatever a renewal's pause; GatewaySettings.log_level and Forwarder.in_flight, never read, are gone.

--- a/src/coppercleat/gateway/_gateway.py
+++ b/src/coppercleat/gateway/_gateway.py
@@ -14,7 +14,6 @@
 from coppercleat.jobs import ItemRunner, JobIndex, JobRepository, JobWorker, Sweeper
 from coppercleat.observability import part_logger
 from coppercleat.serving import (
-    READ_SHARE,
     Catalogue,
     Forwarder,
     GatewaySettings,
@@ -29,6 +28,7 @@
     UpstreamCaller,
     UpstreamState,
     Watch,
+    jobs_pause_s,
 )
 from coppercleat.storage import Platform
 
@@ -113,7 +113,7 @@
             living=self.watch.living,
             holds_lease=self.watch.holds_lease,
             isolated=self._isolated,
-            reads_per_s=settings.store.reads_per_s * READ_SHARE,
+            pause_s=lambda: jobs_pause_s(self.settings, self.watch.instances),
             on_taken=self.peers.job_taken,
             on_commit=metrics.committed,
         )
--- a/src/coppercleat/jobs/_worker.py
+++ b/src/coppercleat/jobs/_worker.py
@@ -27,10 +27,6 @@
     Route,
     RouteTable,
 )
-from coppercleat.storage import paced
-
-REFRESH_S = 0.4
-"""Pause between looks at what has changed: an ended job must stop within 3 s."""
 
 STALE_S = 2.0
 """With a view of the jobs older than this no item is started: the job may have ended
@@ -83,7 +79,7 @@
         living: Callable[[], list[str]],
         holds_lease: Callable[[], bool],
         isolated: Callable[[], bool],
-        reads_per_s: float,
+        pause_s: Callable[[], float],
         on_taken: Callable[[JobId], None],
         on_commit: Callable[[str], None],
     ) -> None:
@@ -102,7 +98,7 @@
           holds_lease: Tells whether others still take this instance as alive.
           isolated: Tells whether this instance hears neither the store nor any
             other instance, so that others must have taken its jobs.
-          reads_per_s: Looks at what has changed that the whole fleet may take.
+          pause_s: Returns seconds between looks at what has changed of the jobs.
           on_taken: Told of each job taken over here.
           on_commit: Told how each commit ended.
         """
@@ -116,7 +112,7 @@
         self.living = living
         self.holds_lease = holds_lease
         self.isolated = isolated
-        self.reads_per_s = reads_per_s
+        self.pause_s = pause_s
         self.on_taken = on_taken
         self.on_commit = on_commit
         self.stopping = False
@@ -159,8 +155,7 @@
             except CoppercleatError as error:
                 _log.debug("Jobs could not be read.", reason=str(error))
             self._look_for_orphans()
-            pause_s = paced(REFRESH_S, len(self.living()), self.reads_per_s)
-            await trio.sleep(pause_s)
+            await trio.sleep(self.pause_s())
 
     def _job_changed(self, held: Held) -> None:
         job = held.row.job
--- a/src/coppercleat/serving/__init__.py
+++ b/src/coppercleat/serving/__init__.py
@@ -17,6 +17,13 @@
     Upstream,
 )
 from coppercleat.serving._node import GatewaySettings, StoreRates
+from coppercleat.serving._pauses import (
+    jobs_pause_s,
+    lease_s,
+    renewal_pause_s,
+    routes_pause_s,
+    upstreams_pause_s,
+)
 from coppercleat.serving._peers import ItemEvents, Peers
 from coppercleat.serving._placement import InFlight, Nowhere, Placement, UpstreamState
 from coppercleat.serving._progress import AttemptEnd, NextStep, RequestProgress
@@ -25,10 +32,9 @@
     UpstreamBrokeError,
     UpstreamCaller,
 )
-from coppercleat.serving._watch import READ_SHARE, Catalogue, UpstreamList, Watch
+from coppercleat.serving._watch import Catalogue, UpstreamList, Watch
 
 __all__ = [
-    "READ_SHARE",
     "RETRY_AFTER_S",
     "AttemptEnd",
     "Catalogue",
@@ -63,4 +69,9 @@
     "UpstreamList",
     "UpstreamState",
     "Watch",
+    "jobs_pause_s",
+    "lease_s",
+    "renewal_pause_s",
+    "routes_pause_s",
+    "upstreams_pause_s",
 ]
--- a/src/coppercleat/serving/_forwarding.py
+++ b/src/coppercleat/serving/_forwarding.py
@@ -109,7 +109,6 @@
         self.caller = caller
         self.on_change = on_change
         self.on_end = on_end
-        self.in_flight = 0
 
     async def forward(
         self, request: OnlineRequest, route: Route, reply: Reply
@@ -123,7 +122,6 @@
         exchange.progress.last_event = request.resume_after
         step = NextStep.ABORT
         timed_out = False
-        self.in_flight += 1
         try:
             with trio.move_on_at(ends_at) as scope:
                 step = await self._attempts(exchange)
@@ -132,7 +130,6 @@
                 step = exchange.progress.give_up()
             await _conclude(exchange, step, timed_out=timed_out)
         finally:
-            self.in_flight -= 1
             self._explain(exchange, step, timed_out=timed_out)
         return step
 
--- a/src/coppercleat/serving/_node.py
+++ b/src/coppercleat/serving/_node.py
@@ -46,4 +46,3 @@
     keep_s: float = 120.0
     store: StoreRates = StoreRates()
     fleet_name: str = "fleet"
-    log_level: str = "info"
--- a/src/coppercleat/serving/_watch.py
+++ b/src/coppercleat/serving/_watch.py
@@ -15,6 +15,12 @@
 from coppercleat.observability import part_logger
 from coppercleat.serving._model import RouteConfig, RouteTable, Upstream
 from coppercleat.serving._node import GatewaySettings
+from coppercleat.serving._pauses import (
+    lease_s,
+    renewal_pause_s,
+    routes_pause_s,
+    upstreams_pause_s,
+)
 from coppercleat.serving._peers import Knowledge
 from coppercleat.serving._placement import Placement
 from coppercleat.storage import (
@@ -25,26 +31,15 @@
     Transaction,
     TransactionRefused,
     decode_row,
-    paced,
 )
 
-POLL_S = 0.5
-"""Pause between reads of routes and of upstreams: with a read's own time it is a
-quarter of the bounds within which a change must be in force (2 s)."""
-
-READ_SHARE = 0.2
-"""Share of the store's reads that the whole fleet spends on one kind of poll; there
-are four, the rest is for clients."""
-
 STARTUP_S = 3.0
 STARTUP_PACE = 0.3
 """For so long after its start an instance polls at this share of the pauses: after all
 have stopped at once, jobs wait until the others' new rows are seen."""
 
-LEASE_RENEW_S = 1.0
-LEASE_S = 3.5
-"""An instance whose row stands still for this long is taken as gone: three missed
-renewals and the time of a slow store."""
+LEAVE_WITHIN_S = 1.0
+"""For telling the others that this instance stops; then they find out by its lease."""
 
 _DOUBT_S = 1.8
 """Upstreams missing right after an outage of the store may come back for so long;
@@ -188,7 +183,14 @@
 
     def holds_lease(self) -> bool:
         """Returns whether others must still take this instance as alive."""
-        return trio.current_time() - self._renewed_at < LEASE_S - LEASE_RENEW_S / 2
+        pause_s = renewal_pause_s(self.settings, self.instances)
+        lasts_s = lease_s(self.settings, self.instances) - pause_s / 2
+        return trio.current_time() - self._renewed_at < lasts_s
+
+    @property
+    def instances(self) -> int:
+        """How many instances were alive when they were last looked for."""
+        return len(self._sights) + 1
 
     @property
     def others_known(self) -> bool:
@@ -219,7 +221,8 @@
         if sight.row.leaving:
             return False
         # By the last read, not by now: while nothing is read nothing is known to die.
-        return self._instances_read_at - sight.changed_at < LEASE_S
+        still_s = self._instances_read_at - sight.changed_at
+        return still_s < lease_s(self.settings, self.instances)
 
     @property
     def owner_name(self) -> str:
@@ -254,12 +257,12 @@
     async def run(self) -> None:
         """Polls until cancelled."""
         async with trio.open_nursery() as nursery:
-            nursery.start_soon(self._forever, self._poll_routes, POLL_S)
-            nursery.start_soon(self._forever, self._poll_upstreams, POLL_S)
-            nursery.start_soon(self._forever, self._renew, LEASE_RENEW_S)
-            nursery.start_soon(self._forever, self._poll_instances, LEASE_RENEW_S)
+            nursery.start_soon(self._forever, self._poll_routes, routes_pause_s)
+            nursery.start_soon(self._forever, self._poll_upstreams, upstreams_pause_s)
+            nursery.start_soon(self._forever, self._renew, renewal_pause_s)
+            nursery.start_soon(self._forever, self._poll_instances, renewal_pause_s)
 
-    async def _forever(self, poll: Callable, pause_s: float) -> None:
+    async def _forever(self, poll: Callable, pause_of: Callable[..., float]) -> None:
         began = trio.current_time()
         while True:
             try:
@@ -267,11 +270,10 @@
                 self._note_reach(reached=True)
             except CoppercleatError as error:
                 self._note_reach(reached=False, reason=str(error))
-            reads = self.settings.store.reads_per_s * READ_SHARE
             starting = trio.current_time() - began < STARTUP_S
-            wanted_s = pause_s * STARTUP_PACE if starting else pause_s
-            pause = paced(wanted_s, len(self._sights) + 1, reads)
-            await trio.sleep(pause * self.rng.uniform(0.8, 1.1))
+            hurry = STARTUP_PACE if starting else 1.0
+            pause_s = pause_of(self.settings, self.instances, hurry=hurry)
+            await trio.sleep(pause_s * self.rng.uniform(0.8, 1.1))
 
     def _note_reach(self, *, reached: bool, reason: str = "") -> None:
         if reached and self._away:
@@ -347,7 +349,7 @@
         """Tells the others that this instance stops; they need not wait."""
         self._leaving = True
         try:
-            with trio.move_on_after(LEASE_RENEW_S):
+            with trio.move_on_after(LEAVE_WITHIN_S):
                 await self._renew()
         except CoppercleatError as error:
             _log.warning("Leaving could not be told.", reason=str(error))
@@ -356,7 +358,7 @@
         began = trio.current_time()
         rows = await self.platform.scan(_INSTANCE_PREFIX)
         now = trio.current_time()
-        if began - self._instances_read_at > LEASE_S / 2:
+        if began - self._instances_read_at > lease_s(self.settings, self.instances) / 2:
             # Nobody could renew, or this instance could not look: what stood still
             # meanwhile proves nothing.
             for known in self._sights.values():
--- a/tests/features/serving_decisions.feature
+++ b/tests/features/serving_decisions.feature
@@ -190,3 +190,17 @@
       | members |
       | 4       |
       | 18      |
+
+  Scenario Outline: <instances> instances whose configuration must be in force within <apply> s
+    Given bounds of <apply> s for changes, <drain> s for leaving upstreams, <cancel> s for ended jobs
+    And a store of <reads> reads and <writes> writes a second
+    Then they read routes every <routes>, upstreams every <upstreams>, jobs every <jobs> s
+    And they renew every <renew> s and count as gone after <lease> s
+    And all of them together leave half of the writes and a fifth of the reads to others
+
+    Examples: of today, with tighter bounds, grown, and of the two-year size
+      | instances | apply | drain | cancel | reads | writes | routes | upstreams | jobs | renew | lease |
+      | 9         | 2     | 2     | 3      | 2000  | 800    | 0.5    | 0.5       | 0.4  | 1     | 3.5   |
+      | 12        | 1     | 0.8   | 1.4    | 2000  | 800    | 0.25   | 0.2       | 0.2  | 1     | 3.5   |
+      | 66        | 3     | 3     | 3      | 6000  | 1500   | 0.5    | 0.5       | 0.4  | 1     | 3.5   |
+      | 720       | 6     | 6     | 6      | 2000  | 800    | 1.8    | 1.8       | 1.8  | 4.5   | 15.75 |
--- a/tests/features/steps/serving_steps.py
+++ b/tests/features/steps/serving_steps.py
@@ -47,11 +47,17 @@
     RouteConfig,
     RouteKind,
     RouteTable,
+    StoreRates,
     Target,
     Upstream,
     UpstreamAnswer,
     UpstreamList,
     Watch,
+    jobs_pause_s,
+    lease_s,
+    renewal_pause_s,
+    routes_pause_s,
+    upstreams_pause_s,
 )
 from coppercleat.storage import AnswerLostError, Changes, MemoryPlatform
 from coppercleat.upstreams import AttemptState
@@ -537,7 +543,7 @@
             living=lambda: ["me/1"],
             holds_lease=lambda: not cut(),
             isolated=cut,
-            reads_per_s=100.0,
+            pause_s=lambda: 0.4,
             on_taken=lambda job: None,
             on_commit=lambda outcome: None,
         )
@@ -595,14 +601,19 @@
         return []
 
 
-def make_watch(name, platform):
-    settings = GatewaySettings(
+def node_settings(name, zone, peers="10.0.0.1:3", **more):
+    return GatewaySettings(
         instance=InstanceId(name),
-        zone=ZoneId("a"),
+        zone=ZoneId(zone),
         clients="10.0.0.1:1",
         readiness="10.0.0.1:2",
-        peers="10.0.0.1:3",
+        peers=peers,
+        **more,
     )
+
+
+def make_watch(name, platform):
+    settings = node_settings(name, "a")
     rng = random.Random(name)
     placement = Placement(ZoneId("a"), rng=rng)
     return Watch(settings, NoCatalogue(), platform, placement, boot="b", rng=rng)
@@ -698,14 +709,8 @@
 
 
 def make_peers(name, zone, port, seed):
-    settings = GatewaySettings(
-        instance=InstanceId(name),
-        zone=ZoneId(zone),
-        clients="127.0.0.1:1",
-        readiness="127.0.0.1:2",
-        peers=f"127.0.0.1:{port}",
-        seeds=(f"127.0.0.1:{seed}",),
-    )
+    address, seeds = f"127.0.0.1:{port}", (f"127.0.0.1:{seed}",)
+    settings = node_settings(name, zone, peers=address, seeds=seeds)
     rng = random.Random(name)
     placement = Placement(ZoneId(zone), rng=rng)
     placement.replace([roomy_upstream("x")])
@@ -768,3 +773,49 @@
 def all_knew(context):
     for what, (seen, wanted) in context.seen.items():
         assert seen == {wanted}, (what, seen)
+
+
+@given(
+    "bounds of {apply:g} s for changes, {drain:g} s for leaving upstreams, "
+    "{cancel:g} s for ended jobs"
+)
+def bounds_given(context, apply, drain, cancel):
+    context.bounds = {"apply_s": apply, "drain_s": drain, "cancel_s": cancel}
+
+
+@given("a store of {reads:g} reads and {writes:g} writes a second")
+def rates_given(context, reads, writes):
+    context.instances = int(context.scenario.name.split()[0])
+    store = StoreRates(reads_per_s=reads, writes_per_s=writes)
+    own = node_settings("i", "a")
+    context.settings = msgspec.structs.replace(own, store=store, **context.bounds)
+
+
+@then(
+    "they read routes every {routes:g}, upstreams every {upstreams:g}, "
+    "jobs every {jobs:g} s"
+)
+def read_pauses(context, routes, upstreams, jobs):
+    asked = context.settings, context.instances
+    pauses = routes_pause_s(*asked), upstreams_pause_s(*asked), jobs_pause_s(*asked)
+    found = [round(pause, 6) for pause in pauses]
+    assert found == [routes, upstreams, jobs], found
+
+
+@then("they renew every {renew:g} s and count as gone after {lease:g} s")
+def renewals(context, renew, lease):
+    asked = context.settings, context.instances
+    assert (renewal_pause_s(*asked), lease_s(*asked)) == (renew, lease)
+
+
+@then(
+    "all of them together leave half of the writes and a fifth of the reads to others"
+)
+def within_rates(context):
+    asked = context.settings, context.instances
+    pauses = routes_pause_s(*asked), upstreams_pause_s(*asked), jobs_pause_s(*asked)
+    renewal_s = renewal_pause_s(*asked)
+    reads = sum(context.instances / pause for pause in (*pauses, renewal_s))
+    store = context.settings.store
+    assert reads <= store.reads_per_s * 0.8, reads
+    assert context.instances / renewal_s <= store.writes_per_s / 2
