Open links between instances anew when they fall silent; one messenger for both paths

Instances only push to each other over links that stay open, so a silent one lost every later message: work in flight was dropped as stale after 2.5 s and slots in use seemed free, for as long as both ran. Found by reading; and serving/_peers.py repeated the reader, writer, links, beats and sends of instance/_peers.py. Ruled out: keep-alive of TCP (its default is two hours, and pynng sets no interval); closing links every few seconds (connections for nothing). Change: membership/_messenger.py serves both kinds of peers. A gateway that should hear from a member and does not says so (NotHeard); the member opens its link anew. If its complaints seem lost too, it opens its own.

--- a/src/coppercleat/instance/_peers.py
+++ b/src/coppercleat/instance/_peers.py
@@ -15,14 +15,11 @@
     ConfigurationPull,
     ConfigurationSnapshot,
     Detector,
-    EnvelopeReader,
-    EnvelopeWriter,
-    Garbage,
     HandlerRegistry,
     Heartbeat,
     JobHint,
-    Links,
     Message,
+    Messenger,
     NodesKnown,
     OnlineArrivals,
     UpstreamLeaving,
@@ -46,6 +43,7 @@
     """This instance's end of all that instances tell each other.
 
     Attributes:
+      messenger: Sends to other instances and receives.
       on_arrivals: Told of upstreams whose online requests changed.
       on_job_hint: Told to look for jobs now.
     """
@@ -65,12 +63,14 @@
         self.metrics = metrics
         self.on_arrivals: Callable[[UpstreamId], None] = lambda upstream: None
         self.on_job_hint: Callable[[], None] = lambda: None
-        self._links = Links(settings.listen.peers)
-        self._reader = EnvelopeReader(keys=settings.peers.keys)
-        self._writer = EnvelopeWriter(
-            settings.instance.instance_id,
-            detector.own.incarnation,
-            key=settings.peers.keys[0],
+        self.messenger = Messenger(
+            detector,
+            listen=settings.listen.peers,
+            seeds=settings.peers.seeds,
+            keys=settings.peers.keys,
+            receiver=self,
+            handlers=_handlers,
+            on_garbage=lambda reason: metrics.garbage.inc({"reason": reason}),
         )
         self._pulled_at = float("-inf")
         self._told: dict[UpstreamId, int] = {}
@@ -79,13 +79,10 @@
 
     async def run(self) -> None:
         """Sends and receives until cancelled."""
-        try:
-            async with trio.open_nursery() as nursery:
-                nursery.start_soon(self._links.receive, self._receive)
-                nursery.start_soon(self._beat_forever)
-                nursery.start_soon(self._tell_departures_forever)
-        finally:
-            self._links.close()
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(self.messenger.run)
+            nursery.start_soon(self._beat_forever)
+            nursery.start_soon(self._tell_departures_forever)
 
     # Sending.
 
@@ -97,22 +94,14 @@
             await trio.sleep(factor * self.settings.peers.heartbeat_s)
 
     def _beat(self, now: float) -> None:
-        heartbeat, targets = self.detector.tick(
-            now, revision=self.keeper.document.revision
-        )
-        self._writer.incarnation = self.detector.own.incarnation
-        for instance in targets:
-            self.send(instance, heartbeat)
-        if not self.detector.members:
-            for address in self.settings.peers.seeds:
-                self._links.send(address, self._writer.seal(heartbeat))
-        if self.detector.paused:
-            _log.warning("This instance was paused.")
+        self.messenger.beat(now, revision=self.keeper.document.revision)
         self._forget_dead(now)
         self._pull_if_behind(now)
         self.metrics.members.set({}, len(self.detector.alive(now)))
-        self.metrics.peer_bytes.set({"way": "sent"}, self._links.sent_bytes)
-        self.metrics.peer_bytes.set({"way": "received"}, self._links.received_bytes)
+        self.metrics.peer_bytes.set({"way": "sent"}, self.messenger.links.sent_bytes)
+        self.metrics.peer_bytes.set(
+            {"way": "received"}, self.messenger.links.received_bytes
+        )
 
     def _forget_dead(self, now: float) -> None:
         for peer in self.fleet.arrivals.peers():
@@ -135,18 +124,12 @@
             pull = ConfigurationPull(
                 self.keeper.document.revision, not self.fleet.list_read
             )
-            self.send(ahead, pull)
-
-    def send(self, instance: InstanceId, message: Message) -> None:
-        """Sends to a member if its address is known; never waits."""
-        member = self.detector.members.get(instance)
-        if member is not None:
-            self._links.send(member.address, self._writer.seal(message))
+            self.messenger.send(ahead, pull)
 
     def send_all(self, message: Message) -> None:
         """Sends to some members of each zone, who pass it on if it is news."""
         for instance in self.detector.audience():
-            self.send(instance, message)
+            self.messenger.send(instance, message)
 
     def spread_changes(self, changes: list[Change]) -> None:
         """Spreads changes just adopted."""
@@ -196,20 +179,10 @@
             self.send_all(OnlineArrivals(tuple(counts)))
             return
         for feeder, of_feeder in feeders.items():
-            self.send(feeder, OnlineArrivals(tuple(of_feeder)))
+            self.messenger.send(feeder, OnlineArrivals(tuple(of_feeder)))
 
     # Receiving.
 
-    async def _receive(self, data: bytes) -> None:
-        opened = self._reader.open(data)
-        if isinstance(opened, Garbage):
-            self.metrics.garbage.inc({"reason": opened.reason})
-            return
-        sender, message = opened
-        if sender == self.settings.instance.id:
-            return
-        _handlers.dispatch(self, sender, message)
-
     @_handlers.handles(Heartbeat)
     def _on_heartbeat(self, sender: InstanceId, heartbeat: Heartbeat) -> None:
         self.detector.observe(heartbeat, trio.current_time())
@@ -217,15 +190,15 @@
     @_handlers.handles(ConfigurationPull)
     def _on_pull(self, sender: InstanceId, pull: ConfigurationPull) -> None:
         if pull.wants_nodes and self.fleet.list_read:
-            self.send(sender, NodesKnown(self.fleet.nodes))
+            self.messenger.send(sender, NodesKnown(self.fleet.nodes))
         if not self.keeper.loaded:
             return
         changes = self.keeper.document.changes_after(pull.after)
         if changes is None or pull.after == 0:
             snapshot = self.keeper.document.snapshot()
-            self.send(sender, ConfigurationSnapshot(snapshot))
+            self.messenger.send(sender, ConfigurationSnapshot(snapshot))
         elif changes:
-            self.send(sender, ConfigurationChanges(tuple(changes)))
+            self.messenger.send(sender, ConfigurationChanges(tuple(changes)))
 
     @_handlers.handles(ConfigurationChanges)
     def _on_changes(self, sender: InstanceId, message: ConfigurationChanges) -> None:
--- a/src/coppercleat/membership/__init__.py
+++ b/src/coppercleat/membership/__init__.py
@@ -18,9 +18,11 @@
     MemberLine,
     Message,
     NodesKnown,
+    NotHeard,
     OnlineArrivals,
     UpstreamLeaving,
 )
+from coppercleat.membership._messenger import Messenger
 
 __all__ = [
     "MAX_MESSAGE_BYTES",
@@ -38,7 +40,9 @@
     "Member",
     "MemberLine",
     "Message",
+    "Messenger",
     "NodesKnown",
+    "NotHeard",
     "OnlineArrivals",
     "UpstreamLeaving",
 ]
--- a/src/coppercleat/membership/_links.py
+++ b/src/coppercleat/membership/_links.py
@@ -60,6 +60,13 @@
             self.received_bytes += len(data)
             await handle(data)
 
+    def reopen(self, address: str) -> None:
+        """Closes the socket to an address; the next message opens a new one."""
+        link = self._links.pop(address, None)
+        if link is not None:
+            with contextlib.suppress(pynng.NNGException):
+                link.close()
+
     def close(self) -> None:
         """Closes all sockets."""
         for link in self._links.values():
@@ -78,7 +85,5 @@
             self._links[address] = link
         self._links.move_to_end(address)
         while len(self._links) > _MAX_LINKS:
-            _, oldest = self._links.popitem(last=False)
-            with contextlib.suppress(pynng.NNGException):
-                oldest.close()
+            self.reopen(next(iter(self._links)))
         return link
--- a/src/coppercleat/membership/_messages.py
+++ b/src/coppercleat/membership/_messages.py
@@ -40,6 +40,16 @@
     heard: Annotated[tuple[MemberLine, ...], Meta(max_length=_MAX_MEMBERS)]
 
 
+class NotHeard(Struct, frozen=True, tag="unheard", array_like=True):
+    """Nothing has come from the receiver for a while, though it should have.
+
+    Attributes:
+      silent_s: For how long.
+    """
+
+    silent_s: float
+
+
 class ConfigurationPull(Struct, frozen=True, tag="pull", array_like=True):
     """Asks for what follows a revision, and for the nodes if none are known."""
 
@@ -87,6 +97,7 @@
 
 Message = (
     Heartbeat
+    | NotHeard
     | ConfigurationPull
     | ConfigurationChanges
     | ConfigurationSnapshot
--- a/src/coppercleat/serving/_peers.py
+++ b/src/coppercleat/serving/_peers.py
@@ -11,13 +11,11 @@
 from coppercleat.ids import InstanceId, JobId, Revision, ZoneId
 from coppercleat.membership import (
     Detector,
-    EnvelopeReader,
-    EnvelopeWriter,
-    Garbage,
     HandlerRegistry,
     Heartbeat,
-    Links,
     MemberLine,
+    Messenger,
+    NotHeard,
 )
 from coppercleat.observability import part_logger
 from coppercleat.serving._model import RouteConfig, Upstream
@@ -104,7 +102,13 @@
 
 
 _Messages = (
-    Heartbeat | WorkInFlight | KnowledgeWanted | Knowledge | JobTaken | JobHandover
+    Heartbeat
+    | NotHeard
+    | WorkInFlight
+    | KnowledgeWanted
+    | Knowledge
+    | JobTaken
+    | JobHandover
 )
 _handlers = HandlerRegistry()
 
@@ -114,6 +118,7 @@
 
     Attributes:
       detector: Which instances are heard of.
+      messenger: Sends to them and receives.
       knowledge: Returns what this instance would tell an asker.
       on_knowledge: Told what a peer knows.
       on_counts: Told when a peer's work in flight has changed.
@@ -152,12 +157,18 @@
         self.on_handover: Callable[[JobId, list[ItemEvents]], None] = (
             lambda job, items: None
         )
-        # Peers share no secret on this network; the name keeps fleets apart.
-        self._reader = EnvelopeReader(keys=[settings.fleet_name], messages=_Messages)
-        self._writer = EnvelopeWriter(
-            settings.instance, incarnation, key=settings.fleet_name
+        self.messenger = Messenger(
+            self.detector,
+            listen=settings.peers,
+            seeds=settings.seeds,
+            # Peers share no secret on this network; the name keeps fleets apart.
+            keys=[settings.fleet_name],
+            receiver=self,
+            handlers=_handlers,
+            messages=_Messages,
+            on_garbage=lambda why: _log.debug("A message was dropped.", reason=why),
+            hears_all_within_s=COUNTS_STALE_S,
         )
-        self._links = Links(settings.peers)
         self._asked_at = float("-inf")
         self._told_far_at = float("-inf")
         self._counts_at: dict[InstanceId, float] = {}
@@ -166,13 +177,10 @@
 
     async def run(self) -> None:
         """Sends and receives until cancelled."""
-        try:
-            async with trio.open_nursery() as nursery:
-                nursery.start_soon(self._links.receive, self._receive)
-                nursery.start_soon(self._beat_forever)
-                nursery.start_soon(self._tell_forever)
-        finally:
-            self._links.close()
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(self.messenger.run)
+            nursery.start_soon(self._beat_forever)
+            nursery.start_soon(self._tell_forever)
 
     def work_changed(self, *, urgent: bool) -> None:
         """Notes that work in flight has changed; starts are urgent, ends are not."""
@@ -183,7 +191,7 @@
     def job_taken(self, job: JobId) -> None:
         """Tells all others that this instance has taken a job over."""
         for instance in self.others():
-            self._send(instance, JobTaken(job))
+            self.messenger.send(instance, JobTaken(job))
 
     def listed(self, members: list[tuple[InstanceId, str, ZoneId]]) -> None:
         """Takes instances and their addresses as the platform keeps them."""
@@ -198,16 +206,7 @@
     async def _beat_forever(self) -> None:
         while True:
             now = trio.current_time()
-            heartbeat, targets = self.detector.tick(
-                now, revision=Revision(self.version())
-            )
-            self._writer.incarnation = self.detector.own.incarnation
-            for instance in targets:
-                self._send(instance, heartbeat)
-            if not self.detector.alive(now)[1:]:
-                for address in self.settings.seeds:
-                    if address != self.settings.peers:
-                        self._links.send(address, self._writer.seal(heartbeat))
+            self.messenger.beat(now, revision=Revision(self.version()))
             self._forget_silent(now)
             self._ask_if_behind(now)
             self.work_changed(urgent=False)
@@ -231,7 +230,7 @@
         if ahead is None or now - self._asked_at < _ASK_PAUSE_S:
             return
         self._asked_at = now
-        self._send(ahead, KnowledgeWanted(self.version()))
+        self.messenger.send(ahead, KnowledgeWanted(self.version()))
 
     async def _tell_forever(self) -> None:
         while True:
@@ -242,7 +241,7 @@
             self._urgent = trio.Event()
             work = WorkInFlight(tuple(self.placement.own()))
             for instance in self._audience(trio.current_time()):
-                self._send(instance, work)
+                self.messenger.send(instance, work)
 
     def _audience(self, now: float) -> list[InstanceId]:
         """Returns whom to tell of work in flight now."""
@@ -253,22 +252,8 @@
         own = self.settings.zone
         return [i for i in others if self.detector.zone_of(i) == own]
 
-    def _send(self, instance: InstanceId, message: msgspec.Struct) -> None:
-        member = self.detector.members.get(instance)
-        if member is not None:
-            self._links.send(member.address, self._writer.seal(message))
-
     # Receiving.
 
-    async def _receive(self, data: bytes) -> None:
-        opened = self._reader.open(data)
-        if isinstance(opened, Garbage):
-            _log.debug("A message was dropped.", reason=opened.reason)
-            return
-        sender, message = opened
-        if sender != self.settings.instance:
-            _handlers.dispatch(self, sender, message)
-
     @_handlers.handles(Heartbeat)
     def _on_heartbeat(self, sender: InstanceId, heartbeat: Heartbeat) -> None:
         self.detector.observe(heartbeat, trio.current_time())
@@ -283,7 +268,7 @@
     def _on_wanted(self, sender: InstanceId, wanted: KnowledgeWanted) -> None:
         knowledge = self.knowledge(wanted.after)
         if knowledge is not None:
-            self._send(sender, knowledge)
+            self.messenger.send(sender, knowledge)
 
     @_handlers.handles(Knowledge)
     def _on_known(self, sender: InstanceId, knowledge: Knowledge) -> None:
@@ -293,7 +278,7 @@
     def _on_taken(self, sender: InstanceId, taken: JobTaken) -> None:
         items = self.on_taken(taken.job)
         if items:
-            self._send(sender, JobHandover(taken.job, items))
+            self.messenger.send(sender, JobHandover(taken.job, items))
 
     @_handlers.handles(JobHandover)
     def _on_handover(self, sender: InstanceId, handover: JobHandover) -> None:
--- a/tests/features/serving_decisions.feature
+++ b/tests/features/serving_decisions.feature
@@ -204,3 +204,13 @@
       | 12        | 1     | 0.8   | 1.4    | 2000  | 800    | 0.25   | 0.2       | 0.2  | 1     | 3.5   |
       | 66        | 3     | 3     | 3      | 6000  | 1500   | 0.5    | 0.5       | 0.4  | 1     | 3.5   |
       | 720       | 6     | 6     | 6      | 2000  | 800    | 1.8    | 1.8       | 1.8  | 4.5   | 15.75 |
+
+  Scenario Outline: Links between two instances fall silent <way>
+    Given two instances that tell each other of work in flight, through relays
+    When the open connections <way> fall silent, while new ones work
+    Then each knows of the other's new work within <within> s
+
+    Examples: each tells the other twice a second and complains after 2.5 s
+      | way       | within |
+      | one way   | 6      |
+      | both ways | 10     |
--- a/tests/features/steps/serving_steps.py
+++ b/tests/features/steps/serving_steps.py
@@ -819,3 +819,72 @@
     store = context.settings.store
     assert reads <= store.reads_per_s * 0.8, reads
     assert context.instances / renewal_s <= store.writes_per_s / 2
+
+
+class Relay:
+    """Passes bytes on from a port of its own; connections can fall silent."""
+
+    def __init__(self, target):
+        self.port, self.target = free_port(), target
+        self.silent = set()
+        self.connections = set()
+
+    async def run(self):
+        await trio.serve_tcp(self.connect, self.port, host="127.0.0.1")
+
+    async def connect(self, client):
+        server = await trio.open_tcp_stream("127.0.0.1", self.target)
+        self.connections.add(client)
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(self.carry, client, client, server)
+            nursery.start_soon(self.carry, client, server, client)
+
+    async def carry(self, connection, source, target):
+        with contextlib.suppress(trio.BrokenResourceError, trio.ClosedResourceError):
+            async for data in source:
+                if connection not in self.silent:
+                    await target.send_all(data)
+
+    def fall_silent(self):
+        self.silent |= self.connections
+
+
+@given("two instances that tell each other of work in flight, through relays")
+def two_behind_relays(context):
+    ports = [free_port(), free_port()]
+    context.relays = [Relay(port) for port in ports]
+    context.ports = ports
+
+
+@when("the open connections {way} fall silent, while new ones work")
+def links_fall_silent(context, way):
+    context.known_after = {}
+
+    async def run():
+        pair = [make_peers(f"i{n}", "a", context.ports[n], 1) for n in (0, 1)]
+        for n, peers in enumerate(pair):
+            other = InstanceId(f"i{1 - n}")
+            address = f"127.0.0.1:{context.relays[1 - n].port}"
+            peers.listed([(other, address, ZoneId("a"))])
+        states = [peers.placement.states[UpstreamId("x")] for peers in pair]
+        async with trio.open_nursery() as nursery:
+            for part in (*context.relays, *pair):
+                nursery.start_soon(part.run)
+            states[0].online, states[1].online = 1, 1
+            assert await until_load(pair, 2) == {2}
+            for relay in context.relays if way == "both ways" else context.relays[:1]:
+                relay.fall_silent()
+            began = trio.current_time()
+            states[0].online, states[1].online = 4, 4
+            with trio.move_on_after(20):
+                while await until_load(pair, 8) != {8}:
+                    pass
+            context.known_after = trio.current_time() - began
+            nursery.cancel_scope.cancel()
+
+    trio.run(run)
+
+
+@then("each knows of the other's new work within {within:g} s")
+def new_work_known(context, within):
+    assert context.known_after <= within, context.known_after
