--- /dev/null
+++ b/src/coppercleat/batch/_acceptance.py
@@ -0,0 +1,243 @@
+"""Accepts jobs: input stored first, then one transaction that makes it a job."""
+
+from __future__ import annotations
+
+import random
+from collections.abc import AsyncIterator, Callable
+
+import attrs
+import msgspec
+import xxhash
+
+from coppercleat.batch._items import Item
+from coppercleat.batch._jobs import divide
+from coppercleat.batch._reading import JobReader
+from coppercleat.batch._rows import (
+    INPUT_OBJECT_ITEMS,
+    JobRow,
+    KeyRow,
+    input_object,
+    job_key,
+    open_key,
+    submitter_key,
+)
+from coppercleat.errors import (
+    ConflictError,
+    InvalidRequestError,
+    PlatformUnavailableError,
+)
+from coppercleat.ids import DeploymentId, JobId, TenantId, random_token
+from coppercleat.observability import part_logger
+from coppercleat.storage import (
+    ABSENT,
+    AnswerLostError,
+    Check,
+    Platform,
+    Put,
+    Transaction,
+    TransactionRefused,
+    decode_row,
+)
+
+_ATTEMPTS = 4
+"""Transactions whose answers may be lost before a submitter is told so."""
+
+_log = part_logger("batch")
+
+
+class Submission(msgspec.Struct, frozen=True, kw_only=True):
+    """What a submitter asks; ``due_at`` is Unix seconds, 0 for none."""
+
+    tenant: TenantId
+    deployment: DeploymentId
+    job_key: str
+    due_at: float
+    max_tokens: int
+
+
+class Submitted(msgspec.Struct, frozen=True):
+    """An accepted job, and whether it had been accepted before."""
+
+    row: JobRow
+    resent: bool
+
+
+@attrs.define
+class _StoredInput:
+    """How much of a submission's input has been stored."""
+
+    items: int = 0
+    parts: int = 0
+    digest: xxhash.xxh3_128 = attrs.field(factory=xxhash.xxh3_128)
+
+
+class JobAcceptance:
+    """Accepts each job once."""
+
+    def __init__(
+        self,
+        platform: Platform,
+        reader: JobReader,
+        *,
+        clock: Callable[[], float],
+        rng: random.Random,
+    ) -> None:
+        """Prepares the acceptance.
+
+        Args:
+          platform: Where rows and objects are.
+          reader: Finds jobs accepted before.
+          clock: Gives Unix time in seconds.
+          rng: Source of ids.
+        """
+        self.platform = platform
+        self._reader = reader
+        self._clock = clock
+        self._rng = rng
+
+    async def submit(
+        self,
+        submission: Submission,
+        items: AsyncIterator[list[Item]],
+        *,
+        runners: int,
+        max_items: int,
+        chunk_items: int,
+        segment_chunks: int,
+    ) -> Submitted:
+        """Accepts a job durably, or refuses it whole.
+
+        Args:
+          submission: What is asked.
+          items: The items, in lists of any length.
+          runners: Upstreams that can run them.
+          max_items: Items in a job at most.
+          chunk_items: Items in a chunk at most.
+          segment_chunks: Chunks in a segment at most.
+
+        Raises:
+          InvalidRequestError: There are no items, too many, or wrong lines.
+          ConflictError: The key belongs to a job with other content.
+          AnswerLostError: The platform never said; send the same job again.
+        """
+        job = JobId(random_token(self._rng))
+        stored = _StoredInput()
+        try:
+            await self._store_input(job, submission, items, max_items, stored)
+            division = divide(
+                stored.items,
+                runners=runners,
+                chunk_items=chunk_items,
+                segment_chunks=segment_chunks,
+            )
+            row = JobRow(
+                job=job,
+                tenant=submission.tenant,
+                deployment=submission.deployment,
+                job_key=submission.job_key,
+                content_hash=stored.digest.hexdigest(),
+                due_at=submission.due_at,
+                max_tokens=submission.max_tokens,
+                division=division,
+                accepted_at=self._clock(),
+            )
+            submitted = await self._accept(row)
+        except (InvalidRequestError, ConflictError):
+            await self._discard_input(job, stored.parts)
+            raise
+        if submitted.resent:
+            await self._discard_input(job, stored.parts)
+        return submitted
+
+    async def _store_input(
+        self,
+        job: JobId,
+        submission: Submission,
+        items: AsyncIterator[list[Item]],
+        max_items: int,
+        stored: _StoredInput,
+    ) -> None:
+        """Stores the input in parts, and counts and hashes it."""
+        asked = [submission.deployment, submission.due_at, submission.max_tokens]
+        stored.digest.update(msgspec.json.encode(asked))
+        buffer: list[Item] = []
+        async for more in items:
+            buffer += more
+            stored.items += len(more)
+            if stored.items > max_items:
+                raise InvalidRequestError(
+                    f"The job has more than {max_items} items",
+                    remedy="Divide it into several jobs.",
+                )
+            while len(buffer) >= INPUT_OBJECT_ITEMS:
+                await self._put_input(job, buffer[:INPUT_OBJECT_ITEMS], stored)
+                buffer = buffer[INPUT_OBJECT_ITEMS:]
+        if buffer:
+            await self._put_input(job, buffer, stored)
+        if not stored.items:
+            raise InvalidRequestError(
+                "The job has no items", remedy="Send at least one line."
+            )
+
+    async def _put_input(
+        self, job: JobId, items: list[Item], stored: _StoredInput
+    ) -> None:
+        body = msgspec.json.encode(items)
+        stored.digest.update(body)
+        stored.parts += 1
+        await self.platform.put_object(input_object(job, stored.parts - 1), body)
+
+    async def _discard_input(self, job: JobId, parts: int) -> None:
+        """Removes input that belongs to no job; what fails is collected later."""
+        try:
+            for part in range(parts):
+                await self.platform.delete_object(input_object(job, part))
+        except (PlatformUnavailableError, AnswerLostError) as error:
+            _log.info("Input of no job stays.", job=job, reason=str(error))
+
+    async def _accept(self, row: JobRow) -> Submitted:
+        key = submitter_key(row.tenant, row.job_key)
+        puts = [
+            Put(job_key(row.job), msgspec.json.encode(row)),
+            Put(open_key(row.job), b"{}"),
+        ]
+        checks = []
+        if row.job_key:
+            checks.append(Check(key, ABSENT))
+            puts.append(
+                Put(key, msgspec.json.encode(KeyRow(row.job, row.content_hash)))
+            )
+        else:
+            checks.append(Check(job_key(row.job), ABSENT))
+        for _ in range(_ATTEMPTS):
+            earlier = await self._find_earlier(row, key)
+            if earlier is not None:
+                return earlier
+            try:
+                result = await self.platform.transact(
+                    Transaction(checks=checks, puts=puts)
+                )
+            except AnswerLostError:
+                continue
+            if not isinstance(result, TransactionRefused):
+                return Submitted(row, resent=False)
+        raise AnswerLostError("The platform did not say whether the job was accepted")
+
+    async def _find_earlier(self, row: JobRow, key: str) -> Submitted | None:
+        """Finds the job that a key already means, or this very one."""
+        if not row.job_key:
+            rows = await self.platform.read([job_key(row.job)])
+            return Submitted(row, resent=False) if rows else None
+        found = (await self.platform.read([key])).get(key)
+        if found is None:
+            return None
+        known = decode_row(found, KeyRow)
+        if known.job == row.job:
+            return Submitted(row, resent=False)
+        if known.content_hash != row.content_hash:
+            raise ConflictError(
+                f"The key {row.job_key} belongs to job {known.job} with other content",
+                remedy="Use a new key, or send the same content.",
+            )
+        earlier, _ = await self._reader.get(known.job)
+        return Submitted(earlier, resent=True)
--- a/src/coppercleat/batch/_claiming.py
+++ b/src/coppercleat/batch/_claiming.py
@@ -9,9 +9,9 @@
 from coppercleat.batch._challenges import Challenges
 from coppercleat.batch._feeding import Feeding
 from coppercleat.batch._rows import NOBODY, SegmentRow, challenge_key
+from coppercleat.batch._segments import Claimed, HeldSegment
 from coppercleat.batch._share import ClaimChooser, OpenJob
 from coppercleat.batch._state import BatchState
-from coppercleat.batch._store import Claimed, HeldSegment
 from coppercleat.batch._work import SegmentWork
 from coppercleat.configuration import Kind
 from coppercleat.errors import NotFoundError, PlatformUnavailableError
@@ -73,7 +73,8 @@
             return
         await self._release_stranded()
         jobs = [
-            OpenJob(row, version) for row, version in await self.state.store.list_open()
+            OpenJob(row, version)
+            for row, version in await self.state.store.reader.list_open()
         ]
         if trio.current_time() < self._sweep_until:
             await self._sweep(jobs)
@@ -107,7 +108,7 @@
             if segment.commit_lock.locked():
                 continue
             self._lose(segment, "no runner of its deployment is fed from here")
-            await self.state.store.release(segment.held)
+            await self.state.store.segments.release(segment.held)
 
     async def _sweep(self, jobs: Sequence[OpenJob]) -> None:
         """Gives up segments in this instance's name that it does not work on.
@@ -119,7 +120,7 @@
         working = {(w.held.job.job, w.held.segment) for w in self.state.held}
         for job in jobs:
             for number, (row, version) in (
-                await self.state.store.segments(job.row)
+                await self.state.store.reader.segments(job.row)
             ).items():
                 if row.done or (job.row.job, number) in working:
                     continue
@@ -132,7 +133,7 @@
                     row=row,
                     version=version,
                 )
-                await self.state.store.release(left)
+                await self.state.store.segments.release(left)
                 _log.info("Segment swept.", job=job.row.job, segment=number)
 
     def _hungry(self) -> bool:
@@ -148,10 +149,10 @@
         deployment = self.state.document.get(Kind.DEPLOYMENT, job.row.deployment)
         if deployment is None or deployment.service not in self._feeding.services():
             return False
-        rows = await self.state.store.segments(job.row)
+        rows = await self.state.store.reader.segments(job.row)
         division = job.row.division
         if len(rows) == division.segments and all(r.done for r, _ in rows.values()):
-            await self.state.store.complete_if_done(job.row.job)
+            await self.state.store.ending.complete_if_done(job.row.job)
             return False
         mine = {
             w.held.segment for w in self.state.held if w.held.job.job == job.row.job
@@ -198,10 +199,10 @@
             _WATCHES_TO_ANSWER * self.state.watch_pause_s(),
         )
         try:
-            version = await self.state.store.challenge_version(holder)
+            version = await self.state.store.segments.challenge_version(holder)
             unanswered = self._challenges.observe(holder, version, now)
             if not version and self._challenges.may_ask(holder, now):
-                await self.state.store.challenge(holder, self.state.instance)
+                await self.state.store.segments.challenge(holder, self.state.instance)
                 _log.info("Holder challenged.", holder=holder)
         except (PlatformUnavailableError, AnswerLostError):
             self._challenges.interrupted()
@@ -215,7 +216,7 @@
         known: tuple[SegmentRow, int] | None,
         challenge: Check | None,
     ) -> bool:
-        claimed = await self.state.store.claim(
+        claimed = await self.state.store.segments.claim(
             job.row,
             job.version,
             number,
@@ -240,12 +241,12 @@
 
     async def _open_segment(self, held: HeldSegment) -> None:
         try:
-            items = await self.state.store.read_items(held)
+            items = await self.state.store.segments.read_items(held)
         except NotFoundError as error:
             _log.error("Input missing.", job=held.job.job, why=error.message)
             return
         except PlatformUnavailableError:
-            await self.state.store.release(held)
+            await self.state.store.segments.release(held)
             raise
         work = SegmentWork(held, items)
         work.draining = self.state.draining
--- a/src/coppercleat/batch/_committing.py
+++ b/src/coppercleat/batch/_committing.py
@@ -7,8 +7,8 @@
 
 import trio
 
+from coppercleat.batch._segments import Commit
 from coppercleat.batch._state import BatchState
-from coppercleat.batch._store import Commit
 from coppercleat.batch._work import SegmentWork
 from coppercleat.errors import PlatformUnavailableError
 from coppercleat.observability import part_logger
@@ -42,7 +42,7 @@
             while not segment.lost:
                 try:
                     async with segment.commit_lock:
-                        outcome = await self.state.store.commit(
+                        outcome = await self.state.store.segments.commit(
                             segment.held, chunk, segment.results(chunk)
                         )
                 except (PlatformUnavailableError, AnswerLostError) as error:
@@ -66,7 +66,7 @@
         self.state.look.set()
         job = segment.held.job.job
         with contextlib.suppress(PlatformUnavailableError, AnswerLostError):
-            if await self.state.store.complete_if_done(job):
+            if await self.state.store.ending.complete_if_done(job):
                 _log.info("Job ended.", job=job)
 
     def lose(self, segment: SegmentWork, why: str) -> None:
--- /dev/null
+++ b/src/coppercleat/batch/_ending.py
@@ -0,0 +1,112 @@
+"""Ends jobs, and collects what ended jobs have left."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+
+import msgspec
+
+from coppercleat.batch._jobs import JobState, may_become
+from coppercleat.batch._reading import JobReader
+from coppercleat.batch._rows import JobRow, job_key, open_key, result_prefix
+from coppercleat.errors import JobEndedError
+from coppercleat.ids import JobId
+from coppercleat.storage import (
+    AnswerLostError,
+    Check,
+    Platform,
+    Put,
+    Transaction,
+    TransactionRefused,
+)
+
+_ATTEMPTS = 4
+"""Transactions whose answers may be lost before a caller is told so."""
+
+
+class JobEnding:
+    """Ends each job once, as completed or as cancelled."""
+
+    def __init__(
+        self,
+        platform: Platform,
+        reader: JobReader,
+        *,
+        clock: Callable[[], float],
+    ) -> None:
+        """Prepares the endings.
+
+        Args:
+          platform: Where rows and objects are.
+          reader: Reads jobs.
+          clock: Gives Unix time in seconds.
+        """
+        self.platform = platform
+        self._reader = reader
+        self._clock = clock
+
+    async def complete_if_done(self, job: JobId) -> bool:
+        """Ends a job whose segments are all done; returns whether it is ended."""
+        row, version = await self._reader.get(job)
+        if row.state is not JobState.OPEN:
+            return True
+        rows = await self._reader.segments(row)
+        if len(rows) < row.division.segments:
+            return False
+        if not all(segment.done for segment, _ in rows.values()):
+            return False
+        return await self._end(row, version, JobState.COMPLETED) is not None
+
+    async def cancel(self, job: JobId) -> JobRow:
+        """Cancels a job; once this returns, no result appears any more.
+
+        Raises:
+          JobEndedError: The job has completed.
+          AnswerLostError: The platform never said; cancel again.
+        """
+        for _ in range(_ATTEMPTS):
+            row, version = await self._reader.get(job)
+            if row.state is JobState.CANCELLED:
+                return row
+            if not may_become(row.state, JobState.CANCELLED):
+                raise JobEndedError(f"The job {job} is {row.state.value}")
+            ended = await self._end(row, version, JobState.CANCELLED)
+            if ended is not None:
+                return ended
+        raise AnswerLostError("The platform did not say whether the job was cancelled")
+
+    async def _end(self, row: JobRow, version: int, state: JobState) -> JobRow | None:
+        """Ends a job; None if another change came first or no answer came."""
+        ended = msgspec.structs.replace(row, state=state, finished_at=self._clock())
+        key = job_key(row.job)
+        try:
+            result = await self.platform.transact(
+                Transaction(
+                    checks=[Check(key, version)],
+                    puts=[Put(key, msgspec.json.encode(ended))],
+                    deletes=[open_key(row.job)],
+                )
+            )
+        except AnswerLostError:
+            return None
+        return None if isinstance(result, TransactionRefused) else ended
+
+    async def collect(self, job: JobRow) -> int:
+        """Removes result objects that no row points at; returns how many.
+
+        Only for ended jobs: while one is open, an object may be about to be
+        pointed at.
+        """
+        pointed = {
+            name
+            for row, _ in (await self._reader.segments(job)).values()
+            for name in row.results
+        }
+        orphans = [
+            name
+            for name in await self.platform.list_objects(result_prefix(job.job))
+            if name not in pointed
+        ]
+        for name in orphans:
+            await self.platform.delete_object(name)
+        return len(orphans)
--- a/src/coppercleat/batch/_forecast.py
+++ b/src/coppercleat/batch/_forecast.py
@@ -5,8 +5,8 @@
 import msgspec
 
 from coppercleat.batch._jobs import JobState
+from coppercleat.batch._reading import Progress
 from coppercleat.batch._rows import JobRow
-from coppercleat.batch._store import Progress
 
 
 class Forecast(msgspec.Struct, frozen=True, kw_only=True):
--- a/src/coppercleat/batch/_lateness.py
+++ b/src/coppercleat/batch/_lateness.py
@@ -42,7 +42,7 @@
 
     async def _forecast(self, jobs: Sequence[OpenJob]) -> None:
         for job in jobs:
-            progress = await self.state.store.progress(job.row)
+            progress = await self.state.store.reader.progress(job.row)
             seen = forecast(job.row, progress, now=self.state.clock())
             if seen.late and job.row.job not in self._late:
                 self._late.add(job.row.job)
--- a/src/coppercleat/batch/_runner.py
+++ b/src/coppercleat/batch/_runner.py
@@ -76,7 +76,7 @@
         with trio.move_on_after(_RELEASE_S):
             for segment in list(self.state.held):
                 with contextlib.suppress(PlatformUnavailableError, AnswerLostError):
-                    await self.state.store.release(segment.held)
+                    await self.state.store.segments.release(segment.held)
         self.state.held.clear()
 
     def _busy(self) -> bool:
@@ -100,11 +100,13 @@
     async def _watch(self) -> None:
         """Notices challenges, take-overs and ended jobs, in one read."""
         by_held = {id(work.held): work for work in self.state.held}
-        version, lost = await self.state.store.look(
+        version, lost = await self.state.store.segments.look(
             self.state.instance, [work.held for work in self.state.held]
         )
         if version:
-            await self.state.store.answer_challenge(self.state.instance, version)
+            await self.state.store.segments.answer_challenge(
+                self.state.instance, version
+            )
             _log.info("Challenge answered.")
         for held in lost:
             work = by_held[id(held)]
--- /dev/null
+++ b/src/coppercleat/batch/_segments.py
@@ -0,0 +1,328 @@
+"""Claims segments and commits their chunks.
+
+Safety rests on one rule: whoever claims a segment writes its row, and a commit
+succeeds only if neither that row nor the job's has changed since. A holder
+that was paused, cut off or replaced can therefore commit nothing, whatever it
+believes.
+"""
+
+from __future__ import annotations
+
+import enum
+import random
+from collections.abc import Sequence
+
+import attrs
+import msgspec
+
+from coppercleat.batch._items import Item, ItemResult
+from coppercleat.batch._jobs import JobState
+from coppercleat.batch._rows import (
+    INPUT_OBJECT_ITEMS,
+    NOBODY,
+    ChallengeRow,
+    JobRow,
+    SegmentRow,
+    challenge_key,
+    input_object,
+    job_key,
+    result_object,
+    segment_key,
+)
+from coppercleat.errors import NotFoundError, PlatformUnavailableError
+from coppercleat.ids import InstanceId, random_token
+from coppercleat.observability import part_logger
+from coppercleat.storage import (
+    ABSENT,
+    AnswerLostError,
+    Check,
+    Platform,
+    Put,
+    Row,
+    Transaction,
+    TransactionRefused,
+    decode_row,
+)
+
+_ATTEMPTS = 4
+"""Transactions whose answers may be lost before a commit is given back."""
+
+_log = part_logger("batch")
+
+
+@attrs.define(kw_only=True, eq=False)
+class HeldSegment:
+    """A segment that this instance has claimed.
+
+    Attributes:
+      row: The segment's row as last written.
+      version: Its version; a commit requires it unchanged.
+      job_version: The version of the job's row, likewise.
+    """
+
+    job: JobRow
+    job_version: int
+    segment: int
+    row: SegmentRow
+    version: int
+
+
+class Claimed(enum.Enum):
+    """Sentinels: why a segment was not claimed."""
+
+    TAKEN = "another instance claimed it first"
+    DONE = "all its chunks are done"
+    JOB_ENDED = "the job has ended"
+
+
+class Commit(enum.Enum):
+    """How the commit of a chunk ended."""
+
+    DONE = "the chunk's results are readable"
+    TAKEN_OVER = "another instance holds the segment"
+    JOB_ENDED = "the job has ended"
+
+
+class SegmentStore:
+    """Claims, commits and gives up segments."""
+
+    def __init__(self, platform: Platform, *, rng: random.Random) -> None:
+        """Prepares the store.
+
+        Args:
+          platform: Where rows and objects are.
+          rng: Source of names of result objects.
+        """
+        self.platform = platform
+        self._rng = rng
+
+    async def claim(
+        self,
+        job: JobRow,
+        job_version: int,
+        segment: int,
+        *,
+        instance: InstanceId,
+        incarnation: int,
+        known: tuple[SegmentRow, int] | None,
+        challenge: Check | None = None,
+    ) -> HeldSegment | Claimed:
+        """Claims a segment, or takes it over from another holder.
+
+        Args:
+          job: The job.
+          job_version: Version of the job's row.
+          segment: Which segment.
+          instance: Who claims.
+          incarnation: Which start of that instance.
+          known: The segment's row and version as read; None for none.
+          challenge: A further condition: the holder did not answer.
+        """
+        if job.state is not JobState.OPEN:
+            return Claimed.JOB_ENDED
+        if known is not None and known[0].done:
+            return Claimed.DONE
+        chunks = job.division.chunks(segment)
+        results = known[0].results if known else ("",) * chunks
+        row = SegmentRow(holder=instance, incarnation=incarnation, results=results)
+        key = segment_key(job.job, segment)
+        checks = [
+            Check(key, known[1] if known else ABSENT),
+            Check(job_key(job.job), job_version),
+        ]
+        if challenge is not None:
+            checks.append(challenge)
+        try:
+            result = await self.platform.transact(
+                Transaction(checks=checks, puts=[Put(key, msgspec.json.encode(row))])
+            )
+        except AnswerLostError:
+            return await self._settle_claim(job, job_version, segment, row, known)
+        if isinstance(result, TransactionRefused):
+            ended = job_key(job.job) in result.reason
+            return Claimed.JOB_ENDED if ended else Claimed.TAKEN
+        return HeldSegment(
+            job=job,
+            job_version=job_version,
+            segment=segment,
+            row=row,
+            version=result[key],
+        )
+
+    async def _settle_claim(
+        self,
+        job: JobRow,
+        job_version: int,
+        segment: int,
+        row: SegmentRow,
+        known: tuple[SegmentRow, int] | None,
+    ) -> HeldSegment | Claimed:
+        """Reads a claim back whose answer was lost."""
+        key = segment_key(job.job, segment)
+        found = (await self.platform.read([key])).get(key)
+        if found is None or decode_row(found, SegmentRow) != row:
+            return Claimed.TAKEN
+        if known is not None and found.version == known[1]:
+            return Claimed.TAKEN
+        return HeldSegment(
+            job=job,
+            job_version=job_version,
+            segment=segment,
+            row=row,
+            version=found.version,
+        )
+
+    async def read_items(self, held: HeldSegment) -> list[Item]:
+        """Returns the items of a held segment, in order."""
+        indices = held.job.division.segment_range(held.segment)
+        first = indices.start // INPUT_OBJECT_ITEMS
+        last = (indices.stop - 1) // INPUT_OBJECT_ITEMS
+        items: list[Item] = []
+        for part in range(first, last + 1):
+            name = input_object(held.job.job, part)
+            body = await self.platform.get_object(name)
+            if body is None:
+                raise NotFoundError(f"The input {name} is gone")
+            items += msgspec.json.decode(body, type=list[Item])
+        offset = first * INPUT_OBJECT_ITEMS
+        return items[indices.start - offset : indices.stop - offset]
+
+    async def commit(
+        self, held: HeldSegment, chunk: int, results: Sequence[ItemResult]
+    ) -> Commit:
+        """Makes a chunk's results readable, if the segment is still held.
+
+        The held segment is brought up to date. A failure leaves it as it was,
+        so that the same call may be made again.
+
+        Raises:
+          PlatformUnavailableError: Nothing was committed.
+          AnswerLostError: The platform never said; call again.
+        """
+        name = result_object(held.job.job, held.segment, chunk, random_token(self._rng))
+        await self.platform.put_object(name, msgspec.json.encode(results))
+        outcome = await self._point_at(held, chunk, name)
+        if outcome is not Commit.DONE:
+            await self._drop_object(name)
+        return outcome
+
+    async def _point_at(self, held: HeldSegment, chunk: int, name: str) -> Commit:
+        results = list(held.row.results)
+        results[chunk] = name
+        row = msgspec.structs.replace(held.row, results=tuple(results))
+        key = segment_key(held.job.job, held.segment)
+        transaction = Transaction(
+            checks=[
+                Check(key, held.version),
+                Check(job_key(held.job.job), held.job_version),
+            ],
+            puts=[Put(key, msgspec.json.encode(row))],
+        )
+        for _ in range(_ATTEMPTS):
+            try:
+                result = await self.platform.transact(transaction)
+            except AnswerLostError:
+                result = None
+            if isinstance(result, dict):
+                held.row, held.version = row, result[key]
+                return Commit.DONE
+            settled = await self._settle_commit(held, row, chunk)
+            if settled is not None:
+                return settled
+        raise AnswerLostError("The platform did not say whether it took the chunk")
+
+    async def _settle_commit(
+        self, held: HeldSegment, row: SegmentRow, chunk: int
+    ) -> Commit | None:
+        """Reads rows back; None means that the commit may be tried again.
+
+        The pointer alone tells whether the commit took effect: the row may
+        have been taken over since, with the pointer kept. A row older than the
+        one held is a stale read and proves nothing.
+        """
+        key = segment_key(held.job.job, held.segment)
+        rows = await self.platform.read([key, job_key(held.job.job)])
+        found, job = rows.get(key), rows.get(job_key(held.job.job))
+        if found is None or job is None or found.version < held.version:
+            return None
+        current = decode_row(found, SegmentRow)
+        mine = _holder(current) == _holder(held.row)
+        if current.results[chunk] == row.results[chunk]:
+            held.row = row
+            if mine:
+                held.row, held.version = current, found.version
+            return Commit.DONE
+        if decode_row(job, JobRow).state is not JobState.OPEN:
+            return Commit.JOB_ENDED
+        return Commit.TAKEN_OVER if found.version != held.version else None
+
+    async def _drop_object(self, name: str) -> None:
+        try:
+            await self.platform.delete_object(name)
+        except (PlatformUnavailableError, AnswerLostError) as error:
+            _log.info("A result of no segment stays.", object=name, reason=str(error))
+
+    async def release(self, held: HeldSegment) -> None:
+        """Gives a segment up, so that another instance claims it at once."""
+        row = SegmentRow(holder=NOBODY, incarnation=0, results=held.row.results)
+        key = segment_key(held.job.job, held.segment)
+        await self.platform.transact(
+            Transaction(
+                checks=[Check(key, held.version)],
+                puts=[Put(key, msgspec.json.encode(row))],
+            )
+        )
+
+    async def challenge(self, holder: InstanceId, challenger: InstanceId) -> None:
+        """Asks a silent holder for a sign of life."""
+        key = challenge_key(holder)
+        await self.platform.transact(
+            Transaction(
+                checks=[Check(key, ABSENT)],
+                puts=[Put(key, msgspec.json.encode(ChallengeRow(challenger)))],
+            )
+        )
+
+    async def challenge_version(self, holder: InstanceId) -> int:
+        """Returns the version of a holder's challenge row; 0 for none."""
+        key = challenge_key(holder)
+        row = (await self.platform.read([key])).get(key)
+        return row.version if row else ABSENT
+
+    async def answer_challenge(self, instance: InstanceId, version: int) -> None:
+        """Removes the challenge that was read with this version."""
+        key = challenge_key(instance)
+        await self.platform.transact(
+            Transaction(checks=[Check(key, version)], deletes=[key])
+        )
+
+    async def look(
+        self, instance: InstanceId, held: Sequence[HeldSegment]
+    ) -> tuple[int, list[HeldSegment]]:
+        """Reads, in one call, what a holder must notice.
+
+        Returns:
+          The version of the challenge to this instance, 0 for none; and those
+          held segments that were taken over or whose job has ended.
+        """
+        own = challenge_key(instance)
+        keys = {own}
+        for segment in held:
+            keys.add(job_key(segment.job.job))
+            keys.add(segment_key(segment.job.job, segment.segment))
+        rows = await self.platform.read(sorted(keys))
+        lost = [segment for segment in held if not _still_held(segment, rows)]
+        return rows[own].version if own in rows else ABSENT, lost
+
+
+def _still_held(held: HeldSegment, rows: dict[str, Row]) -> bool:
+    """Compares holders, not versions: a commit of one's own may be under way."""
+    job = rows.get(job_key(held.job.job))
+    segment = rows.get(segment_key(held.job.job, held.segment))
+    if job is None or segment is None or job.version != held.job_version:
+        return False
+    return _holder(decode_row(segment, SegmentRow)) == _holder(held.row)
+
+
+def _holder(row: SegmentRow) -> tuple[InstanceId, int]:
+    return row.holder, row.incarnation
--- a/src/coppercleat/batch/_work.py
+++ b/src/coppercleat/batch/_work.py
@@ -9,7 +9,7 @@
 import trio
 
 from coppercleat.batch._items import Item, ItemResult
-from coppercleat.batch._store import HeldSegment
+from coppercleat.batch._segments import HeldSegment
 from coppercleat.routing import Health
 
 _MAX_LOST_ATTEMPTS = 10
--- /dev/null
+++ b/src/coppercleat/jobs/_starter.py
@@ -0,0 +1,124 @@
+"""Starts items of this instance's jobs whenever a slot is free, in their order."""
+
+from __future__ import annotations
+
+from collections.abc import Callable, Iterator, Mapping
+
+import trio
+
+from coppercleat.ids import JobId
+from coppercleat.jobs._items import ItemRunner, Running
+from coppercleat.jobs._run import JobRun
+from coppercleat.jobs._schedule import next_turns
+from coppercleat.observability import part_logger
+from coppercleat.serving import Route, RouteTable
+
+JOBS_STALE_S = 2.0
+"""With a view of the jobs older than this no item is started: the job may have ended
+or have another owner."""
+
+EXPIRY_MARGIN_S = 10.0
+"""Items are given up so much later than they may be: the clocks of the instance that
+accepted a job and of the one that runs it may differ by seconds."""
+
+_TICK_S = 0.02
+"""Pause between looks for a free slot while items wait; their ends are told at once,
+those of other instances' requests are not."""
+
+_IDLE_TICK_S = 0.2
+
+_log = part_logger("jobs")
+
+
+class ItemStarter:
+    """Finds slots for the items of jobs."""
+
+    def __init__(
+        self,
+        items: ItemRunner,
+        runs: Mapping[JobId, JobRun],
+        *,
+        clock: Callable[[], float],
+        routes: Callable[[], RouteTable | None],
+        may_start: Callable[[], bool],
+        isolated: Callable[[], bool],
+    ) -> None:
+        """Prepares the starter.
+
+        Args:
+          items: Runs items.
+          runs: This instance's jobs, as they are now.
+          clock: Unix time in seconds.
+          routes: Returns the routes in force.
+          may_start: Tells whether items may be started at all.
+          isolated: Tells whether others must have taken this instance's jobs.
+        """
+        self.items = items
+        self.runs = runs
+        self.clock = clock
+        self.routes = routes
+        self.may_start = may_start
+        self.isolated = isolated
+        self._wake = trio.Event()
+
+    def wake(self) -> None:
+        """Notes that there may be an item or a slot."""
+        self._wake.set()
+
+    async def run(self) -> None:
+        """Starts items until cancelled."""
+        async with trio.open_nursery() as nursery:
+            while True:
+                if self.isolated():
+                    # What the items have made is kept here: the job may stay ours.
+                    self.items.stop_all()
+                if self._start_next(nursery):
+                    await trio.sleep(0)
+                else:
+                    await self._wait()
+                self._wake = trio.Event()
+
+    async def _wait(self) -> None:
+        pending = any(run.pending for run in self.runs.values())
+        with trio.move_on_after(_TICK_S if pending else _IDLE_TICK_S):
+            await self._wake.wait()
+
+    def _start_next(self, nursery: trio.Nursery) -> bool:
+        """Starts the item whose turn it is; returns whether it found a slot."""
+        table = self.routes()
+        if table is None or not self.may_start():
+            return False
+        wall = self.clock()
+        turns = next_turns(
+            self._runnable(table, wall),
+            seconds_left=self.items.seconds_left,
+            now=trio.current_time(),
+            wall=wall,
+        )
+        for turn in turns:
+            state = self.items.find_slot(turn.route)
+            if state is None:
+                if not turn.late:
+                    self.items.cut_late(wall)
+                continue
+            running = self.items.claim_slot(turn.run, turn.item, state)
+            nursery.start_soon(self._run_item, running, turn.route)
+            return True
+        return False
+
+    def _runnable(
+        self, table: RouteTable, wall: float
+    ) -> Iterator[tuple[JobRun, Route]]:
+        """Yields jobs with their routes; gives up items of those past their time."""
+        for run in list(self.runs.values()):
+            row = run.held.row
+            route = table.match(row.host, row.path)
+            if route is not None and wall <= row.expires_at + EXPIRY_MARGIN_S:
+                yield run, route
+            elif run.pending:
+                _log.warning("Items given up.", job=row.job, route=route is None)
+                run.fail_all()
+
+    async def _run_item(self, running: Running, route: Route) -> None:
+        await self.items.run(running, route)
+        self.wake()
--- a/src/coppercleat/jobs/_worker.py
+++ b/src/coppercleat/jobs/_worker.py
@@ -1,15 +1,15 @@
-"""Takes jobs, decides whose items run next, and commits what they give."""
+"""Takes jobs, has their items run, and commits what they give."""
 
 from __future__ import annotations
 
-from collections.abc import Callable, Iterator
+from collections.abc import Callable
 
 import trio
 
 from coppercleat.errors import CoppercleatError
 from coppercleat.ids import JobId
 from coppercleat.jobs._index import JobIndex
-from coppercleat.jobs._items import ItemRunner, Running
+from coppercleat.jobs._items import ItemRunner
 from coppercleat.jobs._records import NOBODY
 from coppercleat.jobs._repository import (
     Held,
@@ -19,18 +19,10 @@
     fits_one_commit,
 )
 from coppercleat.jobs._run import JobRun
-from coppercleat.jobs._schedule import next_turns
+from coppercleat.jobs._starter import JOBS_STALE_S, ItemStarter
 from coppercleat.observability import part_logger
 from coppercleat.routing import ranked
-from coppercleat.serving import (
-    ItemEvents,
-    Route,
-    RouteTable,
-)
-
-STALE_S = 2.0
-"""With a view of the jobs older than this no item is started: the job may have ended
-or have another owner."""
+from coppercleat.serving import ItemEvents, RouteTable
 
 KEEP_EVERY_S = 1.5
 """How often the events of running items are kept on the platform: a killed instance
@@ -39,16 +31,11 @@
 KEEP_LEAST_EVENTS = 20
 """Fewer new events are not worth a write."""
 
-EXPIRY_MARGIN_S = 10.0
-"""Items are given up so much later than they may be: the clocks of the instance that
-accepted a job and of the one that runs it may differ by seconds."""
-
 HANDOVER_WAIT_S = 0.06
 """There and back between availability zones takes 2 ms, a busy peer some 10 ms."""
 
 _HANDOVER_POLL_S = 0.005
-_TICK_S = 0.02
-_IDLE_TICK_S = 0.2
+_STOP_POLL_S = 0.02
 _RETRY_S = 0.25
 _COMMIT_GATHER_S = 0.05
 """Items that finish within this time are listed by one transaction."""
@@ -107,11 +94,9 @@
         self.items = items
         self.owner = owner
         self.clock = clock
-        self.routes = routes
         self.owner_lives = owner_lives
         self.living = living
         self.holds_lease = holds_lease
-        self.isolated = isolated
         self.pause_s = pause_s
         self.on_taken = on_taken
         self.on_commit = on_commit
@@ -121,8 +106,15 @@
         self._orphans: dict[JobId, float] = {}
         self._taking: set[JobId] = set()
         self._handed: dict[JobId, list[ItemEvents]] = {}
-        self._wake = trio.Event()
         self._nursery: trio.Nursery | None = None
+        self._starter = ItemStarter(
+            items,
+            self.runs,
+            clock=clock,
+            routes=routes,
+            may_start=self._may_start,
+            isolated=isolated,
+        )
         job_index.on_change = self._job_changed
 
     async def run(self) -> None:
@@ -130,7 +122,7 @@
         async with trio.open_nursery() as nursery:
             self._nursery = nursery
             nursery.start_soon(self._follow_forever)
-            nursery.start_soon(self._start_forever)
+            nursery.start_soon(self._starter.run)
 
     def late_jobs(self) -> int:
         """Returns how many jobs of this instance are past their due time."""
@@ -144,6 +136,10 @@
         """Whether a new job may be put into the hands of this instance."""
         return self.holds_lease() and not self.stopping
 
+    def _may_start(self) -> bool:
+        age_s = trio.current_time() - self.job_index.fresh_at
+        return self.may_own and age_s < JOBS_STALE_S
+
     def own(self, held: Held) -> None:
         """Begins a job that was just accepted here."""
         self.job_index.observe(held)
@@ -176,8 +172,7 @@
     def _look_for_orphans(self) -> None:
         """Takes jobs whose owner is gone; the first in line begins."""
         now = trio.current_time()
-        fresh = self.job_index.loaded and now - self.job_index.fresh_at < STALE_S
-        if not self.holds_lease() or not fresh or self.stopping:
+        if not self.job_index.loaded or not self._may_start():
             return
         for held in self.job_index:
             job = held.row.job
@@ -251,7 +246,7 @@
             if run is None:
                 return
             self.runs[job] = run
-            self._wake.set()
+            self._starter.wake()
             await self._commit_forever(run)
         finally:
             self.runs.pop(job, None)
@@ -342,65 +337,6 @@
         self.items.stop_job(run)
         _log.info("Job given up.", job=job, why=why)
 
-    # Items.
-
-    async def _start_forever(self) -> None:
-        while True:
-            if self.isolated():
-                # What the items have made is kept here, in case the job stays ours.
-                self.items.stop_all()
-            started = self._start_some()
-            pending = any(run.pending for run in self.runs.values())
-            if not started:
-                with trio.move_on_after(_TICK_S if pending else _IDLE_TICK_S):
-                    await self._wake.wait()
-            else:
-                await trio.sleep(0)
-            self._wake = trio.Event()
-
-    def _start_some(self) -> bool:
-        """Starts the item whose turn it is; returns whether it found a slot."""
-        now = trio.current_time()
-        table = self.routes()
-        fresh = now - self.job_index.fresh_at < STALE_S and self.holds_lease()
-        if self.stopping or table is None or not fresh:
-            return False
-        wall = self.clock()
-        turns = next_turns(
-            self._runnable(table, wall),
-            seconds_left=self.items.seconds_left,
-            now=now,
-            wall=wall,
-        )
-        for turn in turns:
-            state = self.items.find_slot(turn.route)
-            if state is None:
-                if not turn.late:
-                    self.items.cut_late(wall)
-                continue
-            running = self.items.claim_slot(turn.run, turn.item, state)
-            assert self._nursery is not None
-            self._nursery.start_soon(self._run_item, running, turn.route)
-            return True
-        return False
-
-    def _runnable(
-        self, table: RouteTable, wall: float
-    ) -> Iterator[tuple[JobRun, Route]]:
-        """Yields jobs with their routes; gives up items of those past their time."""
-        for run in list(self.runs.values()):
-            row = run.held.row
-            route = table.match(row.host, row.path)
-            if route is not None and wall <= row.expires_at + EXPIRY_MARGIN_S:
-                yield run, route
-            elif run.pending:
-                _log.warning("Items given up.", job=row.job, route=route is None)
-                run.fail_all()
-
-    async def _run_item(self, running: Running, route: Route) -> None:
-        await self.items.run(running, route)
-        self._wake.set()
-
     # Stopping.
 
     async def hand_over(self) -> None:
@@ -414,7 +350,7 @@
     async def _release(self, run: JobRun) -> None:
         self.runs.pop(run.held.row.job, None)
         while run.running:
-            await trio.sleep(_TICK_S)
+            await trio.sleep(_STOP_POLL_S)
         for _ in range(3):
             partials = bounded_partials(run.unkept(1))
             if not await self._commit(run, partials, owner=NOBODY):
--- a/src/coppercleat/rpc/_batch.py
+++ b/src/coppercleat/rpc/_batch.py
@@ -66,7 +66,7 @@
                 if spec.input_object
                 else _sent_items(requests)
             )
-            submitted = await self.instance.jobs.submit(
+            submitted = await self.instance.jobs.acceptance.submit(
                 submission,
                 items,
                 runners=self._runners(deployment),
@@ -96,7 +96,7 @@
         with typed_errors():
             tenant = caller(self.instance, ctx)
             limit = min(request.page_size or _MAX_PAGE, _MAX_PAGE)
-            rows, token = await self.instance.jobs.list_page(
+            rows, token = await self.instance.jobs.reader.list_page(
                 after=request.page_token, limit=limit
             )
             jobs = [
@@ -111,7 +111,7 @@
         """Cancels a job; no result appears once this has returned."""
         with typed_errors():
             row = await self._own_job(request.job_id, caller(self.instance, ctx))
-            row = await self.instance.jobs.cancel(row.job)
+            row = await self.instance.jobs.ending.cancel(row.job)
             self.instance.batch.hint()
             self.instance.peers.hint_job(row.job)
             return await self._with_progress(row)
@@ -123,7 +123,7 @@
         with typed_errors():
             row = await self._own_job(request.job_id, caller(self.instance, ctx))
             segment, chunk = _parse_token(request.page_token, row)
-            results = await self.instance.jobs.read_results(row, segment, chunk)
+            results = await self.instance.jobs.reader.read_results(row, segment, chunk)
             following = _next_token(row, segment, chunk)
             if results is None:
                 if row.state is not JobState.OPEN:
@@ -159,13 +159,13 @@
 
     async def _own_job(self, job: str, tenant: TenantId) -> JobRow:
         """Returns a job of the caller; another tenant's is not found."""
-        row, _ = await self.instance.jobs.get(JobId(job))
+        row, _ = await self.instance.jobs.reader.get(JobId(job))
         if row.tenant != tenant:
             raise NotFoundError(f"There is no job {job}")
         return row
 
     async def _with_progress(self, row: JobRow) -> batch_pb.Job:
-        progress = await self.instance.jobs.progress(row)
+        progress = await self.instance.jobs.reader.progress(row)
         return _job(row, progress)
 
     async def _stored_items(self, name: str) -> AsyncIterator[list[Item]]:
--- a/tests/exploration/_models.py
+++ b/tests/exploration/_models.py
@@ -65,9 +65,9 @@
 
     async def _holder(self, platform, name, seed):
         store = JobStore(platform, clock=lambda: 1.0, rng=random.Random(seed))
-        job, version = await store.get("j")
-        known = (await store.segments(job)).get(0)
-        held = await store.claim(
+        job, version = await store.reader.get("j")
+        known = (await store.reader.segments(job)).get(0)
+        held = await store.segments.claim(
             job, version, 0, instance=name, incarnation=1, known=known
         )
         if isinstance(held, Claimed):
@@ -76,15 +76,15 @@
             if done:
                 continue
             results = [ItemResult(index=chunk, text=f"by {name}")]
-            outcome = await store.commit(held, chunk, results)
+            outcome = await store.segments.commit(held, chunk, results)
             if outcome is not Commit.DONE:
                 return outcome
             self.committed[chunk] = name
-        return await store.complete_if_done("j")
+        return await store.ending.complete_if_done("j")
 
     async def _canceller(self, platform):
         store = JobStore(platform, clock=lambda: 2.0, rng=random.Random(3))
-        row = await store.cancel("j")
+        row = await store.ending.cancel("j")
         self.cancel_returned = True
         return row
 
