Find upstreams that fail a part of their requests by the share that fails

On the way: an attempt whose client left right after the end of its answer was never judged, so successes did not clear failures and a 500 that was passed on did not count; and a stream given up after a silence blamed nobody. Change: serving/_results.py keeps fading counts of attempts; instances tell them to their own availability zone with each heartbeat; a suspect is used for online requests only before one whose slots are all held online, by batch last, and never by an item that has failed before. Attempts are judged also when the client has left.

--- a/src/coppercleat/jobs/_items.py
+++ b/src/coppercleat/jobs/_items.py
@@ -86,13 +86,20 @@
         self._avoided: dict[UpstreamId, float] = {}
         self._pace = ItemPace()
 
-    def find_slot(self, route: Route) -> UpstreamState | None:
-        """Returns an upstream with a slot for an item, None if there is none."""
+    def find_slot(self, route: Route, item: ItemRun) -> UpstreamState | None:
+        """Returns an upstream with a slot for an item, None if there is none.
+
+        An item that has failed gets no upstream that seems to fail: its next
+        failures may be its last.
+        """
         now = trio.current_time()
+        avoid = {u for u, until in self._avoided.items() if now < until}
+        if item.failures:
+            avoid.update(self.placement.suspects(now))
         state = self.placement.choose_batch(
             route,
             reserve=RESERVED_SLOTS,
-            avoid=[u for u, until in self._avoided.items() if now < until],
+            avoid=avoid,
             now=now,
         )
         return None if isinstance(state, Nowhere) else state
@@ -151,7 +158,7 @@
             _judge_failure(state, attempt)
         elif end is ItemEnd.COMPLETE:
             self._pace.observe_item(events=len(item.events))
-            state.health.succeeded()
+            state.succeeded(trio.current_time())
         elif end is ItemEnd.NOT_RUN:
             self._avoided[state.id] = trio.current_time() + _AVOID_S
         pause = _BROKEN_PAUSE_S if end is not ItemEnd.YIELDED else 0.0
@@ -278,8 +285,5 @@
 
 
 def _judge_failure(state: UpstreamState, attempt: Attempt) -> None:
-    now = trio.current_time()
-    if attempt.state is AttemptState.QUEUED:
-        state.health.unreachable(now)
-    else:
-        state.health.failed(now)
+    reached = attempt.state is not AttemptState.QUEUED
+    state.failed(trio.current_time(), reached=reached)
--- a/src/coppercleat/jobs/_starter.py
+++ b/src/coppercleat/jobs/_starter.py
@@ -96,7 +96,7 @@
             wall=wall,
         )
         for turn in turns:
-            state = self.items.find_slot(turn.route)
+            state = self.items.find_slot(turn.route, turn.item)
             if state is None:
                 if not turn.late:
                     self.items.cut_late(wall)
--- a/src/coppercleat/serving/__init__.py
+++ b/src/coppercleat/serving/__init__.py
@@ -27,6 +27,7 @@
 from coppercleat.serving._peers import ItemEvents, Peers
 from coppercleat.serving._placement import InFlight, Nowhere, Placement, UpstreamState
 from coppercleat.serving._progress import AttemptEnd, NextStep, RequestProgress
+from coppercleat.serving._results import RecentResults
 from coppercleat.serving._upstream_call import (
     UpstreamAnswer,
     UpstreamBrokeError,
@@ -50,6 +51,7 @@
     "OnlineRequest",
     "Peers",
     "Placement",
+    "RecentResults",
     "Refusal",
     "RefusalReason",
     "Reply",
--- a/src/coppercleat/serving/_forwarding.py
+++ b/src/coppercleat/serving/_forwarding.py
@@ -47,6 +47,9 @@
 request can still go elsewhere if the answer is cut."""
 
 _SERVER_ERROR = 500
+_GATEWAY_TIMEOUT = 504
+"""By which an upstream says that the request's time was up; no fault of its own."""
+
 _PROMISES = frozenset({408, 429, 503})
 """Statuses by which clients take a request as not run. From an upstream that does not
 say so itself they prove nothing, and are not passed on."""
@@ -72,7 +75,12 @@
 
 @attrs.define
 class _Exchange:
-    """One request on its way."""
+    """One request on its way.
+
+    Attributes:
+      heard_at: When the attempt began or its last event came, in trio's time.
+      status: Of the attempt's answer; 0 before one.
+    """
 
     request: OnlineRequest
     route: Route
@@ -84,6 +92,8 @@
     reason: str = ""
     arrived_at: float = 0.0
     first_at: float = 0.0
+    heard_at: float = 0.0
+    status: int = 0
 
 
 class Forwarder:
@@ -159,16 +169,30 @@
     async def _attempt(self, exchange: _Exchange, state: UpstreamState) -> AttemptEnd:
         attempt = Attempt()
         exchange.upstream = state.id
+        exchange.heard_at = trio.current_time()
+        exchange.status = 0
         try:
             end = await self._attempt_until_stall(exchange, state, attempt)
         except trio.Cancelled:
-            # The time is up or the client has left: the run counts all the same.
-            if attempt.state is not AttemptState.QUEUED:
-                exchange.progress.runs += 1
+            self._judge_cancelled(exchange, state, attempt)
             raise
-        self._judge(state, attempt, end)
+        self._judge(exchange, state, attempt, end)
         return end
 
+    def _judge_cancelled(
+        self, exchange: _Exchange, state: UpstreamState, attempt: Attempt
+    ) -> None:
+        """Counts an attempt that was ended by its time or by the client's leaving.
+
+        A client that has the whole answer may leave while the attempt is wound up.
+        """
+        if exchange.progress.finished:
+            exchange.progress.after(AttemptEnd.COMPLETE)
+            self._judge(exchange, state, attempt, AttemptEnd.COMPLETE)
+        elif attempt.state is not AttemptState.QUEUED:
+            exchange.progress.runs += 1
+            self._judge_silence(exchange, state)
+
     async def _attempt_until_stall(
         self, exchange: _Exchange, state: UpstreamState, attempt: Attempt
     ) -> AttemptEnd:
@@ -176,8 +200,7 @@
         stall = trio.CancelScope()
         # Other answers may take as long as the route allows: silence proves nothing.
         if route.kind is RouteKind.STREAM and exchange.progress.may_move:
-            patience = FIRST_EVENT_STALL_TARGETS * route.target_latency_s
-            stall.deadline = trio.current_time() + max(FIRST_EVENT_STALL_S, patience)
+            stall.deadline = trio.current_time() + _first_patience_s(route)
         end = AttemptEnd.LOST
         with self._counted(state), stall:
             try:
@@ -205,6 +228,7 @@
         stall: trio.CancelScope,
     ) -> AttemptEnd:
         """Passes an answer on and returns how the attempt ended."""
+        exchange.status = answer.status
         if answer.other_instance:
             state.gone = True
             exchange.reason = "another upstream has the address"
@@ -231,10 +255,10 @@
         async for data in answer.body:
             whole, in_order = _in_order(splitter.feed(data), progress.last_event)
             if whole:
+                exchange.heard_at = trio.current_time()
                 if progress.may_move:
-                    patience = GAP_STALL_TARGETS * exchange.route.gap_target_s
-                    wait_s = max(GAP_STALL_S, patience)
-                    stall.deadline = trio.current_time() + wait_s
+                    patience_s = _gap_patience_s(exchange.route)
+                    stall.deadline = exchange.heard_at + patience_s
                 await _start(exchange, answer.status, answer.headers)
                 # Counted and sent without a checkpoint in between that could part them.
                 numbers = [e.number for e in whole if e.number is not None]
@@ -272,15 +296,36 @@
         await exchange.reply.finish()
         return AttemptEnd.COMPLETE
 
-    def _judge(self, state: UpstreamState, attempt: Attempt, end: AttemptEnd) -> None:
+    def _judge(
+        self,
+        exchange: _Exchange,
+        state: UpstreamState,
+        attempt: Attempt,
+        end: AttemptEnd,
+    ) -> None:
         """Notes what an attempt tells of the upstream's health."""
         now = trio.current_time()
-        if end is AttemptEnd.COMPLETE:
-            state.health.succeeded()
-        elif attempt.state is AttemptState.QUEUED:
-            state.health.unreachable(now)
-        elif end is not AttemptEnd.NOT_RUN:
-            state.health.failed(now)
+        if attempt.state is AttemptState.QUEUED:
+            state.failed(now, reached=False)
+        elif end in (AttemptEnd.LOST, AttemptEnd.CUT):
+            state.failed(now)
+        elif end is AttemptEnd.COMPLETE and exchange.status < _SERVER_ERROR:
+            state.succeeded(now)
+        elif end is AttemptEnd.COMPLETE and exchange.status != _GATEWAY_TIMEOUT:
+            state.failed(now)
+
+    def _judge_silence(self, exchange: _Exchange, state: UpstreamState) -> None:
+        """Notes a stream that was given up after a long silence of the upstream.
+
+        Other answers may take as long as the route allows: silence proves nothing.
+        """
+        now = trio.current_time()
+        first = not exchange.progress.started
+        patience_s = _first_patience_s if first else _gap_patience_s
+        silent_s = now - exchange.heard_at
+        streams = exchange.route.kind is RouteKind.STREAM
+        if streams and silent_s > patience_s(exchange.route):
+            state.failed(now)
 
     @contextlib.contextmanager
     def _counted(self, state: UpstreamState) -> Iterator[None]:
@@ -328,6 +373,16 @@
         )
 
 
+def _first_patience_s(route: Route) -> float:
+    """Returns for how long an upstream may be silent before the first event."""
+    return max(FIRST_EVENT_STALL_S, FIRST_EVENT_STALL_TARGETS * route.target_latency_s)
+
+
+def _gap_patience_s(route: Route) -> float:
+    """Returns for how long an upstream may be silent between events."""
+    return max(GAP_STALL_S, GAP_STALL_TARGETS * route.gap_target_s)
+
+
 def _ms(seconds: float) -> int:
     return max(0, round(seconds * 1000))
 
--- a/src/coppercleat/serving/_peers.py
+++ b/src/coppercleat/serving/_peers.py
@@ -20,7 +20,7 @@
 from coppercleat.observability import part_logger
 from coppercleat.serving._model import RouteConfig, Upstream
 from coppercleat.serving._node import GatewaySettings
-from coppercleat.serving._placement import InFlight, Placement
+from coppercleat.serving._placement import AttemptResults, InFlight, Placement
 
 HEARTBEAT_S = 0.5
 SUSPECT_AFTER_S = 2.0
@@ -53,6 +53,12 @@
     counts: tuple[InFlight, ...]
 
 
+class ResultsSeen(msgspec.Struct, frozen=True, tag="results", array_like=True):
+    """How the sender's attempts at upstreams have ended since it last told."""
+
+    results: tuple[AttemptResults, ...]
+
+
 class KnowledgeWanted(msgspec.Struct, frozen=True, tag="ask", array_like=True):
     """Asks for routes newer than a version, and for the list of upstreams."""
 
@@ -105,6 +111,7 @@
     Heartbeat
     | NotHeard
     | WorkInFlight
+    | ResultsSeen
     | KnowledgeWanted
     | Knowledge
     | JobTaken
@@ -209,6 +216,7 @@
             self.messenger.beat(now, revision=Revision(self.version()))
             self._forget_silent(now)
             self._ask_if_behind(now)
+            self._tell_results()
             self.work_changed(urgent=False)
             await trio.sleep(HEARTBEAT_S)
 
@@ -232,6 +240,15 @@
         self._asked_at = now
         self.messenger.send(ahead, KnowledgeWanted(self.version()))
 
+    def _tell_results(self) -> None:
+        """Tells the own availability zone: from another an upstream may look well."""
+        results = self.placement.untold_results()
+        if not results:
+            return
+        for instance in self.others():
+            if self.detector.zone_of(instance) == self.settings.zone:
+                self.messenger.send(instance, ResultsSeen(tuple(results)))
+
     async def _tell_forever(self) -> None:
         while True:
             await self._changed.wait()
@@ -264,6 +281,10 @@
         self.placement.observe_peer(sender, work.counts)
         self.on_counts()
 
+    @_handlers.handles(ResultsSeen)
+    def _on_results(self, sender: InstanceId, seen: ResultsSeen) -> None:
+        self.placement.observe_results(seen.results, now=trio.current_time())
+
     @_handlers.handles(KnowledgeWanted)
     def _on_wanted(self, sender: InstanceId, wanted: KnowledgeWanted) -> None:
         knowledge = self.knowledge(wanted.after)
--- a/src/coppercleat/serving/_placement.py
+++ b/src/coppercleat/serving/_placement.py
@@ -11,6 +11,7 @@
 from coppercleat.ids import InstanceId, UpstreamId, ZoneId
 from coppercleat.routing import Health
 from coppercleat.serving._model import Route, Target, Upstream
+from coppercleat.serving._results import RecentResults
 
 OTHER_ZONE_LOAD = 1.5
 """Price of another availability zone, in requests in flight: the way there is a
@@ -26,9 +27,14 @@
 the 0.1 s of a connection that is not made; after a zone was cut off for some seconds,
 longer pauses would leave its upstreams idle for as long again."""
 
-_SLOT_FREE, _SLOT_CUT, _SLOT_QUEUED = range(3)
-"""A slot is free; a batch item will be cut for it, which takes some 5 ms; or online
-requests hold all slots, and one must end."""
+SUSPECT_LOAD = 8.0
+"""Load by which an upstream that seems to fail a part of its requests is taken to be
+fuller than it is, in requests of eight slots: batch uses it last."""
+
+_SLOT_FREE, _SLOT_CUT, _SUSPECT, _SLOT_QUEUED = range(4)
+"""A slot is free; a batch item will be cut for it, which takes some 5 ms; there is
+one, but the upstream seems to fail a part of its requests; or online requests hold all
+slots, and one must end."""
 
 
 class InFlight(msgspec.Struct, frozen=True, array_like=True):
@@ -39,6 +45,19 @@
     batch: int
 
 
+class AttemptResults(msgspec.Struct, frozen=True, array_like=True):
+    """How attempts of one instance at one upstream ended since it last told.
+
+    Attributes:
+      well: Attempts that ended well.
+      failed: Attempts that failed.
+    """
+
+    upstream: UpstreamId
+    well: int
+    failed: int
+
+
 class Nowhere(msgspec.Struct, frozen=True):
     """Sentinel: no upstream can take the request.
 
@@ -57,10 +76,13 @@
       online: Online requests of this instance in flight there.
       batch: Batch items of this instance in flight there.
       gone: Whether it has been found to have left, before the list shows it.
+      health: Ejects it while it fails throughout.
+      results: Tells whether it fails a part of its requests.
     """
 
     upstream: Upstream
     health: Health = attrs.field(factory=lambda: Health(longest_s=LONGEST_EJECTION_S))
+    results: RecentResults = attrs.field(factory=RecentResults)
     online: int = 0
     batch: int = 0
     gone: bool = False
@@ -70,6 +92,17 @@
         """The upstream's id."""
         return self.upstream.id
 
+    def succeeded(self, now: float) -> None:
+        """Notes an attempt that ended well."""
+        self.health.succeeded()
+        self.results.observe(failed=False, now=now)
+
+    def failed(self, now: float, *, reached: bool = True) -> None:
+        """Notes an attempt that failed, or a connection that could not be made."""
+        note = self.health.failed if reached else self.health.unreachable
+        note(now)
+        self.results.observe(failed=True, now=now)
+
 
 class Placement:
     """Counts requests in flight and chooses upstreams by them.
@@ -105,6 +138,27 @@
         """Takes all that a peer has in flight; replaces what it told before."""
         self._peers[peer] = {count.upstream: count for count in counts}
 
+    def observe_results(self, results: Iterable[AttemptResults], *, now: float) -> None:
+        """Takes how a peer's attempts ended."""
+        for of_upstream in results:
+            state = self.states.get(of_upstream.upstream)
+            if state is not None:
+                well, failed = of_upstream.well, of_upstream.failed
+                state.results.observe_peer(well=well, failed=failed, now=now)
+
+    def untold_results(self) -> list[AttemptResults]:
+        """Returns how own attempts ended since the last call, to be told to peers."""
+        found = []
+        for state in self.states.values():
+            well, failed = state.results.take_untold()
+            if well or failed:
+                found.append(AttemptResults(state.id, well, failed))
+        return found
+
+    def suspects(self, now: float) -> list[UpstreamId]:
+        """Returns upstreams that seem to fail a part of their requests."""
+        return [s.id for s in self.states.values() if s.results.suspect(now)]
+
     def forget_peer(self, peer: InstanceId) -> None:
         """Drops the counts of a peer that is gone."""
         self._peers.pop(peer, None)
@@ -160,7 +214,7 @@
         if not serving:
             return Nowhere(f"no upstream serves {service}")
         healthy = [s for s in serving if s.health.may_try(now)] or serving
-        return min(healthy, key=self._online_cost)
+        return min(healthy, key=lambda state: self._online_cost(state, now))
 
     def choose_batch(
         self, route: Route, *, reserve: int, avoid: Collection[UpstreamId], now: float
@@ -183,7 +237,7 @@
         ]
         if not free:
             return Nowhere(f"no slot is free at {service}")
-        return min(free, key=self._batch_cost)
+        return min(free, key=lambda state: self._batch_cost(state, now))
 
     def _usable(self, service: str) -> Iterator[UpstreamState]:
         """Yields upstreams of a service that are not leaving."""
@@ -202,18 +256,24 @@
             return targets[0].service
         return self._rng.choices(targets, weights)[0].service
 
-    def _online_cost(self, state: UpstreamState) -> tuple[int, float]:
+    def _online_cost(self, state: UpstreamState, now: float) -> tuple[int, float]:
         """Returns how soon a slot is there, then how full the upstream is."""
         rank = _SLOT_FREE
         if self.free_slots(state) <= 0:
             rank = _SLOT_CUT if self._batch_load(state) > 0 else _SLOT_QUEUED
-        return rank, self._batch_cost(state)
+        if state.results.suspect(now):
+            rank = max(rank, _SUSPECT)
+        return rank, self._load_cost(state)
 
     def _batch_load(self, state: UpstreamState) -> int:
         """Returns batch items of all instances that could be cut at an upstream."""
         return state.batch + sum(self.peer_batch(state.id).values())
 
-    def _batch_cost(self, state: UpstreamState) -> float:
+    def _batch_cost(self, state: UpstreamState, now: float) -> float:
+        suspect = state.results.suspect(now)
+        return self._load_cost(state) + (SUSPECT_LOAD if suspect else 0.0)
+
+    def _load_cost(self, state: UpstreamState) -> float:
         cost = self.load(state) / max(1, state.upstream.slots) * 8
         cost += self._rng.random() * TIE_LOAD
         if state.upstream.zone != self.zone:
--- a/tests/features/gateway.feature
+++ b/tests/features/gateway.feature
@@ -231,6 +231,17 @@
       | is leaving |
       | is removed |
 
+  Scenario Outline: A runner that fails every second request is found by its results
+    Given 1 gateways and 3 runners
+    And runner 1 is set to {"fail_every": 2}
+    When 40 clients send a <route> request one after the other
+    Then at most <failed> failed, and runner 1 ran at most <runs>
+
+    Examples: the gateway prefers runner 1, which is in its own availability zone
+      | route  | failed | runs |
+      | stream | 4      | 12   |
+      | once   | 4      | 12   |
+
   Scenario: A planned stop cuts nothing and turns new clients away only at its end
     Given 2 gateways and 1 runners
     And every runner is set to {"events": 40, "event_s": 0.05}
--- a/tests/features/serving_decisions.feature
+++ b/tests/features/serving_decisions.feature
@@ -37,7 +37,7 @@
   Scenario Outline: Placing <what> among <upstreams>
     Then the choice for <what> is <choice>
 
-    Examples: id:zone:own online:own batch:peers' online:peers' batch, 8 slots; D draining, G gone, E ejected
+    Examples: id:zone:own online:own batch:peers' online:peers' batch, 8 slots; D draining, G gone, E ejected, F failing a part
       | what   | upstreams                          | choice |
       | online | x:a:0:0:0:0 y:b:0:0:0:0            | x      |
       | online | x:a:4:0:0:0 y:b:0:0:0:0            | y      |
@@ -54,6 +54,11 @@
       | batch  | x:a:3:4:0:0 y:b:1:5:0:0            | y      |
       | batch  | x:a:3:4:0:0 y:b:1:0:5:1            | nowhere |
       | batch  | x:a:0:0:0:0:E                      | nowhere |
+      | online | x:a:0:0:0:0:F y:b:7:0:0:0          | y      |
+      | online | x:a:0:0:0:0:F y:b:0:8:0:0          | y      |
+      | online | x:a:0:0:0:0:F y:b:8:0:0:0          | x      |
+      | batch  | x:a:0:0:0:0:F y:b:3:0:0:0          | y      |
+      | batch  | x:a:0:0:0:0:F y:b:8:0:0:0          | x      |
 
   Scenario Outline: Upstreams that are missing from the list <when>
     Given a list of upstreams x y z
@@ -214,3 +219,17 @@
       | way       | within |
       | one way   | 6      |
       | both ways | 10     |
+
+  Scenario Outline: An upstream whose attempts ended <ends>, one every 0.5 s
+    Then after <later> s more it is <taken>
+
+    Examples: w well, f failed
+      | ends                 | later | taken   |
+      | wwwwwwwwww           | 0     | sound   |
+      | wwwwwwwwwf           | 0     | sound   |
+      | wwfwwf               | 0     | suspect |
+      | ff                   | 0     | suspect |
+      | ff                   | 4     | sound   |
+      | wfwfwfwf             | 0     | suspect |
+      | wfwfwfwf             | 8     | sound   |
+      | ffwwwwwwwwwwwwww     | 0     | sound   |
--- a/tests/features/steps/gateway_steps.py
+++ b/tests/features/steps/gateway_steps.py
@@ -145,6 +145,25 @@
     ask_all(context, count, route, f"gateway-{number}")
 
 
+@when("{count:d} clients send a {route} request one after the other")
+def one_by_one(context, count, route):
+    context.answers = []
+
+    async def all_of_them():
+        for _ in range(count):
+            context.answers.append(await ask(context, route, "gateway-1"))
+
+    context.fleet.run(all_of_them)
+
+
+@then("at most {failed:d} failed, and runner 1 ran at most {runs:d}")
+def few_failed(context, failed, runs):
+    statuses = [answer.status for answer in context.answers]
+    assert statuses.count(500) <= failed, statuses
+    report = context.fleet.run(context.fleet.control, "runner-1")
+    assert len(report["runs"]) <= runs, len(report["runs"])
+
+
 def ask_all(context, count, route, gateway, beside=None):
     context.answers = []
 
--- a/tests/features/steps/serving_steps.py
+++ b/tests/features/steps/serving_steps.py
@@ -42,6 +42,7 @@
     Nowhere,
     Peers,
     Placement,
+    RecentResults,
     RequestProgress,
     Route,
     RouteConfig,
@@ -142,6 +143,8 @@
         state.gone = "G" in flags
         if "E" in flags:
             state.health.unreachable(0.0)
+        for _ in range(2 if "F" in flags else 0):
+            state.results.observe(failed=True, now=0.0)
     if what == "online":
         found = placement.choose_online(make_route(), tried=(), now=0.0)
     else:
@@ -888,3 +891,15 @@
 @then("each knows of the other's new work within {within:g} s")
 def new_work_known(context, within):
     assert context.known_after <= within, context.known_after
+
+
+@then("after {later:g} s more it is {taken}")
+def taken_for(context, later, taken):
+    ends = context.scenario.name.split()[5].rstrip(",")
+    results, now = RecentResults(), 100.0
+    for end in ends:
+        now += 0.5
+        results.observe(failed=end == "f", now=now)
+    assert results.suspect(now + later) == (taken == "suspect")
+    assert results.take_untold() == (ends.count("w"), ends.count("f"))
+    assert results.take_untold() == (0, 0)
--- a/tests/standins/runner.py
+++ b/tests/standins/runner.py
@@ -31,6 +31,7 @@
       torn: Whether the cut falls into the middle of an event.
       cross_next: So many answers bear another request's id.
       fail_next: So many requests are answered with a failure.
+      fail_every: Every so manieth request is too; 0 for none.
       failing: Whether all are.
       fail_status: Which failure that is.
       impossible: Items with this text in their body are answered with 422.
@@ -48,6 +49,7 @@
     torn: bool = False
     cross_next: int = 0
     fail_next: int = 0
+    fail_every: int = 0
     failing: bool = False
     fail_status: int = 500
     impossible: str = ""
@@ -136,7 +138,12 @@
         if knobs.impossible and knobs.impossible in run["body"]:
             await self._answer(send, 422, head)
             return
-        if knobs.failing or knobs.fail_next > 0:
+        every = knobs.fail_every
+        if (
+            knobs.failing
+            or knobs.fail_next > 0
+            or (every and len(self.runs) % every == 0)
+        ):
             knobs.fail_next -= knobs.fail_next > 0
             await self._answer(send, knobs.fail_status, head)
             return
