--- a/src/coppercleat/serving/_pauses.py
+++ b/src/coppercleat/serving/_pauses.py
@@ -10,7 +10,7 @@
 from coppercleat.serving._node import GatewaySettings
 from coppercleat.storage import paced
 
-POLL_S = 0.5
+POLL_S = 1.0
 """Longest pause between reads of routes and of upstreams."""
 
 POLLS_PER_BOUND = 4
