Tell a peer that is heard for the first time of all work in flight

And counts that came before the teller's first heartbeat were dropped as of a silent peer. Ruled out: load alone. Change: the first heartbeat of a peer is answered with the work in flight; counts are dropped early only for a peer that was heard of and fell silent.

--- a/src/coppercleat/membership/_detector.py
+++ b/src/coppercleat/membership/_detector.py
@@ -149,6 +149,13 @@
         member = self.members.get(instance)
         return member is not None and self._lives(member, now)
 
+    def has_died(self, instance: InstanceId, now: float) -> bool:
+        """Returns whether a member was heard of and is no longer thought alive."""
+        member = self.members.get(instance)
+        if member is None or member.line is None:
+            return False
+        return not self._lives(member, now)
+
     def zone_of(self, instance: InstanceId) -> ZoneId | None:
         """Returns a member's availability zone, if it is known."""
         if instance == self.own.instance:
--- a/src/coppercleat/serving/_peers.py
+++ b/src/coppercleat/serving/_peers.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import random
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 
 import msgspec
 import trio
@@ -238,7 +238,7 @@
     def _forget_silent(self, now: float) -> None:
         for peer in self.placement.peers.tellers():
             told_s = now - self._counts_at.get(peer, float("-inf"))
-            if told_s > COUNTS_STALE_S or not self.detector.is_alive(peer, now):
+            if told_s > COUNTS_STALE_S or self.detector.has_died(peer, now):
                 self._forget_peer(peer)
                 _log.warning("A peer fell silent.", peer=peer, told_s=round(told_s, 1))
                 self.on_counts()
@@ -286,9 +286,12 @@
             self._changed = trio.Event()
             self._urgent = trio.Event()
             self._told_at = trio.current_time()
-            work = WorkInFlight(tuple(self.placement.own()))
-            for instance in self._near(self.others()):
-                self.messenger.send(instance, work)
+            self._tell_work(self._near(self.others()))
+
+    def _tell_work(self, instances: Iterable[InstanceId]) -> None:
+        work = WorkInFlight(tuple(self.placement.own()))
+        for instance in instances:
+            self.messenger.send(instance, work)
 
     async def _tell_far_forever(self) -> None:
         """Tells other zones of this one's work, if that falls to this instance."""
@@ -332,7 +335,12 @@
 
     @_handlers.handles(Heartbeat)
     def _on_heartbeat(self, sender: InstanceId, heartbeat: Heartbeat) -> None:
-        self.detector.observe(heartbeat, trio.current_time())
+        now = trio.current_time()
+        known = self.detector.is_alive(sender, now)
+        self.detector.observe(heartbeat, now)
+        if not known and sender in self._near(self.others()):
+            # What was told before did not reach it.
+            self._tell_work([sender])
 
     @_handlers.handles(WorkInFlight)
     def _on_work(self, sender: InstanceId, work: WorkInFlight) -> None:
--- a/tests/features/serving_decisions.feature
+++ b/tests/features/serving_decisions.feature
@@ -263,3 +263,14 @@
       | wfwfwfwf             | 0     | suspect |
       | wfwfwfwf             | 8     | sound   |
       | ffwwwwwwwwwwwwww     | 0     | sound   |
+
+  Scenario Outline: An instance that has work in flight tells it to one that starts <later> s later
+    When 3 requests are in flight at an instance for <later> s and another starts
+    Then the other knows of them within 0.4 s and for the next 1.5 s
+
+    Examples: at any phase of its telling, which is once a second
+      | later |
+      | 2.0   |
+      | 2.25  |
+      | 2.5   |
+      | 2.75  |
--- a/tests/features/steps/serving_steps.py
+++ b/tests/features/steps/serving_steps.py
@@ -950,3 +950,33 @@
     assert results.suspect(now + later) == (taken == "suspect")
     assert results.take_untold() == (ends.count("w"), ends.count("f"))
     assert results.take_untold() == (0, 0)
+
+
+@when("3 requests are in flight at an instance for {later:g} s and another starts")
+def another_starts(context, later):
+    ports = [free_port(), free_port()]
+    context.loads = []
+
+    async def run():
+        first, other = (make_peers(f"i{n}", "a", ports[n], ports[0]) for n in (0, 1))
+        first.placement.states[UpstreamId("x")].online = 3
+        state = other.placement.states[UpstreamId("x")]
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(first.run)
+            first.work_changed(urgent=True)
+            await trio.sleep(later)
+            nursery.start_soon(other.run)
+            began = trio.current_time()
+            while trio.current_time() - began < 1.9:
+                await trio.sleep(0.02)
+                load = other.placement.load(state)
+                context.loads.append((trio.current_time() - began, load))
+            nursery.cancel_scope.cancel()
+
+    trio.run(run)
+
+
+@then("the other knows of them within {within:g} s and for the next {more:g} s")
+def known_soon(context, within, more):
+    late = [load for at, load in context.loads if within <= at <= within + more]
+    assert late and set(late) == {3}, context.loads
