--- a/bench/soak.py
+++ b/bench/soak.py
@@ -414,6 +414,15 @@
         await soak.fleet.control(name, silent=False)
 
 
+@fault
+async def runner_grey(soak: Soak) -> None:
+    """A runner fails a part of its requests, and is otherwise well."""
+    name = soak.rng.choice(soak.fleet.runners)
+    await soak.fleet.control(name, fail_every=soak.rng.choice([2, 3, 5]))
+    await trio.sleep(soak.rng.uniform(1.0, 5.0))
+    await soak.fleet.control(name, fail_every=0)
+
+
 @fault
 async def runner_leaves(soak: Soak) -> None:
     """A runner drains, leaves the list, and is listed again."""
