Experiment tool: a described mix of load and faults, with figures and plots

Ruled out: a plotting library with compiled parts; pygal is plain Python and writes files that stand alone.

--- a/Makefile
+++ b/Makefile
@@ -6,7 +6,7 @@
 STAMP := $(VENV)/.installed
 RUNTIME := --constraint requirements.lock
 
-.PHONY: setup demo test lint format types generated behave bench slopes gateway-slopes soak chaos membership generate reference binary clean
+.PHONY: setup demo test lint format types generated behave bench slopes gateway-slopes experiment soak chaos membership generate reference binary clean
 
 setup: $(STAMP)
 
@@ -62,6 +62,10 @@
 gateway-slopes: setup
 	$(BIN)/python -m bench.gateway_slopes
 
+FILE ?= bench/experiments/burst-beside-batch.yaml
+experiment: setup
+	$(BIN)/python -m bench.experiment $(FILE)
+
 membership: setup
 	$(BIN)/python -m bench.membership
 
--- a/tests/features/product.feature
+++ b/tests/features/product.feature
@@ -133,3 +133,18 @@
     Given a fleet of 1 zones, each with 2 entries and 1 engines
     When a watcher at entry 2 waits while 3 changes are made at entry 1
     Then it has seen the revisions 2, 3, 4
+
+  Scenario: An experiment writes a line a request and item, its figures and plots
+    When an experiment of 3 s with a store that is away for 1 s is run
+    Then it has written requests, items, figures and 3 plots that need nothing else
+
+  Scenario Outline: An experiment with <problem> is refused before anything starts
+    When an experiment where <key> is <value> is run
+    Then it is refused and names "<named>"
+
+    Examples:
+      | problem              | key      | value                             | named    |
+      | an unknown key       | speed    | 3                                 | speed    |
+      | an unknown route     | requests | [{"route": "fast", "per_s": 1.0}] | fast     |
+      | an unknown fault     | faults   | [{"kind": "flood", "at_s": 1.0}]  | flood    |
+      | no number where due  | length_s | "long"                            | length_s |
--- a/tests/features/steps/product_steps.py
+++ b/tests/features/steps/product_steps.py
@@ -4,6 +4,7 @@
 import hashlib
 import json
 import pathlib
+import shutil
 import signal
 import subprocess
 import sys
@@ -307,3 +308,65 @@
 @then("it has seen the revisions {revisions}")
 def has_seen(context, revisions):
     assert context.seen == [int(n) for n in revisions.split(",")], context.seen
+
+
+# Experiments.
+
+EXPERIMENT = {
+    "name": "small",
+    "gateways": 2,
+    "runners": 2,
+    "length_s": 3.0,
+    "events": 10,
+    "requests": [{"route": "stream", "per_s": 10.0}],
+    "jobs": {"per_s": 1.0, "items": 3},
+    "faults": [{"kind": "store", "at_s": 1.0, "for_s": 1.0, "knobs": {"outage": True}}],
+}
+
+
+def run_experiment(context, description):
+    context.directory = pathlib.Path(tempfile.mkdtemp(prefix="coppercleat-"))
+    file = context.directory / "experiment.yaml"
+    file.write_text(yaml.safe_dump(description))
+    out = context.directory / "out"
+    command = [sys.executable, "-m", "bench.experiment", str(file), "--out", str(out)]
+    context.done = subprocess.run(command, capture_output=True, text=True, check=False)
+
+
+@when("an experiment of 3 s with a store that is away for 1 s is run")
+def whole_experiment(context):
+    run_experiment(context, EXPERIMENT)
+
+
+@when("an experiment where {key} is {value} is run")
+def wrong_experiment(context, key, value):
+    run_experiment(context, EXPERIMENT | {key: json.loads(value)})
+
+
+@then("it has written requests, items, figures and 3 plots that need nothing else")
+def experiment_written(context):
+    assert context.done.returncode == 0, context.done.stderr
+    out = context.directory / "out"
+    lines = [
+        json.loads(line) for line in (out / "small.jsonl").read_text().splitlines()
+    ]
+    whole = [line for line in lines if line.get("outcome") == "whole"]
+    assert len(whole) > 5, lines
+    items = [line for line in lines if line.get("what") == "item"]
+    assert items and {item["outcome"] for item in items} == {"completed"}, items
+    figures = {line["figure"] for line in lines if "figure" in line}
+    assert figures == {"stream", "item", "gateways' cores"}, figures
+    plots = sorted(out.glob("*.svg"))
+    assert len(plots) == 3, plots
+    for plot in plots:
+        text = plot.read_text()
+        assert "<svg" in text and "href=" not in text and "src=" not in text, plot
+    shutil.rmtree(context.directory)
+
+
+@then('it is refused and names "{named}"')
+def experiment_refused(context, named):
+    assert context.done.returncode != 0
+    assert named in context.done.stderr, context.done.stderr
+    assert not (context.directory / "out").exists()
+    shutil.rmtree(context.directory)
