--- a/bench/gateway_slopes.py
+++ b/bench/gateway_slopes.py
@@ -77,7 +77,9 @@
 def choices(upstreams: int, peers: int) -> tuple[float, float]:
     """Returns microseconds to choose for an online request and for an item."""
     made, asked = placement(upstreams, peers), route()
-    online = microseconds(lambda: made.choose_online(asked, tried=(), now=0.0))
+    online = microseconds(
+        lambda: made.choose_online(asked.targets[0].service, tried=(), now=0.0)
+    )
     batch = microseconds(lambda: made.choose_batch(asked, reserve=0, avoid=(), now=0.0))
     return online, batch
 
--- a/src/coppercleat/gateway/_gateway.py
+++ b/src/coppercleat/gateway/_gateway.py
@@ -14,6 +14,8 @@
 from coppercleat.jobs import ItemRunner, JobIndex, JobRepository, JobWorker, Sweeper
 from coppercleat.observability import part_logger
 from coppercleat.serving import (
+    Admission,
+    AdmissionQueue,
     Catalogue,
     Forwarder,
     GatewaySettings,
@@ -27,6 +29,7 @@
     RouteTable,
     UpstreamCaller,
     UpstreamState,
+    Waiting,
     Watch,
     jobs_pause_s,
 )
@@ -87,12 +90,12 @@
             rng=self.rng,
         )
         self.metrics = metrics
-        self.forwarder = Forwarder(
-            self.placement,
-            caller,
+        self.admission = Admission(
+            AdmissionQueue(self.placement, rng=self.rng),
             on_change=self._work_changed,
-            on_end=metrics.request_ended,
+            on_waiting=lambda: self.peers.work_changed(urgent=True),
         )
+        self.forwarder = Forwarder(self.admission, caller, on_end=metrics.request_ended)
         self.job_index = JobIndex(platform)
         repository = JobRepository(platform, clock=time.time, rng=self.rng)
         self.items = ItemRunner(
@@ -142,7 +145,8 @@
         self.peers.starved = self.watch.starved
         self.peers.knowledge = self.watch.knowledge
         self.peers.on_knowledge = self.watch.take_knowledge
-        self.peers.on_counts = self.items.preempt
+        self.peers.on_counts = self._counts_changed
+        self.peers.waiting = self._waiting
         self.peers.on_taken = self.worker.taken_elsewhere
         self.peers.on_handover = self.worker.handed_over
 
@@ -151,6 +155,16 @@
         if started:
             self.items.preempt()
 
+    def _counts_changed(self) -> None:
+        """Looks anew for slots, after others have told what they have in flight."""
+        self.items.preempt()
+        self.admission.look()
+        self.worker.look()
+
+    def _waiting(self) -> tuple[Waiting, ...]:
+        now = trio.current_time()
+        return (*self.admission.queue.told(now=now), *self.worker.waiting())
+
     def _isolated(self) -> bool:
         """Whether neither the store nor any other instance can be heard."""
         if self.watch.holds_lease() or not self.watch.others_known:
@@ -174,6 +188,7 @@
         async with trio.open_nursery() as nursery:
             nursery.start_soon(self.watch.run)
             nursery.start_soon(self.peers.run)
+            nursery.start_soon(self.admission.run)
             nursery.start_soon(self.worker.run)
             nursery.start_soon(self.sweeper.run)
 
--- a/src/coppercleat/jobs/_items.py
+++ b/src/coppercleat/jobs/_items.py
@@ -16,7 +16,10 @@
     EventSplitter,
     Nowhere,
     OnlineRequest,
+    Patience,
+    Place,
     Placement,
+    Rank,
     Route,
     UpstreamAnswer,
     UpstreamBrokeError,
@@ -85,24 +88,38 @@
         self._running: list[Running] = []
         self._avoided: dict[UpstreamId, float] = {}
         self._pace = ItemPace()
+        self._patience = Patience(placement.rng)
 
-    def find_slot(self, route: Route, item: ItemRun) -> UpstreamState | None:
+    def find_slot(
+        self, route: Route, item: ItemRun, *, late: bool, due_in_s: float
+    ) -> UpstreamState | None:
         """Returns an upstream with a slot for an item, None if there is none.
 
         An item that has failed gets no upstream that seems to fail: its next
-        failures may be its last.
+        failures may be its last. Slots are left to what waits before it elsewhere.
+
+        Args:
+          route: The job's route.
+          item: The item.
+          late: Whether it cannot be done in time.
+          due_in_s: Seconds until its job is due.
         """
         now = trio.current_time()
         avoid = {u for u, until in self._avoided.items() if now < until}
         if item.failures:
             avoid.update(self.placement.suspects(now))
-        state = self.placement.choose_batch(
-            route,
-            reserve=RESERVED_SLOTS,
-            avoid=avoid,
-            now=now,
-        )
-        return None if isinstance(state, Nowhere) else state
+        own = Place(Rank.BATCH_LATE if late else Rank.BATCH, now + due_in_s)
+        ahead = self.placement.order.ahead(own, now=now)
+        while True:
+            state = self.placement.choose_batch(
+                route, reserve=RESERVED_SLOTS, avoid=avoid, now=now, ahead=ahead
+            )
+            if not isinstance(state, Nowhere):
+                self._patience.reset()
+                return state
+            if not state.waits or not self._patience.overdue(now):
+                return None
+            ahead = 0
 
     def seconds_left(self, item: ItemRun) -> float:
         """Returns how long an item takes from now, if it starts at once."""
--- a/src/coppercleat/jobs/_starter.py
+++ b/src/coppercleat/jobs/_starter.py
@@ -11,7 +11,7 @@
 from coppercleat.jobs._run import JobRun
 from coppercleat.jobs._schedule import next_turns
 from coppercleat.observability import part_logger
-from coppercleat.serving import Route, RouteTable
+from coppercleat.serving import Rank, Route, RouteTable, Waiting
 
 JOBS_STALE_S = 2.0
 """With a view of the jobs older than this no item is started: the job may have ended
@@ -27,6 +27,9 @@
 
 _IDLE_TICK_S = 0.2
 
+MAX_TOLD_JOBS = 32
+"""Jobs of whose waiting items others are told, those due soonest first."""
+
 _log = part_logger("jobs")
 
 
@@ -61,6 +64,19 @@
         self.isolated = isolated
         self._wake = trio.Event()
 
+    def waiting(self) -> tuple[Waiting, ...]:
+        """Returns what waits here for a slot, to be told to others."""
+        wall = self.clock()
+        found = []
+        for run in sorted(self.runs.values(), key=lambda run: run.due_at):
+            due_in_s = run.due_at - wall
+            late = sum(self.items.seconds_left(item) > due_in_s for item in run.pending)
+            if len(run.pending) > late:
+                found.append(Waiting(Rank.BATCH, due_in_s, len(run.pending) - late))
+            if late:
+                found.append(Waiting(Rank.BATCH_LATE, due_in_s, late))
+        return tuple(found[:MAX_TOLD_JOBS])
+
     def wake(self) -> None:
         """Notes that there may be an item or a slot."""
         self._wake.set()
@@ -99,7 +115,12 @@
         for turn in turns:
             if turn.route.name in full:
                 continue
-            state = self.items.find_slot(turn.route, turn.item)
+            state = self.items.find_slot(
+                turn.route,
+                turn.item,
+                late=turn.late,
+                due_in_s=turn.run.due_at - wall,
+            )
             if state is None:
                 if not turn.late:
                     self.items.cut_late(wall)
--- a/src/coppercleat/jobs/_worker.py
+++ b/src/coppercleat/jobs/_worker.py
@@ -22,7 +22,7 @@
 from coppercleat.jobs._starter import JOBS_STALE_S, ItemStarter
 from coppercleat.observability import part_logger
 from coppercleat.routing import ranked
-from coppercleat.serving import ItemEvents, RouteTable
+from coppercleat.serving import ItemEvents, RouteTable, Waiting
 
 KEEP_EVERY_S = 1.5
 """How often the events of running items are kept on the platform: a killed instance
@@ -129,6 +129,15 @@
         now = self.clock()
         return sum(run.due_at < now for run in self.runs.values())
 
+    def waiting(self) -> tuple[Waiting, ...]:
+        """Returns what waits here for a slot, to be told to others."""
+        return self._starter.waiting() if self._may_start() else ()
+
+    def look(self) -> None:
+        """Looks for slots anew, if anything waits."""
+        if any(run.pending for run in self.runs.values()):
+            self._starter.wake()
+
     # Which jobs are ours.
 
     @property
--- a/src/coppercleat/serving/__init__.py
+++ b/src/coppercleat/serving/__init__.py
@@ -1,7 +1,22 @@
 """Serves requests that are passed on unchanged, over one fleet of upstreams."""
 
+from coppercleat.serving._admission import Admission
+from coppercleat.serving._admission_queue import (
+    RETRY_AFTER_S,
+    AdmissionQueue,
+    TooLate,
+    Waiter,
+)
+from coppercleat.serving._demand import Demand
 from coppercleat.serving._events import EventSplitter, StreamEvent
-from coppercleat.serving._forwarding import RETRY_AFTER_S, Forwarder, RequestEnd
+from coppercleat.serving._fleet_order import (
+    FleetOrder,
+    Patience,
+    Place,
+    Rank,
+    Waiting,
+)
+from coppercleat.serving._forwarding import Forwarder, RequestEnd
 from coppercleat.serving._model import (
     ClientLimits,
     Header,
@@ -38,10 +53,14 @@
 
 __all__ = [
     "RETRY_AFTER_S",
+    "Admission",
+    "AdmissionQueue",
     "AttemptEnd",
     "Catalogue",
     "ClientLimits",
+    "Demand",
     "EventSplitter",
+    "FleetOrder",
     "Forwarder",
     "GatewaySettings",
     "Header",
@@ -50,8 +69,11 @@
     "NextStep",
     "Nowhere",
     "OnlineRequest",
+    "Patience",
     "Peers",
+    "Place",
     "Placement",
+    "Rank",
     "RecentResults",
     "Refusal",
     "RefusalReason",
@@ -65,12 +87,15 @@
     "StoreRates",
     "StreamEvent",
     "Target",
+    "TooLate",
     "Upstream",
     "UpstreamAnswer",
     "UpstreamBrokeError",
     "UpstreamCaller",
     "UpstreamList",
     "UpstreamState",
+    "Waiter",
+    "Waiting",
     "Watch",
     "WorkCounts",
     "jobs_pause_s",
--- /dev/null
+++ b/src/coppercleat/serving/_admission_queue.py
@@ -0,0 +1,238 @@
+"""Where online requests wait for a slot, and which of them are refused at once.
+
+Answers the load in which online requests alone need more slots than there are, as in
+a wave of requests after half of the upstreams were lost. An upstream's own queue is
+first come, first served: there everybody waits the same while, and in a wave nearly
+all are late though the slots could have served most of them on time. Here those that
+can be on time go first, the late ones fill the gaps, and who cannot be served before
+the client gives up is told so at once.
+"""
+
+from __future__ import annotations
+
+import random
+from collections.abc import Callable, Collection
+
+import attrs
+
+from coppercleat.ids import UpstreamId
+from coppercleat.serving._fleet_order import Patience, Place, Rank, Waiting
+from coppercleat.serving._placement import Nowhere, Placement, UpstreamState
+
+MAX_WAITING = 512
+"""Requests that wait at one instance at most. It bounds memory; beyond it the wait
+would be longer than clients allow at any rate of slots seen."""
+
+MAX_TOLD = 32
+"""Waiting requests that others are told of one by one; the rest are told as one."""
+
+QUEUED_UPSTREAM = 1
+"""Late requests that may wait at an upstream itself while none here can be on time: a
+slot that the counts show as taken, of an instance that has just died, is used so."""
+
+RETRY_AFTER_S = 0.1
+"""Shortest time after which to come back: a slot of a full fleet frees in about this
+time."""
+
+LONGEST_RETRY_S = 5.0
+"""Longest time after which to come back: a wave of requests is over by then."""
+
+
+@attrs.frozen
+class TooLate:
+    """Sentinel: no slot frees before the client gives up.
+
+    Attributes:
+      reason: Why, in words.
+      retry_after_s: When to come back.
+    """
+
+    reason: str
+    retry_after_s: float
+
+
+@attrs.define(eq=False, kw_only=True)
+class Waiter:
+    """A request that waits for a slot.
+
+    Attributes:
+      service: Whose upstreams can serve it.
+      priority: Rank of its route, 0 is the most urgent.
+      on_time_by: When it must be sent at the latest to be on time.
+      serve_by: When it must be sent at the latest to be answered at all.
+      begun: Whether a part of its answer has been sent: it is not refused any more.
+      avoid: Upstreams that it must not be sent to.
+      outcome: The upstream whose slot it got, or why there is none; None while it
+        waits.
+    """
+
+    service: str
+    priority: int
+    on_time_by: float
+    serve_by: float
+    begun: bool = False
+    avoid: Collection[UpstreamId] = ()
+    outcome: UpstreamState | Nowhere | TooLate | None = None
+
+    def place(self, now: float) -> Place:
+        """Returns its place in the order of the fleet."""
+        if now <= self.on_time_by:
+            return Place(Rank.ONLINE, self.on_time_by)
+        return Place(Rank.ONLINE_LATE, self.serve_by)
+
+    def turn(self, now: float) -> tuple[int, int, float]:
+        """Returns its place among those that wait at the same instance."""
+        place = self.place(now)
+        return place.rank, self.priority, place.due_at
+
+
+class AdmissionQueue:
+    """Decides who goes next; the clock and randomness are passed in.
+
+    Attributes:
+      placement: Knows the upstreams and what is in flight there.
+      order: What waits at other instances.
+      demand: How fast requests come and how long they hold a slot.
+    """
+
+    def __init__(
+        self,
+        placement: Placement,
+        *,
+        rng: random.Random,
+    ) -> None:
+        self.placement = placement
+        self.order = placement.order
+        self.demand = placement.demand
+        self._rng = rng
+        self._patience = Patience(rng)
+        self._returns: dict[str, float] = {}
+        self._waiting: list[Waiter] = []
+
+    def __len__(self) -> int:
+        return len(self._waiting)
+
+    def enter(self, waiter: Waiter, *, now: float) -> None:
+        """Takes a request in, unless it cannot be served in time."""
+        waiter.outcome = self._too_late(waiter, now)
+        if waiter.outcome is None:
+            self._waiting.append(waiter)
+
+    def leave(self, waiter: Waiter) -> None:
+        """Drops a request whose client has gone."""
+        if waiter in self._waiting:
+            self._waiting.remove(waiter)
+
+    def settle(self, *, now: float, on_settled: Callable[[Waiter], None]) -> None:
+        """Gives slots to those whose turn it is, and up those that cannot be served.
+
+        Args:
+          now: Seconds on this instance's clock.
+          on_settled: Told of each request that has an outcome now; counts the slot.
+        """
+        still_waiting: list[Waiter] = []
+        left_open = False
+        for waiter in sorted(self._waiting, key=lambda waiter: waiter.turn(now)):
+            before = len(still_waiting)
+            waiter.outcome = self._outcome(waiter, before, now)
+            if waiter.outcome is not None:
+                on_settled(waiter)
+                continue
+            left_open = left_open or self._open(waiter, now) > before
+            still_waiting.append(waiter)
+        self._waiting = still_waiting
+        if not left_open:
+            self._patience.reset()
+
+    def told(self, *, now: float) -> tuple[Waiting, ...]:
+        """Returns what waits here, to be told to others."""
+        places = sorted(waiter.place(now) for waiter in self._waiting)
+        found = [Waiting(p.rank, p.due_at - now) for p in places[:MAX_TOLD]]
+        rest = places[MAX_TOLD:]
+        if rest:
+            found.append(Waiting(rest[0].rank, rest[0].due_at - now, len(rest)))
+        return tuple(found)
+
+    # Whose turn it is.
+
+    def _outcome(
+        self, waiter: Waiter, before: int, now: float
+    ) -> UpstreamState | Nowhere | TooLate | None:
+        """Returns what a request gets now, if ``before`` others go before it here."""
+        ahead = before + self.order.ahead(waiter.place(now), now=now)
+        slots = self._open(waiter, now)
+        if ahead < slots:
+            return self._slot(waiter, ahead, now)
+        if before < slots and self._patience.overdue(now):
+            self._patience.reset()
+            return self._slot(waiter, self._rng.randrange(slots), now)
+        chosen = self.placement.choose_online(
+            waiter.service, tried=waiter.avoid, now=now
+        )
+        if isinstance(chosen, Nowhere):
+            return chosen
+        if now > waiter.serve_by:
+            return TooLate("no slot came free in time", RETRY_AFTER_S)
+        if ahead == 0 and now > waiter.on_time_by and self._may_queue(chosen, now):
+            return chosen
+        return None
+
+    def _may_queue(self, state: UpstreamState, now: float) -> bool:
+        """Returns whether a late request may wait at an upstream itself."""
+        queued = -self.placement.online_slots(state)
+        return queued < QUEUED_UPSTREAM and now >= state.full_until
+
+    def _slot(self, waiter: Waiter, number: int, now: float) -> UpstreamState:
+        if number == 0:
+            chosen = self.placement.choose_online(
+                waiter.service, tried=waiter.avoid, now=now
+            )
+            if isinstance(chosen, UpstreamState) and now >= chosen.full_until:
+                return chosen
+        return self.placement.choose_open_slot(
+            waiter.service, number, avoid=waiter.avoid, now=now
+        )
+
+    def _open(self, waiter: Waiter, now: float) -> int:
+        return self.placement.open_slots(waiter.service, avoid=waiter.avoid, now=now)
+
+    # Who is refused.
+
+    def _too_late(self, waiter: Waiter, now: float) -> TooLate | None:
+        """Judges a new request by the rate at which slots come free."""
+        if len(self._waiting) >= MAX_WAITING:
+            return TooLate("too many requests wait here", LONGEST_RETRY_S)
+        total = self.placement.total_slots(waiter.service, now=now)
+        missing = 1 + self._ahead(waiter.place(now), now) - self._open(waiter, now)
+        if missing <= 0 or not total or waiter.begun:
+            return None
+        rate = total / self.demand.of(waiter.service).service_s
+        if now + missing / rate <= waiter.on_time_by:
+            return None
+        # It will be late, and those on time go before it.
+        last = 1 + self._ahead(Place(Rank.ONLINE_LATE, waiter.serve_by), now)
+        spare = rate - self.demand.fleet_rate(waiter.service, now=now)
+        if spare > 0 and now + last / spare <= waiter.serve_by:
+            return None
+        wait_s = self._return_in_s(waiter.service, rate, missing / rate, now)
+        return TooLate("no slot comes free in time", wait_s)
+
+    def _ahead(self, place: Place, now: float) -> int:
+        own = sum(waiter.place(now) < place for waiter in self._waiting)
+        return own + self.order.ahead(place, now=now)
+
+    def _return_in_s(
+        self, service: str, rate: float, wait_s: float, now: float
+    ) -> float:
+        """Returns when to come back, so that returns come as fast as slots free.
+
+        Each refused request gets the next of the moments at which slots come free for
+        this instance's share of all requests, after those that wait now.
+        """
+        own = self.demand.of(service).rate(now=now)
+        share = own / max(own, self.demand.fleet_rate(service, now=now), 1e-9)
+        gap_s = 1 / max(rate * share, 1e-9)
+        last = self._returns.get(service, now)
+        at = max(last, now + wait_s) + gap_s * self._rng.uniform(0.5, 1.5)
+        self._returns[service] = min(at, now + LONGEST_RETRY_S)
+        return max(RETRY_AFTER_S, self._returns[service] - now)
--- /dev/null
+++ b/src/coppercleat/serving/_demand.py
@@ -0,0 +1,80 @@
+"""How fast online requests of a service come, and how long each holds a slot."""
+
+from __future__ import annotations
+
+import math
+from collections.abc import Mapping
+
+import attrs
+
+from coppercleat.ids import InstanceId
+
+RATE_OVER_S = 2.0
+"""Time constant of the rate of arrivals: short enough to see a wave of some seconds,
+long enough that a few requests a second show a rate."""
+
+_FIRST_SERVICE_S = 1.0
+_FIRST_LEAD_S = 0.05
+"""Guesses until requests have ended: in a slot, and from sending to the first part."""
+
+_SMOOTHING = 0.05
+"""Weight of the newest request; some twenty decide."""
+
+
+@attrs.define
+class ServiceDemand:
+    """Smoothed figures of one service at this instance; the clock is passed in.
+
+    Attributes:
+      service_s: Seconds for which a request holds a slot.
+      lead_s: Seconds from sending a request to the first part of its answer.
+    """
+
+    service_s: float = _FIRST_SERVICE_S
+    lead_s: float = _FIRST_LEAD_S
+    _rate: float = 0.0
+    _arrived_at: float = 0.0
+
+    def arrived(self, *, now: float) -> None:
+        """Takes the arrival of a request."""
+        self._rate = self.rate(now=now) + 1 / RATE_OVER_S
+        self._arrived_at = now
+
+    def answered(self, *, lead_s: float, service_s: float) -> None:
+        """Takes a request that was answered in full."""
+        self.lead_s += _SMOOTHING * (lead_s - self.lead_s)
+        self.service_s += _SMOOTHING * (service_s - self.service_s)
+
+    def rate(self, *, now: float) -> float:
+        """Returns requests a second that arrive here."""
+        passed_s = max(0.0, now - self._arrived_at)
+        return self._rate * math.exp(-passed_s / RATE_OVER_S)
+
+
+class Demand:
+    """Figures of all services, and the rates that other instances tell."""
+
+    def __init__(self) -> None:
+        self._own: dict[str, ServiceDemand] = {}
+        self._told: dict[InstanceId, Mapping[str, float]] = {}
+
+    def of(self, service: str) -> ServiceDemand:
+        """Returns the figures of a service at this instance."""
+        return self._own.setdefault(service, ServiceDemand())
+
+    def own_rates(self, *, now: float) -> dict[str, float]:
+        """Returns the rates of arrival here, to be told to others."""
+        return {s: round(figures.rate(now=now), 2) for s, figures in self._own.items()}
+
+    def fleet_rate(self, service: str, *, now: float) -> float:
+        """Returns requests a second that arrive here and at all that have told."""
+        told = sum(rates.get(service, 0.0) for rates in self._told.values())
+        return told + self.of(service).rate(now=now)
+
+    def observe(self, teller: InstanceId, rates: Mapping[str, float]) -> None:
+        """Takes the rates that another instance tells."""
+        self._told[teller] = rates
+
+    def forget(self, teller: InstanceId) -> None:
+        """Drops what an instance has told."""
+        self._told.pop(teller, None)
--- a/src/coppercleat/serving/_forwarding.py
+++ b/src/coppercleat/serving/_forwarding.py
@@ -2,14 +2,15 @@
 
 from __future__ import annotations
 
-import contextlib
-from collections.abc import Callable, Iterator
+from collections.abc import Callable
 
 import attrs
 import trio
 
 from coppercleat.ids import UpstreamId
 from coppercleat.observability import part_logger
+from coppercleat.serving._admission import Admission
+from coppercleat.serving._admission_queue import RETRY_AFTER_S, TooLate, Waiter
 from coppercleat.serving._events import EventSplitter, StreamEvent
 from coppercleat.serving._model import (
     Header,
@@ -20,7 +21,7 @@
     Route,
     RouteKind,
 )
-from coppercleat.serving._placement import Nowhere, Placement, UpstreamState
+from coppercleat.serving._placement import FULL_S, Nowhere, UpstreamState
 from coppercleat.serving._progress import AttemptEnd, NextStep, RequestProgress
 from coppercleat.serving._upstream_call import (
     UpstreamAnswer,
@@ -29,8 +30,8 @@
 )
 from coppercleat.upstreams import Attempt, AttemptState
 
-RETRY_AFTER_S = 0.1
-"""When a client may come back: a slot of a full fleet frees in about this time."""
+NOWHERE_RETRY_S = 0.5
+"""When to come back if no upstream is left: the list of them is read as often."""
 
 FIRST_EVENT_STALL_S = 0.8
 FIRST_EVENT_STALL_TARGETS = 2.5
@@ -78,8 +79,11 @@
     """One request on its way.
 
     Attributes:
+      refused_by: The upstream that refused last; it gets one more chance.
       heard_at: When the attempt began or its last event came, in trio's time.
+      sent_at: When the attempt began, in trio's time.
       status: Of the attempt's answer; 0 before one.
+      retry_after_s: When to come back, if it is refused as not run.
     """
 
     request: OnlineRequest
@@ -89,11 +93,14 @@
     ends_at: float
     tried: set[UpstreamId] = attrs.field(factory=set)
     upstream: str = ""
+    refused_by: str = ""
     reason: str = ""
     arrived_at: float = 0.0
     first_at: float = 0.0
     heard_at: float = 0.0
+    sent_at: float = 0.0
     status: int = 0
+    retry_after_s: float = RETRY_AFTER_S
 
 
 class Forwarder:
@@ -101,23 +108,21 @@
 
     def __init__(
         self,
-        placement: Placement,
+        admission: Admission,
         caller: UpstreamCaller,
         *,
-        on_change: Callable[[UpstreamState, bool], None],
         on_end: Callable[[RequestEnd], None],
     ) -> None:
         """Prepares the forwarder.
 
         Args:
-          placement: Chooses upstreams and counts what is in flight.
+          admission: Gives requests their slots.
           caller: Reaches upstreams.
-          on_change: Told of each request that starts (True) or ends (False).
           on_end: Told how each request ended.
         """
-        self.placement = placement
+        self.admission = admission
+        self.placement = admission.queue.placement
         self.caller = caller
-        self.on_change = on_change
         self.on_end = on_end
 
     async def forward(
@@ -130,6 +135,8 @@
             request, route, reply, RequestProgress(route), ends_at, arrived_at=now
         )
         exchange.progress.last_event = request.resume_after
+        for target in route.targets:
+            self.placement.demand.of(target.service).arrived(now=now)
         step = NextStep.ABORT
         timed_out = False
         try:
@@ -145,31 +152,48 @@
 
     async def _attempts(self, exchange: _Exchange) -> NextStep:
         while True:
-            now = trio.current_time()
-            chosen = self.placement.choose_online(
-                exchange.route, tried=exchange.tried, now=now
-            )
-            if isinstance(chosen, Nowhere):
-                exchange.reason = chosen.reason
-                return exchange.progress.give_up()
-            exchange.tried.add(chosen.id)
-            end = await self._attempt(exchange, chosen)
+            async with self.admission.slot(self._waiter(exchange)) as slot:
+                if not isinstance(slot, UpstreamState):
+                    exchange.reason = slot.reason
+                    exchange.retry_after_s = _retry_after_s(slot)
+                    return exchange.progress.give_up()
+                end = await self._attempt(exchange, slot)
             step = exchange.progress.after(end)
             if step not in (NextStep.TRY_ELSEWHERE, NextStep.RESUME_ELSEWHERE):
                 return step
             _log.info(
                 "Going elsewhere.",
                 request=exchange.request.request_id,
-                upstream=chosen.id,
+                upstream=exchange.upstream,
                 ended=end.value,
                 reason=exchange.reason,
                 last_event=exchange.progress.last_event,
             )
 
+    def _waiter(self, exchange: _Exchange) -> Waiter:
+        """Returns the request as the queue for slots sees it."""
+        route = exchange.route
+        service = self.placement.draw_service(route.targets)
+        demand = self.placement.demand.of(service)
+        # A stream is on time by its first event and then by each pause between them.
+        due_at = exchange.arrived_at + route.target_latency_s
+        if exchange.progress.started:
+            due_at = exchange.heard_at + route.gap_target_s
+        streams = route.kind is RouteKind.STREAM
+        return Waiter(
+            service=service,
+            priority=route.priority,
+            on_time_by=due_at - (demand.lead_s if streams else demand.service_s),
+            serve_by=exchange.ends_at - demand.service_s,
+            begun=exchange.progress.started,
+            avoid=exchange.tried,
+        )
+
     async def _attempt(self, exchange: _Exchange, state: UpstreamState) -> AttemptEnd:
         attempt = Attempt()
         exchange.upstream = state.id
-        exchange.heard_at = trio.current_time()
+        exchange.tried.add(state.id)
+        exchange.heard_at = exchange.sent_at = trio.current_time()
         exchange.status = 0
         try:
             end = await self._attempt_until_stall(exchange, state, attempt)
@@ -202,7 +226,7 @@
         if route.kind is RouteKind.STREAM and exchange.progress.may_move:
             stall.deadline = trio.current_time() + _first_patience_s(route)
         end = AttemptEnd.LOST
-        with self._counted(state), stall:
+        with stall:
             try:
                 async with self.caller.exchange(
                     state.upstream,
@@ -235,6 +259,10 @@
             return AttemptEnd.NOT_RUN
         if answer.refused:
             exchange.reason = f"the upstream refused with {answer.status}"
+            state.full_until = trio.current_time() + FULL_S
+            if exchange.refused_by != state.id:
+                exchange.refused_by = state.id
+                exchange.tried.discard(state.id)
             return AttemptEnd.NOT_RUN
         if answer.status in _PROMISES:
             exchange.reason = f"{answer.status} does not say whether it was run"
@@ -311,6 +339,7 @@
             state.failed(now)
         elif end is AttemptEnd.COMPLETE and exchange.status < _SERVER_ERROR:
             state.succeeded(now)
+            self._observe(exchange, state, now)
         elif end is AttemptEnd.COMPLETE and exchange.status != _GATEWAY_TIMEOUT:
             state.failed(now)
 
@@ -327,17 +356,13 @@
         if streams and silent_s > patience_s(exchange.route):
             state.failed(now)
 
-    @contextlib.contextmanager
-    def _counted(self, state: UpstreamState) -> Iterator[None]:
-        state.online += 1
-        state.health.started()
-        self.on_change(state, True)
-        try:
-            yield
-        finally:
-            state.online -= 1
-            state.health.abandoned()
-            self.on_change(state, False)
+    def _observe(self, exchange: _Exchange, state: UpstreamState, now: float) -> None:
+        """Notes how long a whole answer by one upstream took."""
+        if exchange.first_at >= exchange.sent_at:
+            self.placement.demand.of(state.upstream.service).answered(
+                lead_s=exchange.first_at - exchange.sent_at,
+                service_s=now - exchange.sent_at,
+            )
 
     def _explain(self, exchange: _Exchange, step: NextStep, *, timed_out: bool) -> None:
         """Logs how a request ended, with what decided it."""
@@ -383,6 +408,10 @@
     return max(GAP_STALL_S, GAP_STALL_TARGETS * route.gap_target_s)
 
 
+def _retry_after_s(slot: Nowhere | TooLate) -> float:
+    return slot.retry_after_s if isinstance(slot, TooLate) else NOWHERE_RETRY_S
+
+
 def _ms(seconds: float) -> int:
     return max(0, round(seconds * 1000))
 
@@ -429,7 +458,7 @@
             Refusal(
                 reason=RefusalReason.NOT_RUN,
                 detail=exchange.reason or "no upstream took the request",
-                retry_after_s=RETRY_AFTER_S,
+                retry_after_s=exchange.retry_after_s,
             )
         )
     elif step is NextStep.ANSWER_BROKEN:
--- a/src/coppercleat/serving/_peers.py
+++ b/src/coppercleat/serving/_peers.py
@@ -18,6 +18,7 @@
     NotHeard,
 )
 from coppercleat.observability import part_logger
+from coppercleat.serving._fleet_order import Waiting
 from coppercleat.serving._model import RouteConfig, Upstream
 from coppercleat.serving._node import GatewaySettings
 from coppercleat.serving._placement import AttemptResults, Placement
@@ -51,9 +52,15 @@
 
 
 class WorkInFlight(msgspec.Struct, frozen=True, tag="work", array_like=True):
-    """All that the sender has in flight; replaces what it told before."""
+    """All that the sender has in flight or waiting; replaces what it told before.
+
+    Attributes:
+      rates: Online requests a second that arrive at the sender, by service.
+    """
 
     counts: tuple[InFlight, ...]
+    waiting: tuple[Waiting, ...] = ()
+    rates: dict[str, float] = {}
 
 
 class ZoneWork(msgspec.Struct, frozen=True, tag="zone", array_like=True):
@@ -139,6 +146,7 @@
       messenger: Sends to them and receives.
       knowledge: Returns what this instance would tell an asker.
       on_knowledge: Told what a peer knows.
+      waiting: Returns what waits for a slot at this instance.
       on_counts: Told when a peer's work in flight has changed.
       on_taken: Told of a job that a peer has taken over; returns what this instance
         had made of it.
@@ -171,6 +179,7 @@
         self.knowledge: Callable[[int], Knowledge | None] = lambda after: None
         self.on_knowledge: Callable[[Knowledge], None] = lambda knowledge: None
         self.on_counts: Callable[[], None] = lambda: None
+        self.waiting: Callable[[], tuple[Waiting, ...]] = tuple
         self.on_taken: Callable[[JobId], list[ItemEvents]] = lambda job: []
         self.on_handover: Callable[[JobId, list[ItemEvents]], None] = (
             lambda job, items: None
@@ -204,11 +213,21 @@
             nursery.start_soon(self._tell_far_forever)
 
     def work_changed(self, *, urgent: bool) -> None:
-        """Notes that work in flight has changed; starts are urgent, ends are not."""
+        """Notes that work in flight or waiting has changed.
+
+        Starts are urgent: others would take the same slot. So are ends while something
+        waits for the slot, here or elsewhere, in a fleet that is small enough.
+        """
         self._changed.set()
-        if urgent:
+        if urgent or (self._tells_all() and self._scarce()):
             self._urgent.set()
 
+    def _scarce(self) -> bool:
+        return bool(self.placement.order) or bool(self.waiting())
+
+    def _tells_all(self) -> bool:
+        return len(self.placement.peers.tellers()) <= _TELL_ALL
+
     def job_taken(self, job: JobId) -> None:
         """Tells all others that this instance has taken a job over."""
         for instance in self.others():
@@ -250,6 +269,8 @@
 
     def _forget_peer(self, peer: InstanceId) -> None:
         self.placement.peers.forget(peer)
+        self.placement.order.forget(peer)
+        self.placement.demand.forget(peer)
         self._counts_at.pop(peer, None)
 
     def _tells_as_one(self, zone: ZoneId | None, now: float) -> bool:
@@ -289,7 +310,11 @@
             self._tell_work(self._near(self.others()))
 
     def _tell_work(self, instances: Iterable[InstanceId]) -> None:
-        work = WorkInFlight(tuple(self.placement.own()))
+        work = WorkInFlight(
+            tuple(self.placement.own()),
+            self.waiting(),
+            self.placement.demand.own_rates(now=trio.current_time()),
+        )
         for instance in instances:
             self.messenger.send(instance, work)
 
@@ -350,6 +375,8 @@
             return
         self._counts_at[sender] = now
         self.placement.peers.observe(sender, work.counts)
+        self.placement.order.observe(sender, work.waiting, now=now)
+        self.placement.demand.observe(sender, work.rates)
         self.on_counts()
 
     @_handlers.handles(ZoneWork)
--- a/src/coppercleat/serving/_placement.py
+++ b/src/coppercleat/serving/_placement.py
@@ -10,6 +10,8 @@
 
 from coppercleat.ids import InstanceId, UpstreamId, ZoneId
 from coppercleat.routing import Health
+from coppercleat.serving._demand import Demand
+from coppercleat.serving._fleet_order import FleetOrder
 from coppercleat.serving._model import Route, Target, Upstream
 from coppercleat.serving._results import RecentResults
 from coppercleat.serving._work_counts import InFlight, WorkCounts
@@ -34,6 +36,10 @@
 the 0.1 s of a connection that is not made; after a zone was cut off for some seconds,
 longer pauses would leave its upstreams idle for as long again."""
 
+FULL_S = 0.1
+"""An upstream that refused as full gets no online request for so long: a slot of a
+full one frees in about this time, and asking again before costs a connection."""
+
 SUSPECT_LOAD = 8.0
 """Load by which an upstream that seems to fail a part of its requests is taken to be
 fuller than it is, in requests of eight slots: batch uses it last."""
@@ -62,9 +68,11 @@
 
     Attributes:
       reason: Why, in words.
+      waits: Whether one could, but others that wait go before.
     """
 
     reason: str
+    waits: bool = False
 
 
 @attrs.define(eq=False)
@@ -77,6 +85,7 @@
       gone: Whether it has been found to have left, before the list shows it.
       health: Ejects it while it fails throughout.
       results: Tells whether it fails a part of its requests.
+      full_until: Until when it is taken as full, since it has said so.
     """
 
     upstream: Upstream
@@ -85,6 +94,7 @@
     online: int = 0
     batch: int = 0
     gone: bool = False
+    full_until: float = float("-inf")
 
     @property
     def id(self) -> UpstreamId:
@@ -111,14 +121,18 @@
       states: By upstream id.
       peers: Work in flight of instances that are told of one by one.
       zones: Work in flight of whole other availability zones, in a large fleet.
+      order: What waits for a slot at other instances.
+      demand: How fast online requests come.
     """
 
     def __init__(self, zone: ZoneId, *, rng: random.Random) -> None:
         self.zone = zone
         self.states: dict[UpstreamId, UpstreamState] = {}
-        self._rng = rng
+        self.rng = rng
         self.peers: WorkCounts[InstanceId] = WorkCounts()
         self.zones: WorkCounts[ZoneId] = WorkCounts()
+        self.order = FleetOrder()
+        self.demand = Demand()
 
     # What is known.
 
@@ -184,27 +198,70 @@
         """Returns slots that nobody is known to use; negative if overfull."""
         return state.upstream.slots - self.load(state)
 
+    def online_slots(self, state: UpstreamState) -> int:
+        """Returns slots that online requests do not hold; batch gives them up."""
+        told = self.peers.online(state.id) + self.zones.online(state.id)
+        return state.upstream.slots - state.online - told
+
     # Decisions.
 
     def choose_online(
-        self, route: Route, *, tried: Collection[UpstreamId], now: float
+        self, service: str, *, tried: Collection[UpstreamId], now: float
     ) -> UpstreamState | Nowhere:
         """Chooses for an online request: a free slot, else one that batch gives up.
 
         Args:
-          route: The request's route.
+          service: The service that takes the request.
           tried: Upstreams not to be tried again.
           now: Seconds on this instance's clock.
         """
-        service = self._service(route.targets)
-        serving = [s for s in self._usable(service) if s.id not in tried]
+        serving = self._online_candidates(service, tried, now)
         if not serving:
             return Nowhere(f"no upstream serves {service}")
-        healthy = [s for s in serving if s.health.may_try(now)] or serving
-        return min(healthy, key=lambda state: self._online_cost(state, now))
+        return min(serving, key=lambda state: self._online_cost(state, now))
+
+    def open_slots(
+        self, service: str, *, avoid: Collection[UpstreamId], now: float
+    ) -> int:
+        """Returns how many slots online requests could take now.
+
+        Args:
+          service: The service that takes the request.
+          avoid: Upstreams not to be counted.
+          now: Seconds on this instance's clock.
+        """
+        serving = self._online_candidates(service, avoid, now)
+        return sum(self._open_slots(state, now) for state in serving)
+
+    def choose_open_slot(
+        self, service: str, number: int, *, avoid: Collection[UpstreamId], now: float
+    ) -> UpstreamState:
+        """Returns the upstream of the open slot with a number, from 0.
+
+        Instances that see the same counts number the slots alike, so that requests of
+        different instances take different ones.
+        """
+        slots = [
+            (k, state.id, state)
+            for state in self._online_candidates(service, avoid, now)
+            for k in range(self._open_slots(state, now))
+        ]
+        slots.sort(key=lambda slot: slot[:2])
+        return slots[number][2]
+
+    def total_slots(self, service: str, *, now: float) -> int:
+        """Returns the slots of all upstreams of a service that may be tried."""
+        serving = self._online_candidates(service, (), now)
+        return sum(state.upstream.slots for state in serving)
 
     def choose_batch(
-        self, route: Route, *, reserve: int, avoid: Collection[UpstreamId], now: float
+        self,
+        route: Route,
+        *,
+        reserve: int,
+        avoid: Collection[UpstreamId],
+        now: float,
+        ahead: int = 0,
     ) -> UpstreamState | Nowhere:
         """Chooses for a batch item: an upstream with more free slots than a reserve.
 
@@ -213,18 +270,23 @@
           reserve: Slots at each upstream that are kept for online requests.
           avoid: Upstreams not to be used now.
           now: Seconds on this instance's clock.
+          ahead: How many others wait for a slot before the item.
         """
-        service = self._service(route.targets)
-        free = [
-            state
+        service = self.draw_service(route.targets)
+        free = {
+            state.id: self.free_slots(state) - reserve - self._far_reserve(state)
             for state in self._usable(service)
             if state.id not in avoid
-            and self.free_slots(state) > reserve + self._far_reserve(state)
             and state.health.may_try(now)
-        ]
+            and now >= state.full_until
+        }
+        free = {upstream: slots for upstream, slots in free.items() if slots > 0}
         if not free:
             return Nowhere(f"no slot is free at {service}")
-        return min(free, key=lambda state: self._batch_cost(state, now))
+        if sum(free.values()) <= ahead:
+            return Nowhere(f"{ahead} wait before at {service}", waits=True)
+        states = [self.states[upstream] for upstream in free]
+        return min(states, key=lambda state: self._batch_cost(state, now))
 
     def cuts_next(self, state: UpstreamState, instance: InstanceId) -> bool:
         """Returns whether this instance is the one to cut an item at an upstream.
@@ -248,14 +310,26 @@
             if not state.upstream.draining:
                 yield state
 
-    def _service(self, targets: tuple[Target, ...]) -> str:
+    def _online_candidates(
+        self, service: str, avoid: Collection[UpstreamId], now: float
+    ) -> list[UpstreamState]:
+        """Returns upstreams that may be tried; all of them if none may."""
+        serving = [s for s in self._usable(service) if s.id not in avoid]
+        return [s for s in serving if s.health.may_try(now)] or serving
+
+    def _open_slots(self, state: UpstreamState, now: float) -> int:
+        if now < state.full_until:
+            return 0
+        return max(0, self.online_slots(state))
+
+    def draw_service(self, targets: tuple[Target, ...]) -> str:
         """Draws one of a route's services by weight."""
         if len(targets) == 1:
             return targets[0].service
         weights = [target.weight for target in targets]
         if not any(weights):
             return targets[0].service
-        return self._rng.choices(targets, weights)[0].service
+        return self.rng.choices(targets, weights)[0].service
 
     def _online_cost(self, state: UpstreamState, now: float) -> tuple[int, float]:
         """Returns how soon a slot is there, then how full the upstream is."""
@@ -277,7 +351,7 @@
 
     def _load_cost(self, state: UpstreamState) -> float:
         cost = self.load(state) / max(1, state.upstream.slots) * 8
-        cost += self._rng.random() * TIE_LOAD
+        cost += self.rng.random() * TIE_LOAD
         if self._told_late(state):
             cost += LARGE_FLEET_ZONE_LOAD
         elif state.upstream.zone != self.zone:
--- /dev/null
+++ b/tests/features/overload.feature
@@ -0,0 +1,68 @@
+Feature: Online requests that need more slots than there are
+
+  Scenario Outline: Waves of <wave> requests a second before <upstreams> upstreams
+    Given <instances> instances before <upstreams> upstreams of 8 slots
+    When <calm> requests a second come, and <wave> in waves, for 29 s
+    Then <on_time> in 100 are on time, where one queue gives <one_queue> at most
+    And <refused> in 100 are refused at most, and <dropped> held and then dropped
+    And <queued> in 100 meet a queue at an upstream at most
+
+    Examples: waves of 2.4 s each 5.8 s, a request holds its slot for 0.8 s, 0.3 s are on time
+      | instances | upstreams | calm | wave | on_time | one_queue | refused | dropped | queued |
+      | 10        | 5         | 8    | 38   | 99      | 100       | 0       | 0       | 0      |
+      | 10        | 4         | 8    | 44   | 92      | 92        | 3       | 0       | 5      |
+      | 10        | 3         | 8    | 38   | 80      | 70        | 8       | 0       | 9      |
+      | 10        | 2         | 8    | 38   | 60      | 20        | 25      | 0       | 12     |
+      | 10        | 1         | 6    | 28   | 42      | 12        | 50      | 0       | 9      |
+      | 3         | 1         | 2    | 20   | 42      | 20        | 38      | 0       | 18     |
+
+  Scenario: Those sent away come back as fast as slots come free
+    Given 10 instances before 2 upstreams of 8 slots
+    When 8 requests a second come, and 38 in waves, for 29 s
+    Then those refused are told to come back after 0.1 to 5 s
+
+  Scenario: Instances that do not hear each other hold nothing to drop it
+    Given 10 instances before 3 upstreams of 8 slots
+    When the same come to instances that do not hear each other
+    Then 0 in 100 are refused at most, and 0 held and then dropped
+
+  Scenario Outline: <slots> free slots for <waiters> at <now> s
+    Then of <waiters> at <now> s, <slots> free slots go to <order>
+
+    Examples: name:on time if sent by:answered if sent by:priority; 8 slots, one upstream, at which one late request may wait
+      | waiters                       | now | slots | order  |
+      | a:0.2:4 b:0.3:4               | 0   | 1     | a      |
+      | a:0.2:4 b:0.3:4               | 0.1 | 2     | a b    |
+      | a:0.2:4 b:0.3:4               | 0.25 | 1    | b a    |
+      | a:0.2:4 b:0.3:4               | 0.25 | 2    | b a    |
+      | a:0.2:4 b:0.1:3               | 0.5 | 1     | b a    |
+      | a:0.2:4:1 b:0.3:4:0           | 0   | 1     | b      |
+      | a:0.2:4 b:0.3:4               | 0   | 0     | nobody |
+
+  Scenario Outline: What goes first where <others> wait elsewhere
+    Then beside <others> elsewhere, one that is due in <due> s has <ahead> before it
+
+    Examples: rank:due in s:count
+      | others                        | due | ahead |
+      | ONLINE:0.1:1                  | 0.2 | 1     |
+      | ONLINE:0.3:1                  | 0.2 | 0     |
+      | ONLINE:0.1:1 ONLINE:0.15:2    | 0.2 | 3     |
+      | ONLINE:-0.1:1                 | 0.2 | 0     |
+      | ONLINE_LATE:0.1:5             | 0.2 | 0     |
+      | BATCH:0.1:5                   | 0.2 | 0     |
+
+  Scenario: Others that do not take their slot
+    Then an open slot that is left to others is taken after 0.06 to 0.13 s
+
+  Scenario Outline: A new request with <state>
+    Then with <state> a new request ends <outcome> at once
+
+    Examples:
+      | state                                          | outcome |
+      | a free slot                                    | served  |
+      | no upstream                                    | nowhere |
+      | an ejected upstream alone                      | served  |
+      | no free slot                                   | waiting |
+      | no free slot and a short deadline              | refused |
+      | no free slot and thousands before it           | refused |
+      | no free slot and its answer begun              | waiting |
--- /dev/null
+++ b/tests/features/steps/online_load_steps.py
@@ -0,0 +1,306 @@
+"""Steps that play waves of online requests against the queue for slots."""
+
+import random
+
+import attrs
+from behave import given, then, when
+
+from coppercleat.ids import InstanceId, UpstreamId, ZoneId
+from coppercleat.serving import (
+    AdmissionQueue,
+    FleetOrder,
+    InFlight,
+    Nowhere,
+    Patience,
+    Place,
+    Placement,
+    Rank,
+    TooLate,
+    Upstream,
+    UpstreamState,
+    Waiter,
+    Waiting,
+)
+
+TICK_S = 0.01
+SERVICE_S = 0.8
+ALLOWED_S = 5.0
+TARGET_S = 0.3
+LEAD_S = 0.05
+
+
+def upstreams(count, slots=8):
+    return [
+        Upstream(
+            id=UpstreamId(f"u{number}"),
+            service="menus",
+            address=f"10.0.0.1:{number}",
+            zone=ZoneId("a"),
+            slots=slots,
+        )
+        for number in range(count)
+    ]
+
+
+@attrs.define
+class Played:
+    """How requests ended in a play."""
+
+    arrived: int = 0
+    on_time: int = 0
+    late: int = 0
+    refused: int = 0
+    dropped: int = 0
+    queued_upstream: int = 0
+    retry_after: list = attrs.field(factory=list)
+
+
+class Fleet:
+    """Instances that tell each other once in a tick, before the same upstreams."""
+
+    def __init__(self, instances, upstream_count, *, seed=1, telling=True):
+        self.telling = telling
+        self.rng = random.Random(seed)
+        self.queues = []
+        for number in range(instances):
+            placement = Placement(ZoneId("a"), rng=random.Random(seed * 100 + number))
+            placement.replace(upstreams(upstream_count))
+            self.queues.append(AdmissionQueue(placement, rng=placement.rng))
+        self.held = []
+        self.played = Played()
+        self.slots = 8 * upstream_count
+
+    def play(self, rate_at, seconds):
+        for step in range(int(seconds / TICK_S)):
+            now = step * TICK_S
+            self._end(now)
+            if self.telling:
+                self._tell(now)
+            for _ in range(self._arrivals(rate_at(now))):
+                self._arrive(self.rng.choice(self.queues), now)
+            for queue in self.queues:
+                queue.settle(now=now, on_settled=lambda w, n=now: self._settled(w, n))
+        return self.played
+
+    def _arrivals(self, rate):
+        whole, part = divmod(rate * TICK_S, 1)
+        return int(whole) + (self.rng.random() < part)
+
+    def _arrive(self, queue, now):
+        self.played.arrived += 1
+        demand = queue.demand.of("menus")
+        demand.arrived(now=now)
+        demand.service_s, demand.lead_s = SERVICE_S, LEAD_S
+        waiter = Waiter(
+            service="menus",
+            priority=0,
+            on_time_by=now + TARGET_S - LEAD_S,
+            serve_by=now + ALLOWED_S - SERVICE_S,
+        )
+        queue.enter(waiter, now=now)
+        if isinstance(waiter.outcome, TooLate):
+            self.played.refused += 1
+            self.played.retry_after.append(waiter.outcome.retry_after_s)
+
+    def _settled(self, waiter, now):
+        if not isinstance(waiter.outcome, UpstreamState):
+            self.played.dropped += 1
+            return
+        state = waiter.outcome
+        at_upstream = [h for h in self.held if h[1].id == state.id]
+        starts_at = now
+        if len(at_upstream) >= state.upstream.slots:
+            # The upstream's own queue: it begins when enough others have ended.
+            ends = sorted(h[0] for h in at_upstream)
+            starts_at = ends[len(at_upstream) - state.upstream.slots]
+            self.played.queued_upstream += 1
+        state.online += 1
+        self.held.append((starts_at + SERVICE_S, state))
+        if starts_at <= waiter.on_time_by:
+            self.played.on_time += 1
+        else:
+            self.played.late += 1
+
+    def _end(self, now):
+        for ends_at, state in self.held:
+            if ends_at <= now:
+                state.online -= 1
+        self.held = [h for h in self.held if h[0] > now]
+
+    def _tell(self, now):
+        for number, teller in enumerate(self.queues):
+            name = InstanceId(f"i{number}")
+            counts = [
+                InFlight(s.id, s.online, 0) for s in teller.placement.states.values()
+            ]
+            for queue in self.queues:
+                if queue is teller:
+                    continue
+                queue.placement.peers.observe(name, counts)
+                queue.order.observe(name, teller.told(now=now), now=now)
+                queue.demand.observe(name, teller.demand.own_rates(now=now))
+
+
+def waves(calm, wave, *, period_s=5.8, wave_s=2.4):
+    def rate_at(now):
+        return wave if now % period_s >= period_s - wave_s else calm
+
+    return rate_at
+
+
+def one_queue(rate_at, slots, seconds, *, seed=1):
+    """Returns how many are on time where all wait in one queue, first come first."""
+    rng, busy, on_time, arrived = random.Random(seed), [], 0, 0
+    for step in range(int(seconds / TICK_S)):
+        now = step * TICK_S
+        whole, part = divmod(rate_at(now) * TICK_S, 1)
+        for _ in range(int(whole) + (rng.random() < part)):
+            arrived += 1
+            busy = sorted(end for end in busy if end > now)
+            starts_at = now if len(busy) < slots else busy[len(busy) - slots]
+            on_time += starts_at <= now + TARGET_S - LEAD_S
+            busy.append(starts_at + SERVICE_S)
+    return on_time, arrived
+
+
+@given("{instances:d} instances before {count:d} upstreams of 8 slots")
+def fleet_given(context, instances, count):
+    context.fleet_size = (instances, count)
+
+
+@when("{calm:g} requests a second come, and {wave:g} in waves, for {seconds:d} s")
+def waves_come(context, calm, wave, seconds):
+    instances, count = context.fleet_size
+    rate_at = waves(calm, wave)
+    context.played = Fleet(instances, count).play(rate_at, seconds)
+    context.one_queue = one_queue(rate_at, 8 * count, seconds)
+
+
+@when("the same come to instances that do not hear each other")
+def waves_unheard(context):
+    instances, count = context.fleet_size
+    context.played = Fleet(instances, count, telling=False).play(waves(6, 38), 29)
+
+
+@then("{least:d} in 100 are on time, where one queue gives {most:d} at most")
+def on_time_share(context, least, most):
+    played = context.played
+    assert 100 * played.on_time >= least * played.arrived, played
+    on_time, arrived = context.one_queue
+    assert 100 * on_time <= most * arrived, (on_time, arrived)
+
+
+@then("{refused:d} in 100 are refused at most, and {dropped:d} held and then dropped")
+def refused_share(context, refused, dropped):
+    played = context.played
+    assert 100 * played.refused <= refused * played.arrived, played
+    assert played.dropped <= dropped, played
+
+
+@then("{queued:d} in 100 meet a queue at an upstream at most")
+def queued_share(context, queued):
+    played = context.played
+    assert 100 * played.queued_upstream <= queued * played.arrived, played
+
+
+@then("those refused are told to come back after {least:g} to {most:g} s")
+def told_to_return(context, least, most):
+    found = context.played.retry_after
+    assert found
+    assert least <= min(found), min(found)
+    assert max(found) <= most, max(found)
+
+
+# One queue.
+
+
+def parse_waiters(text):
+    """Returns waiters from ``name:on_time_by:serve_by`` with an optional priority."""
+    found = {}
+    for part in text.split():
+        name, on_time_by, serve_by, *priority = part.split(":")
+        found[name] = Waiter(
+            service="menus",
+            priority=int(priority[0]) if priority else 0,
+            on_time_by=float(on_time_by),
+            serve_by=float(serve_by),
+        )
+    return found
+
+
+@then("of {text} at {now:g} s, {slots:d} free slots go to {order}")
+def slots_go_to(context, text, now, slots, order):
+    placement = Placement(ZoneId("a"), rng=random.Random(1))
+    queue = AdmissionQueue(placement, rng=placement.rng)
+    waiters = parse_waiters(text)
+    placement.replace(upstreams(1, slots=8))
+    (state,) = placement.states.values()
+    state.online = 8
+    for waiter in waiters.values():
+        queue.enter(waiter, now=0.0)
+    state.online = 8 - slots
+    served = []
+
+    def settled(waiter):
+        if isinstance(waiter.outcome, UpstreamState):
+            waiter.outcome.online += 1
+            served.append(waiter)
+
+    queue.settle(now=now, on_settled=settled)
+    names = [name for w in served for name, waiter in waiters.items() if waiter is w]
+    assert " ".join(names or ["nobody"]) == order, names
+
+
+@then("beside {others} elsewhere, one that is due in {due:g} s has {ahead:d} before it")
+def ahead_of(context, others, due, ahead):
+    order = FleetOrder()
+    for number, part in enumerate(others.split()):
+        rank, due_in_s, count = part.split(":")
+        told = Waiting(Rank[rank], float(due_in_s), int(count))
+        order.observe(InstanceId(f"i{number}"), [told], now=10.0)
+    found = order.ahead(Place(Rank.ONLINE, 10.0 + due), now=10.0)
+    assert found == ahead, found
+
+
+@then("an open slot that is left to others is taken after {least:g} to {most:g} s")
+def patience_ends(context, least, most):
+    for seed in range(50):
+        patience = Patience(random.Random(seed))
+        now = 0.0
+        while not patience.overdue(now):
+            now += 0.001
+        assert least <= now <= most, now
+        patience.reset()
+        assert not patience.overdue(now)
+
+
+@then("with {state} a new request ends {outcome} at once")
+def edge(context, state, outcome):
+    placement = Placement(ZoneId("a"), rng=random.Random(1))
+    queue = AdmissionQueue(placement, rng=placement.rng)
+    if state != "no upstream":
+        placement.replace(upstreams(1))
+        (upstream,) = placement.states.values()
+        upstream.online = 0 if state == "a free slot" else 8
+        if "ejected" in state:
+            upstream.online = 0
+            upstream.health.unreachable(0.0)
+    allowed = 0.01 if "short" in state else ALLOWED_S
+    waiter = Waiter(
+        service="menus",
+        priority=0,
+        on_time_by=TARGET_S,
+        serve_by=allowed - SERVICE_S,
+        begun="begun" in state,
+    )
+    for _ in range(600 if "thousands" in state else 0):
+        queue.enter(attrs.evolve(waiter, begun=True), now=0.0)
+    queue.enter(waiter, now=0.0)
+    queue.settle(now=0.0, on_settled=lambda settled: None)
+    found = {
+        UpstreamState: "served",
+        Nowhere: "nowhere",
+        TooLate: "refused",
+        type(None): "waiting",
+    }[type(waiter.outcome)]
+    assert found == outcome, waiter.outcome
--- a/tests/features/steps/serving_steps.py
+++ b/tests/features/steps/serving_steps.py
@@ -151,7 +151,7 @@
         for _ in range(2 if "F" in flags else 0):
             state.results.observe(failed=True, now=0.0)
     if what == "online":
-        found = placement.choose_online(make_route(), tried=(), now=0.0)
+        found = placement.choose_online("menus", tried=(), now=0.0)
     else:
         found = placement.choose_batch(make_route(), reserve=1, avoid=(), now=0.0)
     assert ("nowhere" if isinstance(found, Nowhere) else found.id) == choice, found
