--- a/src/coppercleat/serving/_placement.py
+++ b/src/coppercleat/serving/_placement.py
@@ -40,6 +40,10 @@
 """An upstream that refused as full gets no online request for so long: a slot of a
 full one frees in about this time, and asking again before costs a connection."""
 
+RESTART_S = 0.1
+"""Batch leaves as many slots free as online requests come in this time: an item that
+is cut sooner has cost a connection and its prompt, and made next to nothing."""
+
 SUSPECT_LOAD = 8.0
 """Load by which an upstream that seems to fail a part of its requests is taken to be
 fuller than it is, in requests of eight slots: batch uses it last."""
@@ -283,11 +287,18 @@
         free = {upstream: slots for upstream, slots in free.items() if slots > 0}
         if not free:
             return Nowhere(f"no slot is free at {service}")
-        if sum(free.values()) <= ahead:
+        left = sum(free.values()) - self._online_headroom(service, now)
+        if left <= 0:
+            return Nowhere(f"online requests will take what is free at {service}")
+        if left <= ahead:
             return Nowhere(f"{ahead} wait before at {service}", waits=True)
         states = [self.states[upstream] for upstream in free]
         return min(states, key=lambda state: self._batch_cost(state, now))
 
+    def _online_headroom(self, service: str, now: float) -> int:
+        """Returns the free slots that online requests take before an item pays off."""
+        return int(self.demand.fleet_rate(service, now=now) * RESTART_S)
+
     def cuts_next(self, state: UpstreamState, instance: InstanceId) -> bool:
         """Returns whether this instance is the one to cut an item at an upstream.
 
--- a/tests/features/overload.feature
+++ b/tests/features/overload.feature
@@ -66,3 +66,15 @@
       | no free slot and a short deadline              | refused |
       | no free slot and thousands before it           | refused |
       | no free slot and its answer begun              | waiting |
+
+  Scenario Outline: An item while <rate> online requests a second come, with <free> slots free
+    Then an item at <rate> online requests a second and <free> free slots ends <outcome>
+
+    Examples: batch leaves free what online requests take before an item pays off, and what others wait for
+      | rate | free | outcome             |
+      | 0    | 1    | placed              |
+      | 8    | 1    | placed              |
+      | 35   | 3    | left to online      |
+      | 35   | 4    | placed              |
+      | 0    | 2    | left to 2 elsewhere |
+      | 0    | 3    | placed beside 2 elsewhere |
--- a/tests/features/steps/online_load_steps.py
+++ b/tests/features/steps/online_load_steps.py
@@ -15,6 +15,9 @@
     Place,
     Placement,
     Rank,
+    Route,
+    RouteKind,
+    Target,
     TooLate,
     Upstream,
     UpstreamState,
@@ -28,6 +31,15 @@
 TARGET_S = 0.3
 LEAD_S = 0.05
 
+WEEK = Route(
+    name="week",
+    host="jobs.example",
+    prefix="/week/",
+    kind=RouteKind.BATCH,
+    targets=(Target("menus", 1.0),),
+    timeout_s=15.0,
+)
+
 
 def upstreams(count, slots=8):
     return [
@@ -304,3 +316,19 @@
         type(None): "waiting",
     }[type(waiter.outcome)]
     assert found == outcome, waiter.outcome
+
+
+@then("an item at {rate:d} online requests a second and {free:d} free slots ends {end}")
+def item_placed(context, rate, free, end):
+    placement = Placement(ZoneId("a"), rng=random.Random(1))
+    placement.replace(upstreams(1))
+    (state,) = placement.states.values()
+    state.online = 8 - free
+    demand = placement.demand.of("menus")
+    for number in range(rate * 10):
+        demand.arrived(now=number / max(1, rate))
+    elsewhere = int(end.split()[-2]) if "elsewhere" in end else 0
+    found = placement.choose_batch(WEEK, reserve=0, avoid=(), now=10.0, ahead=elsewhere)
+    assert isinstance(found, UpstreamState) == end.startswith("placed"), found
+    if isinstance(found, Nowhere):
+        assert found.waits == ("elsewhere" in end), found
