--- a/Makefile
+++ b/Makefile
@@ -6,7 +6,7 @@
 STAMP := $(VENV)/.installed
 RUNTIME := --constraint requirements.lock
 
-.PHONY: setup demo test lint format types generated behave bench slopes gateway-slopes experiment soak chaos membership generate reference binary clean
+.PHONY: setup demo test lint format types generated behave bench slopes event-cost gateway-slopes experiment soak chaos membership generate reference binary clean
 
 setup: $(STAMP)
 
@@ -59,6 +59,9 @@
 slopes: setup
 	$(BIN)/python -m bench.slopes
 
+event-cost: setup
+	$(BIN)/python -m bench.event_cost
+
 gateway-slopes: setup
 	$(BIN)/python -m bench.gateway_slopes
 
