Ask upstreams for their load after a start: runs of dead instances hold slots

Cause: when instances lose their power, upstreams go on with the runs whose caller is gone, for seconds; the instances that start again took those slots as free, and online requests waited there behind them and behind items that were sent after them. The scenario with a runner whose slots are taken fails before (504) and passes. 528 scenarios pass.

--- a/src/coppercleat/gateway/_gateway.py
+++ b/src/coppercleat/gateway/_gateway.py
@@ -27,6 +27,7 @@
     Reply,
     Route,
     RouteTable,
+    Survey,
     UpstreamCaller,
     UpstreamState,
     Waiting,
@@ -96,6 +97,7 @@
             on_waiting=lambda: self.peers.work_changed(urgent=True),
         )
         self.forwarder = Forwarder(self.admission, caller, on_end=metrics.request_ended)
+        self.survey = Survey(self.placement, caller, rng=self.rng)
         self.job_index = JobIndex(platform)
         repository = JobRepository(platform, clock=time.time, rng=self.rng)
         self.items = ItemRunner(
@@ -189,6 +191,7 @@
             nursery.start_soon(self.watch.run)
             nursery.start_soon(self.peers.run)
             nursery.start_soon(self.admission.run)
+            nursery.start_soon(self.survey.run)
             nursery.start_soon(self.worker.run)
             nursery.start_soon(self.sweeper.run)
 
--- a/src/coppercleat/platform/_names.py
+++ b/src/coppercleat/platform/_names.py
@@ -23,6 +23,7 @@
 
     READINESS = "/v1/readiness"
     METRICS = "/metrics"
+    UPSTREAM_REPORT = b"/v1/report"
     # A "lot" is a job. The second path names a job too, not an item: the item is
     # named in the query.
     JOB = "/v1/lots/"
--- a/src/coppercleat/platform/_upstream_calls.py
+++ b/src/coppercleat/platform/_upstream_calls.py
@@ -11,14 +11,16 @@
 from typing import Any
 
 import httpcore
+import msgspec
 
-from coppercleat.platform._names import CONNECTION_HEADERS, HeaderName
+from coppercleat.platform._names import CONNECTION_HEADERS, HeaderName, Path
 from coppercleat.serving import (
     Header,
     OnlineRequest,
     Upstream,
     UpstreamAnswer,
     UpstreamBrokeError,
+    UpstreamReport,
 )
 from coppercleat.upstreams import Attempt, AttemptState
 
@@ -46,9 +48,45 @@
 )
 
 
+REPORT_TIMEOUT_S = 0.2
+"""An upstream answers without a slot, in some 2 ms; a report that comes later says
+nothing of now."""
+
+
+class _ReportBody(msgspec.Struct):
+    """The fields of a report that are read; ``queued`` waits for a slot."""
+
+    running: int
+    queued: int
+
+
 class HttpUpstreamCaller:
     """Sends requests as the platform's upstreams take them."""
 
+    async def report(self, upstream: Upstream) -> UpstreamReport:
+        """See ``UpstreamCaller.report``."""
+        host, _, port = upstream.address.rpartition(":")
+        url = httpcore.URL(
+            scheme=b"http",
+            host=host.encode(),
+            port=int(port),
+            target=Path.UPSTREAM_REPORT,
+        )
+        origin = httpcore.Origin(b"http", host.encode(), int(port))
+        limits = {"connect": CONNECT_TIMEOUT_S, "read": REPORT_TIMEOUT_S}
+        async with httpcore.AsyncHTTPConnection(origin=origin) as connection:
+            try:
+                response = await connection.request(
+                    "GET",
+                    url,
+                    headers=[(b"host", upstream.address.encode())],
+                    extensions={"timeout": limits},
+                )
+                body = msgspec.json.decode(response.content, type=_ReportBody)
+            except (*_BROKEN, msgspec.MsgspecError) as error:
+                raise UpstreamBrokeError(f"no report: {error!r}") from error
+        return UpstreamReport(running=body.running, waiting=body.queued)
+
     @contextlib.asynccontextmanager
     async def exchange(
         self,
--- a/src/coppercleat/serving/__init__.py
+++ b/src/coppercleat/serving/__init__.py
@@ -43,10 +43,12 @@
 from coppercleat.serving._placement import Nowhere, Placement, UpstreamState
 from coppercleat.serving._progress import AttemptEnd, NextStep, RequestProgress
 from coppercleat.serving._results import RecentResults
+from coppercleat.serving._survey import Survey
 from coppercleat.serving._upstream_call import (
     UpstreamAnswer,
     UpstreamBrokeError,
     UpstreamCaller,
+    UpstreamReport,
 )
 from coppercleat.serving._watch import Catalogue, UpstreamList, Watch
 from coppercleat.serving._work_counts import InFlight, WorkCounts
@@ -86,6 +88,7 @@
     "RouteTable",
     "StoreRates",
     "StreamEvent",
+    "Survey",
     "Target",
     "TooLate",
     "Upstream",
@@ -93,6 +96,7 @@
     "UpstreamBrokeError",
     "UpstreamCaller",
     "UpstreamList",
+    "UpstreamReport",
     "UpstreamState",
     "Waiter",
     "Waiting",
--- a/src/coppercleat/serving/_placement.py
+++ b/src/coppercleat/serving/_placement.py
@@ -89,6 +89,7 @@
       gone: Whether it has been found to have left, before the list shows it.
       health: Ejects it while it fails throughout.
       results: Tells whether it fails a part of its requests.
+      unknown: Requests that it runs and nobody has told of, by its own report.
       full_until: Until when it is taken as full, since it has said so.
     """
 
@@ -98,6 +99,7 @@
     online: int = 0
     batch: int = 0
     gone: bool = False
+    unknown: int = 0
     full_until: float = float("-inf")
 
     @property
@@ -194,6 +196,10 @@
         return list(found.values())
 
     def load(self, state: UpstreamState) -> int:
+        """Returns all that an upstream has to do."""
+        return self.known_load(state) + state.unknown
+
+    def known_load(self, state: UpstreamState) -> int:
         """Returns all that is in flight at an upstream, of all instances."""
         told = self.peers.load(state.id) + self.zones.load(state.id)
         return state.online + state.batch + told
@@ -205,7 +211,7 @@
     def online_slots(self, state: UpstreamState) -> int:
         """Returns slots that online requests do not hold; batch gives them up."""
         told = self.peers.online(state.id) + self.zones.online(state.id)
-        return state.upstream.slots - state.online - told
+        return state.upstream.slots - state.online - told - state.unknown
 
     # Decisions.
 
--- a/src/coppercleat/serving/_upstream_call.py
+++ b/src/coppercleat/serving/_upstream_call.py
@@ -7,6 +7,7 @@
 from typing import Protocol
 
 import attrs
+import msgspec
 
 from coppercleat.serving._model import Header, OnlineRequest, Upstream
 from coppercleat.upstreams import Attempt
@@ -34,6 +35,18 @@
     body: AsyncIterator[bytes]
 
 
+class UpstreamReport(msgspec.Struct, frozen=True, kw_only=True):
+    """What an upstream says of its load, as of a moment ago.
+
+    Attributes:
+      running: Requests in its slots, whoever has sent them.
+      waiting: Requests in its own queue.
+    """
+
+    running: int
+    waiting: int
+
+
 class UpstreamCaller(Protocol):
     """Opens exchanges with upstreams."""
 
@@ -61,3 +74,11 @@
           UpstreamBrokeError: No whole head of an answer to this request came.
         """
         ...
+
+    async def report(self, upstream: Upstream) -> UpstreamReport:
+        """Asks an upstream for its load.
+
+        Raises:
+          UpstreamBrokeError: It gave no answer that can be read.
+        """
+        ...
--- a/tests/features/gateway.feature
+++ b/tests/features/gateway.feature
@@ -242,6 +242,15 @@
       | stream | 4      | 12   |
       | once   | 4      | 12   |
 
+  Scenario: A gateway that starts again leaves alone what runs of the time before hold
+    Given 1 gateways and 2 runners
+    And runner 1 is set to {"foreign": 8}
+    When gateway 1 is killed and starts again
+    And 6 stream requests come to it side by side
+    Then all of them are answered within 0.5 s
+    And runner 1 has run nothing
+    And after runner 1 is free both run requests again
+
   Scenario: A planned stop cuts nothing and turns new clients away only at its end
     Given 2 gateways and 1 runners
     And every runner is set to {"events": 40, "event_s": 0.05}
--- a/tests/features/overload.feature
+++ b/tests/features/overload.feature
@@ -78,3 +78,13 @@
       | 35   | 4    | placed              |
       | 0    | 2    | left to 2 elsewhere |
       | 0    | 3    | placed beside 2 elsewhere |
+
+  Scenario Outline: An upstream of 8 slots with <known> known and <unknown> unknown runs
+    Then beside <known> known and <unknown> unknown runs <open> slots are open
+
+    Examples: unknown runs are those of instances that have lost their power
+      | known | unknown | open |
+      | 0     | 0       | 8    |
+      | 2     | 5       | 1    |
+      | 2     | 6       | 0    |
+      | 8     | 3       | 0    |
--- a/tests/features/steps/gateway_steps.py
+++ b/tests/features/steps/gateway_steps.py
@@ -553,3 +553,50 @@
     context.fleet = Gateways(gateways=1, runners=1, checkout=checkout)
     context.fleet.start()
     context.asked = 0
+
+
+@when("gateway 1 is killed and starts again")
+def gateway_again(context):
+    system = context.fleet
+    system.processes["gateway-1"].kill()
+    system.start_gateway("gateway-1")
+    system.run(system.ready, "gateway-1")
+    # It asks the runners as soon as it knows them.
+    system.run(trio.sleep, 0.5)
+
+
+@when("{count:d} stream requests come to it side by side")
+def side_by_side(context, count):
+    context.took = context.fleet.run(_ask_side_by_side, context.fleet, count, "s")
+
+
+async def _ask_side_by_side(system, count, prefix):
+    took = []
+
+    async def ask(number):
+        began = trio.current_time()
+        answer = await system.ask("gateway-1", STREAM, f"{prefix}{number}")
+        assert answer.status == 200, answer
+        took.append(trio.current_time() - began)
+
+    async with trio.open_nursery() as nursery:
+        for number in range(count):
+            nursery.start_soon(ask, number)
+    return took
+
+
+@then("all of them are answered within {within:g} s")
+def answered_within(context, within):
+    assert max(context.took) <= within, context.took
+
+
+@then("after runner 1 is free both run requests again")
+def both_run_again(context):
+    system = context.fleet
+    system.run(lambda: system.control("runner-1", foreign=0))
+
+    async def runner_1_runs():
+        await _ask_side_by_side(system, 12, f"t{trio.current_time()}-")
+        return any(run["runner"] == "runner-1" for run in await system.runs())
+
+    system.run(until, "runner 1 runs requests again", runner_1_runs)
--- a/tests/features/steps/online_load_steps.py
+++ b/tests/features/steps/online_load_steps.py
@@ -332,3 +332,14 @@
     assert isinstance(found, UpstreamState) == end.startswith("placed"), found
     if isinstance(found, Nowhere):
         assert found.waits == ("elsewhere" in end), found
+
+
+@then("beside {known:d} known and {unknown:d} unknown runs {free:d} slots are open")
+def open_beside(context, known, unknown, free):
+    placement = Placement(ZoneId("a"), rng=random.Random(1))
+    placement.replace(upstreams(1))
+    (state,) = placement.states.values()
+    state.online, state.unknown = known, unknown
+    assert placement.open_slots("menus", avoid=(), now=0.0) == free
+    found = placement.choose_batch(WEEK, reserve=0, avoid=(), now=0.0)
+    assert isinstance(found, UpstreamState) == (free > 0), found
--- a/tests/standins/runner.py
+++ b/tests/standins/runner.py
@@ -12,7 +12,7 @@
 import msgspec
 import trio
 
-from coppercleat.asgi import read_body
+from coppercleat.asgi import read_body, send_json
 from tests.standins.control import Controlled, arguments, run_standin, start
 
 
@@ -36,6 +36,7 @@
       fail_status: Which failure that is.
       impossible: Items with this text in their body are answered with 422.
       silent: Take requests and send nothing.
+      foreign: Slots held by runs of callers that have lost their power.
     """
 
     events: int = 5
@@ -54,6 +55,7 @@
     fail_status: int = 500
     impossible: str = ""
     silent: bool = False
+    foreign: int = 0
 
 
 class CutError(Exception):
@@ -82,12 +84,17 @@
 
     async def serve(self, scope: Any, receive: Any, send: Any) -> None:
         knobs = self.knobs
+        if scope["path"] == "/v1/report":
+            report = {"running": self.running + knobs.foreign, "queued": self.waiting}
+            await send_json(send, 200, report)
+            return
         headers = {name.decode(): value.decode() for name, value in scope["headers"]}
         body = await read_body(receive)
         if headers.get("expect-instance") not in (None, knobs.instance):
             await self._answer(send, 421, [(b"instance-id", knobs.instance.encode())])
             return
-        if self.running + self.waiting >= knobs.slots + knobs.queue or knobs.shed_next:
+        taken = self.running + self.waiting + knobs.foreign
+        if taken >= knobs.slots + knobs.queue or knobs.shed_next:
             knobs.shed_next -= knobs.shed_next > 0
             await self._answer(send, 503, [(b"not-executed", b"1")])
             return
@@ -117,7 +124,7 @@
         began = trio.current_time()
         self.waiting += 1
         try:
-            while self.running >= self.knobs.slots:
+            while self.running + self.knobs.foreign >= self.knobs.slots:
                 await trio.sleep(0.002)
         finally:
             self.waiting -= 1
