Greet listed peers at once; stay with a silent upstream while no slot is open elsewhere

Cause: after all instances had started together, each took the slots that it saw free before it had heard of the others (12 requests waited at one upstream 0.3 s later), and what waited there for 0.8 s was taken for lost and ended as broken. Ruled out: that the survey is too slow: it is answered 0.2 s after the start. Change: instances that are listed for the first time are greeted, and both ends tell their work; one loop looks for silent attempts, and ends one only if the upstream is ejected or a slot is open elsewhere. The new rows of serving_decisions.feature with no slot elsewhere fail on the code before.

--- a/src/coppercleat/gateway/_gateway.py
+++ b/src/coppercleat/gateway/_gateway.py
@@ -191,6 +191,7 @@
             nursery.start_soon(self.watch.run)
             nursery.start_soon(self.peers.run)
             nursery.start_soon(self.admission.run)
+            nursery.start_soon(self.forwarder.run)
             nursery.start_soon(self.survey.run)
             nursery.start_soon(self.worker.run)
             nursery.start_soon(self.sweeper.run)
--- a/src/coppercleat/membership/_messenger.py
+++ b/src/coppercleat/membership/_messenger.py
@@ -103,6 +103,11 @@
             _log.warning("This instance was paused.")
         self._complain(now)
 
+    def greet(self, instances: Collection[InstanceId]) -> None:
+        """Lets members know at once that this one lives; beats reach them by turns."""
+        for instance in instances:
+            self.send(instance, Heartbeat(self.detector.own, ()))
+
     def send(self, instance: InstanceId, message: msgspec.Struct) -> None:
         """Sends to a member if its address is known; never waits."""
         member = self.detector.members.get(instance)
--- a/src/coppercleat/serving/_forwarding.py
+++ b/src/coppercleat/serving/_forwarding.py
@@ -2,7 +2,8 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable
+import contextlib
+from collections.abc import Callable, Iterator
 
 import attrs
 import trio
@@ -43,6 +44,9 @@
 GAP_STALL_TARGETS = 3.0
 """The same between events, which come some 20 ms apart."""
 
+SILENCE_LOOK_S = 0.05
+"""Between looks for a slot elsewhere, for a request whose upstream is silent."""
+
 _MAX_BUFFERED_BYTES = 1_000_000
 """An answer to an idempotent request is held back up to this size, so that the
 request can still go elsewhere if the answer is cut."""
@@ -74,7 +78,7 @@
     total_s: float
 
 
-@attrs.define
+@attrs.define(eq=False)
 class _Exchange:
     """One request on its way.
 
@@ -83,6 +87,7 @@
       heard_at: When the attempt began or its last event came, in trio's time.
       sent_at: When the attempt began, in trio's time.
       status: Of the attempt's answer; 0 before one.
+      silent: Whether the attempt was ended since the upstream was silent.
       retry_after_s: When to come back, if it is refused as not run.
     """
 
@@ -100,6 +105,7 @@
     heard_at: float = 0.0
     sent_at: float = 0.0
     status: int = 0
+    silent: bool = False
     retry_after_s: float = RETRY_AFTER_S
 
 
@@ -124,6 +130,9 @@
         self.placement = admission.queue.placement
         self.caller = caller
         self.on_end = on_end
+        self._attempts_open: dict[
+            _Exchange, tuple[UpstreamState, trio.CancelScope]
+        ] = {}
 
     async def forward(
         self, request: OnlineRequest, route: Route, reply: Reply
@@ -220,13 +229,9 @@
     async def _attempt_until_stall(
         self, exchange: _Exchange, state: UpstreamState, attempt: Attempt
     ) -> AttemptEnd:
-        route = exchange.route
-        stall = trio.CancelScope()
-        # Other answers may take as long as the route allows: silence proves nothing.
-        if route.kind is RouteKind.STREAM and exchange.progress.may_move:
-            stall.deadline = trio.current_time() + _first_patience_s(route)
         end = AttemptEnd.LOST
-        with stall:
+        exchange.silent = False
+        with self._watched(exchange, state):
             try:
                 async with self.caller.exchange(
                     state.upstream,
@@ -235,21 +240,59 @@
                     allowed_s=exchange.ends_at - trio.current_time(),
                     resume_after=exchange.progress.last_event,
                 ) as answer:
-                    end = await self._pass_on(exchange, state, answer, stall)
+                    end = await self._pass_on(exchange, state, answer)
             except UpstreamBrokeError as error:
                 exchange.reason = str(error)
                 end = _end_of(attempt, exchange.progress)
-        if stall.cancelled_caught:
+        if exchange.silent:
             exchange.reason = "the upstream fell silent"
             end = _end_of(attempt, exchange.progress)
         return end
 
+    @contextlib.contextmanager
+    def _watched(self, exchange: _Exchange, state: UpstreamState) -> Iterator[None]:
+        """Has an attempt ended if the upstream is silent and another is not."""
+        scope = trio.CancelScope()
+        # Other answers may take as long as the route allows: silence proves nothing.
+        if exchange.route.kind is RouteKind.STREAM and exchange.progress.may_move:
+            self._attempts_open[exchange] = (state, scope)
+        try:
+            with scope:
+                yield
+        finally:
+            self._attempts_open.pop(exchange, None)
+
+    async def run(self) -> None:
+        """Ends attempts at silent upstreams, until cancelled."""
+        while True:
+            await trio.sleep(SILENCE_LOOK_S)
+            now = trio.current_time()
+            for exchange, (state, scope) in list(self._attempts_open.items()):
+                if self._has_stalled(exchange, state, now):
+                    exchange.silent = True
+                    scope.cancel()
+
+    def _has_stalled(
+        self, exchange: _Exchange, state: UpstreamState, now: float
+    ) -> bool:
+        """Returns whether an upstream is silent and the request better off elsewhere.
+
+        An upstream is silent too while the request waits in its queue. Leaving it then
+        for no free slot would lose the place, and the request may have run.
+        """
+        if exchange.progress.finished:
+            return False
+        heard = exchange.heard_at > exchange.sent_at
+        patience_s = _gap_patience_s if heard else _first_patience_s
+        if now < exchange.heard_at + patience_s(exchange.route):
+            return False
+        if not state.health.may_try(now):
+            return True
+        service = state.upstream.service
+        return self.placement.open_slots(service, avoid=exchange.tried, now=now) > 0
+
     async def _pass_on(
-        self,
-        exchange: _Exchange,
-        state: UpstreamState,
-        answer: UpstreamAnswer,
-        stall: trio.CancelScope,
+        self, exchange: _Exchange, state: UpstreamState, answer: UpstreamAnswer
     ) -> AttemptEnd:
         """Passes an answer on and returns how the attempt ended."""
         exchange.status = answer.status
@@ -271,11 +314,11 @@
             exchange.reason = f"the upstream answered {answer.status}"
             return AttemptEnd.LOST
         if exchange.route.kind is RouteKind.STREAM and answer.status < 300:
-            return await self._pass_events(exchange, answer, stall)
+            return await self._pass_events(exchange, answer)
         return await self._pass_body(exchange, answer)
 
     async def _pass_events(
-        self, exchange: _Exchange, answer: UpstreamAnswer, stall: trio.CancelScope
+        self, exchange: _Exchange, answer: UpstreamAnswer
     ) -> AttemptEnd:
         """Passes whole events on as they come, so that a cut can be mended."""
         progress = exchange.progress
@@ -284,9 +327,6 @@
             whole, in_order = _in_order(splitter.feed(data), progress.last_event)
             if whole:
                 exchange.heard_at = trio.current_time()
-                if progress.may_move:
-                    patience_s = _gap_patience_s(exchange.route)
-                    stall.deadline = exchange.heard_at + patience_s
                 await _start(exchange, answer.status, answer.headers)
                 # Counted and sent without a checkpoint in between that could part them.
                 numbers = [e.number for e in whole if e.number is not None]
--- a/src/coppercleat/serving/_peers.py
+++ b/src/coppercleat/serving/_peers.py
@@ -234,8 +234,17 @@
             self.messenger.send(instance, JobTaken(job))
 
     def listed(self, members: list[tuple[InstanceId, str, ZoneId]]) -> None:
-        """Takes instances and their addresses as the platform keeps them."""
-        self.detector.observe_list(members, trio.current_time())
+        """Takes instances and their addresses as the platform keeps them.
+
+        Those that are listed for the first time are greeted, so that both ends tell
+        each other of their work at once: after all have started together, each would
+        else take the same free slots until a beat of each has reached each.
+        """
+        now = trio.current_time()
+        known = set(self.detector.members)
+        self.detector.observe_list(members, now)
+        new = set(self.detector.members) - known
+        self.messenger.greet(self._near(list(new)))
 
     def others(self) -> list[InstanceId]:
         """Returns the other instances that are heard of."""
--- a/tests/features/serving_decisions.feature
+++ b/tests/features/serving_decisions.feature
@@ -274,3 +274,14 @@
       | 2.25  |
       | 2.5   |
       | 2.75  |
+
+  Scenario Outline: An upstream that is silent for <silent> s while <free> slots are open elsewhere
+    When the first of 2 upstreams is silent for <silent> s and <free> slots are open
+    Then the answer is whole, from <upstreams>
+
+    Examples: silence in a queue is no death; to leave it for no free slot loses the place
+      | silent | free | upstreams |
+      | 0.5    | 1    | x         |
+      | 1.5    | 1    | x y       |
+      | 1.5    | 0    | x         |
+      | 3.0    | 0    | x         |
