Divide forwarding by what its parts decide; logs and metrics of who waits and is refused

Cause: serving/_forwarding.py had grown to 506 lines and four jobs; a refusal did not say how long it had waited or when to come back, a late job only that it was late. Ruled out: a change of what is decided: the same scenarios hold.

--- a/src/coppercleat/gateway/_gateway.py
+++ b/src/coppercleat/gateway/_gateway.py
@@ -148,6 +148,7 @@
         self.peers.knowledge = self.watch.knowledge
         self.peers.on_knowledge = self.watch.take_knowledge
         self.peers.on_counts = self._counts_changed
+        self.peers.waits = self._waits
         self.peers.waiting = self._waiting
         self.peers.on_taken = self.worker.taken_elsewhere
         self.peers.on_handover = self.worker.handed_over
@@ -163,6 +164,9 @@
         self.admission.look()
         self.worker.look()
 
+    def _waits(self) -> bool:
+        return len(self.admission.queue) > 0 or self.worker.waits()
+
     def _waiting(self) -> tuple[Waiting, ...]:
         now = trio.current_time()
         return (*self.admission.queue.told(now=now), *self.worker.waiting())
@@ -191,7 +195,7 @@
             nursery.start_soon(self.watch.run)
             nursery.start_soon(self.peers.run)
             nursery.start_soon(self.admission.run)
-            nursery.start_soon(self.forwarder.run)
+            nursery.start_soon(self.forwarder.silence.run)
             nursery.start_soon(self.survey.run)
             nursery.start_soon(self.worker.run)
             nursery.start_soon(self.sweeper.run)
@@ -214,6 +218,8 @@
         """Returns the metrics page as text."""
         metrics = self.metrics
         metrics.in_flight.set({}, self.in_flight)
+        metrics.waiting.set({}, len(self.admission.queue))
+        metrics.late_items.set({}, self.worker.late_items())
         metrics.route_version.set({}, self.watch.version)
         metrics.peers.set({}, len(self.peers.others()))
         metrics.owned_jobs.set({}, len(self.worker.runs))
--- a/src/coppercleat/gateway/_metrics.py
+++ b/src/coppercleat/gateway/_metrics.py
@@ -29,6 +29,12 @@
             registry=self.registry,
             buckets=_SECONDS,
         )
+        self.waited = aioprometheus.Histogram(
+            "coppercleat_waited_seconds",
+            "Time for which a request waited for a slot",
+            registry=self.registry,
+            buckets=_SECONDS,
+        )
         self.total = aioprometheus.Histogram(
             "coppercleat_total_seconds",
             "Time from arrival to the end",
@@ -42,6 +48,10 @@
             "store_calls_total", "Calls to the platform's store, answered or not"
         )
         self.in_flight = self._gauge("in_flight", "Clients' calls in flight")
+        self.waiting = self._gauge("waiting", "Online requests that wait for a slot")
+        self.late_items = self._gauge(
+            "late_items", "Waiting items that cannot be done by their job's due time"
+        )
         self.route_version = self._gauge("route_version", "Version of the routes")
         self.peers = self._gauge("peers_heard", "Other instances that are heard of")
         self.owned_jobs = self._gauge("owned_jobs", "Jobs that this instance runs")
@@ -52,6 +62,7 @@
         route = {"route": end.route}
         self.requests.inc({**route, "outcome": end.outcome})
         self.tries.add(route, end.tries)
+        self.waited.observe(route, end.waited_s)
         self.total.observe(route, end.total_s)
         if end.first_s is not None:
             self.first_event.observe(route, end.first_s)
--- a/src/coppercleat/jobs/_run.py
+++ b/src/coppercleat/jobs/_run.py
@@ -84,6 +84,7 @@
       pending: Items that wait for a slot, in order.
       running: Items at upstreams, by index.
       finished: Items done and not yet listed.
+      forecast_late: Whether it has been said that some will be late.
     """
 
     def __init__(
@@ -93,6 +94,7 @@
         self.pending: list[ItemRun] = []
         self.running: dict[int, ItemRun] = {}
         self.finished: list[Finished] = []
+        self.forecast_late = False
         listed = set(held.row.listed)
         for index, spec in enumerate(items):
             if index in listed:
--- a/src/coppercleat/jobs/_starter.py
+++ b/src/coppercleat/jobs/_starter.py
@@ -27,6 +27,10 @@
 
 _IDLE_TICK_S = 0.2
 
+_GATHER_EVERY_S = 0.03
+"""How often what waits is gathered: all items are looked at, and counts are told up to
+some hundred times a second."""
+
 MAX_TOLD_JOBS = 32
 """Jobs of whose waiting items others are told, those due soonest first."""
 
@@ -63,20 +67,49 @@
         self.may_start = may_start
         self.isolated = isolated
         self._wake = trio.Event()
+        self._gathered: tuple[Waiting, ...] = ()
+        self._gathered_at = float("-inf")
+
+    def late_items(self) -> int:
+        """Returns how many waiting items cannot be done by their job's due time."""
+        wall = self.clock()
+        return sum(self._late(run, run.due_at - wall) for run in self.runs.values())
+
+    def _late(self, run: JobRun, due_in_s: float) -> int:
+        return sum(self.items.seconds_left(item) > due_in_s for item in run.pending)
 
     def waiting(self) -> tuple[Waiting, ...]:
-        """Returns what waits here for a slot, to be told to others."""
+        """Returns what waits here for a slot, as of a moment ago, to tell to others."""
+        now = trio.current_time()
+        if now - self._gathered_at >= _GATHER_EVERY_S:
+            self._gathered_at = now
+            self._gathered = self._gather()
+        return self._gathered
+
+    def _gather(self) -> tuple[Waiting, ...]:
         wall = self.clock()
         found = []
         for run in sorted(self.runs.values(), key=lambda run: run.due_at):
             due_in_s = run.due_at - wall
-            late = sum(self.items.seconds_left(item) > due_in_s for item in run.pending)
+            late = self._late(run, due_in_s)
+            self._forecast(run, late, due_in_s)
             if len(run.pending) > late:
                 found.append(Waiting(Rank.BATCH, due_in_s, len(run.pending) - late))
             if late:
                 found.append(Waiting(Rank.BATCH_LATE, due_in_s, late))
         return tuple(found[:MAX_TOLD_JOBS])
 
+    def _forecast(self, run: JobRun, late: int, due_in_s: float) -> None:
+        """Says once that a job will be late, as soon as that is known."""
+        if late and not run.forecast_late:
+            run.forecast_late = True
+            _log.warning(
+                "Job will be late.",
+                job=run.held.row.job,
+                items=late,
+                due_in_s=round(due_in_s, 1),
+            )
+
     def wake(self) -> None:
         """Notes that there may be an item or a slot."""
         self._wake.set()
--- a/src/coppercleat/jobs/_worker.py
+++ b/src/coppercleat/jobs/_worker.py
@@ -129,13 +129,21 @@
         now = self.clock()
         return sum(run.due_at < now for run in self.runs.values())
 
+    def late_items(self) -> int:
+        """Returns how many waiting items cannot be done by their job's due time."""
+        return self._starter.late_items()
+
     def waiting(self) -> tuple[Waiting, ...]:
         """Returns what waits here for a slot, to be told to others."""
         return self._starter.waiting() if self._may_start() else ()
 
+    def waits(self) -> bool:
+        """Returns whether an item waits here for a slot."""
+        return any(run.pending for run in self.runs.values())
+
     def look(self) -> None:
         """Looks for slots anew, if anything waits."""
-        if any(run.pending for run in self.runs.values()):
+        if self.waits():
             self._starter.wake()
 
     # Which jobs are ours.
--- a/src/coppercleat/serving/_admission_queue.py
+++ b/src/coppercleat/serving/_admission_queue.py
@@ -215,7 +215,10 @@
         if spare > 0 and now + last / spare <= waiter.serve_by:
             return None
         wait_s = self._return_in_s(waiter.service, rate, missing / rate, now)
-        return TooLate("no slot comes free in time", wait_s)
+        reason = (
+            f"no slot comes free in time: {last} wait, {rate:.0f} a second come free"
+        )
+        return TooLate(reason, wait_s)
 
     def _ahead(self, place: Place, now: float) -> int:
         own = sum(waiter.place(now) < place for waiter in self._waiting)
--- a/src/coppercleat/serving/_forwarding.py
+++ b/src/coppercleat/serving/_forwarding.py
@@ -2,19 +2,17 @@
 
 from __future__ import annotations
 
-import contextlib
-from collections.abc import Callable, Iterator
+from collections.abc import Callable
 
 import attrs
 import trio
 
-from coppercleat.ids import UpstreamId
 from coppercleat.observability import part_logger
 from coppercleat.serving._admission import Admission
-from coppercleat.serving._admission_queue import RETRY_AFTER_S, TooLate, Waiter
-from coppercleat.serving._events import EventSplitter, StreamEvent
+from coppercleat.serving._admission_queue import TooLate, Waiter
+from coppercleat.serving._answers import pass_body, pass_events
+from coppercleat.serving._exchange import Exchange
 from coppercleat.serving._model import (
-    Header,
     OnlineRequest,
     Refusal,
     RefusalReason,
@@ -24,6 +22,11 @@
 )
 from coppercleat.serving._placement import FULL_S, Nowhere, UpstreamState
 from coppercleat.serving._progress import AttemptEnd, NextStep, RequestProgress
+from coppercleat.serving._silence import (
+    SilenceWatch,
+    first_patience_s,
+    gap_patience_s,
+)
 from coppercleat.serving._upstream_call import (
     UpstreamAnswer,
     UpstreamBrokeError,
@@ -34,23 +37,6 @@
 NOWHERE_RETRY_S = 0.5
 """When to come back if no upstream is left: the list of them is read as often."""
 
-FIRST_EVENT_STALL_S = 0.8
-FIRST_EVENT_STALL_TARGETS = 2.5
-"""Without a first event for this long, or so many times the route's target, a stream
-that may be resumed goes elsewhere. Well past the time to read the longest prompt
-beside a full batch (about 0.1 s)."""
-
-GAP_STALL_S = 0.6
-GAP_STALL_TARGETS = 3.0
-"""The same between events, which come some 20 ms apart."""
-
-SILENCE_LOOK_S = 0.05
-"""Between looks for a slot elsewhere, for a request whose upstream is silent."""
-
-_MAX_BUFFERED_BYTES = 1_000_000
-"""An answer to an idempotent request is held back up to this size, so that the
-request can still go elsewhere if the answer is cut."""
-
 _SERVER_ERROR = 500
 _GATEWAY_TIMEOUT = 504
 """By which an upstream says that the request's time was up; no fault of its own."""
@@ -59,6 +45,8 @@
 """Statuses by which clients take a request as not run. From an upstream that does not
 say so itself they prove nothing, and are not passed on."""
 
+_REFUSALS = frozenset({NextStep.REFUSE_AS_NOT_RUN})
+
 _log = part_logger("forward")
 
 
@@ -68,47 +56,18 @@
 
     Attributes:
       route: The route's name.
+      waited_s: Seconds for which it waited for slots.
       first_s: Seconds to the first part of the answer; None if none came.
     """
 
     route: str
     outcome: str
     tries: int
+    waited_s: float
     first_s: float | None
     total_s: float
 
 
-@attrs.define(eq=False)
-class _Exchange:
-    """One request on its way.
-
-    Attributes:
-      refused_by: The upstream that refused last; it gets one more chance.
-      heard_at: When the attempt began or its last event came, in trio's time.
-      sent_at: When the attempt began, in trio's time.
-      status: Of the attempt's answer; 0 before one.
-      silent: Whether the attempt was ended since the upstream was silent.
-      retry_after_s: When to come back, if it is refused as not run.
-    """
-
-    request: OnlineRequest
-    route: Route
-    reply: Reply
-    progress: RequestProgress
-    ends_at: float
-    tried: set[UpstreamId] = attrs.field(factory=set)
-    upstream: str = ""
-    refused_by: str = ""
-    reason: str = ""
-    arrived_at: float = 0.0
-    first_at: float = 0.0
-    heard_at: float = 0.0
-    sent_at: float = 0.0
-    status: int = 0
-    silent: bool = False
-    retry_after_s: float = RETRY_AFTER_S
-
-
 class Forwarder:
     """Forwards requests of all routes but those of batch jobs."""
 
@@ -130,9 +89,7 @@
         self.placement = admission.queue.placement
         self.caller = caller
         self.on_end = on_end
-        self._attempts_open: dict[
-            _Exchange, tuple[UpstreamState, trio.CancelScope]
-        ] = {}
+        self.silence = SilenceWatch(self.placement)
 
     async def forward(
         self, request: OnlineRequest, route: Route, reply: Reply
@@ -140,12 +97,10 @@
         """Answers a request and returns how it ended."""
         now = trio.current_time()
         ends_at = now + min(request.allowed_s, route.timeout_s)
-        exchange = _Exchange(
+        exchange = Exchange(
             request, route, reply, RequestProgress(route), ends_at, arrived_at=now
         )
         exchange.progress.last_event = request.resume_after
-        for target in route.targets:
-            self.placement.demand.of(target.service).arrived(now=now)
         step = NextStep.ABORT
         timed_out = False
         try:
@@ -159,9 +114,11 @@
             self._explain(exchange, step, timed_out=timed_out)
         return step
 
-    async def _attempts(self, exchange: _Exchange) -> NextStep:
+    async def _attempts(self, exchange: Exchange) -> NextStep:
         while True:
+            began = trio.current_time()
             async with self.admission.slot(self._waiter(exchange)) as slot:
+                exchange.waited_s += trio.current_time() - began
                 if not isinstance(slot, UpstreamState):
                     exchange.reason = slot.reason
                     exchange.retry_after_s = _retry_after_s(slot)
@@ -179,11 +136,13 @@
                 last_event=exchange.progress.last_event,
             )
 
-    def _waiter(self, exchange: _Exchange) -> Waiter:
+    def _waiter(self, exchange: Exchange) -> Waiter:
         """Returns the request as the queue for slots sees it."""
         route = exchange.route
         service = self.placement.draw_service(route.targets)
         demand = self.placement.demand.of(service)
+        if not exchange.progress.tries:
+            demand.arrived(now=exchange.arrived_at)
         # A stream is on time by its first event and then by each pause between them.
         due_at = exchange.arrived_at + route.target_latency_s
         if exchange.progress.started:
@@ -198,7 +157,7 @@
             avoid=exchange.tried,
         )
 
-    async def _attempt(self, exchange: _Exchange, state: UpstreamState) -> AttemptEnd:
+    async def _attempt(self, exchange: Exchange, state: UpstreamState) -> AttemptEnd:
         attempt = Attempt()
         exchange.upstream = state.id
         exchange.tried.add(state.id)
@@ -213,7 +172,7 @@
         return end
 
     def _judge_cancelled(
-        self, exchange: _Exchange, state: UpstreamState, attempt: Attempt
+        self, exchange: Exchange, state: UpstreamState, attempt: Attempt
     ) -> None:
         """Counts an attempt that was ended by its time or by the client's leaving.
 
@@ -227,11 +186,11 @@
             self._judge_silence(exchange, state)
 
     async def _attempt_until_stall(
-        self, exchange: _Exchange, state: UpstreamState, attempt: Attempt
+        self, exchange: Exchange, state: UpstreamState, attempt: Attempt
     ) -> AttemptEnd:
         end = AttemptEnd.LOST
         exchange.silent = False
-        with self._watched(exchange, state):
+        with self.silence.watched(exchange, state):
             try:
                 async with self.caller.exchange(
                     state.upstream,
@@ -243,56 +202,14 @@
                     end = await self._pass_on(exchange, state, answer)
             except UpstreamBrokeError as error:
                 exchange.reason = str(error)
-                end = _end_of(attempt, exchange.progress)
+                end = _end_of(attempt, exchange)
         if exchange.silent:
             exchange.reason = "the upstream fell silent"
-            end = _end_of(attempt, exchange.progress)
+            end = _end_of(attempt, exchange)
         return end
 
-    @contextlib.contextmanager
-    def _watched(self, exchange: _Exchange, state: UpstreamState) -> Iterator[None]:
-        """Has an attempt ended if the upstream is silent and another is not."""
-        scope = trio.CancelScope()
-        # Other answers may take as long as the route allows: silence proves nothing.
-        if exchange.route.kind is RouteKind.STREAM and exchange.progress.may_move:
-            self._attempts_open[exchange] = (state, scope)
-        try:
-            with scope:
-                yield
-        finally:
-            self._attempts_open.pop(exchange, None)
-
-    async def run(self) -> None:
-        """Ends attempts at silent upstreams, until cancelled."""
-        while True:
-            await trio.sleep(SILENCE_LOOK_S)
-            now = trio.current_time()
-            for exchange, (state, scope) in list(self._attempts_open.items()):
-                if self._has_stalled(exchange, state, now):
-                    exchange.silent = True
-                    scope.cancel()
-
-    def _has_stalled(
-        self, exchange: _Exchange, state: UpstreamState, now: float
-    ) -> bool:
-        """Returns whether an upstream is silent and the request better off elsewhere.
-
-        An upstream is silent too while the request waits in its queue. Leaving it then
-        for no free slot would lose the place, and the request may have run.
-        """
-        if exchange.progress.finished:
-            return False
-        heard = exchange.heard_at > exchange.sent_at
-        patience_s = _gap_patience_s if heard else _first_patience_s
-        if now < exchange.heard_at + patience_s(exchange.route):
-            return False
-        if not state.health.may_try(now):
-            return True
-        service = state.upstream.service
-        return self.placement.open_slots(service, avoid=exchange.tried, now=now) > 0
-
     async def _pass_on(
-        self, exchange: _Exchange, state: UpstreamState, answer: UpstreamAnswer
+        self, exchange: Exchange, state: UpstreamState, answer: UpstreamAnswer
     ) -> AttemptEnd:
         """Passes an answer on and returns how the attempt ended."""
         exchange.status = answer.status
@@ -314,59 +231,12 @@
             exchange.reason = f"the upstream answered {answer.status}"
             return AttemptEnd.LOST
         if exchange.route.kind is RouteKind.STREAM and answer.status < 300:
-            return await self._pass_events(exchange, answer)
-        return await self._pass_body(exchange, answer)
-
-    async def _pass_events(
-        self, exchange: _Exchange, answer: UpstreamAnswer
-    ) -> AttemptEnd:
-        """Passes whole events on as they come, so that a cut can be mended."""
-        progress = exchange.progress
-        splitter = EventSplitter()
-        async for data in answer.body:
-            whole, in_order = _in_order(splitter.feed(data), progress.last_event)
-            if whole:
-                exchange.heard_at = trio.current_time()
-                await _start(exchange, answer.status, answer.headers)
-                # Counted and sent without a checkpoint in between that could part them.
-                numbers = [e.number for e in whole if e.number is not None]
-                progress.last_event = numbers[-1] if numbers else progress.last_event
-                await exchange.reply.send(b"".join(event.raw for event in whole))
-            if not in_order:
-                exchange.reason = "an event is out of order"
-                return _cut(progress)
-        if splitter.rest.strip():
-            exchange.reason = "the answer ended inside an event"
-            return _cut(progress)
-        await _start(exchange, answer.status, answer.headers)
-        progress.finished = True
-        await exchange.reply.finish()
-        return AttemptEnd.COMPLETE
-
-    async def _pass_body(
-        self, exchange: _Exchange, answer: UpstreamAnswer
-    ) -> AttemptEnd:
-        """Passes any other body on; holds it back while it could be mended."""
-        held: list[bytes] = []
-        size = 0
-        async for data in answer.body:
-            size += len(data)
-            if exchange.progress.may_move and size <= _MAX_BUFFERED_BYTES:
-                held.append(data)
-                continue
-            await _start(exchange, answer.status, answer.headers)
-            await exchange.reply.send(b"".join([*held, data]))
-            held.clear()
-        await _start(exchange, answer.status, answer.headers)
-        if held:
-            await exchange.reply.send(b"".join(held))
-        exchange.progress.finished = True
-        await exchange.reply.finish()
-        return AttemptEnd.COMPLETE
+            return await pass_events(exchange, answer)
+        return await pass_body(exchange, answer)
 
     def _judge(
         self,
-        exchange: _Exchange,
+        exchange: Exchange,
         state: UpstreamState,
         attempt: Attempt,
         end: AttemptEnd,
@@ -383,20 +253,20 @@
         elif end is AttemptEnd.COMPLETE and exchange.status != _GATEWAY_TIMEOUT:
             state.failed(now)
 
-    def _judge_silence(self, exchange: _Exchange, state: UpstreamState) -> None:
+    def _judge_silence(self, exchange: Exchange, state: UpstreamState) -> None:
         """Notes a stream that was given up after a long silence of the upstream.
 
         Other answers may take as long as the route allows: silence proves nothing.
         """
         now = trio.current_time()
         first = not exchange.progress.started
-        patience_s = _first_patience_s if first else _gap_patience_s
+        patience_s = first_patience_s if first else gap_patience_s
         silent_s = now - exchange.heard_at
         streams = exchange.route.kind is RouteKind.STREAM
         if streams and silent_s > patience_s(exchange.route):
             state.failed(now)
 
-    def _observe(self, exchange: _Exchange, state: UpstreamState, now: float) -> None:
+    def _observe(self, exchange: Exchange, state: UpstreamState, now: float) -> None:
         """Notes how long a whole answer by one upstream took."""
         if exchange.first_at >= exchange.sent_at:
             self.placement.demand.of(state.upstream.service).answered(
@@ -404,7 +274,7 @@
                 service_s=now - exchange.sent_at,
             )
 
-    def _explain(self, exchange: _Exchange, step: NextStep, *, timed_out: bool) -> None:
+    def _explain(self, exchange: Exchange, step: NextStep, *, timed_out: bool) -> None:
         """Logs how a request ended, with what decided it."""
         now = trio.current_time()
         if exchange.progress.finished:
@@ -416,6 +286,7 @@
                 route=exchange.route.name,
                 outcome=step.value,
                 tries=exchange.progress.tries + 1,
+                waited_s=exchange.waited_s,
                 first_s=first_s if exchange.first_at else None,
                 total_s=now - exchange.arrived_at,
             )
@@ -432,22 +303,14 @@
             last_event=exchange.progress.last_event,
             timed_out=timed_out,
             reason=exchange.reason,
+            retry_after_s=exchange.retry_after_s if step in _REFUSALS else None,
+            waited_ms=_ms(exchange.waited_s),
             first_ms=_ms(first_s),
             total_ms=_ms(now - exchange.arrived_at),
             allowed_ms=_ms(exchange.ends_at - exchange.arrived_at),
         )
 
 
-def _first_patience_s(route: Route) -> float:
-    """Returns for how long an upstream may be silent before the first event."""
-    return max(FIRST_EVENT_STALL_S, FIRST_EVENT_STALL_TARGETS * route.target_latency_s)
-
-
-def _gap_patience_s(route: Route) -> float:
-    """Returns for how long an upstream may be silent between events."""
-    return max(GAP_STALL_S, GAP_STALL_TARGETS * route.gap_target_s)
-
-
 def _retry_after_s(slot: Nowhere | TooLate) -> float:
     return slot.retry_after_s if isinstance(slot, TooLate) else NOWHERE_RETRY_S
 
@@ -456,40 +319,14 @@
     return max(0, round(seconds * 1000))
 
 
-def _in_order(
-    events: list[StreamEvent], last: int | None
-) -> tuple[list[StreamEvent], bool]:
-    """Returns the events that follow the last one, and whether that is all of them."""
-    for index, event in enumerate(events):
-        if event.number is None:
-            continue
-        if last is not None and event.number != last + 1:
-            return events[:index], False
-        last = event.number
-    return events, True
-
-
-def _cut(progress: RequestProgress) -> AttemptEnd:
-    return AttemptEnd.CUT if progress.started else AttemptEnd.LOST
-
-
-def _end_of(attempt: Attempt, progress: RequestProgress) -> AttemptEnd:
+def _end_of(attempt: Attempt, exchange: Exchange) -> AttemptEnd:
     """Returns how an attempt ended that broke."""
     if attempt.state is AttemptState.QUEUED:
         return AttemptEnd.NOT_RUN
-    return _cut(progress)
-
-
-async def _start(exchange: _Exchange, status: int, headers: list[Header]) -> None:
-    """Sends the head of the first answer; later ones go on in the same body."""
-    if exchange.progress.started:
-        return
-    exchange.progress.started = True
-    exchange.first_at = trio.current_time()
-    await exchange.reply.start(status, headers)
+    return exchange.cut()
 
 
-async def _conclude(exchange: _Exchange, step: NextStep, *, timed_out: bool) -> None:
+async def _conclude(exchange: Exchange, step: NextStep, *, timed_out: bool) -> None:
     """Gives the final answer where the upstream's own was not passed on."""
     if step is NextStep.ABORT:
         await exchange.reply.abort()
--- a/src/coppercleat/serving/_peers.py
+++ b/src/coppercleat/serving/_peers.py
@@ -146,7 +146,8 @@
       messenger: Sends to them and receives.
       knowledge: Returns what this instance would tell an asker.
       on_knowledge: Told what a peer knows.
-      waiting: Returns what waits for a slot at this instance.
+      waits: Returns whether anything waits for a slot at this instance.
+      waiting: Returns what waits.
       on_counts: Told when a peer's work in flight has changed.
       on_taken: Told of a job that a peer has taken over; returns what this instance
         had made of it.
@@ -179,6 +180,7 @@
         self.knowledge: Callable[[int], Knowledge | None] = lambda after: None
         self.on_knowledge: Callable[[Knowledge], None] = lambda knowledge: None
         self.on_counts: Callable[[], None] = lambda: None
+        self.waits: Callable[[], bool] = lambda: False
         self.waiting: Callable[[], tuple[Waiting, ...]] = tuple
         self.on_taken: Callable[[JobId], list[ItemEvents]] = lambda job: []
         self.on_handover: Callable[[JobId, list[ItemEvents]], None] = (
@@ -223,7 +225,7 @@
             self._urgent.set()
 
     def _scarce(self) -> bool:
-        return bool(self.placement.order) or bool(self.waiting())
+        return bool(self.placement.order) or self.waits()
 
     def _tells_all(self) -> bool:
         return len(self.placement.peers.tellers()) <= _TELL_ALL
--- /dev/null
+++ b/src/coppercleat/serving/_silence.py
@@ -0,0 +1,89 @@
+"""Ends attempts at upstreams that have fallen silent, where another is better."""
+
+from __future__ import annotations
+
+import contextlib
+from collections.abc import Iterator
+
+import trio
+
+from coppercleat.serving._exchange import Exchange
+from coppercleat.serving._model import Route, RouteKind
+from coppercleat.serving._placement import Placement, UpstreamState
+
+FIRST_EVENT_STALL_S = 0.8
+FIRST_EVENT_STALL_TARGETS = 2.5
+"""Without a first event for this long, or so many times the route's target, a stream
+that may be resumed goes elsewhere. Well past the time to read the longest prompt
+beside a full batch (about 0.1 s)."""
+
+GAP_STALL_S = 0.6
+GAP_STALL_TARGETS = 3.0
+"""The same between events, which come some 20 ms apart."""
+
+SILENCE_LOOK_S = 0.05
+"""Between looks for a slot elsewhere, for a request whose upstream is silent."""
+
+
+def first_patience_s(route: Route) -> float:
+    """Returns for how long an upstream may be silent before the first event."""
+    return max(FIRST_EVENT_STALL_S, FIRST_EVENT_STALL_TARGETS * route.target_latency_s)
+
+
+def gap_patience_s(route: Route) -> float:
+    """Returns for how long an upstream may be silent between events."""
+    return max(GAP_STALL_S, GAP_STALL_TARGETS * route.gap_target_s)
+
+
+class SilenceWatch:
+    """Looks at all open attempts of an instance by turns.
+
+    Attributes:
+      placement: Knows whether a slot is open elsewhere.
+    """
+
+    def __init__(self, placement: Placement) -> None:
+        self.placement = placement
+        self._open: dict[Exchange, tuple[UpstreamState, trio.CancelScope]] = {}
+
+    @contextlib.contextmanager
+    def watched(self, exchange: Exchange, state: UpstreamState) -> Iterator[None]:
+        """Has an attempt ended if the upstream is silent and another is not."""
+        scope = trio.CancelScope()
+        # Other answers may take as long as the route allows: silence proves nothing.
+        if exchange.route.kind is RouteKind.STREAM and exchange.progress.may_move:
+            self._open[exchange] = (state, scope)
+        try:
+            with scope:
+                yield
+        finally:
+            self._open.pop(exchange, None)
+
+    async def run(self) -> None:
+        """Ends attempts at silent upstreams, until cancelled."""
+        while True:
+            await trio.sleep(SILENCE_LOOK_S)
+            now = trio.current_time()
+            for exchange, (state, scope) in list(self._open.items()):
+                if self._has_stalled(exchange, state, now):
+                    exchange.silent = True
+                    scope.cancel()
+
+    def _has_stalled(
+        self, exchange: Exchange, state: UpstreamState, now: float
+    ) -> bool:
+        """Returns whether an upstream is silent and the request better off elsewhere.
+
+        An upstream is silent too while the request waits in its queue. Leaving it then
+        for no free slot would lose the place, and the request may have run.
+        """
+        if exchange.progress.finished:
+            return False
+        heard = exchange.heard_at > exchange.sent_at
+        patience_s = gap_patience_s if heard else first_patience_s
+        if now < exchange.heard_at + patience_s(exchange.route):
+            return False
+        if not state.health.may_try(now):
+            return True
+        service = state.upstream.service
+        return self.placement.open_slots(service, avoid=exchange.tried, now=now) > 0
--- a/tests/features/steps/silence_steps.py
+++ b/tests/features/steps/silence_steps.py
@@ -113,7 +113,7 @@
         )
         async with trio.open_nursery() as nursery:
             nursery.start_soon(admission.run)
-            nursery.start_soon(forwarder.run)
+            nursery.start_soon(forwarder.silence.run)
             nursery.start_soon(free_later)
             context.step = await forwarder.forward(request, ROUTE, reply)
             nursery.cancel_scope.cancel()
