Count what waits by service; times by route; rates of whole zones

Cause: by reading: requests that wait for one service counted as before those of another, so that full models would hold up a plain service with free slots; one smoothed time for all routes of a service made short calls look late beside streams; in a large fleet the rates of other zones were not told. Change: what waits names its service; each route has its answer times, the first answer replaces the guess; zones tell their rates with their sums.

--- a/src/coppercleat/jobs/_items.py
+++ b/src/coppercleat/jobs/_items.py
@@ -109,7 +109,8 @@
         if item.failures:
             avoid.update(self.placement.suspects(now))
         own = Place(Rank.BATCH_LATE if late else Rank.BATCH, now + due_in_s)
-        ahead = self.placement.order.ahead(own, now=now)
+        service = route.targets[0].service
+        ahead = self.placement.order.ahead(own, service=service, now=now)
         while True:
             state = self.placement.choose_batch(
                 route, reserve=RESERVED_SLOTS, avoid=avoid, now=now, ahead=ahead
--- a/src/coppercleat/jobs/_starter.py
+++ b/src/coppercleat/jobs/_starter.py
@@ -89,14 +89,20 @@
     def _gather(self) -> tuple[Waiting, ...]:
         wall = self.clock()
         found = []
+        table = self.routes()
         for run in sorted(self.runs.values(), key=lambda run: run.due_at):
+            route = table.match(run.held.row.host, run.held.row.path) if table else None
+            if route is None:
+                continue
+            service = route.targets[0].service
             due_in_s = run.due_at - wall
             late = self._late(run, due_in_s)
             self._forecast(run, late, due_in_s)
             if len(run.pending) > late:
-                found.append(Waiting(Rank.BATCH, due_in_s, len(run.pending) - late))
+                on_time = len(run.pending) - late
+                found.append(Waiting(Rank.BATCH, due_in_s, service, on_time))
             if late:
-                found.append(Waiting(Rank.BATCH_LATE, due_in_s, late))
+                found.append(Waiting(Rank.BATCH_LATE, due_in_s, service, late))
         return tuple(found[:MAX_TOLD_JOBS])
 
     def _forecast(self, run: JobRun, late: int, due_in_s: float) -> None:
--- a/src/coppercleat/serving/__init__.py
+++ b/src/coppercleat/serving/__init__.py
@@ -7,7 +7,7 @@
     TooLate,
     Waiter,
 )
-from coppercleat.serving._demand import Demand
+from coppercleat.serving._demand import AnswerTimes, Demand
 from coppercleat.serving._events import EventSplitter, StreamEvent
 from coppercleat.serving._fleet_order import (
     FleetOrder,
@@ -57,6 +57,7 @@
     "RETRY_AFTER_S",
     "Admission",
     "AdmissionQueue",
+    "AnswerTimes",
     "AttemptEnd",
     "Catalogue",
     "ClientLimits",
--- a/src/coppercleat/serving/_admission_queue.py
+++ b/src/coppercleat/serving/_admission_queue.py
@@ -10,6 +10,7 @@
 
 from __future__ import annotations
 
+import collections
 import random
 from collections.abc import Callable, Collection
 
@@ -131,14 +132,16 @@
           on_settled: Told of each request that has an outcome now; counts the slot.
         """
         still_waiting: list[Waiter] = []
+        before: collections.Counter[str] = collections.Counter()
         left_open = False
         for waiter in sorted(self._waiting, key=lambda waiter: waiter.turn(now)):
-            before = len(still_waiting)
-            waiter.outcome = self._outcome(waiter, before, now)
+            slots = self._open(waiter, now)
+            waiter.outcome = self._outcome(waiter, slots, before[waiter.service], now)
             if waiter.outcome is not None:
                 on_settled(waiter)
                 continue
-            left_open = left_open or self._open(waiter, now) > before
+            left_open = left_open or slots > before[waiter.service]
+            before[waiter.service] += 1
             still_waiting.append(waiter)
         self._waiting = still_waiting
         if not left_open:
@@ -146,37 +149,52 @@
 
     def told(self, *, now: float) -> tuple[Waiting, ...]:
         """Returns what waits here, to be told to others."""
-        places = sorted(waiter.place(now) for waiter in self._waiting)
-        found = [Waiting(p.rank, p.due_at - now) for p in places[:MAX_TOLD]]
-        rest = places[MAX_TOLD:]
-        if rest:
-            found.append(Waiting(rest[0].rank, rest[0].due_at - now, len(rest)))
+        waiting = sorted(self._waiting, key=lambda waiter: waiter.place(now))
+        found = [_to_tell(waiter, 1, now) for waiter in waiting[:MAX_TOLD]]
+        rest: dict[str, list[Waiter]] = {}
+        for waiter in waiting[MAX_TOLD:]:
+            rest.setdefault(waiter.service, []).append(waiter)
+        found += [_to_tell(those[0], len(those), now) for those in rest.values()]
         return tuple(found)
 
     # Whose turn it is.
 
     def _outcome(
-        self, waiter: Waiter, before: int, now: float
+        self, waiter: Waiter, slots: int, before: int, now: float
     ) -> UpstreamState | Nowhere | TooLate | None:
-        """Returns what a request gets now, if ``before`` others go before it here."""
-        ahead = before + self.order.ahead(waiter.place(now), now=now)
-        slots = self._open(waiter, now)
+        """Returns what a request gets now.
+
+        Args:
+          waiter: The request.
+          slots: Slots that are open to it.
+          before: How many go before it here.
+          now: Seconds on this instance's clock.
+        """
+        ahead = before + self.order.ahead(
+            waiter.place(now), service=waiter.service, now=now
+        )
         if ahead < slots:
             return self._slot(waiter, ahead, now)
         if before < slots and self._patience.overdue(now):
             self._patience.reset()
             return self._slot(waiter, self._rng.randrange(slots), now)
-        chosen = self.placement.choose_online(
-            waiter.service, tried=waiter.avoid, now=now
-        )
-        if isinstance(chosen, Nowhere):
-            return chosen
+        if not self.placement.serves(waiter.service, avoid=waiter.avoid):
+            return Nowhere(f"no upstream serves {waiter.service}")
         if now > waiter.serve_by:
             return TooLate("no slot came free in time", RETRY_AFTER_S)
-        if ahead == 0 and now > waiter.on_time_by and self._may_queue(chosen, now):
-            return chosen
+        if ahead == 0 and now > waiter.on_time_by:
+            return self._queue_upstream(waiter, now)
         return None
 
+    def _queue_upstream(self, waiter: Waiter, now: float) -> UpstreamState | None:
+        """Returns an upstream at which a late request may wait, if there is one."""
+        chosen = self.placement.choose_online(
+            waiter.service, tried=waiter.avoid, now=now
+        )
+        if isinstance(chosen, Nowhere) or not self._may_queue(chosen, now):
+            return None
+        return chosen
+
     def _may_queue(self, state: UpstreamState, now: float) -> bool:
         """Returns whether a late request may wait at an upstream itself."""
         queued = -self.placement.online_slots(state)
@@ -203,14 +221,19 @@
         if len(self._waiting) >= MAX_WAITING:
             return TooLate("too many requests wait here", LONGEST_RETRY_S)
         total = self.placement.total_slots(waiter.service, now=now)
-        missing = 1 + self._ahead(waiter.place(now), now) - self._open(waiter, now)
+        missing = (
+            1
+            + self._ahead(waiter.place(now), waiter.service, now)
+            - self._open(waiter, now)
+        )
         if missing <= 0 or not total or waiter.begun:
             return None
         rate = total / self.demand.of(waiter.service).service_s
         if now + missing / rate <= waiter.on_time_by:
             return None
         # It will be late, and those on time go before it.
-        last = 1 + self._ahead(Place(Rank.ONLINE_LATE, waiter.serve_by), now)
+        late = Place(Rank.ONLINE_LATE, waiter.serve_by)
+        last = 1 + self._ahead(late, waiter.service, now)
         spare = rate - self.demand.fleet_rate(waiter.service, now=now)
         if spare > 0 and now + last / spare <= waiter.serve_by:
             return None
@@ -220,9 +243,12 @@
         )
         return TooLate(reason, wait_s)
 
-    def _ahead(self, place: Place, now: float) -> int:
-        own = sum(waiter.place(now) < place for waiter in self._waiting)
-        return own + self.order.ahead(place, now=now)
+    def _ahead(self, place: Place, service: str, now: float) -> int:
+        own = sum(
+            other.service == service and other.place(now) < place
+            for other in self._waiting
+        )
+        return own + self.order.ahead(place, service=service, now=now)
 
     def _return_in_s(
         self, service: str, rate: float, wait_s: float, now: float
@@ -239,3 +265,9 @@
         at = max(last, now + wait_s) + gap_s * self._rng.uniform(0.5, 1.5)
         self._returns[service] = min(at, now + LONGEST_RETRY_S)
         return max(RETRY_AFTER_S, self._returns[service] - now)
+
+
+def _to_tell(waiter: Waiter, count: int, now: float) -> Waiting:
+    """Returns what others are told of one that waits, and of those like it."""
+    place = waiter.place(now)
+    return Waiting(place.rank, place.due_at - now, waiter.service, count)
--- a/src/coppercleat/serving/_demand.py
+++ b/src/coppercleat/serving/_demand.py
@@ -3,11 +3,11 @@
 from __future__ import annotations
 
 import math
-from collections.abc import Mapping
+from collections.abc import Iterable, Mapping
 
 import attrs
 
-from coppercleat.ids import InstanceId
+from coppercleat.ids import InstanceId, ZoneId
 
 RATE_OVER_S = 2.0
 """Time constant of the rate of arrivals: short enough to see a wave of some seconds,
@@ -21,17 +21,36 @@
 """Weight of the newest request; some twenty decide."""
 
 
+@attrs.define
+class AnswerTimes:
+    """Smoothed times of one route's answers; the first answer replaces the guesses.
+
+    Attributes:
+      lead_s: Seconds from sending a request to the first part of its answer.
+      service_s: Seconds for which a request holds a slot.
+    """
+
+    lead_s: float = _FIRST_LEAD_S
+    service_s: float = _FIRST_SERVICE_S
+    _answered: bool = False
+
+    def observe(self, *, lead_s: float, service_s: float) -> None:
+        """Takes a request that was answered in full."""
+        weight = _SMOOTHING if self._answered else 1.0
+        self._answered = True
+        self.lead_s += weight * (lead_s - self.lead_s)
+        self.service_s += weight * (service_s - self.service_s)
+
+
 @attrs.define
 class ServiceDemand:
     """Smoothed figures of one service at this instance; the clock is passed in.
 
     Attributes:
-      service_s: Seconds for which a request holds a slot.
-      lead_s: Seconds from sending a request to the first part of its answer.
+      service_s: Seconds for which a request holds a slot, over all routes.
     """
 
     service_s: float = _FIRST_SERVICE_S
-    lead_s: float = _FIRST_LEAD_S
     _rate: float = 0.0
     _arrived_at: float = 0.0
 
@@ -40,9 +59,8 @@
         self._rate = self.rate(now=now) + 1 / RATE_OVER_S
         self._arrived_at = now
 
-    def answered(self, *, lead_s: float, service_s: float) -> None:
+    def answered(self, *, service_s: float) -> None:
         """Takes a request that was answered in full."""
-        self.lead_s += _SMOOTHING * (lead_s - self.lead_s)
         self.service_s += _SMOOTHING * (service_s - self.service_s)
 
     def rate(self, *, now: float) -> float:
@@ -52,29 +70,44 @@
 
 
 class Demand:
-    """Figures of all services, and the rates that other instances tell."""
+    """Figures of all services and routes, and the rates that others tell."""
 
     def __init__(self) -> None:
         self._own: dict[str, ServiceDemand] = {}
-        self._told: dict[InstanceId, Mapping[str, float]] = {}
+        self._times: dict[str, AnswerTimes] = {}
+        self._told: dict[InstanceId | ZoneId, Mapping[str, float]] = {}
 
     def of(self, service: str) -> ServiceDemand:
         """Returns the figures of a service at this instance."""
         return self._own.setdefault(service, ServiceDemand())
 
+    def times(self, route: str) -> AnswerTimes:
+        """Returns the times of a route's answers at this instance."""
+        return self._times.setdefault(route, AnswerTimes())
+
     def own_rates(self, *, now: float) -> dict[str, float]:
         """Returns the rates of arrival here, to be told to others."""
         return {s: round(figures.rate(now=now), 2) for s, figures in self._own.items()}
 
+    def rates_of(
+        self, tellers: Iterable[InstanceId], *, now: float
+    ) -> dict[str, float]:
+        """Returns the rates of arrival here and at some others, together."""
+        found = self.own_rates(now=now)
+        for teller in tellers:
+            for service, rate in self._told.get(teller, {}).items():
+                found[service] = found.get(service, 0.0) + rate
+        return found
+
     def fleet_rate(self, service: str, *, now: float) -> float:
         """Returns requests a second that arrive here and at all that have told."""
         told = sum(rates.get(service, 0.0) for rates in self._told.values())
         return told + self.of(service).rate(now=now)
 
-    def observe(self, teller: InstanceId, rates: Mapping[str, float]) -> None:
-        """Takes the rates that another instance tells."""
+    def observe(self, teller: InstanceId | ZoneId, rates: Mapping[str, float]) -> None:
+        """Takes the rates that an instance tells, or one for its whole zone."""
         self._told[teller] = rates
 
-    def forget(self, teller: InstanceId) -> None:
-        """Drops what an instance has told."""
+    def forget(self, teller: InstanceId | ZoneId) -> None:
+        """Drops what has been told by or for somebody."""
         self._told.pop(teller, None)
--- a/src/coppercleat/serving/_fleet_order.py
+++ b/src/coppercleat/serving/_fleet_order.py
@@ -52,11 +52,13 @@
     Attributes:
       rank: A ``Rank``, as a number.
       due_in_s: Seconds from the telling until it must have a slot; clocks differ.
+      service: Whose slots it waits for.
       count: How many wait with this place.
     """
 
     rank: int
     due_in_s: float
+    service: str
     count: int = 1
 
 
@@ -99,6 +101,7 @@
 class _Told:
     rank: Rank
     due_at: float
+    service: str
     count: int
 
 
@@ -112,7 +115,10 @@
         self, teller: InstanceId, waiting: Iterable[Waiting], *, now: float
     ) -> None:
         """Takes all that waits at an instance; replaces what it told before."""
-        told = [_Told(Rank(one.rank), now + one.due_in_s, one.count) for one in waiting]
+        told = [
+            _Told(Rank(one.rank), now + one.due_in_s, one.service, one.count)
+            for one in waiting
+        ]
         if told:
             self._told[teller] = told
         else:
@@ -125,16 +131,17 @@
     def __bool__(self) -> bool:
         return bool(self._told)
 
-    def ahead(self, own: Place, *, now: float) -> int:
+    def ahead(self, own: Place, *, service: str, now: float) -> int:
         """Returns how many wait elsewhere before a place.
 
         Args:
           own: The place of one's own.
+          service: Whose slots are asked for.
           now: Seconds on this instance's clock.
         """
         return sum(
             one.count
             for told in self._told.values()
             for one in told
-            if place(one.rank, one.due_at, now=now) < own
+            if one.service == service and place(one.rank, one.due_at, now=now) < own
         )
--- a/src/coppercleat/serving/_forwarding.py
+++ b/src/coppercleat/serving/_forwarding.py
@@ -140,9 +140,9 @@
         """Returns the request as the queue for slots sees it."""
         route = exchange.route
         service = self.placement.draw_service(route.targets)
-        demand = self.placement.demand.of(service)
         if not exchange.progress.tries:
-            demand.arrived(now=exchange.arrived_at)
+            self.placement.demand.of(service).arrived(now=exchange.arrived_at)
+        times = self.placement.demand.times(route.name)
         # A stream is on time by its first event and then by each pause between them.
         due_at = exchange.arrived_at + route.target_latency_s
         if exchange.progress.started:
@@ -151,8 +151,8 @@
         return Waiter(
             service=service,
             priority=route.priority,
-            on_time_by=due_at - (demand.lead_s if streams else demand.service_s),
-            serve_by=exchange.ends_at - demand.service_s,
+            on_time_by=due_at - (times.lead_s if streams else times.service_s),
+            serve_by=exchange.ends_at - times.service_s,
             begun=exchange.progress.started,
             avoid=exchange.tried,
         )
@@ -268,11 +268,13 @@
 
     def _observe(self, exchange: Exchange, state: UpstreamState, now: float) -> None:
         """Notes how long a whole answer by one upstream took."""
-        if exchange.first_at >= exchange.sent_at:
-            self.placement.demand.of(state.upstream.service).answered(
-                lead_s=exchange.first_at - exchange.sent_at,
-                service_s=now - exchange.sent_at,
-            )
+        if exchange.first_at < exchange.sent_at:
+            return  # Its first part came from another upstream.
+        demand, service_s = self.placement.demand, now - exchange.sent_at
+        demand.of(state.upstream.service).answered(service_s=service_s)
+        demand.times(exchange.route.name).observe(
+            lead_s=exchange.first_at - exchange.sent_at, service_s=service_s
+        )
 
     def _explain(self, exchange: Exchange, step: NextStep, *, timed_out: bool) -> None:
         """Logs how a request ended, with what decided it."""
--- a/src/coppercleat/serving/_peers.py
+++ b/src/coppercleat/serving/_peers.py
@@ -68,6 +68,7 @@
 
     zone: ZoneId
     counts: tuple[InFlight, ...]
+    rates: dict[str, float] = {}
 
 
 class ResultsSeen(msgspec.Struct, frozen=True, tag="results", array_like=True):
@@ -275,6 +276,7 @@
         for zone in self.placement.zones.tellers():
             if not self._tells_as_one(zone, now):
                 self.placement.zones.forget(zone)
+                self.placement.demand.forget(zone)
                 _log.warning("A zone fell silent.", zone=zone)
                 self.on_counts()
 
@@ -339,8 +341,9 @@
                 continue
             if self.settings.instance != self._reporter(self.settings.zone):
                 continue
+            rates = self.placement.demand.rates_of(near, now=trio.current_time())
             zone_work = ZoneWork(
-                self.settings.zone, tuple(self.placement.of_own_zone())
+                self.settings.zone, tuple(self.placement.of_own_zone()), rates
             )
             for instance in set(others) - set(near):
                 self.messenger.send(instance, zone_work)
@@ -396,6 +399,7 @@
             return
         self._zones_at[work.zone] = trio.current_time()
         self.placement.zones.observe(work.zone, work.counts)
+        self.placement.demand.observe(work.zone, work.rates)
         for peer in self.placement.peers.tellers():
             if self.detector.zone_of(peer) == work.zone:
                 self._forget_peer(peer)
--- a/src/coppercleat/serving/_placement.py
+++ b/src/coppercleat/serving/_placement.py
@@ -230,6 +230,10 @@
             return Nowhere(f"no upstream serves {service}")
         return min(serving, key=lambda state: self._online_cost(state, now))
 
+    def serves(self, service: str, *, avoid: Collection[UpstreamId]) -> bool:
+        """Returns whether a service has any upstream that is not leaving."""
+        return any(state.id not in avoid for state in self._usable(service))
+
     def open_slots(
         self, service: str, *, avoid: Collection[UpstreamId], now: float
     ) -> int:
--- a/tests/features/overload.feature
+++ b/tests/features/overload.feature
@@ -50,6 +50,7 @@
       | ONLINE:-0.1:1                 | 0.2 | 0     |
       | ONLINE_LATE:0.1:5             | 0.2 | 0     |
       | BATCH:0.1:5                   | 0.2 | 0     |
+      | ONLINE:0.1:5:calc             | 0.2 | 0     |
 
   Scenario: Others that do not take their slot
     Then an open slot that is left to others is taken after 0.06 to 0.13 s
@@ -88,3 +89,12 @@
       | 2     | 5       | 1    |
       | 2     | 6       | 0    |
       | 8     | 3       | 0    |
+
+  Scenario: Services have slots of their own
+    Then one that waits for another service does not hold up a request with a free slot
+
+  Scenario: How long answers take is known from the first one
+    Then an answer of 0.2 s and one of 0.4 s make a time of 0.21 s
+
+  Scenario: Zones tell each other how fast requests come
+    Then the rates of a zone are those of its instances, and are forgotten with it
--- a/tests/features/steps/online_load_steps.py
+++ b/tests/features/steps/online_load_steps.py
@@ -3,11 +3,14 @@
 import random
 
 import attrs
+import msgspec
 from behave import given, then, when
 
 from coppercleat.ids import InstanceId, UpstreamId, ZoneId
 from coppercleat.serving import (
     AdmissionQueue,
+    AnswerTimes,
+    Demand,
     FleetOrder,
     InFlight,
     Nowhere,
@@ -102,7 +105,7 @@
         self.played.arrived += 1
         demand = queue.demand.of("menus")
         demand.arrived(now=now)
-        demand.service_s, demand.lead_s = SERVICE_S, LEAD_S
+        demand.service_s = SERVICE_S
         waiter = Waiter(
             service="menus",
             priority=0,
@@ -267,10 +270,11 @@
 def ahead_of(context, others, due, ahead):
     order = FleetOrder()
     for number, part in enumerate(others.split()):
-        rank, due_in_s, count = part.split(":")
-        told = Waiting(Rank[rank], float(due_in_s), int(count))
+        rank, due_in_s, count, *service = part.split(":")
+        name = service[0] if service else "menus"
+        told = Waiting(Rank[rank], float(due_in_s), name, int(count))
         order.observe(InstanceId(f"i{number}"), [told], now=10.0)
-    found = order.ahead(Place(Rank.ONLINE, 10.0 + due), now=10.0)
+    found = order.ahead(Place(Rank.ONLINE, 10.0 + due), service="menus", now=10.0)
     assert found == ahead, found
 
 
@@ -343,3 +347,47 @@
     assert placement.open_slots("menus", avoid=(), now=0.0) == free
     found = placement.choose_batch(WEEK, reserve=0, avoid=(), now=0.0)
     assert isinstance(found, UpstreamState) == (free > 0), found
+
+
+@then("one that waits for another service does not hold up a request with a free slot")
+def services_apart(context):
+    placement = Placement(ZoneId("a"), rng=random.Random(1))
+    of_menus, of_calc = upstreams(2)
+    placement.replace([of_menus, msgspec.structs.replace(of_calc, service="calc")])
+    queue = AdmissionQueue(placement, rng=placement.rng)
+    for state in placement.states.values():
+        state.online = 8
+    waiters = [
+        Waiter(service=service, priority=0, on_time_by=due, serve_by=4.0)
+        for service, due in (("calc", 0.1), ("calc", 0.1), ("menus", 0.3))
+    ]
+    for waiter in waiters:
+        queue.enter(waiter, now=0.0)
+    told = queue.told(now=0.0)
+    assert sorted(one.service for one in told) == ["calc", "calc", "menus"], told
+    for state in placement.states.values():
+        state.online -= state.upstream.service == "menus"
+    queue.settle(now=0.0, on_settled=lambda waiter: None)
+    assert [type(w.outcome) for w in waiters] == [type(None), type(None), UpstreamState]
+
+
+@then("an answer of {first:g} s and one of {second:g} s make a time of {mean:g} s")
+def answer_times(context, first, second, mean):
+    times = AnswerTimes()
+    for took in (first, second):
+        times.observe(lead_s=took, service_s=took)
+    assert abs(times.service_s - mean) < 1e-9, times
+    assert abs(times.lead_s - mean) < 1e-9, times
+
+
+@then("the rates of a zone are those of its instances, and are forgotten with it")
+def zone_rates(context):
+    demand = Demand()
+    demand.observe(InstanceId("i1"), {"menus": 2.0})
+    demand.observe(InstanceId("i2"), {"menus": 1.0, "calc": 1.0})
+    found = demand.rates_of([InstanceId("i1"), InstanceId("i2")], now=0.0)
+    assert found == {"menus": 3.0, "calc": 1.0}, found
+    demand.observe(ZoneId("z"), {"menus": 5.0})
+    assert demand.fleet_rate("menus", now=0.0) == 8.0
+    demand.forget(ZoneId("z"))
+    assert demand.fleet_rate("menus", now=0.0) == 3.0
