--- a/tests/features/serving_decisions.feature
+++ b/tests/features/serving_decisions.feature
@@ -285,3 +285,7 @@
       | 1.5    | 1    | x y       |
       | 1.5    | 0    | x         |
       | 3.0    | 0    | x         |
+
+  Scenario: Instances that start together know of each other's work before their second beats
+    When 8 instances start together, each with 1 request in flight, and read who is listed
+    Then each knows of all 8 requests within 0.45 s
--- a/tests/features/steps/serving_steps.py
+++ b/tests/features/steps/serving_steps.py
@@ -980,3 +980,39 @@
 def known_soon(context, within, more):
     late = [load for at, load in context.loads if within <= at <= within + more]
     assert late and set(late) == {3}, context.loads
+
+
+@when(
+    "{count:d} instances start together, each with 1 request in flight, "
+    "and read who is listed"
+)
+def start_together(context, count):
+    ports = [free_port() for _ in range(count)]
+
+    async def run():
+        peers = [
+            make_peers(f"i{n}", "ab"[n % 2], port, ports[0])
+            for n, port in enumerate(ports)
+        ]
+        listed = [
+            (InstanceId(f"i{n}"), f"127.0.0.1:{port}", ZoneId("ab"[n % 2]))
+            for n, port in enumerate(ports)
+        ]
+        async with trio.open_nursery() as nursery:
+            for one in peers:
+                one.placement.states[UpstreamId("x")].online = 1
+                nursery.start_soon(one.run)
+            began = trio.current_time()
+            for one in peers:
+                one.listed(listed)
+            context.all_known = await until_load(peers, count)
+            context.known_after = trio.current_time() - began
+            nursery.cancel_scope.cancel()
+
+    trio.run(run)
+
+
+@then("each knows of all {count:d} requests within {within:g} s")
+def all_known(context, count, within):
+    assert context.all_known == {count}, context.all_known
+    assert context.known_after <= within, context.known_after
