Refuse what waits at a stop and could not be answered before the cut

Cause: by reading: a request that waits for a slot when its instance stops could get one so late that the end of the grace period cuts its answer. Ruled out: new requests after the port has closed: there are none. Change: the queue knows when the stop cuts; what would not be answered by then is refused as not run, at once when that is known. Measured: four new rows of overload.feature; the planned-stop scenario passes.

--- a/src/coppercleat/serving/_admission_queue.py
+++ b/src/coppercleat/serving/_admission_queue.py
@@ -94,6 +94,7 @@
       placement: Knows the upstreams and what is in flight there.
       order: What waits at other instances.
       demand: How fast requests come and how long they hold a slot.
+      closes_at: When this instance cuts what is still in flight; never, until it stops.
     """
 
     def __init__(
@@ -106,6 +107,7 @@
         self.order = placement.order
         self.demand = placement.demand
         self._rng = rng
+        self.closes_at = float("inf")
         self._patience = Patience(rng)
         self._returns: dict[str, float] = {}
         self._waiting: list[Waiter] = []
@@ -180,7 +182,7 @@
             return self._slot(waiter, self._rng.randrange(slots), now)
         if not self.placement.serves(waiter.service, avoid=waiter.avoid):
             return Nowhere(f"no upstream serves {waiter.service}")
-        if now > waiter.serve_by:
+        if now > self._serve_by(waiter):
             return TooLate("no slot came free in time", RETRY_AFTER_S)
         if ahead == 0 and now > waiter.on_time_by:
             return self._queue_upstream(waiter, now)
@@ -235,7 +237,7 @@
         late = Place(Rank.ONLINE_LATE, waiter.serve_by)
         last = 1 + self._ahead(late, waiter.service, now)
         spare = rate - self.demand.fleet_rate(waiter.service, now=now)
-        if spare > 0 and now + last / spare <= waiter.serve_by:
+        if spare > 0 and now + last / spare <= self._serve_by(waiter):
             return None
         wait_s = self._return_in_s(waiter.service, rate, missing / rate, now)
         reason = (
@@ -243,6 +245,11 @@
         )
         return TooLate(reason, wait_s)
 
+    def _serve_by(self, waiter: Waiter) -> float:
+        """Returns when a request must be sent at the latest, also for a stop."""
+        service_s = self.demand.of(waiter.service).service_s
+        return min(waiter.serve_by, self.closes_at - service_s)
+
     def _ahead(self, place: Place, service: str, now: float) -> int:
         own = sum(
             other.service == service and other.place(now) < place
--- a/tests/features/overload.feature
+++ b/tests/features/overload.feature
@@ -98,3 +98,13 @@
 
   Scenario: Zones tell each other how fast requests come
     Then the rates of a zone are those of its instances, and are forgotten with it
+
+  Scenario Outline: A request that waits at an instance that stops in <stops> s
+    Then one that waits where a stop cuts everything after <stops> s is <outcome> at <now> s
+
+    Examples: answered if sent by 4.2 s, an answer takes 1 s
+      | stops | now | outcome |
+      | 9     | 3   | waiting |
+      | 9     | 4.3 | refused |
+      | 3     | 1.9 | waiting |
+      | 3     | 2.1 | refused |
--- a/tests/features/steps/online_load_steps.py
+++ b/tests/features/steps/online_load_steps.py
@@ -391,3 +391,21 @@
     assert demand.fleet_rate("menus", now=0.0) == 8.0
     demand.forget(ZoneId("z"))
     assert demand.fleet_rate("menus", now=0.0) == 3.0
+
+
+@then(
+    "one that waits where a stop cuts everything after {stops:g} s "
+    "is {end} at {now:g} s"
+)
+def waits_at_stop(context, stops, end, now):
+    placement = Placement(ZoneId("a"), rng=random.Random(1))
+    placement.replace(upstreams(1))
+    queue = AdmissionQueue(placement, rng=placement.rng)
+    for state in placement.states.values():
+        state.online = 9
+    waiter = Waiter(service="menus", priority=0, on_time_by=0.25, serve_by=4.2)
+    queue.enter(waiter, now=0.0)
+    queue.closes_at = stops
+    queue.settle(now=now, on_settled=lambda settled: None)
+    found = "refused" if isinstance(waiter.outcome, TooLate) else "waiting"
+    assert found == end, waiter.outcome
