Look at what waits at most every 5 ms, with one view of open slots and of others a look

Cause: by reading: in an overload of a large fleet each look went over all upstreams and all that others wait for, for each request, some hundred times a second. Ruled out: fewer messages: they carry the counts that the order needs. Change: a look computes open slots and the sorted line of others once; looks are 5 ms apart at least; an upstream whose slots online requests hold is not taken for one where an item can be cut.

--- a/src/coppercleat/serving/_admission.py
+++ b/src/coppercleat/serving/_admission.py
@@ -15,6 +15,11 @@
 and deadlines run out by themselves."""
 
 
+_LEAST_PAUSE_S = 0.005
+"""Least time between two looks: in an overload something changes some hundred times a
+second, and each look goes over all that waits."""
+
+
 class Admission:
     """The queue of an instance, with its clock.
 
@@ -36,6 +41,7 @@
         self.on_waiting = on_waiting
         self._settled: dict[Waiter, trio.Event] = {}
         self._entered = trio.Event()
+        self._looked_at = float("-inf")
 
     async def run(self) -> None:
         """Looks again and again while requests wait, until cancelled."""
@@ -47,9 +53,14 @@
                 self.look()
 
     def look(self) -> None:
-        """Gives slots to those whose turn it is."""
-        if len(self.queue):
-            self.queue.settle(now=trio.current_time(), on_settled=self._settle)
+        """Gives slots to those whose turn it is, unless that was just looked at."""
+        now = trio.current_time()
+        if len(self.queue) and now - self._looked_at >= _LEAST_PAUSE_S:
+            self._look(now)
+
+    def _look(self, now: float) -> None:
+        self._looked_at = now
+        self.queue.settle(now=now, on_settled=self._settle)
 
     @contextlib.asynccontextmanager
     async def slot(
@@ -66,7 +77,7 @@
         settled = self._settled[waiter] = trio.Event()
         self.queue.enter(waiter, now=trio.current_time())
         try:
-            self.look()
+            self._look(trio.current_time())
             if waiter.outcome is None:
                 self._entered.set()
                 self.on_waiting()
--- a/src/coppercleat/serving/_admission_queue.py
+++ b/src/coppercleat/serving/_admission_queue.py
@@ -135,15 +135,26 @@
         """
         still_waiting: list[Waiter] = []
         before: collections.Counter[str] = collections.Counter()
+        elsewhere = {
+            service: self.order.line(service, now=now)
+            for service in {waiter.service for waiter in self._waiting}
+        }
+        open_slots: dict[tuple[str, frozenset[UpstreamId]], int] = {}
         left_open = False
         for waiter in sorted(self._waiting, key=lambda waiter: waiter.turn(now)):
-            slots = self._open(waiter, now)
-            waiter.outcome = self._outcome(waiter, slots, before[waiter.service], now)
+            service, asked = waiter.service, (waiter.service, frozenset(waiter.avoid))
+            if asked not in open_slots:
+                open_slots[asked] = self._open(waiter, now)
+            ahead = elsewhere[service].ahead(waiter.place(now))
+            waiter.outcome = self._outcome(
+                waiter, open_slots[asked], before[service], ahead, now
+            )
             if waiter.outcome is not None:
                 on_settled(waiter)
+                open_slots.clear()
                 continue
-            left_open = left_open or slots > before[waiter.service]
-            before[waiter.service] += 1
+            left_open = left_open or open_slots[asked] > before[service]
+            before[service] += 1
             still_waiting.append(waiter)
         self._waiting = still_waiting
         if not left_open:
@@ -162,7 +173,7 @@
     # Whose turn it is.
 
     def _outcome(
-        self, waiter: Waiter, slots: int, before: int, now: float
+        self, waiter: Waiter, slots: int, before: int, elsewhere: int, now: float
     ) -> UpstreamState | Nowhere | TooLate | None:
         """Returns what a request gets now.
 
@@ -170,11 +181,10 @@
           waiter: The request.
           slots: Slots that are open to it.
           before: How many go before it here.
+          elsewhere: How many go before it at other instances.
           now: Seconds on this instance's clock.
         """
-        ahead = before + self.order.ahead(
-            waiter.place(now), service=waiter.service, now=now
-        )
+        ahead = before + elsewhere
         if ahead < slots:
             return self._slot(waiter, ahead, now)
         if before < slots and self._patience.overdue(now):
--- a/src/coppercleat/serving/_fleet_order.py
+++ b/src/coppercleat/serving/_fleet_order.py
@@ -8,7 +8,9 @@
 
 from __future__ import annotations
 
+import bisect
 import enum
+import itertools
 import random
 from collections.abc import Iterable
 
@@ -105,6 +107,24 @@
     count: int
 
 
+@attrs.frozen
+class Line:
+    """What waits elsewhere for a service, sorted; asked for many places at a time.
+
+    Attributes:
+      places: In order.
+      counts: How many wait up to each place.
+    """
+
+    places: list[Place]
+    counts: list[int]
+
+    def ahead(self, own: Place) -> int:
+        """Returns how many wait before a place."""
+        before = bisect.bisect_left(self.places, own)
+        return self.counts[before - 1] if before else 0
+
+
 class FleetOrder:
     """What waits at other instances; the clock is passed in."""
 
@@ -131,6 +151,17 @@
     def __bool__(self) -> bool:
         return bool(self._told)
 
+    def line(self, service: str, *, now: float) -> Line:
+        """Returns what waits elsewhere for a service, in its order at this moment."""
+        waiting = sorted(
+            (place(one.rank, one.due_at, now=now), one.count)
+            for told in self._told.values()
+            for one in told
+            if one.service == service
+        )
+        places = [own for own, _ in waiting]
+        return Line(places, list(itertools.accumulate(count for _, count in waiting)))
+
     def ahead(self, own: Place, *, service: str, now: float) -> int:
         """Returns how many wait elsewhere before a place.
 
@@ -139,9 +170,4 @@
           service: Whose slots are asked for.
           now: Seconds on this instance's clock.
         """
-        return sum(
-            one.count
-            for told in self._told.values()
-            for one in told
-            if one.service == service and place(one.rank, one.due_at, now=now) < own
-        )
+        return self.line(service, now=now).ahead(own)
--- a/src/coppercleat/serving/_placement.py
+++ b/src/coppercleat/serving/_placement.py
@@ -356,15 +356,15 @@
         """Returns how soon a slot is there, then how full the upstream is."""
         rank = _SLOT_CUT if self._told_late(state) else _SLOT_FREE
         if self.free_slots(state) <= 0:
-            rank = _SLOT_CUT if self._batch_load(state) > 0 else _SLOT_QUEUED
+            rank = _SLOT_CUT if self._may_cut(state) else _SLOT_QUEUED
         if state.results.suspect(now):
             rank = max(rank, _SUSPECT)
         return rank, self._load_cost(state)
 
-    def _batch_load(self, state: UpstreamState) -> int:
-        """Returns batch items of all instances that could be cut at an upstream."""
+    def _may_cut(self, state: UpstreamState) -> bool:
+        """Returns whether an item of any instance can be cut for a free slot."""
         told = self.peers.batch(state.id) + self.zones.batch(state.id)
-        return state.batch + told
+        return state.batch + told > 0 and self.online_slots(state) > 0
 
     def _batch_cost(self, state: UpstreamState, now: float) -> float:
         suspect = state.results.suspect(now)
--- a/tests/features/serving_decisions.feature
+++ b/tests/features/serving_decisions.feature
@@ -45,6 +45,8 @@
       | online | x:a:0:0:8:0 y:b:7:0:0:0            | y      |
       | online | x:a:8:0:0:0 y:b:0:0:4:4            | y      |
       | online | x:a:0:8:0:0 y:b:8:0:0:0            | x      |
+      | online | x:a:8:1:0:0 y:b:0:0:7:1            | y      |
+      | online | x:a:9:1:0:0 y:b:0:0:8:0            | y      |
       | online | x:a:0:0:0:0:D y:b:7:0:0:0          | y      |
       | online | x:a:0:0:0:0:G y:b:7:0:0:0          | y      |
       | online | x:a:0:0:0:0:E y:b:7:0:0:0          | y      |
