Tell a peer of work in flight at its first own beat, also after a quick new start

Cause: an open finding: a peer known by others' word first, and, as the new scenario showed, one that was started again before it was missed, heard nothing for a second. Ruled out: the greeting alone: it reaches those that are listed for the first time only. Change: the first beat of each incarnation of a peer is answered with the work in flight. Measured: the scenario fails before (nobody told in all three cases) and passes.

--- a/src/coppercleat/membership/_messenger.py
+++ b/src/coppercleat/membership/_messenger.py
@@ -87,7 +87,7 @@
     async def run(self) -> None:
         """Receives until cancelled."""
         try:
-            await self.links.receive(self._receive)
+            await self.links.receive(self.receive)
         finally:
             self.links.close()
 
@@ -133,7 +133,8 @@
         for gone in set(self._heard_at) - set(expected):
             del self._heard_at[gone]
 
-    async def _receive(self, data: bytes) -> None:
+    async def receive(self, data: bytes) -> None:
+        """Takes one sealed message."""
         opened = self._reader.open(data)
         if isinstance(opened, Garbage):
             self._on_garbage(opened.reason)
--- a/src/coppercleat/serving/_peers.py
+++ b/src/coppercleat/serving/_peers.py
@@ -202,6 +202,7 @@
         )
         self._asked_at = float("-inf")
         self._told_at = float("-inf")
+        self._met: dict[InstanceId, int] = {}
         self._counts_at: dict[InstanceId, float] = {}
         self._zones_at: dict[ZoneId, float] = {}
         self._changed = trio.Event()
@@ -267,6 +268,8 @@
             await trio.sleep(HEARTBEAT_S)
 
     def _forget_silent(self, now: float) -> None:
+        for gone in set(self._met) - set(self.detector.members):
+            del self._met[gone]
         for peer in self.placement.peers.tellers():
             told_s = now - self._counts_at.get(peer, float("-inf"))
             if told_s > COUNTS_STALE_S or self.detector.has_died(peer, now):
@@ -375,9 +378,13 @@
     @_handlers.handles(Heartbeat)
     def _on_heartbeat(self, sender: InstanceId, heartbeat: Heartbeat) -> None:
         now = trio.current_time()
-        known = self.detector.is_alive(sender, now)
+        incarnation = heartbeat.own.incarnation
+        met = self.detector.is_alive(sender, now)
+        # Others may have told of it before; it has heard nothing from here yet.
+        met = met and self._met.get(sender) == incarnation
+        self._met[sender] = incarnation
         self.detector.observe(heartbeat, now)
-        if not known and sender in self._near(self.others()):
+        if not met and sender in self._near(self.others()):
             # What was told before did not reach it.
             self._tell_work([sender])
 
--- a/tests/features/serving_decisions.feature
+++ b/tests/features/serving_decisions.feature
@@ -291,3 +291,7 @@
   Scenario: Instances that start together know of each other's work before their second beats
     When 8 instances start together, each with 1 request in flight, and read who is listed
     Then each knows of all 8 requests within 0.45 s
+
+  Scenario: A peer that others have told of is told of work in flight by its own first beat
+    When an instance hears of a peer from another, and then two beats of the peer itself
+    Then it tells that peer of its work at the first of them, and after a new start again
--- a/tests/features/steps/serving_steps.py
+++ b/tests/features/steps/serving_steps.py
@@ -13,7 +13,7 @@
 from behave import given, then, when
 
 from coppercleat.errors import PlatformUnavailableError
-from coppercleat.ids import InstanceId, JobId, UpstreamId, ZoneId
+from coppercleat.ids import InstanceId, JobId, Revision, UpstreamId, ZoneId
 from coppercleat.jobs import (
     Finished,
     Held,
@@ -32,6 +32,7 @@
     Sweeper,
     next_turns,
 )
+from coppercleat.membership import EnvelopeWriter, Heartbeat, MemberLine
 from coppercleat.observability import LineBudget, LineOutput
 from coppercleat.platform import HttpReply
 from coppercleat.serving import (
@@ -1016,3 +1017,49 @@
 def all_known(context, count, within):
     assert context.all_known == {count}, context.all_known
     assert context.known_after <= within, context.known_after
+
+
+def beat_of(name, incarnation, beat):
+    line = MemberLine(
+        InstanceId(name), "127.0.0.1:1", ZoneId("a"), incarnation, beat, Revision(0)
+    )
+    return line, Heartbeat(line, ())
+
+
+@when("an instance hears of a peer from another, and then two beats of the peer itself")
+def hears_of_peer(context):
+    async def run():
+        one = make_peers("me", "a", free_port(), free_port())
+        sent = []
+        one.messenger.send = lambda instance, message: sent.append((instance, message))
+        told_by = {}
+
+        async def hears(heartbeat):
+            line = heartbeat.own
+            writer = EnvelopeWriter(line.instance, line.incarnation, key="fleet")
+            await one.messenger.receive(writer.seal(heartbeat))
+
+        line, _ = beat_of("peer", 1, 1)
+        other, _ = beat_of("other", 1, 1)
+        await hears(Heartbeat(other, (line,)))
+        for name, (incarnation, beat) in {
+            "first": (1, 2),
+            "second": (1, 3),
+            "restarted": (2, 1),
+        }.items():
+            sent.clear()
+            _, heartbeat = beat_of("peer", incarnation, beat)
+            await hears(heartbeat)
+            told_by[name] = [i for i, m in sent if i == "peer"]
+        one.messenger.links.close()
+        return told_by
+
+    context.told_by = trio.run(run)
+
+
+@then(
+    "it tells that peer of its work at the first of them, and after a new start again"
+)
+def told_at_first(context):
+    expected = {"first": ["peer"], "second": [], "restarted": ["peer"]}
+    assert context.told_by == expected, context.told_by
