Build the address of a call to an upstream in one place

Cause: asking an upstream for its load repeated what passing a request on does: taking the address apart, the origin, the URL. Ruled out: a change of what is sent: the origin of the URL is the same host and port. Change: one function gives the URL; both calls take its origin. Measured: formatter, linter, types; 9 scenarios of gateway.feature that send, forward and ask for a report, and boundary.feature pass.

--- a/src/coppercleat/platform/_upstream_calls.py
+++ b/src/coppercleat/platform/_upstream_calls.py
@@ -65,16 +65,9 @@
 
     async def report(self, upstream: Upstream) -> UpstreamReport:
         """See ``UpstreamCaller.report``."""
-        host, _, port = upstream.address.rpartition(":")
-        url = httpcore.URL(
-            scheme=b"http",
-            host=host.encode(),
-            port=int(port),
-            target=Path.UPSTREAM_REPORT,
-        )
-        origin = httpcore.Origin(b"http", host.encode(), int(port))
+        url = _url(upstream, Path.UPSTREAM_REPORT)
         limits = {"connect": CONNECT_TIMEOUT_S, "read": REPORT_TIMEOUT_S}
-        async with httpcore.AsyncHTTPConnection(origin=origin) as connection:
+        async with httpcore.AsyncHTTPConnection(origin=url.origin) as connection:
             try:
                 response = await connection.request(
                     "GET",
@@ -98,9 +91,8 @@
         resume_after: int | None,
     ) -> AsyncIterator[UpstreamAnswer]:
         """See ``UpstreamCaller.exchange``."""
-        host, _, port = upstream.address.rpartition(":")
-        origin = httpcore.Origin(b"http", host.encode(), int(port))
-        connection = httpcore.AsyncHTTPConnection(origin=origin)
+        url = _url(upstream, request.target)
+        connection = httpcore.AsyncHTTPConnection(origin=url.origin)
 
         async def trace(event: str, info: dict[str, Any]) -> None:
             if event.endswith("send_request_headers.started"):
@@ -108,12 +100,7 @@
 
         wire = httpcore.Request(
             request.method,
-            httpcore.URL(
-                scheme=b"http",
-                host=host.encode(),
-                port=int(port),
-                target=request.target,
-            ),
+            url,
             headers=_headers(upstream, request, allowed_s, resume_after),
             content=request.body or None,
             extensions={"timeout": {"connect": CONNECT_TIMEOUT_S}, "trace": trace},
@@ -127,6 +114,14 @@
             await connection.aclose()
 
 
+def _url(upstream: Upstream, target: bytes) -> httpcore.URL:
+    """Returns where a call to an upstream goes; ``target`` is its path and query."""
+    host, _, port = upstream.address.rpartition(":")
+    return httpcore.URL(
+        scheme=b"http", host=host.encode(), port=int(port), target=target
+    )
+
+
 def _headers(
     upstream: Upstream,
     request: OnlineRequest,
