--- a/src/coppercleat/serving/_pauses.py
+++ b/src/coppercleat/serving/_pauses.py
@@ -61,10 +61,8 @@
 ) -> float:
     """Returns seconds between renewals of an instance's own row."""
     writes = settings.store.writes_per_s * WRITE_SHARE
-    return max(
-        paced(hurry * LEASE_RENEW_S, instances, writes),
-        paced(hurry * LEASE_RENEW_S, instances, _reads(settings)),
-    )
+    calls = min(writes, _reads(settings))
+    return paced(hurry * LEASE_RENEW_S, instances, calls)
 
 
 def lease_s(settings: GatewaySettings, instances: int) -> float:
