Sight: what an instance believes of an upstream as it sends a request there

Cause: a late first event can come of peers that are not heard or of runs that nobody counts; the log could not tell one from the other, nor what status an upstream gave that went on with a stream. Ruled out: deriving it from lines of several instances; it needs all clocks and misses what was dropped. Change: 'Request ended.' says load, tellers and status; counters of links opened anew and of peers dropped, a gauge of unknown runs, a histogram of store calls by outcome. No logic changes.

--- a/src/coppercleat/gateway/_metrics.py
+++ b/src/coppercleat/gateway/_metrics.py
@@ -47,6 +47,21 @@
         self.store_calls = self._counter(
             "store_calls_total", "Calls to the platform's store, answered or not"
         )
+        self.store_seconds = aioprometheus.Histogram(
+            "coppercleat_store_call_seconds",
+            "Time of a call to the platform's store, answered or not",
+            registry=self.registry,
+            buckets=_SECONDS,
+        )
+        self.links_reopened = self._counter(
+            "links_reopened_total", "Links to other instances that were opened anew"
+        )
+        self.peers_silent = self._counter(
+            "peers_silent_total", "Times that a peer's work in flight was dropped"
+        )
+        self.unknown_runs = self._gauge(
+            "unknown_runs", "Runs that upstreams report and no instance has told of"
+        )
         self.in_flight = self._gauge("in_flight", "Clients' calls in flight")
         self.waiting = self._gauge("waiting", "Online requests that wait for a slot")
         self.late_items = self._gauge(
@@ -75,9 +90,11 @@
         """Counts a commit."""
         self.commits.inc({"outcome": outcome})
 
-    def store_called(self, answered: bool) -> None:
-        """Counts a call to the store."""
-        self.store_calls.inc({"answered": str(answered).lower()})
+    def store_called(self, answered: bool, seconds: float) -> None:
+        """Counts a call to the store, and how long it took."""
+        labels = {"answered": str(answered).lower()}
+        self.store_calls.inc(labels)
+        self.store_seconds.observe(labels, seconds)
 
     def _counter(self, name: str, doc: str) -> aioprometheus.Counter:
         return aioprometheus.Counter(f"coppercleat_{name}", doc, registry=self.registry)
--- a/src/coppercleat/instance/_instance.py
+++ b/src/coppercleat/instance/_instance.py
@@ -153,7 +153,7 @@
         self.batch.online_changed(upstream)
         self.peers.online_changed(upstream)
 
-    def _on_platform_call(self, answered: bool) -> None:
+    def _on_platform_call(self, answered: bool, seconds: float) -> None:
         self.metrics.platform.inc({"answered": str(answered).lower()})
         self._platform_failures = 0 if answered else self._platform_failures + 1
         reachable = self._platform_failures < _FAILURES_UNTIL_AWAY
--- a/src/coppercleat/membership/_links.py
+++ b/src/coppercleat/membership/_links.py
@@ -32,12 +32,14 @@
       sent_bytes: Bytes handed to sockets so far.
       received_bytes: Bytes taken from sockets so far.
       dropped: Messages not sent because a link was down or full.
+      reopened: Times that a link was closed since nothing came through.
     """
 
     def __init__(self, listen: str) -> None:
         self.sent_bytes = 0
         self.received_bytes = 0
         self.dropped = 0
+        self.reopened = 0
         self._links: collections.OrderedDict[str, pynng.Push0] = (
             collections.OrderedDict()
         )
@@ -76,10 +78,7 @@
 
     def reopen(self, address: str) -> None:
         """Closes the socket to an address; the next message opens a new one."""
-        link = self._links.pop(address, None)
-        if link is not None:
-            with contextlib.suppress(pynng.NNGException):
-                link.close()
+        self.reopened += self._drop(address)
 
     def close(self) -> None:
         """Closes all sockets."""
@@ -87,6 +86,15 @@
             link.close()
         self._pull.close()
 
+    def _drop(self, address: str) -> bool:
+        """Closes the socket to an address; returns whether there was one."""
+        link = self._links.pop(address, None)
+        if link is None:
+            return False
+        with contextlib.suppress(pynng.NNGException):
+            link.close()
+        return True
+
     def _link(self, address: str) -> pynng.Push0:
         link = self._links.get(address)
         if link is None:
@@ -99,5 +107,5 @@
             self._links[address] = link
         self._links.move_to_end(address)
         while len(self._links) > _MAX_LINKS:
-            self.reopen(next(iter(self._links)))
+            self._drop(next(iter(self._links)))
         return link
--- a/src/coppercleat/platform/_store.py
+++ b/src/coppercleat/platform/_store.py
@@ -116,18 +116,19 @@
         url: str,
         *,
         timeout_s: float = CALL_TIMEOUT_S,
-        on_call: Callable[[bool], None] | None = None,
+        on_call: Callable[[bool, float], None] | None = None,
     ) -> None:
         """Prepares the pool; connects on first use.
 
         Args:
           url: Base URL.
           timeout_s: Seconds for one call, connecting included.
-          on_call: Told after each call whether the store answered.
+          on_call: Told after each call whether the store answered, and how many
+            seconds it took.
         """
         self.url = url.rstrip("/")
         self.timeout_s = timeout_s
-        self._on_call = on_call or (lambda answered: None)
+        self._on_call = on_call or (lambda answered, seconds: None)
         self._pool = httpcore.AsyncConnectionPool(
             max_connections=_MAX_CONNECTIONS, keepalive_expiry=_KEEPALIVE_S
         )
@@ -308,6 +309,7 @@
         headers = [(b"content-type", b"application/json")] if body else []
         if method in ("POST", "PUT"):
             headers.append((b"content-length", str(len(body)).encode()))
+        began = trio.current_time()
         try:
             with trio.fail_after(self.timeout_s):
                 response = await self._pool.request(
@@ -318,16 +320,16 @@
                     extensions=extensions,
                 )
         except trio.TooSlowError as error:
-            self._on_call(False)
+            self._on_call(False, trio.current_time() - began)
             raise _unavailable(f"no answer within {self.timeout_s} s") from error
         except (
             httpcore.NetworkError,
             httpcore.ProtocolError,
             httpcore.TimeoutException,
         ) as error:
-            self._on_call(False)
+            self._on_call(False, trio.current_time() - began)
             raise _unavailable(f"the call failed: {type(error).__name__}") from error
-        self._on_call(response.status < 500)
+        self._on_call(response.status < 500, trio.current_time() - began)
         return response.status, response.content
 
 
--- a/src/coppercleat/serving/_exchange.py
+++ b/src/coppercleat/serving/_exchange.py
@@ -20,6 +20,9 @@
       heard_at: When the attempt began or its last event came, in trio's time.
       sent_at: When the attempt began, in trio's time.
       status: Of the attempt's answer; 0 before one.
+      load: Runs that the upstream was taken to have as the attempt began, this one
+        included.
+      tellers: Other instances whose work in flight was known then.
       silent: Whether the attempt was ended since the upstream was silent.
       waited_s: Seconds for which it waited for slots, at all attempts.
       retry_after_s: When to come back, if it is refused as not run.
@@ -39,6 +42,8 @@
     heard_at: float = 0.0
     sent_at: float = 0.0
     status: int = 0
+    load: int = 0
+    tellers: int = 0
     silent: bool = False
     waited_s: float = 0.0
     retry_after_s: float = RETRY_AFTER_S
--- a/src/coppercleat/serving/_forwarding.py
+++ b/src/coppercleat/serving/_forwarding.py
@@ -132,6 +132,7 @@
                 request=exchange.request.request_id,
                 upstream=exchange.upstream,
                 ended=end.value,
+                status=exchange.status,
                 reason=exchange.reason,
                 last_event=exchange.progress.last_event,
             )
@@ -163,6 +164,8 @@
         exchange.tried.add(state.id)
         exchange.heard_at = exchange.sent_at = trio.current_time()
         exchange.status = 0
+        exchange.load = self.placement.load(state)
+        exchange.tellers = len(self.placement.peers.tellers())
         try:
             end = await self._attempt_until_stall(exchange, state, attempt)
         except trio.Cancelled:
@@ -302,6 +305,9 @@
             upstream=exchange.upstream,
             tries=exchange.progress.tries,
             runs=exchange.progress.runs,
+            status=exchange.status,
+            load=exchange.load,
+            tellers=exchange.tellers,
             last_event=exchange.progress.last_event,
             timed_out=timed_out,
             reason=exchange.reason,
--- a/src/coppercleat/serving/_peers.py
+++ b/src/coppercleat/serving/_peers.py
@@ -145,6 +145,7 @@
     Attributes:
       detector: Which instances are heard of.
       messenger: Sends to them and receives.
+      silenced: Times that a peer's work in flight was dropped.
       knowledge: Returns what this instance would tell an asker.
       on_knowledge: Told what a peer knows.
       waits: Returns whether anything waits for a slot at this instance.
@@ -200,6 +201,7 @@
             hears_within_s=COUNTS_STALE_S,
             hears_from=self._direct_tellers,
         )
+        self.silenced = 0
         self._asked_at = float("-inf")
         self._told_at = float("-inf")
         self._met: dict[InstanceId, int] = {}
@@ -274,6 +276,7 @@
             told_s = now - self._counts_at.get(peer, float("-inf"))
             if told_s > COUNTS_STALE_S or self.detector.has_died(peer, now):
                 self._forget_peer(peer)
+                self.silenced += 1
                 _log.warning("A peer fell silent.", peer=peer, told_s=round(told_s, 1))
                 self.on_counts()
         for zone in self.placement.zones.tellers():
