Test, failing: a stream that broke off goes on at upstreams that answer no events

Cause, as seen: the status of an upstream's answer is looked at only while yet another upstream is allowed; at the last one the failure's body goes out as the rest. Ruled out: nothing yet; the test is the incident with real processes. No logic changes.

--- a/tests/features/gateway.feature
+++ b/tests/features/gateway.feature
@@ -30,6 +30,24 @@
       | once      | fails                | {"fail_next": 1}                     | 500 whole -     | 1    |
       | once      | sheds                | {"shed_next": 1}                     | 200 whole 1-5   | 1    |
 
+  # Seen: a stream broke off after some events, went on at the last upstream that its
+  # route allowed, and that one answered 500. The client had status 200, the events up
+  # to the cut and a proper end of the body. The answer's status was only looked at while
+  # yet another upstream was allowed, so the failure's empty body went out as the rest.
+  # Proved by the log: the resumed request's last attempt had status 500 and the request
+  # ended as done.
+  Scenario Outline: A stream is cut and every runner answers <status> to go on with it
+    Given 1 gateways and 2 runners
+    And every runner is set to {"cut_next": 1, "resume_status": <status>}
+    When a client sends a resumable request
+    Then the answer is 200 cut 1-2 after 3 runs
+
+    Examples: the bodies are empty, and none is an event stream
+      | status |
+      | 500    |
+      | 404    |
+      | 200    |
+
   Scenario Outline: A call that <case>
     Given 1 gateways and 1 runners
     When a client calls <method> <host> <target> with <headers> and <size> bytes
--- a/tests/standins/runner.py
+++ b/tests/standins/runner.py
@@ -34,6 +34,8 @@
       fail_every: Every so manieth request is too; 0 for none.
       failing: Whether all are.
       fail_status: Which failure that is.
+      resume_status: Requests to go on after an event get this and no event; 0 for
+        none.
       impossible: Items with this text in their body are answered with 422.
       silent: Take requests and send nothing.
       foreign: Slots held by runs of callers that have lost their power.
@@ -53,6 +55,7 @@
     fail_every: int = 0
     failing: bool = False
     fail_status: int = 500
+    resume_status: int = 0
     impossible: str = ""
     silent: bool = False
     foreign: int = 0
@@ -154,6 +157,10 @@
             knobs.fail_next -= knobs.fail_next > 0
             await self._answer(send, knobs.fail_status, head)
             return
+        if knobs.resume_status and run["after"] is not None:
+            await self._answer(send, knobs.resume_status, head)
+            return
+        head.append((b"content-type", b"text/event-stream"))
         cut = knobs.cut_next > 0
         knobs.cut_next -= cut
         await send({"type": "http.response.start", "status": 200, "headers": head})
