Decide in one place whether an answer may go on with one that has begun

Cause: after a part of a stream had been passed on, the next upstream's answer was treated like a first one: kept back if it was a failure and yet another upstream was allowed, else passed on as the rest, with its end as the end. The same for bodies that are no events on routes marked resumable, and for streams without numbers, which were run again from the start behind what had gone out. Ruled out: the deadline or the client's leaving between the attempts (the rows hold the clock), and a break that is not seen (the log says 'Going elsewhere.'). Change: _answer_use.py decides from the head; what has begun is a state of the request (nothing, events, placeless, all), from which alone it follows whether another run may go on. An answer that cannot go on is a cut attempt. _sequence.py follows the numbers. 'resumable' counts on streams only, so that a request that may run at most once never runs again for it. A stream that may go on elsewhere gets no length from its first upstream. White space behind the last event is passed on. A silence that is noticed while the end is sent ends nothing. Conclusion: no later answer's status, kind or end can end what has begun.

--- a/src/coppercleat/platform/_upstream_calls.py
+++ b/src/coppercleat/platform/_upstream_calls.py
@@ -167,6 +167,7 @@
         refused=refused,
         other_instance=other,
         body=_body(response, attempt),
+        framed=b"content-length" in by_name or b"transfer-encoding" in by_name,
     )
 
 
--- a/src/coppercleat/serving/__init__.py
+++ b/src/coppercleat/serving/__init__.py
@@ -41,7 +41,12 @@
 )
 from coppercleat.serving._peers import ItemEvents, Peers
 from coppercleat.serving._placement import Nowhere, Placement, UpstreamState
-from coppercleat.serving._progress import AttemptEnd, NextStep, RequestProgress
+from coppercleat.serving._progress import (
+    AttemptEnd,
+    NextStep,
+    Passed,
+    RequestProgress,
+)
 from coppercleat.serving._results import RecentResults
 from coppercleat.serving._survey import Survey
 from coppercleat.serving._upstream_call import (
@@ -72,6 +77,7 @@
     "NextStep",
     "Nowhere",
     "OnlineRequest",
+    "Passed",
     "Patience",
     "Peers",
     "Place",
--- a/src/coppercleat/serving/_answers.py
+++ b/src/coppercleat/serving/_answers.py
@@ -2,11 +2,15 @@
 
 from __future__ import annotations
 
+from collections.abc import Awaitable, Callable
+
 import trio
 
-from coppercleat.serving._events import EventSplitter, StreamEvent
+from coppercleat.serving._answer_use import Use
+from coppercleat.serving._events import EventSplitter
 from coppercleat.serving._exchange import Exchange
-from coppercleat.serving._progress import AttemptEnd
+from coppercleat.serving._progress import AttemptEnd, Passed
+from coppercleat.serving._sequence import EventSequence
 from coppercleat.serving._upstream_call import UpstreamAnswer
 
 _MAX_BUFFERED_BYTES = 1_000_000
@@ -14,32 +18,49 @@
 request can still go elsewhere if the answer is cut."""
 
 
-async def pass_events(exchange: Exchange, answer: UpstreamAnswer) -> AttemptEnd:
+async def _pass_events(exchange: Exchange, answer: UpstreamAnswer) -> AttemptEnd:
     """Passes whole events on as they come, so that a cut can be mended."""
-    progress = exchange.progress
     splitter = EventSplitter()
+    sequence = EventSequence(exchange.progress.last_event)
     async for data in answer.body:
-        whole, in_order = _in_order(splitter.feed(data), progress.last_event)
+        whole, in_order = sequence.take(splitter.feed(data))
         if whole:
             exchange.heard_at = trio.current_time()
-            await exchange.start_answer(answer.status, answer.headers)
+            await exchange.begin(answer, Passed.EVENTS)
             # Counted and sent without a checkpoint in between that could part them.
-            numbers = [e.number for e in whole if e.number is not None]
-            progress.last_event = numbers[-1] if numbers else progress.last_event
+            exchange.progress.note_passed(whole)
             await exchange.reply.send(b"".join(event.raw for event in whole))
         if not in_order:
             exchange.reason = "an event is out of order"
             return exchange.cut()
-    if splitter.rest.strip():
-        exchange.reason = "the answer ended inside an event"
+    incomplete = why_incomplete(splitter, sequence, framed=answer.framed)
+    if incomplete:
+        exchange.reason = incomplete
         return exchange.cut()
-    await exchange.start_answer(answer.status, answer.headers)
-    progress.finished = True
-    await exchange.reply.finish()
-    return AttemptEnd.COMPLETE
+    await exchange.begin(answer, Passed.EVENTS)
+    if splitter.rest:
+        await exchange.reply.send(splitter.rest)
+    return await exchange.finish()
 
 
-async def pass_body(exchange: Exchange, answer: UpstreamAnswer) -> AttemptEnd:
+def why_incomplete(
+    splitter: EventSplitter, sequence: EventSequence, *, framed: bool
+) -> str:
+    """Returns why a run whose body has ended is not complete, nothing if it is.
+
+    A run that goes on after what turns out to be the last event has none. Its body
+    must then tell its own end: a connection that only ends proves nothing.
+    """
+    if splitter.rest.strip():
+        return "the answer ended inside an event"
+    if sequence.length:
+        return ""
+    if sequence.last is None:
+        return "the answer ended without an event"
+    return "" if framed else "the answer ended without an event, length or last chunk"
+
+
+async def _pass_body(exchange: Exchange, answer: UpstreamAnswer) -> AttemptEnd:
     """Passes any other body on; holds it back while it could be mended."""
     held: list[bytes] = []
     size = 0
@@ -48,25 +69,17 @@
         if exchange.progress.may_move and size <= _MAX_BUFFERED_BYTES:
             held.append(data)
             continue
-        await exchange.start_answer(answer.status, answer.headers)
+        await exchange.begin(answer, Passed.PLACELESS)
         await exchange.reply.send(b"".join([*held, data]))
         held.clear()
-    await exchange.start_answer(answer.status, answer.headers)
+    await exchange.begin(answer, Passed.PLACELESS)
     if held:
         await exchange.reply.send(b"".join(held))
-    exchange.progress.finished = True
-    await exchange.reply.finish()
-    return AttemptEnd.COMPLETE
+    return await exchange.finish()
 
 
-def _in_order(
-    events: list[StreamEvent], last: int | None
-) -> tuple[list[StreamEvent], bool]:
-    """Returns the events that follow the last one, and whether that is all of them."""
-    for index, event in enumerate(events):
-        if event.number is None:
-            continue
-        if last is not None and event.number != last + 1:
-            return events[:index], False
-        last = event.number
-    return events, True
+PASS: dict[Use, Callable[[Exchange, UpstreamAnswer], Awaitable[AttemptEnd]]] = {
+    Use.BODY: _pass_body,
+    Use.EVENTS: _pass_events,
+}
+"""What passes an answer on, by its use."""
--- a/src/coppercleat/serving/_exchange.py
+++ b/src/coppercleat/serving/_exchange.py
@@ -7,8 +7,10 @@
 
 from coppercleat.ids import UpstreamId
 from coppercleat.serving._admission_queue import RETRY_AFTER_S
-from coppercleat.serving._model import Header, OnlineRequest, Reply, Route
-from coppercleat.serving._progress import AttemptEnd, RequestProgress
+from coppercleat.serving._answer_use import AnswerHead, head_of
+from coppercleat.serving._model import OnlineRequest, Reply, Route
+from coppercleat.serving._progress import AttemptEnd, Passed, RequestProgress
+from coppercleat.serving._upstream_call import UpstreamAnswer
 
 
 @attrs.define(eq=False)
@@ -20,6 +22,7 @@
       heard_at: When the attempt began or its last event came, in trio's time.
       sent_at: When the attempt began, in trio's time.
       status: Of the attempt's answer; 0 before one.
+      begun: What the client's answer has begun with; None before.
       load: Runs that the upstream was taken to have as the attempt began, this one
         included.
       tellers: Other instances whose work in flight was known then.
@@ -42,19 +45,34 @@
     heard_at: float = 0.0
     sent_at: float = 0.0
     status: int = 0
+    begun: AnswerHead | None = None
     load: int = 0
     tellers: int = 0
     silent: bool = False
     waited_s: float = 0.0
     retry_after_s: float = RETRY_AFTER_S
 
-    async def start_answer(self, status: int, headers: list[Header]) -> None:
-        """Sends the head of the first answer; later ones go on in the same body."""
-        if self.progress.started:
+    async def begin(self, answer: UpstreamAnswer, passed: Passed) -> None:
+        """Sends the head of the first answer; later ones go on in the same body.
+
+        A stream that may go on elsewhere gets no length: another run's rest of it may
+        have another, and the client would see its end too soon.
+        """
+        if self.begun is not None:
             return
-        self.progress.started = True
+        self.begun = head_of(answer)
+        self.progress.passed = passed
         self.first_at = trio.current_time()
-        await self.reply.start(status, headers)
+        headers = answer.headers
+        if passed is Passed.EVENTS and self.route.resumes:
+            headers = [h for h in headers if h[0].lower() != b"content-length"]
+        await self.reply.start(answer.status, headers)
+
+    async def finish(self) -> AttemptEnd:
+        """Ends the answer as complete."""
+        self.progress.passed = Passed.ALL
+        await self.reply.finish()
+        return AttemptEnd.COMPLETE
 
     def cut(self) -> AttemptEnd:
         """Returns how an attempt ended that broke off at work."""
--- a/src/coppercleat/serving/_forwarding.py
+++ b/src/coppercleat/serving/_forwarding.py
@@ -10,7 +10,8 @@
 from coppercleat.observability import part_logger
 from coppercleat.serving._admission import Admission
 from coppercleat.serving._admission_queue import TooLate, Waiter
-from coppercleat.serving._answers import pass_body, pass_events
+from coppercleat.serving._answer_use import Unfit, use_of
+from coppercleat.serving._answers import PASS
 from coppercleat.serving._exchange import Exchange
 from coppercleat.serving._model import (
     OnlineRequest,
@@ -41,10 +42,6 @@
 _GATEWAY_TIMEOUT = 504
 """By which an upstream says that the request's time was up; no fault of its own."""
 
-_PROMISES = frozenset({408, 429, 503})
-"""Statuses by which clients take a request as not run. From an upstream that does not
-say so itself they prove nothing, and are not passed on."""
-
 _REFUSALS = frozenset({NextStep.REFUSE_AS_NOT_RUN})
 
 _log = part_logger("forward")
@@ -206,7 +203,7 @@
             except UpstreamBrokeError as error:
                 exchange.reason = str(error)
                 end = _end_of(attempt, exchange)
-        if exchange.silent:
+        if exchange.silent and not exchange.progress.finished:
             exchange.reason = "the upstream fell silent"
             end = _end_of(attempt, exchange)
         return end
@@ -227,15 +224,17 @@
                 exchange.refused_by = state.id
                 exchange.tried.discard(state.id)
             return AttemptEnd.NOT_RUN
-        if answer.status in _PROMISES:
-            exchange.reason = f"{answer.status} does not say whether it was run"
-            return AttemptEnd.LOST
-        if answer.status >= _SERVER_ERROR and exchange.progress.may_move:
-            exchange.reason = f"the upstream answered {answer.status}"
-            return AttemptEnd.LOST
-        if exchange.route.kind is RouteKind.STREAM and answer.status < 300:
-            return await pass_events(exchange, answer)
-        return await pass_body(exchange, answer)
+        use = use_of(
+            answer,
+            method=exchange.request.method,
+            route=exchange.route,
+            begun=exchange.begun,
+            may_move=exchange.progress.may_move,
+        )
+        if isinstance(use, Unfit):
+            exchange.reason = use.reason
+            return exchange.cut()
+        return await PASS[use](exchange, answer)
 
     def _judge(
         self,
--- a/src/coppercleat/serving/_model.py
+++ b/src/coppercleat/serving/_model.py
@@ -63,7 +63,12 @@
     @property
     def repeatable(self) -> bool:
         """Whether a request that may have run may be sent again."""
-        return self.kind is RouteKind.IDEMPOTENT or self.resumable
+        return self.kind is RouteKind.IDEMPOTENT or self.resumes
+
+    @property
+    def resumes(self) -> bool:
+        """Whether an answer that was cut may go on: other bodies have no numbers."""
+        return self.kind is RouteKind.STREAM and self.resumable
 
 
 class ClientLimits(msgspec.Struct, frozen=True, kw_only=True):
--- a/src/coppercleat/serving/_progress.py
+++ b/src/coppercleat/serving/_progress.py
@@ -3,9 +3,11 @@
 from __future__ import annotations
 
 import enum
+from collections.abc import Callable
 
 import attrs
 
+from coppercleat.serving._events import StreamEvent
 from coppercleat.serving._model import Route
 
 
@@ -29,6 +31,19 @@
     ABORT = "abort"
 
 
+class Passed(enum.Enum):
+    """What the client has of the answer.
+
+    EVENTS are whole, and a run may go on after the last of them: it has a number, or
+    none with data came before. PLACELESS is all else, after which nothing can go on.
+    """
+
+    NOTHING = "nothing"
+    EVENTS = "events"
+    PLACELESS = "placeless"
+    ALL = "all"
+
+
 MAX_TRIES = 6
 """Upstreams that may be asked for one request, those that did not run it included;
 bounds the time that a request spends among full or unreachable upstreams."""
@@ -43,16 +58,24 @@
       tries: Attempts begun.
       runs: Attempts that may have run.
       last_event: Number of the last event passed on; None before the first.
-      started: Whether a part of an answer has been passed on.
-      finished: Whether all of it has; the client may leave from then on.
+      passed: What the client has of the answer.
     """
 
     route: Route
     tries: int = 0
     runs: int = 0
     last_event: int | None = None
-    started: bool = False
-    finished: bool = False
+    passed: Passed = Passed.NOTHING
+
+    @property
+    def started(self) -> bool:
+        """Whether a part of an answer has been passed on."""
+        return self.passed is not Passed.NOTHING
+
+    @property
+    def finished(self) -> bool:
+        """Whether all of it has; the client may leave from then on."""
+        return self.passed is Passed.ALL
 
     @property
     def may_have_run(self) -> bool:
@@ -62,14 +85,21 @@
     @property
     def may_move(self) -> bool:
         """Whether the request could go elsewhere if the attempt now ended."""
-        if self.started and not self.route.resumable:
-            return False
-        return self.route.repeatable and self._runs_left
+        return _MOVABLE[self.passed](self.route) and self._runs_left
 
     @property
     def _runs_left(self) -> bool:
         return self.runs + 1 < self.route.max_attempts and self.tries < MAX_TRIES
 
+    def note_passed(self, events: list[StreamEvent]) -> None:
+        """Counts events that are passed on."""
+        for event in events:
+            if event.number is not None:
+                self.last_event = event.number
+                self.passed = Passed.EVENTS
+            elif event.data:
+                self.passed = Passed.PLACELESS
+
     def after(self, end: AttemptEnd) -> NextStep:
         """Counts an attempt that ended and returns the next step."""
         self.tries += 1
@@ -87,6 +117,14 @@
         )
 
 
+_MOVABLE: dict[Passed, Callable[[Route], bool]] = {
+    Passed.NOTHING: lambda route: route.repeatable,
+    Passed.EVENTS: lambda route: route.resumes,
+    Passed.PLACELESS: lambda route: False,
+    Passed.ALL: lambda route: False,
+}
+
+
 def _after_not_run(progress: RequestProgress, movable: bool) -> NextStep:
     if progress.tries >= MAX_TRIES:
         return progress.give_up()
--- a/src/coppercleat/serving/_upstream_call.py
+++ b/src/coppercleat/serving/_upstream_call.py
@@ -26,6 +26,8 @@
       refused: Whether the upstream says that it did not run the request.
       other_instance: Whether another upstream than the one expected answered.
       body: Parts of the body; raises ``UpstreamBrokeError`` where it is cut.
+      framed: Whether the body's end is told by a length or a last chunk, and not by
+        the end of the connection alone.
     """
 
     status: int
@@ -33,6 +35,14 @@
     refused: bool
     other_instance: bool
     body: AsyncIterator[bytes]
+    framed: bool = True
+
+    def header(self, name: bytes) -> bytes:
+        """Returns a header's value by its name in lower case, nothing without one."""
+        for found, value in self.headers:
+            if found.lower() == name:
+                return value
+        return b""
 
 
 class UpstreamReport(msgspec.Struct, frozen=True, kw_only=True):
--- a/tests/features/gateway.feature
+++ b/tests/features/gateway.feature
@@ -37,7 +37,7 @@
   # Proved by the log: the resumed request's last attempt had status 500 and the request
   # ended as done.
   Scenario Outline: A stream is cut and every runner answers <status> to go on with it
-    Given 1 gateways and 2 runners
+    Given 1 gateways and 3 runners
     And every runner is set to {"cut_next": 1, "resume_status": <status>}
     When a client sends a resumable request
     Then the answer is 200 cut 1-2 after 3 runs
--- a/tests/features/serving_decisions.feature
+++ b/tests/features/serving_decisions.feature
@@ -295,3 +295,107 @@
   Scenario: A peer that others have told of is told of work in flight by its own first beat
     When an instance hears of a peer from another, and then two beats of the peer itself
     Then it tells that peer of its work at the first of them, and after a new start again
+
+  # Seen: a stream broke off after some events and went on at the last upstream that its
+  # route allowed, which answered 500; the client had a short body with status 200 and a
+  # proper end. Whether an answer may go on with one that has begun was not decided
+  # anywhere: a status of 500 and more was only kept back while yet another upstream was
+  # allowed, any other was passed on as if it were the first. Proved by real processes
+  # (see "A stream is cut and every runner answers") and by the rows below, each of which
+  # ends as whole where the answer's place in the client's body is not looked at.
+  Scenario Outline: A <route> request answered <answers>
+    When upstreams answer a <route> request in turn: <answers>, to a client that sends POST and has none
+    Then the client has <body>, <end>, and the upstreams were asked after <after>
+
+    Examples: goes on at one that may not; n is event n, x one without number, c one without data, 2 attempts
+      | route     | answers                     | body  | end | after  |
+      | resumable | 200 1 2 cut / 500           | 1 2   | cut | none 2 |
+      | resumable | 200 1 2 cut / 500 oops      | 1 2   | cut | none 2 |
+      | resumable | 200 1 2 cut / 502 3 4       | 1 2   | cut | none 2 |
+      | resumable | 200 1 2 cut / 404 text oops | 1 2   | cut | none 2 |
+      | resumable | 200 1 2 cut / 304           | 1 2   | cut | none 2 |
+      | resumable | 200 1 2 cut / 204           | 1 2   | cut | none 2 |
+      | resumable | 200 1 2 cut / 206 3 4       | 1 2   | cut | none 2 |
+      | resumable | 200 1 2 cut / 429           | 1 2   | cut | none 2 |
+      | resumable | 200 1 2 cut / 101           | 1 2   | cut | none 2 |
+      | resumable | 200 1 2 cut / 200 text      | 1 2   | cut | none 2 |
+      | resumable | 200 1 2 cut / 200 text 3 4  | 1 2   | cut | none 2 |
+      | resumable | 200 1 2 cut / 200 untyped   | 1 2   | cut | none 2 |
+      | resumable | 200 1 2 cut / 200 gzip      | 1 2   | cut | none 2 |
+      | resumable | 200 1 2 cut / 200 unframed  | 1 2   | cut | none 2 |
+      | resumable | 200 1 2 cut / 200 torn      | 1 2   | cut | none 2 |
+      | resumable | 200 1 2 cut / 200 1 2 3 4   | 1 2   | cut | none 2 |
+      | resumable | 200 1 2 cut / 200 2 3 4     | 1 2   | cut | none 2 |
+      | resumable | 200 1 2 cut / 200 4 5       | 1 2   | cut | none 2 |
+      | resumable | 200 1 2 cut / 200 x 3 4     | 1 2   | cut | none 2 |
+      | resumable | 200 1 2 cut / 200 3 3 4     | 1 2 3 | cut | none 2 |
+      | resumable | 200 1 2 cut / 200 3 cut     | 1 2 3 | cut | none 2 |
+
+    Examples: goes on at one that may
+      | route     | answers                            | body      | end   | after  |
+      | resumable | 200 1 2 cut / 200 3 4              | 1 2 3 4   | whole | none 2 |
+      | resumable | 200 1 2 cut / 200 charset 3 4      | 1 2 3 4   | whole | none 2 |
+      | resumable | 200 1 2 cut / 200 unframed 3       | 1 2 3     | whole | none 2 |
+      | resumable | 200 untyped 1 cut / 200 untyped 2  | 1 2       | whole | none 1 |
+      | resumable | 200 1 2 cut / 200                  | 1 2       | whole | none 2 |
+      | resumable | 200 1 2 torn / 200 3               | 1 2 3     | whole | none 2 |
+      | resumable | 200 1 3 / 200 2                    | 1 2       | whole | none 1 |
+      | resumable | 200 1 cut / 200 c 2                | 1 c 2     | whole | none 1 |
+      | resumable | 200 1 c cut / 200 2                | 1 c 2     | whole | none 1 |
+      | resumable | 200 c cut / 200 1 2                | c 1 2     | whole | none none |
+      | resumable | 200 cut / 200 1 2                  | 1 2       | whole | none none |
+      | resumable | 200 1 cut / 200 2 x                | 1 2 x     | whole | none 1 |
+      | resumable | 200 x 1 cut / 200 2                | x 1 2     | whole | none 1 |
+
+    Examples: has nothing to go on from, or no answer that goes on
+      | route                | answers                  | body      | end    | after |
+      | resumable            | 200 x x cut / 200 1 2    | x x       | cut    | none  |
+      | resumable            | 200 1 x cut / 200 2 3    | 1 x       | cut    | none  |
+      | resumable            | 404 text oops cut / 404 text oops | oops | whole | none none |
+      | resumable            | 404 text large cut / 404 text large | large | cut | none |
+      | stream               | 200 1 2 cut / 200 3 4    | 1 2       | cut    | none  |
+      | idempotent           | 200 text large cut / 200 text large | large | cut | none |
+      | idempotent resumable | 200 text large cut / 200 text large | large | cut | none |
+      | once resumable       | 200 text oops cut / 200 text oops | oops | cut | none |
+      | idempotent           | 200 text oops cut / 200 text oops | oops | whole | none none |
+      | once resumable       | 500 / 200 text oops      | -         | whole  | none  |
+
+    Examples: begins as what it is not
+      | route     | answers                | body  | end    | after     |
+      | stream    | 200                    | -     | broken | none      |
+      | stream    | 200 c                  | c     | cut    | none      |
+      | stream    | 200 text oops          | -     | broken | none      |
+      | stream    | 200 text 1 2           | -     | broken | none      |
+      | stream    | 200 gzip 1 2           | -     | broken | none      |
+      | stream    | 101 1 2                | -     | broken | none      |
+      | stream    | 204                    | -     | whole  | none      |
+      | stream    | 304                    | -     | whole  | none      |
+      | stream    | 404 text oops          | oops  | whole  | none      |
+      | stream    | 200 unframed 1 2       | 1 2   | whole  | none      |
+      | stream    | 200 1 2 blank          | 1 2 blank | whole | none   |
+      | resumable | 200 / 200 1            | 1     | whole  | none none |
+      | resumable | 200 text / 200 1       | 1     | whole  | none none |
+      | resumable | 500 / 500 oops         | oops  | whole  | none none |
+
+  Scenario Outline: A client that has event <had> and gets <answers> to a <method>
+    When upstreams answer a resumable request in turn: <answers>, to a client that sends <method> and has <had>
+    Then the client has <body>, <end>, and the upstreams were asked after <after>
+
+    Examples: the client's own number counts as if the event had been passed on
+      | had  | answers               | method | body | end    | after |
+      | 2    | 200 3 4               | POST   | 3 4  | whole  | 2     |
+      | 2    | 200                   | POST   | -    | whole  | 2     |
+      | 2    | 200 unframed / 200    | POST   | -    | whole  | 2 2   |
+      | 2    | 200 1 2 3 / 200 3     | POST   | 3    | whole  | 2 2   |
+      | 2    | 200 3 cut / 200 4     | POST   | 3 4  | whole  | 2 3   |
+      | 2    | 200 x 3 / 200 4       | POST   | -    | broken | 2 2   |
+      | none | 200 length            | HEAD   | -    | whole  | none  |
+
+  Scenario Outline: The length that an upstream gives to its answer to a <route> request
+    When upstreams answer a <route> request in turn: 200 length 1 2, to a client that sends POST and has none
+    Then its head has 200 and <length> length
+
+    Examples: another run's rest of the events may have another length
+      | route     | length |
+      | resumable | no     |
+      | stream    | a      |
--- /dev/null
+++ b/tests/features/steps/answer_steps.py
@@ -0,0 +1,215 @@
+"""Steps for answers that are cut and go on elsewhere, with the clock of the test."""
+
+import contextlib
+import random
+
+import attrs
+import trio
+import trio.testing
+from behave import then, when
+
+from coppercleat.ids import RequestId, UpstreamId, ZoneId
+from coppercleat.serving import (
+    Admission,
+    AdmissionQueue,
+    Forwarder,
+    OnlineRequest,
+    Placement,
+    Route,
+    RouteKind,
+    Target,
+    Upstream,
+    UpstreamAnswer,
+    UpstreamBrokeError,
+)
+from coppercleat.upstreams import AttemptState
+
+EVENTS = [(b"content-type", b"text/event-stream")]
+
+ROUTES = {
+    "stream": (RouteKind.STREAM, False),
+    "resumable": (RouteKind.STREAM, True),
+    "idempotent": (RouteKind.IDEMPOTENT, False),
+    "idempotent resumable": (RouteKind.IDEMPOTENT, True),
+    "once resumable": (RouteKind.AT_MOST_ONCE, True),
+}
+
+HEADERS = {
+    "text": [(b"Content-Type", b"text/plain")],
+    "untyped": [],
+    "gzip": [*EVENTS, (b"Content-Encoding", b"gzip")],
+    "charset": [(b"content-type", b"Text/Event-Stream; charset=utf-8")],
+    "length": [*EVENTS, (b"Content-Length", b"38")],
+}
+
+LARGE = b"L" * 1_000_001
+
+
+@attrs.frozen
+class Script:
+    """An answer in words; see the examples of ``an answer that is cut``."""
+
+    words: list[str]
+
+    def answer(self):
+        headers = EVENTS
+        options = {}
+        status, *rest = self.words
+        for word in rest:
+            headers = HEADERS.get(word, headers)
+            if word == "unframed":
+                options["framed"] = False
+        return UpstreamAnswer(
+            status=int(status),
+            headers=headers,
+            refused=False,
+            other_instance=False,
+            body=self.body(),
+            **options,
+        )
+
+    async def body(self):
+        for word in self.words[1:]:
+            await trio.sleep(0.01)
+            if word == "cut":
+                raise UpstreamBrokeError("the answer was cut")
+            if part := part_of(word):
+                yield part
+
+
+def part_of(word):
+    """Returns the bytes that a word of a script stands for."""
+    if word.isdigit():
+        return f"id: {word}\ndata: word\n\n".encode()
+    parts = {
+        "x": b"data: no number\n\n",
+        "c": b": no data\n\n",
+        "torn": b"id: 9\nda",
+        "blank": b"\n",
+        "oops": b"oops",
+        "large": LARGE,
+    }
+    return parts.get(word, b"")
+
+
+class ScriptedCaller:
+    """A caller whose upstreams answer in turn as scripts say."""
+
+    def __init__(self, scripts):
+        self.scripts = scripts
+        self.resumed_after = []
+
+    @contextlib.asynccontextmanager
+    async def exchange(self, upstream, request, **options):
+        options["attempt"].move(AttemptState.SENT)
+        self.resumed_after.append(options["resume_after"])
+        yield Script(self.scripts[len(self.resumed_after) - 1].split()).answer()
+
+
+class Client:
+    """A reply that keeps what a client would see."""
+
+    def __init__(self):
+        self.status = 0
+        self.headers = []
+        self.body = b""
+        self.end = ""
+
+    async def start(self, status, headers):
+        assert not self.status, "a second head"
+        self.status, self.headers = status, headers
+
+    async def send(self, data):
+        assert self.status and not self.end, "a part out of place"
+        self.body += data
+
+    async def finish(self):
+        assert self.status and not self.end, "an end out of place"
+        self.end = "whole"
+
+    async def abort(self):
+        assert not self.end, "an end out of place"
+        self.end = "cut"
+
+    async def refuse(self, refusal):
+        assert not self.status, "a second head"
+        self.end = refusal.reason.value
+
+
+@when(
+    "upstreams answer a {route} request in turn: {scripts}, "
+    "to a client that sends {method} and has {had}"
+)
+def answers_in_turn(context, route, scripts, method, had):
+    kind, resumable = ROUTES[route]
+    route = Route(
+        name="ask",
+        host="ask.example",
+        prefix="/",
+        kind=kind,
+        targets=(Target("menus", 1.0),),
+        timeout_s=5.0,
+        max_attempts=2,
+        resumable=resumable,
+    )
+    request = OnlineRequest(
+        request_id=RequestId("r"),
+        method=method,
+        host="ask.example",
+        target=b"/x",
+        headers=[],
+        allowed_s=5.0,
+        resume_after=None if had == "none" else int(had),
+    )
+    context.caller = ScriptedCaller(scripts.split(" / "))
+    context.client = Client()
+    trio.run(
+        forward,
+        request,
+        route,
+        context.caller,
+        context.client,
+        clock=trio.testing.MockClock(autojump_threshold=0),
+    )
+
+
+async def forward(request, route, caller, client):
+    placement = Placement(ZoneId("a"), rng=random.Random(1))
+    placement.replace(
+        Upstream(
+            id=UpstreamId(name),
+            service="menus",
+            address="10.0.0.1:1",
+            zone=ZoneId("a"),
+            slots=1,
+        )
+        for name in ("x", "y")
+    )
+    admission = Admission(
+        AdmissionQueue(placement, rng=random.Random(1)),
+        on_change=lambda state, started: None,
+        on_waiting=lambda: None,
+    )
+    forwarder = Forwarder(admission, caller, on_end=lambda end: None)
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(admission.run)
+        nursery.start_soon(forwarder.silence.run)
+        await forwarder.forward(request, route, client)
+        nursery.cancel_scope.cancel()
+
+
+@then("the client has {body}, {end}, and the upstreams were asked after {after}")
+def client_has(context, body, end, after):
+    client = context.client
+    wanted = b"".join(part_of(word) for word in body.split())
+    assert client.body == wanted, client.body
+    assert client.end == end, client.end
+    found = [str(number).lower() for number in context.caller.resumed_after]
+    assert found == after.split(), found
+
+
+@then("its head has {status:d} and {length} length")
+def head_has(context, status, length):
+    lengths = [h for h in context.client.headers if h[0].lower() == b"content-length"]
+    assert context.client.status == status, context.client.status
+    assert bool(lengths) == (length == "a"), lengths
--- a/tests/features/steps/serving_steps.py
+++ b/tests/features/steps/serving_steps.py
@@ -41,6 +41,7 @@
     GatewaySettings,
     InFlight,
     Nowhere,
+    Passed,
     Peers,
     Placement,
     RecentResults,
@@ -113,7 +114,7 @@
     progress = RequestProgress(make_route(words[4]))
     for end in words[9:]:
         if end == "cut":
-            progress.started = True
+            progress.passed = Passed.EVENTS
         found = progress.after(AttemptEnd(end))
     assert found.value == step, found
 
