An item is complete only if its last run was

Cause: an item's run that ended without an event, or was no event stream, counted as complete: an empty text, or one that lacks its rest. An event out of order raised an error of the log call itself ('event' is its first argument), which ended the process. Ruled out: failures' bodies (never taken), and parts handed over from another instance (they are a prefix with its last number, or a whole text; read only). Change: items use the same sequence and the same rule of completeness as streams, with numbers on all events that have data; why a run does not count is in 'Item broke off.'. Events without number and data are passed over. Conclusion: a text that is listed as completed is a whole run's, or several joined by number.

--- a/src/coppercleat/jobs/_items.py
+++ b/src/coppercleat/jobs/_items.py
@@ -13,6 +13,7 @@
 from coppercleat.jobs._run import ItemEnd, ItemRun, JobRun
 from coppercleat.observability import part_logger
 from coppercleat.serving import (
+    EventSequence,
     EventSplitter,
     Nowhere,
     OnlineRequest,
@@ -25,6 +26,8 @@
     UpstreamBrokeError,
     UpstreamCaller,
     UpstreamState,
+    is_event_stream,
+    why_incomplete,
 )
 from coppercleat.upstreams import Attempt, AttemptState
 
@@ -270,7 +273,11 @@
 async def _collect(
     item: ItemRun, state: UpstreamState, answer: UpstreamAnswer, stall: trio.CancelScope
 ) -> ItemEnd:
-    """Takes an item's events and returns how the run ended."""
+    """Takes an item's events and returns how the run ended.
+
+    Raises:
+      UpstreamBrokeError: The run is not complete, or not one of this item.
+    """
     if answer.other_instance:
         state.gone = True
         return ItemEnd.NOT_RUN
@@ -281,23 +288,23 @@
     if answer.status >= _SERVER_ERROR:
         return ItemEnd.FAILED
     if answer.status != 200:
-        return ItemEnd.BROKEN
+        raise UpstreamBrokeError(f"the upstream answered {answer.status}")
+    if not is_event_stream(answer):
+        raise UpstreamBrokeError("no stream of events")
     splitter = EventSplitter()
+    sequence = EventSequence(item.last_event, numbered=True)
     async for data in answer.body:
-        for event in splitter.feed(data):
-            expected = None if item.last_event is None else item.last_event + 1
-            if event.number is None or expected not in (None, event.number):
-                _log.warning(
-                    "An event is out of order.",
-                    item=item.spec.id,
-                    event=event.number,
-                    expected=expected,
-                )
-                return ItemEnd.BROKEN
-            item.last_event = event.number
-            item.events.append(event.data)
-            stall.deadline = trio.current_time() + STALL_S
-    return ItemEnd.COMPLETE if not splitter.rest.strip() else ItemEnd.BROKEN
+        whole, in_order = sequence.take(splitter.feed(data))
+        for event in whole:
+            if event.number is not None:
+                item.last_event = event.number
+                item.events.append(event.data)
+                stall.deadline = trio.current_time() + STALL_S
+        if not in_order:
+            raise UpstreamBrokeError("an event is out of order")
+    if incomplete := why_incomplete(splitter, sequence, framed=answer.framed):
+        raise UpstreamBrokeError(incomplete)
+    return ItemEnd.COMPLETE
 
 
 def _judge_failure(state: UpstreamState, attempt: Attempt) -> None:
--- a/src/coppercleat/serving/__init__.py
+++ b/src/coppercleat/serving/__init__.py
@@ -7,6 +7,8 @@
     TooLate,
     Waiter,
 )
+from coppercleat.serving._answer_use import is_event_stream
+from coppercleat.serving._answers import why_incomplete
 from coppercleat.serving._demand import AnswerTimes, Demand
 from coppercleat.serving._events import EventSplitter, StreamEvent
 from coppercleat.serving._fleet_order import (
@@ -48,6 +50,7 @@
     RequestProgress,
 )
 from coppercleat.serving._results import RecentResults
+from coppercleat.serving._sequence import EventSequence
 from coppercleat.serving._survey import Survey
 from coppercleat.serving._upstream_call import (
     UpstreamAnswer,
@@ -67,6 +70,7 @@
     "Catalogue",
     "ClientLimits",
     "Demand",
+    "EventSequence",
     "EventSplitter",
     "FleetOrder",
     "Forwarder",
@@ -109,9 +113,11 @@
     "Waiting",
     "Watch",
     "WorkCounts",
+    "is_event_stream",
     "jobs_pause_s",
     "lease_s",
     "renewal_pause_s",
     "routes_pause_s",
     "upstreams_pause_s",
+    "why_incomplete",
 ]
--- a/src/coppercleat/serving/_sequence.py
+++ b/src/coppercleat/serving/_sequence.py
@@ -10,11 +10,13 @@
 
     Attributes:
       last: Number of the last event, of an earlier run to begin with; None for none.
+      numbered: Whether every event with data must have a number.
       length: Events of this run so far; those with neither number nor data are none.
     """
 
-    def __init__(self, last: int | None) -> None:
+    def __init__(self, last: int | None, *, numbered: bool = False) -> None:
         self.last = last
+        self.numbered = numbered
         self.length = 0
 
     def take(self, events: list[StreamEvent]) -> tuple[list[StreamEvent], bool]:
@@ -29,7 +31,7 @@
             # Before the first number nothing tells whether the client has it already.
             placed = self.last is None or self.length > 0
             self.length += bool(event.data)
-            return placed or not event.data
+            return not event.data or (placed and not self.numbered)
         if self.last is not None and event.number != self.last + 1:
             return False
         self.last = event.number
--- a/tests/features/gateway.feature
+++ b/tests/features/gateway.feature
@@ -17,6 +17,7 @@
       | stream    | fails                | {"fail_next": 1}                     | 500 whole -     | 1    |
       | resumable | breaks off           | {"cut_next": 1}                      | 200 whole 1-5   | 2    |
       | resumable | breaks off torn      | {"cut_next": 1, "torn": true}        | 200 whole 1-5   | 2    |
+      | resumable | leaves an event out  | {"skip_next": 1}                     | 200 whole 1-5   | 2    |
       | resumable | answers for another  | {"cross_next": 1}                    | 200 whole 1-5   | 2    |
       | resumable | fails                | {"fail_next": 1}                     | 200 whole 1-5   | 2    |
       | stream    | is busy, says not how | {"fail_next": 1, "fail_status": 503} | 502 whole -    | 1    |
@@ -83,6 +84,7 @@
       | runners that are well       | {"events": 20}                        | 12    | completed |
       | cut runs                    | {"events": 20, "cut_next": 5}         | 6     | completed |
       | torn runs                   | {"cut_next": 3, "torn": true}         | 6     | completed |
+      | runs that leave events out  | {"skip_next": 3}                      | 6     | completed |
       | answers for another         | {"cross_next": 2}                     | 4     | completed |
       | some failures               | {"fail_next": 1}                      | 4     | completed |
       | nothing but failures        | {"failing": true}                     | 3     | failed    |
--- a/tests/features/serving_decisions.feature
+++ b/tests/features/serving_decisions.feature
@@ -391,6 +391,34 @@
       | 2    | 200 x 3 / 200 4       | POST   | -    | broken | 2 2   |
       | none | 200 length            | HEAD   | -    | whole  | none  |
 
+  Scenario Outline: An item whose runs are answered <answers>
+    When an item's runs are answered in turn: <answers>
+    Then the item is <state> with <text> after runs from <after>
+
+    Examples: an item is complete only if its last run was; words as above
+      | answers                            | state     | text      | after       |
+      | 200 1 2                            | completed | 1 2       | none        |
+      | 200 c 1 c 2                        | completed | 1 2       | none        |
+      | 200 1 cut / 200 2                  | completed | 1 2       | none 1      |
+      | 200 1 2 cut / 200                  | completed | 1 2       | none 2      |
+      | 200 1 cut / 200 unframed / 200 2   | completed | 1 2       | none 1 1    |
+      | 200 / 200 1                        | completed | 1         | none none   |
+      | 200 c / 200 1                      | completed | 1         | none none   |
+      | 200 text / 200 1                   | completed | 1         | none none   |
+      | 200 1 cut / 200 text / 200 2       | completed | 1 2       | none 1 1    |
+      | 200 1 cut / 200 gzip / 200 2       | completed | 1 2       | none 1 1    |
+      | 200 1 cut / 200 text 2 / 200 2     | completed | 1 2       | none 1 1    |
+      | 200 1 cut / 500 2 / 200 2          | completed | 1 2       | none 1 1    |
+      | 200 1 cut / 404 2 / 200 2          | completed | 1 2       | none 1 1    |
+      | 200 1 cut / 206 2 / 200 2          | completed | 1 2       | none 1 1    |
+      | 200 1 cut / 200 1 2 / 200 2        | completed | 1 2       | none 1 1    |
+      | 200 1 cut / 200 3 / 200 2          | completed | 1 2       | none 1 1    |
+      | 200 1 cut / 200 2 torn / 200 3     | completed | 1 2 3     | none 1 2    |
+      | 200 1 x 2 / 200 2                  | completed | 1 2       | none 1      |
+      | 200 x / 200 1                      | completed | 1         | none none   |
+      | 200 1 cut / 500 / 500 / 500        | failed    | -         | none 1 1 1  |
+      | 200 1 cut / 422                    | failed    | -         | none 1      |
+
   Scenario Outline: The length that an upstream gives to its answer to a <route> request
     When upstreams answer a <route> request in turn: 200 length 1 2, to a client that sends POST and has none
     Then its head has 200 and <length> length
--- a/tests/features/steps/answer_steps.py
+++ b/tests/features/steps/answer_steps.py
@@ -8,7 +8,8 @@
 import trio.testing
 from behave import then, when
 
-from coppercleat.ids import RequestId, UpstreamId, ZoneId
+from coppercleat.ids import InstanceId, JobId, RequestId, UpstreamId, ZoneId
+from coppercleat.jobs import Held, ItemRunner, ItemSpec, JobRow, JobRun
 from coppercleat.serving import (
     Admission,
     AdmissionQueue,
@@ -39,7 +40,7 @@
     "untyped": [],
     "gzip": [*EVENTS, (b"Content-Encoding", b"gzip")],
     "charset": [(b"content-type", b"Text/Event-Stream; charset=utf-8")],
-    "length": [*EVENTS, (b"Content-Length", b"38")],
+    "length": [*EVENTS, (b"Content-Length", b"40")],
 }
 
 LARGE = b"L" * 1_000_001
@@ -80,7 +81,7 @@
 def part_of(word):
     """Returns the bytes that a word of a script stands for."""
     if word.isdigit():
-        return f"id: {word}\ndata: word\n\n".encode()
+        return f"id: {word}\ndata: word {word}\n\n".encode()
     parts = {
         "x": b"data: no number\n\n",
         "c": b": no data\n\n",
@@ -105,6 +106,10 @@
         self.resumed_after.append(options["resume_after"])
         yield Script(self.scripts[len(self.resumed_after) - 1].split()).answer()
 
+    @property
+    def asked_after(self):
+        return " ".join(str(number).lower() for number in self.resumed_after)
+
 
 class Client:
     """A reply that keeps what a client would see."""
@@ -173,7 +178,7 @@
     )
 
 
-async def forward(request, route, caller, client):
+def two_upstreams():
     placement = Placement(ZoneId("a"), rng=random.Random(1))
     placement.replace(
         Upstream(
@@ -185,6 +190,11 @@
         )
         for name in ("x", "y")
     )
+    return placement
+
+
+async def forward(request, route, caller, client):
+    placement = two_upstreams()
     admission = Admission(
         AdmissionQueue(placement, rng=random.Random(1)),
         on_change=lambda state, started: None,
@@ -204,8 +214,7 @@
     wanted = b"".join(part_of(word) for word in body.split())
     assert client.body == wanted, client.body
     assert client.end == end, client.end
-    found = [str(number).lower() for number in context.caller.resumed_after]
-    assert found == after.split(), found
+    assert context.caller.asked_after == after, context.caller.asked_after
 
 
 @then("its head has {status:d} and {length} length")
@@ -213,3 +222,58 @@
     lengths = [h for h in context.client.headers if h[0].lower() == b"content-length"]
     assert context.client.status == status, context.client.status
     assert bool(lengths) == (length == "a"), lengths
+
+
+@when("an item's runs are answered in turn: {scripts}")
+def item_runs(context, scripts):
+    route = Route(
+        name="week",
+        host="jobs.example",
+        prefix="/",
+        kind=RouteKind.BATCH,
+        targets=(Target("menus", 1.0),),
+        timeout_s=5.0,
+        max_attempts=3,
+    )
+    row = JobRow(
+        job=JobId("job"),
+        host="jobs.example",
+        path="/",
+        tokens=(1,),
+        accepted_at=0.0,
+        due_at=60.0,
+        expires_at=60.0,
+    )
+    context.run = JobRun(Held(row, 1), [ItemSpec("item", "/", [], b"", 1)], {})
+    context.caller = ScriptedCaller(scripts.split(" / "))
+    trio.run(
+        run_item,
+        context.run,
+        route,
+        context.caller,
+        clock=trio.testing.MockClock(autojump_threshold=0),
+    )
+
+
+async def run_item(run, route, caller):
+    placement = two_upstreams()
+    items = ItemRunner(
+        placement,
+        caller,
+        instance=InstanceId("me"),
+        on_change=lambda state, started: None,
+        on_end=lambda outcome: None,
+    )
+    for _ in caller.scripts:
+        assert run.pending, "it ended before its last run"
+        state = placement.states[UpstreamId("x")]
+        await items.run(items.claim_slot(run, run.pending[0], state), route)
+
+
+@then("the item is {state} with {text} after runs from {after}")
+def item_is(context, state, text, after):
+    (done,) = context.run.finished
+    assert done.state.value == state, done
+    wanted = "\n".join(f"word {word}" for word in text.split() if word != "-")
+    assert done.text == wanted.encode(), done
+    assert context.caller.asked_after == after, context.caller.asked_after
--- a/tests/standins/runner.py
+++ b/tests/standins/runner.py
@@ -29,6 +29,7 @@
       cut_next: So many answers are cut.
       cut_after: After so many events.
       torn: Whether the cut falls into the middle of an event.
+      skip_next: So many answers leave out their second event.
       cross_next: So many answers bear another request's id.
       fail_next: So many requests are answered with a failure.
       fail_every: Every so manieth request is too; 0 for none.
@@ -50,6 +51,7 @@
     cut_next: int = 0
     cut_after: int = 2
     torn: bool = False
+    skip_next: int = 0
     cross_next: int = 0
     fail_next: int = 0
     fail_every: int = 0
@@ -164,9 +166,13 @@
         cut = knobs.cut_next > 0
         knobs.cut_next -= cut
         await send({"type": "http.response.start", "status": 200, "headers": head})
+        skip = knobs.skip_next > 0
+        knobs.skip_next -= skip
         first = int(run["after"]) + 1 if run["after"] is not None else 1
         for number in range(first, knobs.events + 1):
             await trio.sleep(knobs.event_s)
+            if skip and number == first + 1:
+                continue
             data = f"id: {number}\ndata: word {number}\n\n".encode()
             if cut and run["events"] >= knobs.cut_after:
                 if knobs.torn:
