Hold answers without a length back for clients of HTTP/1.0

Cause: to them the end of the connection is the end of a body without a length, and the server closes the connection of an answer that broke off like that of a whole one. Ruled out: clients of HTTP/1.1 (the last chunk or the rest of the length is missing, by their own framing, also after a deadline and a stop), and a reset in place of the close: the server sends the end of its side first, so that a client may read it before. Change: such an answer is held, up to 1 MB, and sent with its length; if it breaks off, a 502 is sent in its place. Answers with a length, HEAD, 204 and 304 are as before. Conclusion: no framing that a client may rely on is ended for a broken answer.

--- a/src/coppercleat/platform/_ingress.py
+++ b/src/coppercleat/platform/_ingress.py
@@ -11,6 +11,7 @@
 from coppercleat.gateway import Gateway
 from coppercleat.ids import JobId, RequestId
 from coppercleat.observability import part_logger
+from coppercleat.platform._held_reply import reply_for
 from coppercleat.platform._job_calls import JOB_CALLS, decode_submission, submit_job
 from coppercleat.platform._names import CONNECTION_HEADERS, HeaderName, Path
 from coppercleat.platform._reply import TEXT, BadCallError, HttpReply, bad_call
@@ -41,7 +42,7 @@
             return
         if scope["type"] != "http":
             return
-        reply = HttpReply(send, closing=lambda: self.gateway.stopping)
+        reply = reply_for(scope, send, closing=lambda: self.gateway.stopping)
         self.gateway.in_flight += 1
         try:
             await self._answer(scope, receive, reply)
--- a/src/coppercleat/platform/_reply.py
+++ b/src/coppercleat/platform/_reply.py
@@ -75,7 +75,10 @@
         await self._send({"type": "http.response.body", "body": b""})
 
     async def abort(self) -> None:
-        """See ``Reply.abort``: the server closes what the application leaves open."""
+        """See ``Reply.abort``: the server closes what the application leaves open.
+
+        A client sees that by the missing last chunk, or by the length.
+        """
 
     async def whole(self, status: int, headers: list[Header], body: bytes) -> None:
         """Sends an answer of our own."""
--- a/tests/features/gateway.feature
+++ b/tests/features/gateway.feature
@@ -117,6 +117,47 @@
       | leaves an event out     | stream    | id: 1\ndata: a\n\nid: 2\ndata: b\n\nid: 4\ndata: d\n\n | cut   | 1-2    |
       | leaves an event out     | resumable | id: 1\ndata: a\n\nid: 2\ndata: b\n\nid: 4\ndata: d\n\n | cut   | 1-2    |
 
+  # Seen on the wire: a client of HTTP/1.0 takes the end of the connection for the end of
+  # a body that has no length, and an answer that breaks off ends just so, since the server
+  # closes what is left open. To clients of HTTP/1.1 the last chunk is missing.
+  Scenario Outline: On the wire a <route> answer <what> is <end> for a client of HTTP/<version>
+    Given 1 gateways and a runner that answers HTTP/1.1 200 OK\r\nrequest-id: request-1\r\n<answer>
+    When a client of HTTP/<version> sends a <route> request and reads to the end
+    Then by its own framing the answer is <end>
+
+    Examples:
+      | route     | what                    | version | answer                                                                    | end   |
+      | stream    | without a length        | 1.1     | \r\nid: 1\ndata: a\n\n                                                   | whole |
+      | stream    | without a length        | 1.0     | \r\nid: 1\ndata: a\n\n                                                   | whole |
+      | stream    | that ends in an event   | 1.1     | \r\nid: 1\ndata: a\n\nid: 2                                              | cut   |
+      | stream    | that ends in an event   | 1.0     | \r\nid: 1\ndata: a\n\nid: 2                                              | cut   |
+      | resumable | that ends in an event   | 1.0     | \r\nid: 1\ndata: a\n\nid: 2                                              | cut   |
+      | stream    | short of its length     | 1.1     | content-length: 99\r\n\r\nid: 1\ndata: a\n\n                             | cut   |
+      | stream    | short of its length     | 1.0     | content-length: 99\r\n\r\nid: 1\ndata: a\n\n                             | cut   |
+      | resumable | short of its length     | 1.1     | content-length: 99\r\n\r\nid: 1\ndata: a\n\n                             | cut   |
+      | resumable | short of its length     | 1.0     | content-length: 99\r\n\r\nid: 1\ndata: a\n\n                             | cut   |
+      | resumable | of its length           | 1.0     | content-length: 15\r\n\r\nid: 1\ndata: a\n\n                             | whole |
+      | stream    | without its last chunk  | 1.1     | transfer-encoding: chunked\r\n\r\nf\r\nid: 1\ndata: a\n\n\r\n              | cut   |
+      | stream    | without its last chunk  | 1.0     | transfer-encoding: chunked\r\n\r\nf\r\nid: 1\ndata: a\n\n\r\n              | cut   |
+      | stream    | with its last chunk     | 1.0     | transfer-encoding: chunked\r\n\r\nf\r\nid: 1\ndata: a\n\n\r\n0\r\n\r\n     | whole |
+      | once      | without its last chunk  | 1.1     | transfer-encoding: chunked\r\n\r\n4\r\nbody\r\n                           | cut   |
+      | once      | without its last chunk  | 1.0     | transfer-encoding: chunked\r\n\r\n4\r\nbody\r\n                           | cut   |
+      | once      | short of its length     | 1.0     | content-length: 9\r\n\r\nbody                                             | cut   |
+      | once      | with its last chunk     | 1.0     | transfer-encoding: chunked\r\n\r\n4\r\nbody\r\n0\r\n\r\n                  | whole |
+
+  Scenario Outline: On the wire a stream whose <cause> is cut for a client of HTTP/<version>
+    Given 1 gateways and 1 runners
+    And every runner is set to {"events": 200, "event_s": 0.1}
+    When a client of HTTP/<version> sends a stream request and reads to the end, <cause>
+    Then by its own framing the answer is cut
+
+    Examples: the last one's runs outlast the grace period of 8 s
+      | cause                   | version |
+      | time is up after 1 s    | 1.1     |
+      | time is up after 1 s    | 1.0     |
+      | gateway stops after 1 s | 1.1     |
+      | gateway stops after 1 s | 1.0     |
+
   Scenario: What is forwarded is what the client sent
     Given 1 gateways and 1 runners
     When a client sends a stream request
