--- a/tests/standins/runner.py
+++ b/tests/standins/runner.py
@@ -29,11 +29,14 @@
       cut_next: So many answers are cut.
       cut_after: After so many events.
       torn: Whether the cut falls into the middle of an event.
+      skip_next: So many answers leave out their second event.
       cross_next: So many answers bear another request's id.
       fail_next: So many requests are answered with a failure.
       fail_every: Every so manieth request is too; 0 for none.
       failing: Whether all are.
       fail_status: Which failure that is.
+      resume_status: Requests to go on after an event get this and no event; 0 for
+        none.
       impossible: Items with this text in their body are answered with 422.
       silent: Take requests and send nothing.
       foreign: Slots held by runs of callers that have lost their power.
@@ -48,11 +51,13 @@
     cut_next: int = 0
     cut_after: int = 2
     torn: bool = False
+    skip_next: int = 0
     cross_next: int = 0
     fail_next: int = 0
     fail_every: int = 0
     failing: bool = False
     fail_status: int = 500
+    resume_status: int = 0
     impossible: str = ""
     silent: bool = False
     foreign: int = 0
@@ -154,12 +159,20 @@
             knobs.fail_next -= knobs.fail_next > 0
             await self._answer(send, knobs.fail_status, head)
             return
+        if knobs.resume_status and run["after"] is not None:
+            await self._answer(send, knobs.resume_status, head)
+            return
+        head.append((b"content-type", b"text/event-stream"))
         cut = knobs.cut_next > 0
         knobs.cut_next -= cut
         await send({"type": "http.response.start", "status": 200, "headers": head})
+        skip = knobs.skip_next > 0
+        knobs.skip_next -= skip
         first = int(run["after"]) + 1 if run["after"] is not None else 1
         for number in range(first, knobs.events + 1):
             await trio.sleep(knobs.event_s)
+            if skip and number == first + 1:
+                continue
             data = f"id: {number}\ndata: word {number}\n\n".encode()
             if cut and run["events"] >= knobs.cut_after:
                 if knobs.torn:
