Tests of links: again and again, several, stopped, cut, slow, killed; waves under silence

Cause: the three rows say that a silent link is found, not that other troubles make no storm, nor how long what a peer told is counted, nor what requests see of it. Ruled out: stopping instances of a test's one process: relays that hold all bytes look the same to the others; the judge of links is asked alone, with the clock of the test, for ends that stop, networks that are cut and answers that take long. Change: rows for the relays, for a peer that is held for 1.2 and 5 s and one that is killed, for counts and waiting of peers and zones that tell no more, for one link in nine troubles, and waves of requests over links that fall silent. Relays and simulated links in tests/harness; the look for silent tellers is public to be asked. A link to a peer that is stopped for a minute is opened anew 18 times at most for both ends, one whose answers take 1 s 6 times in all. Conclusion: a blind third of a second at the start of a wave remains.

--- a/src/coppercleat/serving/__init__.py
+++ b/src/coppercleat/serving/__init__.py
@@ -39,7 +39,7 @@
     routes_pause_s,
     upstreams_pause_s,
 )
-from coppercleat.serving._peers import ItemEvents, Peers
+from coppercleat.serving._peers import ItemEvents, Peers, WorkInFlight, ZoneWork
 from coppercleat.serving._placement import Nowhere, Placement, UpstreamState
 from coppercleat.serving._progress import AttemptEnd, NextStep, RequestProgress
 from coppercleat.serving._results import RecentResults
@@ -103,6 +103,8 @@
     "Waiting",
     "Watch",
     "WorkCounts",
+    "WorkInFlight",
+    "ZoneWork",
     "jobs_pause_s",
     "lease_s",
     "renewal_pause_s",
--- a/src/coppercleat/serving/_peers.py
+++ b/src/coppercleat/serving/_peers.py
@@ -276,14 +276,15 @@
         while True:
             now = trio.current_time()
             self.messenger.beat(now, revision=Revision(self.version()))
-            self._forget_silent(now)
+            self.forget_silent(now)
             self._ask_if_behind(now)
             self._tell_results()
             if now - self._told_at >= _TELL_UNCHANGED_S - HEARTBEAT_S / 2:
                 self.work_changed(urgent=False)
             await trio.sleep(HEARTBEAT_S)
 
-    def _forget_silent(self, now: float) -> None:
+    def forget_silent(self, now: float) -> None:
+        """Gives up what was told by those that are dead or have told nothing since."""
         for gone in set(self._met) - set(self.detector.members):
             del self._met[gone]
         silent = [p for p in self.placement.peers.tellers() if self._is_silent(p, now)]
--- a/tests/features/overload.feature
+++ b/tests/features/overload.feature
@@ -16,6 +16,26 @@
       | 10        | 1         | 6    | 28   | 42      | 12        | 50      | 0       | 9      |
       | 3         | 1         | 2    | 20   | 42      | 20        | 38      | 0       | 18     |
 
+  # Seen: a third of a burst's requests were late after connections between instances had
+  # fallen silent, though slots were free; none was refused.
+  # How: each instance knew of its own requests only, and sent them to full upstreams.
+  # Cause: links that are silent were opened anew after 5 s, counts dropped after 2 s.
+  # Proof: with links mended in half a second the same day has no late request.
+  Scenario Outline: Waves after links of <silenced> instances fell silent <before> s before each
+    Given 10 instances before <upstreams> upstreams of 8 slots
+    When 8 requests a second come, and <wave> in waves, for 29 s, and the links of <silenced> instances fall silent <before> s before each wave
+    Then <on_time> in 100 are on time, where one queue gives <one_queue> at most
+    And <refused> in 100 are refused at most, and 0 held and then dropped
+    And <queued> in 100 meet a queue at an upstream at most
+
+    Examples: waves and times as above; -1 s is in the wave
+      | silenced | before | upstreams | wave | on_time | one_queue | refused | queued |
+      | 6        | 1      | 5         | 38   | 99      | 100       | 0       | 1      |
+      | 6        | 0      | 5         | 38   | 99      | 100       | 0       | 2      |
+      | 6        | -1     | 5         | 38   | 97      | 100       | 0       | 3      |
+      | 6        | 0      | 4         | 44   | 85      | 92        | 3       | 18     |
+      | 10       | -1     | 4         | 44   | 82      | 92        | 3       | 18     |
+
   Scenario: Those sent away come back as fast as slots come free
     Given 10 instances before 2 upstreams of 8 slots
     When 8 requests a second come, and 38 in waves, for 29 s
--- a/tests/features/serving_decisions.feature
+++ b/tests/features/serving_decisions.feature
@@ -269,6 +269,57 @@
       | 2     | one way   | 1     | 0     | 1      |
       | 2     | both ways | 1     | 0     | 1      |
       | 6     | 3 of them | 3     | 0     | 1      |
+      | 2     | both ways | 4     | 0.3   | 1      |
+      | 6     | 6 of them | 2     | 0.6   | 1      |
+
+  Scenario Outline: A peer of 3 that nothing passes to or from for <seconds> s
+    When nothing passes to or from one of 4 instances with work for <seconds> s
+    Then the others count its work for <least> s at least and <most> s at most
+    And a link is opened anew <reopened> times at most
+    And all work is known <known> s after, and none was dropped that was told later
+
+    Examples: while it may be stopped for a moment its work is held; then it is dead
+      | seconds | least | most | reopened | known |
+      | 1.2     | 1.2   | 1.2  | 3        | 1     |
+      | 5       | 1.5   | 3    | 5        | 2     |
+
+  Scenario: A peer that is killed
+    When one of 4 instances with work is killed
+    Then the others count its work for 1.5 s at least and 3 s at most
+    And each is told at which upstreams it had work
+
+  Scenario Outline: Counts of a <teller> that is heard <how> and tells no more
+    When a <teller> tells of work and of what waits there, and is heard <how> since
+    Then its work is counted for <least> s at least and <most> s at most
+    And what waits there is known for <waits> s at most
+
+    Examples: an instance that lives goes on with its work
+      | teller   | how            | least | most | waits |
+      | peer     | itself         | 9.9   | 10.6 | 2.1   |
+      | peer     | through others | 9.9   | 10.6 | 2.1   |
+      | peer     | not at all     | 1.9   | 2.6  | 2.1   |
+      | zone     | through others | 9.9   | 10.6 | 0     |
+      | zone     | not at all     | 2.4   | 3.1  | 0     |
+
+  Scenario Outline: A link whose news comes every <every> s from <who> while <trouble>
+    When <trouble> for <seconds> s, with news every <every> s from <who>
+    Then links are opened anew <least> to <most> times, first within <within> s
+    And news that can pass is known within <known> s
+
+    Examples: what falls silent is found soon, what is slow or gone makes no storm
+      | trouble                     | seconds | every | who       | least | most | within | known |
+      | nothing happens             | 60      | 0.02  | one end   | 0     | 0    | 0      | 0.1   |
+      | nothing happens             | 60      | 1     | both ends | 0     | 0    | 0      | 0.1   |
+      | the way there falls silent  | 10      | 0.02  | one end   | 1     | 1    | 0.6    | 0.6   |
+      | the way there falls silent  | 10      | 1     | both ends | 1     | 2    | 1.6    | 0.6   |
+      | the way back falls silent   | 10      | 0.02  | one end   | 2     | 3    | 0.6    | 0.6   |
+      | both ways fall silent       | 10      | 0.02  | both ends | 2     | 4    | 0.6    | 0.6   |
+      | both ways fall silent       | 10      | 0.5   | both ends | 2     | 4    | 1.1    | 0.6   |
+      | the other end is stopped    | 60      | 0.5   | both ends | 6     | 18   | 1      | 1     |
+      | the own end is stopped      | 3       | 0.5   | one end   | 0     | 0    | 0      | 1     |
+      | the network is cut          | 60      | 0.5   | both ends | 12    | 36   | 1      | 6     |
+      | answers take 0.4 s          | 60      | 0.1   | one end   | 1     | 4    | 0.6    | 0.1   |
+      | answers take 1 s            | 60      | 0.1   | one end   | 2     | 6    | 0.6    | 0.1   |
 
   Scenario Outline: An upstream whose attempts ended <ends>, one every 0.5 s
     Then after <later> s more it is <taken>
--- a/tests/features/steps/online_load_steps.py
+++ b/tests/features/steps/online_load_steps.py
@@ -1,5 +1,6 @@
 """Steps that play waves of online requests against the queue for slots."""
 
+import itertools
 import random
 
 import attrs
@@ -27,6 +28,7 @@
     Waiter,
     Waiting,
 )
+from tests.harness import SimulatedLinks
 
 TICK_S = 0.01
 SERVICE_S = 0.8
@@ -156,6 +158,51 @@
                 queue.demand.observe(name, teller.demand.own_rates(now=now))
 
 
+class LinkedFleet(Fleet):
+    """Instances that tell each other over links, which can fall silent."""
+
+    def __init__(self, instances, upstream_count):
+        super().__init__(instances, upstream_count)
+        self.links = SimulatedLinks(
+            [InstanceId(f"i{number}") for number in range(instances)],
+            step_s=TICK_S,
+            on_message=self._hear,
+            on_reopened=self._reopened,
+        )
+
+    def lose_links(self, silenced):
+        """Silences all links to and from some of the instances."""
+        names = list(self.links.ends)
+        for sender, receiver in itertools.permutations(names, 2):
+            if sender in names[:silenced] or receiver in names[:silenced]:
+                self.links.silent.add((sender, receiver))
+
+    def _tell(self, now):
+        self.links.step()
+        for sender, receiver in itertools.permutations(self.links.ends, 2):
+            self._tell_one(sender, receiver)
+
+    def _tell_one(self, sender, receiver):
+        teller, now = self._queue(sender), self.links.now
+        counts = [InFlight(s.id, s.online, 0) for s in teller.placement.states.values()]
+        rates = teller.demand.own_rates(now=now)
+        self.links.send(sender, receiver, (counts, teller.told(now=now), rates))
+
+    def _hear(self, sender, receiver, message):
+        counts, waiting, rates = message
+        queue = self._queue(receiver)
+        queue.placement.peers.observe(sender, counts)
+        queue.order.observe(sender, waiting, now=self.links.now)
+        queue.demand.observe(sender, rates)
+
+    def _reopened(self, sender, receiver):
+        self._queue(sender).order.forget(receiver)
+        self._tell_one(sender, receiver)
+
+    def _queue(self, name):
+        return self.queues[int(name[1:])]
+
+
 def waves(calm, wave, *, period_s=5.8, wave_s=2.4):
     def rate_at(now):
         return wave if now % period_s >= period_s - wave_s else calm
@@ -163,6 +210,10 @@
     return rate_at
 
 
+def wave_starts(seconds, *, period_s=5.8, wave_s=2.4):
+    return [n * period_s - wave_s for n in range(1, int(seconds / period_s) + 1)]
+
+
 def one_queue(rate_at, slots, seconds, *, seed=1):
     """Returns how many are on time where all wait in one queue, first come first."""
     rng, busy, on_time, arrived = random.Random(seed), [], 0, 0
@@ -197,6 +248,25 @@
     context.played = Fleet(instances, count, telling=False).play(waves(6, 38), 29)
 
 
+@when(
+    "{calm:g} requests a second come, and {wave:g} in waves, for {seconds:d} s, and "
+    "the links of {silenced:d} instances fall silent {before:g} s before each wave"
+)
+def waves_with_silence(context, calm, wave, seconds, silenced, before):
+    instances, count = context.fleet_size
+    rate_at, fleet = waves(calm, wave), LinkedFleet(instances, count)
+    times = [start - before for start in wave_starts(seconds)]
+
+    def rate_and_silence(now):
+        if times and now >= times[0]:
+            times.pop(0)
+            fleet.lose_links(silenced)
+        return rate_at(now)
+
+    context.played = fleet.play(rate_and_silence, seconds)
+    context.one_queue = one_queue(rate_at, 8 * count, seconds)
+
+
 @then("{least:d} in 100 are on time, where one queue gives {most:d} at most")
 def on_time_share(context, least, most):
     played = context.played
--- a/tests/features/steps/serving_steps.py
+++ b/tests/features/steps/serving_steps.py
@@ -38,10 +38,8 @@
 from coppercleat.serving import (
     AttemptEnd,
     EventSplitter,
-    GatewaySettings,
     InFlight,
     Nowhere,
-    Peers,
     Placement,
     RecentResults,
     RequestProgress,
@@ -64,7 +62,7 @@
 )
 from coppercleat.storage import AnswerLostError, Changes, MemoryPlatform
 from coppercleat.upstreams import AttemptState
-from tests.harness import free_port
+from tests.harness import Relay, free_port, make_peers, node_settings, roomy_upstream
 
 HOST, PREFIX = "jobs.example", "/week/"
 KINDS = {
@@ -611,16 +609,6 @@
     trio.run(run, clock=trio.testing.MockClock(autojump_threshold=0))
 
 
-def roomy_upstream(name):
-    return Upstream(
-        id=UpstreamId(name),
-        service="menus",
-        address="10.0.0.1:1",
-        zone=ZoneId("a"),
-        slots=8,
-    )
-
-
 @then("after 2 s {running:d} of its items run")
 def items_running(context, running):
     assert context.running == running, context.running
@@ -652,17 +640,6 @@
         return []
 
 
-def node_settings(name, zone, peers="10.0.0.1:3", **more):
-    return GatewaySettings(
-        instance=InstanceId(name),
-        zone=ZoneId(zone),
-        clients="10.0.0.1:1",
-        readiness="10.0.0.1:2",
-        peers=peers,
-        **more,
-    )
-
-
 def make_watch(name, platform):
     settings = node_settings(name, "a")
     rng = random.Random(name)
@@ -759,15 +736,6 @@
     assert context.back_after <= seconds + 0.1, context.back_after
 
 
-def make_peers(name, zone, port, seed):
-    address, seeds = f"127.0.0.1:{port}", (f"127.0.0.1:{seed}",)
-    settings = node_settings(name, zone, peers=address, seeds=seeds)
-    rng = random.Random(name)
-    placement = Placement(ZoneId(zone), rng=rng)
-    placement.replace([roomy_upstream("x")])
-    return Peers(settings, placement, incarnation=1, rng=rng)
-
-
 async def until_load(peers, wanted):
     """Waits until all see so many requests in flight; returns what they see."""
     with trio.move_on_after(8):
@@ -872,34 +840,6 @@
     assert context.instances / renewal_s <= store.writes_per_s / 2
 
 
-class Relay:
-    """Passes bytes on from a port of its own; connections can fall silent."""
-
-    def __init__(self, target):
-        self.port, self.target = free_port(), target
-        self.silent = set()
-        self.connections = set()
-
-    async def run(self):
-        await trio.serve_tcp(self.connect, self.port, host="127.0.0.1")
-
-    async def connect(self, client):
-        server = await trio.open_tcp_stream("127.0.0.1", self.target)
-        self.connections.add(client)
-        async with trio.open_nursery() as nursery:
-            nursery.start_soon(self.carry, client, client, server)
-            nursery.start_soon(self.carry, client, server, client)
-
-    async def carry(self, connection, source, target):
-        with contextlib.suppress(trio.BrokenResourceError, trio.ClosedResourceError):
-            async for data in source:
-                if connection not in self.silent:
-                    await target.send_all(data)
-
-    def fall_silent(self):
-        self.silent |= self.connections
-
-
 @given("two instances that tell each other of work in flight, through relays")
 def two_behind_relays(context):
     ports = [free_port(), free_port()]
@@ -941,79 +881,6 @@
     assert context.known_after <= within, context.known_after
 
 
-class RelayedFleet:
-    """Instances each of which reaches each other one through a relay of its own."""
-
-    def __init__(self, count):
-        ports = [free_port() for _ in range(count)]
-        pairs = [(n, m) for n in range(count) for m in range(count) if n != m]
-        self.relays = {(n, m): Relay(ports[m]) for n, m in pairs}
-        self.all = [make_peers(f"i{n}", "a", port, 1) for n, port in enumerate(ports)]
-        for (n, m), relay in self.relays.items():
-            address = f"127.0.0.1:{relay.port}"
-            self.all[n].listed([(InstanceId(f"i{m}"), address, ZoneId("a"))])
-
-    def fall_silent(self, way):
-        """Silences what is open: of some of the instances, one way or both."""
-        silenced = int(way.split()[0]) if way[0].isdigit() else 1
-        for (n, m), relay in self.relays.items():
-            if n < silenced or (m < silenced and way != "one way"):
-                relay.fall_silent()
-
-    def start_work(self, more):
-        for peers in self.all:
-            peers.placement.states[UpstreamId("x")].online += more
-            peers.work_changed(urgent=True)
-
-    async def until_all_know(self, within_s):
-        """Waits until all count all that is in flight; returns how long it took."""
-        began = trio.current_time()
-        states = [peers.placement.states[UpstreamId("x")] for peers in self.all]
-        with trio.move_on_after(within_s):
-            while True:
-                total = sum(state.online for state in states)
-                seen = {
-                    p.placement.load(s) for p, s in zip(self.all, states, strict=True)
-                }
-                if seen == {total}:
-                    break
-                await trio.sleep(0.01)
-        return trio.current_time() - began
-
-
-@when(
-    "of {count:d} instances the open connections fall silent {way}, {times:d} times, "
-    "and each starts work {later:g} s later"
-)
-def fall_silent_and_work(context, count, way, times, later):
-    context.known_after = []
-
-    async def run():
-        fleet = RelayedFleet(count)
-        async with trio.open_nursery() as nursery:
-            for part in (*fleet.relays.values(), *fleet.all):
-                nursery.start_soon(part.run)
-            fleet.start_work(1)
-            assert await fleet.until_all_know(8) < 8
-            for _ in range(times):
-                await trio.sleep(1.0)
-                fleet.fall_silent(way)
-                await trio.sleep(later)
-                fleet.start_work(1)
-                context.known_after.append(await fleet.until_all_know(8))
-            context.dropped = sum(peers.silenced for peers in fleet.all)
-            context.reopened = sum(p.messenger.links.reopened for p in fleet.all)
-            nursery.cancel_scope.cancel()
-
-    trio.run(run)
-
-
-@then("all know of all work within {within:g} s, and nobody's was dropped")
-def all_work_known(context, within):
-    assert max(context.known_after) <= within, context.known_after
-    assert context.dropped == 0, context.dropped
-
-
 @then("after {later:g} s more it is {taken}")
 def taken_for(context, later, taken):
     ends = context.scenario.name.split()[5].rstrip(",")
--- a/tests/harness/__init__.py
+++ b/tests/harness/__init__.py
@@ -10,6 +10,14 @@
     Answer,
     Gateways,
 )
+from tests.harness._links import (
+    Relay,
+    RelayedFleet,
+    SimulatedLinks,
+    make_peers,
+    node_settings,
+    roomy_upstream,
+)
 from tests.harness._processes import Process, free_port, until
 
 __all__ = [
@@ -23,6 +31,12 @@
     "Fleet",
     "Gateways",
     "Process",
+    "Relay",
+    "RelayedFleet",
+    "SimulatedLinks",
     "free_port",
+    "make_peers",
+    "node_settings",
+    "roomy_upstream",
     "until",
 ]
