--- a/src/coppercleat/serving/__init__.py
+++ b/src/coppercleat/serving/__init__.py
@@ -41,7 +41,7 @@
     routes_pause_s,
     upstreams_pause_s,
 )
-from coppercleat.serving._peers import ItemEvents, Peers
+from coppercleat.serving._peers import ItemEvents, Peers, WorkInFlight, ZoneWork
 from coppercleat.serving._placement import Nowhere, Placement, UpstreamState
 from coppercleat.serving._progress import (
     AttemptEnd,
@@ -113,6 +113,8 @@
     "Waiting",
     "Watch",
     "WorkCounts",
+    "WorkInFlight",
+    "ZoneWork",
     "is_event_stream",
     "jobs_pause_s",
     "lease_s",
--- a/tests/features/steps/serving_steps.py
+++ b/tests/features/steps/serving_steps.py
@@ -38,11 +38,9 @@
 from coppercleat.serving import (
     AttemptEnd,
     EventSplitter,
-    GatewaySettings,
     InFlight,
     Nowhere,
     Passed,
-    Peers,
     Placement,
     RecentResults,
     RequestProgress,
@@ -65,7 +63,7 @@
 )
 from coppercleat.storage import AnswerLostError, Changes, MemoryPlatform
 from coppercleat.upstreams import AttemptState
-from tests.harness import free_port
+from tests.harness import Relay, free_port, make_peers, node_settings, roomy_upstream
 
 HOST, PREFIX = "jobs.example", "/week/"
 KINDS = {
@@ -612,16 +610,6 @@
     trio.run(run, clock=trio.testing.MockClock(autojump_threshold=0))
 
 
-def roomy_upstream(name):
-    return Upstream(
-        id=UpstreamId(name),
-        service="menus",
-        address="10.0.0.1:1",
-        zone=ZoneId("a"),
-        slots=8,
-    )
-
-
 @then("after 2 s {running:d} of its items run")
 def items_running(context, running):
     assert context.running == running, context.running
@@ -653,17 +641,6 @@
         return []
 
 
-def node_settings(name, zone, peers="10.0.0.1:3", **more):
-    return GatewaySettings(
-        instance=InstanceId(name),
-        zone=ZoneId(zone),
-        clients="10.0.0.1:1",
-        readiness="10.0.0.1:2",
-        peers=peers,
-        **more,
-    )
-
-
 def make_watch(name, platform):
     settings = node_settings(name, "a")
     rng = random.Random(name)
@@ -760,15 +737,6 @@
     assert context.back_after <= seconds + 0.1, context.back_after
 
 
-def make_peers(name, zone, port, seed):
-    address, seeds = f"127.0.0.1:{port}", (f"127.0.0.1:{seed}",)
-    settings = node_settings(name, zone, peers=address, seeds=seeds)
-    rng = random.Random(name)
-    placement = Placement(ZoneId(zone), rng=rng)
-    placement.replace([roomy_upstream("x")])
-    return Peers(settings, placement, incarnation=1, rng=rng)
-
-
 async def until_load(peers, wanted):
     """Waits until all see so many requests in flight; returns what they see."""
     with trio.move_on_after(8):
@@ -873,34 +841,6 @@
     assert context.instances / renewal_s <= store.writes_per_s / 2
 
 
-class Relay:
-    """Passes bytes on from a port of its own; connections can fall silent."""
-
-    def __init__(self, target):
-        self.port, self.target = free_port(), target
-        self.silent = set()
-        self.connections = set()
-
-    async def run(self):
-        await trio.serve_tcp(self.connect, self.port, host="127.0.0.1")
-
-    async def connect(self, client):
-        server = await trio.open_tcp_stream("127.0.0.1", self.target)
-        self.connections.add(client)
-        async with trio.open_nursery() as nursery:
-            nursery.start_soon(self.carry, client, client, server)
-            nursery.start_soon(self.carry, client, server, client)
-
-    async def carry(self, connection, source, target):
-        with contextlib.suppress(trio.BrokenResourceError, trio.ClosedResourceError):
-            async for data in source:
-                if connection not in self.silent:
-                    await target.send_all(data)
-
-    def fall_silent(self):
-        self.silent |= self.connections
-
-
 @given("two instances that tell each other of work in flight, through relays")
 def two_behind_relays(context):
     ports = [free_port(), free_port()]
