Pass an upstream's own empty stream on where nobody else may be asked

Cause: a first answer of status 200 that has its own end and no event was replaced by a 502 also where the request may run once only. Ruled out: passing it on at once: a request that may run elsewhere is better served there, as after a failure. Change: like a failure it is kept back while another upstream may be asked, else passed on as it is; without length and last chunk it stays broken off. Items stay as they were: they may always go elsewhere. Conclusion: what an upstream has ended itself is not turned into a failure of ours.

--- a/src/coppercleat/jobs/_items.py
+++ b/src/coppercleat/jobs/_items.py
@@ -302,7 +302,9 @@
                 stall.deadline = trio.current_time() + STALL_S
         if not in_order:
             raise UpstreamBrokeError("an event is out of order")
-    if incomplete := why_incomplete(splitter, sequence, framed=answer.framed):
+    if incomplete := why_incomplete(
+        splitter, sequence, framed=answer.framed, may_move=True
+    ):
         raise UpstreamBrokeError(incomplete)
     return ItemEnd.COMPLETE
 
--- a/src/coppercleat/serving/_answers.py
+++ b/src/coppercleat/serving/_answers.py
@@ -33,7 +33,12 @@
         if not in_order:
             exchange.reason = "an event is out of order"
             return exchange.cut()
-    incomplete = why_incomplete(splitter, sequence, framed=answer.framed)
+    incomplete = why_incomplete(
+        splitter,
+        sequence,
+        framed=answer.framed,
+        may_move=exchange.progress.may_move,
+    )
     if incomplete:
         exchange.reason = incomplete
         return exchange.cut()
@@ -44,20 +49,30 @@
 
 
 def why_incomplete(
-    splitter: EventSplitter, sequence: EventSequence, *, framed: bool
+    splitter: EventSplitter, sequence: EventSequence, *, framed: bool, may_move: bool
 ) -> str:
     """Returns why a run whose body has ended is not complete, nothing if it is.
 
     A run that goes on after what turns out to be the last event has none. Its body
-    must then tell its own end: a connection that only ends proves nothing.
+    must then tell its own end: a connection that only ends proves nothing. An answer
+    without any event is asked for elsewhere, as a failure is, and is what it is if
+    nobody else may be asked.
+
+    Args:
+      splitter: Has taken the whole body.
+      sequence: Has taken its events.
+      framed: Whether the body told its own end.
+      may_move: Whether another upstream could be asked instead.
     """
     if splitter.rest.strip():
         return "the answer ended inside an event"
     if sequence.length:
         return ""
-    if sequence.last is None:
+    if not framed:
+        return "the answer ended without an event, length or last chunk"
+    if sequence.last is None and may_move:
         return "the answer ended without an event"
-    return "" if framed else "the answer ended without an event, length or last chunk"
+    return ""
 
 
 async def _pass_body(exchange: Exchange, answer: UpstreamAnswer) -> AttemptEnd:
