The client of the RPCs takes nothing unreadable for an answer or for an end

Cause: a body that is no JSON became a message that says so, and an empty one an empty message; an end envelope that cannot be read had no error in it and ended the stream as complete. Ruled out: streams without an end envelope or with a part of one (an error before too). Change: a message is a JSON object without flags of its own, or the call fails as broken. Failures' bodies may still be anything. Conclusion: a caller has an answer, or an error.

--- a/src/coppercleat/rpc/_client.py
+++ b/src/coppercleat/rpc/_client.py
@@ -46,7 +46,11 @@
         await self._pool.aclose()
 
     async def call(self, service: str, method: str, body: dict[str, Any]) -> Any:
-        """Makes a unary call and returns the answer as JSON."""
+        """Makes a unary call and returns the answer as JSON.
+
+        Raises:
+          RpcError: The call failed, or its answer cannot be read.
+        """
         with _transport_errors():
             response = await self._pool.request(
                 "POST",
@@ -55,10 +59,9 @@
                 content=json.dumps(body).encode(),
                 extensions={"timeout": self._timeout},
             )
-        answer = _parse(response.content)
         if response.status != 200:
-            raise _error(answer)
-        return answer
+            raise _error(_parse_error(response.content))
+        return _parse(response.content)
 
     async def stream(
         self, service: str, method: str, messages: Iterable[dict[str, Any]]
@@ -66,7 +69,8 @@
         """Makes a streaming call and yields the answers as JSON.
 
         Raises:
-          RpcError: The call failed, or its stream ended without an end.
+          RpcError: The call failed, or its stream ended without an end or with what
+            cannot be read.
         """
         content = b"".join(_envelope(message) for message in messages)
         async for answer in self.stream_raw(service, method, _once(content)):
@@ -85,7 +89,7 @@
                 extensions={"timeout": self._timeout},
             ) as response:
                 if response.status != 200:
-                    raise _error(_parse(await response.aread()))
+                    raise _error(_parse_error(await response.aread()))
                 async for flags, message in _envelopes(response):
                     if flags & _END_FLAG:
                         if "error" in message:
@@ -122,6 +126,9 @@
             end = _HEADER.size + length
             if len(rest) < end:
                 break
+            if flags & ~_END_FLAG:
+                info = {"kind": "broken"}
+                raise RpcError("unavailable", "The answer is compressed.", info)
             yield flags, _parse(rest[_HEADER.size : end])
             rest = rest[end:]
 
@@ -138,11 +145,24 @@
         raise RpcError("unavailable", why, {"kind": "broken"}) from error
 
 
-def _parse(content: bytes) -> Any:
+def _parse(content: bytes) -> dict[str, Any]:
+    """Returns a message; what is none must not pass for an empty one or for an end."""
     try:
-        return json.loads(content or b"{}")
+        message = json.loads(content)
     except ValueError:
-        return {"code": "unknown", "message": "The answer is not JSON."}
+        message = None
+    if not isinstance(message, dict):
+        info = {"kind": "broken"}
+        raise RpcError("unavailable", "The answer is no JSON object.", info)
+    return message
+
+
+def _parse_error(content: bytes) -> dict[str, Any]:
+    """Returns a failure's body, whoever has sent it."""
+    try:
+        return _parse(content)
+    except RpcError as error:
+        return {"code": "unknown", "message": str(error)}
 
 
 def _error(answer: dict[str, Any]) -> RpcError:
--- a/tests/features/product.feature
+++ b/tests/features/product.feature
@@ -148,3 +148,29 @@
       | an unknown route     | requests | [{"route": "fast", "per_s": 1.0}] | fast     |
       | an unknown fault     | faults   | [{"kind": "flood", "at_s": 1.0}]  | flood    |
       | no number where due  | length_s | "long"                            | length_s |
+
+  Scenario Outline: The answer <status> "<body>" to a <kind> call
+    When a <kind> call is answered <status> "<body>"
+    Then the caller has <outcome>
+
+    Examples: what cannot be read is no answer, and no end of one
+      | kind   | status | body                        | outcome           |
+      | unary  | 200    | {"a":1}                     | {"a": 1}          |
+      | unary  | 200    | {}                          | {}                |
+      | unary  | 200    | nothing                     | error unavailable |
+      | unary  | 200    | <html>                      | error unavailable |
+      | unary  | 200    | {"a":                       | error unavailable |
+      | unary  | 200    | []                          | error unavailable |
+      | unary  | 502    | <html>                      | error unknown     |
+      | unary  | 503    | {"code":"unavailable"}      | error unavailable |
+      | stream | 200    | message message end         | a a               |
+      | stream | 200    | message                     | error unavailable |
+      | stream | 200    | message half-end            | error unavailable |
+      | stream | 200    | message garbled-end         | error unavailable |
+      | stream | 200    | message empty-end           | error unavailable |
+      | stream | 200    | message garbled end         | error unavailable |
+      | stream | 200    | message list end            | error unavailable |
+      | stream | 200    | compressed end              | error unavailable |
+      | stream | 200    | message error-end           | error internal    |
+      | stream | 200    | nothing                     | error unavailable |
+      | stream | 502    | <html>                      | error unknown     |
