The small engine marks no answer as ended whose tokens were lost

Cause: a reader that falls more than 4096 tokens behind has its sequence cancelled; the channel's close then looked like the end, and the stream got its end marker. Ruled out: whole answers in one message: nothing there waits for the reader. Change: a delivery knows whether all tokens have gone into the channel; without that the stream is left open, which the server breaks off. Conclusion: an end marker follows the last token only.

--- a/src/coppercleat/emulator/_app.py
+++ b/src/coppercleat/emulator/_app.py
@@ -50,10 +50,16 @@
 
 @attrs.define
 class Delivery:
-    """A sequence and the channel that carries its tokens."""
+    """A sequence and the channel that carries its tokens.
+
+    Attributes:
+      whole: Whether all tokens have gone into the channel.
+    """
 
     sequence: Sequence
     send: trio.MemorySendChannel[str]
+    tokens: trio.MemoryReceiveChannel[str]
+    whole: bool = False
 
 
 class EngineApp:
@@ -128,6 +134,7 @@
             delivery.send.close()
             return
         if sequence.finished:
+            delivery.whole = True
             delivery.send.close()
 
     async def _report_forever(self) -> None:
@@ -195,43 +202,37 @@
             max_tokens=request.max_tokens,
             resumed_tokens=min(request.resume_tokens, request.max_tokens - 1),
         )
-        tokens = self._start(sequence)
+        delivery = self._start(sequence)
         try:
             respond = self._stream if request.stream else self._whole
             async with trio.open_nursery() as nursery:
                 nursery.start_soon(_cancel_on_disconnect, receive, nursery.cancel_scope)
-                await respond(sequence, tokens, send)
+                await respond(delivery, send)
                 nursery.cancel_scope.cancel()
         finally:
             self._deliveries.pop(id(sequence), None)
             self.engine.cancel(sequence)
 
-    def _start(self, sequence: Sequence) -> trio.MemoryReceiveChannel[str]:
-        channel = trio.open_memory_channel[str](_STREAM_BUFFER)
-        self._deliveries[id(sequence)] = Delivery(sequence, channel[0])
+    def _start(self, sequence: Sequence) -> Delivery:
+        delivery = Delivery(sequence, *trio.open_memory_channel[str](_STREAM_BUFFER))
+        self._deliveries[id(sequence)] = delivery
         self.engine.submit(sequence)
         self._work.set()
-        return channel[1]
+        return delivery
 
-    async def _stream(
-        self,
-        sequence: Sequence,
-        tokens: trio.MemoryReceiveChannel[str],
-        send: Send,
-    ) -> None:
-        await start_response(send, 200, b"text/event-stream", sequence.request_id)
-        async for token in tokens:
-            event = msgspec.json.encode({"id": sequence.request_id, "text": token})
+    async def _stream(self, delivery: Delivery, send: Send) -> None:
+        request_id = delivery.sequence.request_id
+        await start_response(send, 200, b"text/event-stream", request_id)
+        async for token in delivery.tokens:
+            event = msgspec.json.encode({"id": request_id, "text": token})
             await send_part(send, b"data: " + event + b"\n\n")
-        await send_part(send, b"data: [DONE]\n\n", more=False)
+        # The server breaks off what is left open; a reader that fell behind sees that.
+        if delivery.whole:
+            await send_part(send, b"data: [DONE]\n\n", more=False)
 
-    async def _whole(
-        self,
-        sequence: Sequence,
-        tokens: trio.MemoryReceiveChannel[str],
-        send: Send,
-    ) -> None:
-        text = "".join([token async for token in tokens])
+    async def _whole(self, delivery: Delivery, send: Send) -> None:
+        sequence = delivery.sequence
+        text = "".join([token async for token in delivery.tokens])
         await send_json(
             send,
             200,
--- a/tests/features/product.feature
+++ b/tests/features/product.feature
@@ -174,3 +174,13 @@
       | stream | 200    | message error-end           | error internal    |
       | stream | 200    | nothing                     | error unavailable |
       | stream | 502    | <html>                      | error unknown     |
+
+  Scenario Outline: A reader takes <pace> of a <kind> answer of the engine
+    When a reader that takes <pace> asks the engine for a <kind> answer
+    Then the engine's answer is <end>
+
+    Examples: tokens that the engine no longer holds for a reader are lost to it
+      | pace                | kind     | end   |
+      | all at once         | streamed | whole |
+      | nothing for a while | streamed | cut   |
+      | all at once         | single   | whole |
