--- a/tests/features/gateway.feature
+++ b/tests/features/gateway.feature
@@ -113,6 +113,8 @@
     Examples:
       | what                    | route     | events                                                   | end   | passed |
       | ends                    | stream    | id: 1\ndata: a\n\nid: 2\ndata: b\n\n                     | whole | 1-2    |
+      | is reset                | stream    | id: 1\ndata: a\n\nid: 2\ndata: b\n\n<reset>              | cut   | 1-2    |
+      | is reset                | resumable | id: 1\ndata: a\n\nid: 2\ndata: b\n\n<reset>              | cut   | 1-2    |
       | ends inside an event    | stream    | id: 1\ndata: a\n\nid: 2\nda                             | cut   | 1-1    |
       | leaves an event out     | stream    | id: 1\ndata: a\n\nid: 2\ndata: b\n\nid: 4\ndata: d\n\n | cut   | 1-2    |
       | leaves an event out     | resumable | id: 1\ndata: a\n\nid: 2\ndata: b\n\nid: 4\ndata: d\n\n | cut   | 1-2    |
--- a/tests/standins/garbage.py
+++ b/tests/standins/garbage.py
@@ -1,13 +1,23 @@
-"""Stand-in for a runner that answers each request with bytes of its own."""
+"""Stand-in for a runner that answers each request with bytes of its own.
+
+An answer that ends with ``<reset>`` is followed by a reset of the connection, other
+than to calls that only look whether it is there.
+"""
 
 from __future__ import annotations
 
 import re
+import socket
+import struct
 
 import trio
 
 from tests.standins.control import arguments, start
 
+_RESET = b"<reset>"
+_RESET_AFTER_S = 0.2
+"""A reset that follows at once may discard what has been sent."""
+
 
 def _whole(request: bytes) -> bool:
     """Whether a request has come to the end of its body."""
@@ -28,8 +38,14 @@
                 if not part:
                     return
                 request += part
-            await stream.send_all(data)
-            await stream.send_eof()
+            await stream.send_all(data.removesuffix(_RESET))
+            if data.endswith(_RESET) and request.startswith(b"POST"):
+                await trio.sleep(_RESET_AFTER_S)
+                linger = struct.pack("ii", 1, 0)
+                stream.socket.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
+                stream.socket.close()
+            else:
+                await stream.send_eof()
 
     await trio.serve_tcp(serve, port, host="127.0.0.1")
 
