Failing test: a client that takes no more of its answer holds run, call and process

Cause: a message to a client is sent whole, shielded from cancellation, since the server counts it as sent before it waits for the socket. A client that is gone without a word, or reads no further, leaves a full send buffer: the send never ends, nor does the run at the upstream, the call, nor, after SIGTERM, the process. Seen on the code as it is: 13 s after the request the run goes on, 9 s after it a call is in flight whose route's timeout is 5 s, and the process does not end after SIGTERM.

--- a/tests/features/gateway.feature
+++ b/tests/features/gateway.feature
@@ -108,6 +108,21 @@
     When a client leaves after the first event of a stream
     Then the run at the runner ends
 
+  # A client that is gone without a word, or that reads no further, leaves a full send
+  # buffer; what is sent into it can't be cancelled, so it held its run and the process.
+  Scenario Outline: A client that takes no more of its answer <holds>
+    Given 1 gateways and 1 runners
+    And every runner is set to {"events": 400, "event_s": 0.005, "event_bytes": 60000}
+    When a client sends a <route> request and reads nothing
+    And <event>
+    Then <outcome>
+
+    Examples: the route's timeout is 5 s, a stop's grace 8 s
+      | holds                  | route  | event                           | outcome                                     |
+      | holds no run for long  | stream | 8 s pass                        | the run at the runner ends                  |
+      | holds no call for long | stream | 8 s pass                        | gateway 1 has no call in flight             |
+      | holds up no stop       | stream | gateway 1 is stopped as planned | gateway 1 has exited with code 0 within 8 s |
+
   Scenario: A silent runner costs a resumable request a moment, and others the deadline
     Given 1 gateways and 2 runners
     And runner 1 is set to {"silent": true}
--- a/tests/features/steps/gateway_steps.py
+++ b/tests/features/steps/gateway_steps.py
@@ -4,6 +4,7 @@
 import pathlib
 import shutil
 import signal
+import socket
 import subprocess
 import sys
 import tempfile
@@ -256,6 +257,24 @@
     context.fleet.run(some)
 
 
+@when("a client sends a {route} request and reads nothing")
+def reads_nothing(context, route):
+    host, prefix = ROUTES[route]
+    head = f"POST {prefix}x HTTP/1.1\r\nhost: {host}\r\nrequest-id: deaf\r\n"
+    client = socket.create_connection(
+        ("127.0.0.1", context.fleet.ports["gateway-1"]["front"])
+    )
+    context.add_cleanup(client.close)
+    client.sendall(head.encode() + b"deadline-ms: 5000\r\ncontent-length: 0\r\n\r\n")
+    time.sleep(1)
+
+
+@then("gateway {number:d} has no call in flight")
+def none_in_flight(context, number):
+    text = context.fleet.run(context.fleet.metrics, f"gateway-{number}")
+    assert "coppercleat_in_flight 0" in text, text
+
+
 @then("the run at the runner ends")
 def run_ends(context):
     async def ended():
@@ -416,6 +435,12 @@
     do_to_gateway(context, number, "killed")
 
 
+@when("gateway {number:d} is stopped as planned")
+def stop_gateway(context, number):
+    context.stopped_at = time.monotonic()
+    do_to_gateway(context, number, "stopped as planned")
+
+
 @when("gateway {number:d} is started again")
 def start_again(context, number):
     context.fleet.start_gateway(f"gateway-{number}")
--- a/tests/standins/runner.py
+++ b/tests/standins/runner.py
@@ -22,6 +22,7 @@
     Attributes:
       events: Events of a whole answer.
       event_s: Time between events.
+      event_bytes: Added to each event.
       slots: Requests that run side by side.
       queue: Requests that wait beyond these.
       instance: Its id; a request that expects another gets 421.
@@ -41,6 +42,7 @@
 
     events: int = 5
     event_s: float = 0.01
+    event_bytes: int = 0
     slots: int = 8
     queue: int = 24
     instance: str = ""
@@ -157,10 +159,11 @@
         cut = knobs.cut_next > 0
         knobs.cut_next -= cut
         await send({"type": "http.response.start", "status": 200, "headers": head})
+        padding = "." * knobs.event_bytes
         first = int(run["after"]) + 1 if run["after"] is not None else 1
         for number in range(first, knobs.events + 1):
             await trio.sleep(knobs.event_s)
-            data = f"id: {number}\ndata: word {number}\n\n".encode()
+            data = f"id: {number}\ndata: word {number}{padding}\n\n".encode()
             if cut and run["events"] >= knobs.cut_after:
                 if knobs.torn:
                     await send(_part(data[:9]))
