Give a client up that takes no byte of its answer for 5 s

Cause: a send to a client is shielded from cancellation, so a full send buffer held the upstream's run, the call and the stopping process for ever. Ruled out: a bound around the send (the server shields it again, and a message cut in the middle ends the process); keep-alive of the kernel (an idle connection of a client holds no more than a descriptor, and is closed after 120 s). Change: the listening sockets set TCP_USER_TIMEOUT, which accepted ones inherit; the kernel then ends the connection, also while the receiver's window stays closed, and the server tells the call that its client has left. 5 s, and at a stop no longer than calls in flight have; 30 s for the RPCs of the product, whose readers pause. Both servers now share one configuration.

--- a/src/coppercleat/asgi/__init__.py
+++ b/src/coppercleat/asgi/__init__.py
@@ -11,6 +11,7 @@
     serve_lifespan,
     start_response,
 )
+from coppercleat.asgi._server import server_config
 
 __all__ = [
     "Application",
@@ -21,5 +22,6 @@
     "send_json",
     "send_part",
     "serve_lifespan",
+    "server_config",
     "start_response",
 ]
--- a/src/coppercleat/platform/_edges.py
+++ b/src/coppercleat/platform/_edges.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import logging
 import pathlib
 from collections.abc import Callable
 
@@ -10,6 +9,7 @@
 from hypercorn.config import Config
 from hypercorn.trio import serve
 
+from coppercleat.asgi import server_config
 from coppercleat.gateway import Gateway, GatewayMetrics, run_gateway
 from coppercleat.platform._catalogue import PlatformCatalogue
 from coppercleat.platform._ingress import Ingress, Readiness
@@ -18,11 +18,17 @@
 from coppercleat.platform._upstream_calls import HttpUpstreamCaller
 from coppercleat.serving import GatewaySettings
 
-_BACKLOG = 1024
 _KEEP_ALIVE_S = 120.0
 """Clients use connections that were idle for up to 4/5 of their limit, 15 s by the
 operator; the client closes first."""
 
+_UNTAKEN_S = 5.0
+"""A client whose connection takes no byte for so long is given up, and with it its run:
+what waits is of no use to it by then. A lost packet costs 0.2 to 2 s. At a stop there
+is no more time than for calls in flight."""
+
+_LEAST_UNTAKEN_S = 1.0
+_READINESS_GRACE_S = 0.1
 _MAX_HEADER_BYTES = 65_536
 _MANY = 1_000_000_000
 
@@ -42,9 +48,8 @@
         task_status: trio.TaskStatus[None] = trio.TASK_STATUS_IGNORED,
     ) -> None:
         """See ``GatewayEdges.serve``."""
-        logging.getLogger("hypercorn.error").setLevel(logging.CRITICAL)
         async with trio.open_nursery() as nursery:
-            asked = _config(gateway.settings.readiness, graceful_s=0.1)
+            asked = _config(gateway.settings.readiness, graceful_s=_READINESS_GRACE_S)
             nursery.start_soon(_serve, Readiness(gateway), asked, trio.sleep_forever)
             clients = _config(gateway.settings.clients, graceful_s=graceful_s)
             task_status.started()
@@ -61,16 +66,11 @@
 
 
 def _config(address: str, *, graceful_s: float) -> Config:
-    config = Config()
-    config.bind = [address]
-    config.backlog = _BACKLOG
-    config.graceful_timeout = graceful_s
+    untaken_s = min(_UNTAKEN_S, max(graceful_s, _LEAST_UNTAKEN_S))
+    config = server_config(address, graceful_s=graceful_s, untaken_s=untaken_s)
     config.keep_alive_timeout = _KEEP_ALIVE_S
     config.keep_alive_max_requests = _MANY
     config.h11_max_incomplete_size = _MAX_HEADER_BYTES
-    config.accesslog = None
-    config.errorlog = None
-    config.include_server_header = False
     config.include_date_header = False
     return config
 
--- a/src/coppercleat/rpc/_serve.py
+++ b/src/coppercleat/rpc/_serve.py
@@ -2,16 +2,19 @@
 
 from __future__ import annotations
 
-import logging
 from typing import Any
 
 import trio
-from hypercorn.config import Config
 from hypercorn.trio import serve
 
-_BACKLOG = 1024
+from coppercleat.asgi import server_config
+
 _GRACE_S = 3.0
 
+_UNTAKEN_S = 30.0
+"""A caller that takes no byte of an answer for so long is given up; people that read
+the command line's output pause."""
+
 
 async def serve_application(
     application: Any,
@@ -26,15 +29,8 @@
       address: ``IP:PORT`` to listen on; port 0 takes a free one.
       task_status: Gets the addresses that are bound.
     """
-    logging.getLogger("hypercorn.error").setLevel(logging.CRITICAL)
-    config = Config()
-    config.bind = [address]
-    config.backlog = _BACKLOG
-    config.graceful_timeout = _GRACE_S
-    config.accesslog = None
-    config.errorlog = None
+    config = server_config(address, graceful_s=_GRACE_S, untaken_s=_UNTAKEN_S)
     config.h2_max_concurrent_streams = 1000
-    config.include_server_header = False
 
     async def never() -> None:
         await trio.sleep_forever()
--- a/tests/features/gateway.feature
+++ b/tests/features/gateway.feature
@@ -120,6 +120,7 @@
     Examples: the route's timeout is 5 s, a stop's grace 8 s
       | holds                  | route  | event                           | outcome                                     |
       | holds no run for long  | stream | 8 s pass                        | the run at the runner ends                  |
+      | holds no plain run     | plain  | 8 s pass                        | the run at the runner ends                  |
       | holds no call for long | stream | 8 s pass                        | gateway 1 has no call in flight             |
       | holds up no stop       | stream | gateway 1 is stopped as planned | gateway 1 has exited with code 0 within 8 s |
 
