Judge changes in flight by dead connections, not by the time that reads take

Change: what reads take is evidence for reads only. A change on a kept connection is given up once a read, or the kernel, has found a kept connection dead since it began; one on a connection of its own is left to the kernel. A renewal is made again at once only if its answer was lost within 1 s. The log line names the kind of the call.

--- a/src/coppercleat/platform/_store.py
+++ b/src/coppercleat/platform/_store.py
@@ -324,11 +324,14 @@
         headers = [(b"content-type", b"application/json")] if body else []
         if method in ("POST", "PUT"):
             headers.append((b"content-length", str(len(body)).encode()))
-        kind = CallKind.OBJECT if path.startswith(_OBJECT_PATHS) else CallKind.ROWS
+        of_object = path.startswith(_OBJECT_PATHS)
+        kind = CallKind.CHANGE
+        if method == "GET":
+            kind = CallKind.OBJECT_READ if of_object else CallKind.READ
         began = trio.current_time()
         try:
             response = await self._connections.call(
-                StoreCall(method, path, headers, body, kind)
+                StoreCall(method, path, headers, body, kind, of_object)
             )
         except NoAnswerError:
             self._on_call(False, trio.current_time() - began)
--- a/src/coppercleat/platform/_store_connections.py
+++ b/src/coppercleat/platform/_store_connections.py
@@ -2,9 +2,11 @@
 
 A connection may go silent for good, without a reset, while new ones work. Two things
 tell that from a store that is slow or away. The kernel gives a connection up whose
-bytes stay unacknowledged: the host of a slow store acknowledges them. And a call is
-given up when others that began later have long been answered; where there are none, a
-probe on a new connection is asked.
+bytes stay unacknowledged: the host of a slow store acknowledges them. And a read is
+given up when reads that began later have long been answered; where there are none, a
+probe on a new connection is asked. Changes may take far longer than reads, so what
+reads take says nothing of them: those on kept connections are given up once a read has
+shown that kept connections are dead.
 """
 
 from __future__ import annotations
@@ -61,14 +63,15 @@
 
 
 class CallKind(enum.Enum):
-    """What a call is about."""
+    """What a call is."""
 
-    ROWS = "rows"
-    OBJECT = "object"
+    READ = "read"
+    OBJECT_READ = "object read"
+    CHANGE = "change"
 
 
-WEIGHTS = {CallKind.ROWS: 1.0, CallKind.OBJECT: 3.0}
-"""How many times longer than for rows an answer takes: 1.5 s where rows take 0.5 s."""
+_WEIGHTS = {CallKind.READ: 1.0, CallKind.OBJECT_READ: 3.0}
+"""How many times longer than rows an answer takes: 1.5 s where rows take 0.5 s."""
 
 
 class NoAnswerError(Exception):
@@ -85,32 +88,42 @@
         self.sent = sent
 
 
-class AnswerTimes:
-    """What answers took lately, and which calls were answered; times in seconds.
+class Evidence:
+    """What answers show of calls that have none; times in seconds.
 
     Attributes:
-      usual_s: What an answer takes: the longest of late, decaying.
+      usual_s: What the answer to a read takes: the longest of late, decaying.
     """
 
     def __init__(self) -> None:
         self.usual_s = 0.0
         self._newest_answered = float("-inf")
+        self._found_dead_at = float("-inf")
 
-    def observe(self, *, began: float, now: float) -> None:
-        """Takes note of an answer."""
+    def note_answer(self, *, began: float, now: float) -> None:
+        """Takes note of a read that was answered."""
         took_s = now - began
         mean_s = self.usual_s + (took_s - self.usual_s) * _DECAY
         self.usual_s = max(took_s, mean_s)
         self._newest_answered = max(self._newest_answered, began)
 
+    def note_dead(self, now: float) -> None:
+        """Takes note of a connection that was found dead."""
+        self._found_dead_at = now
+
     def doubt_s(self, kind: CallKind) -> float:
         """Returns how long a call goes unanswered before it is in doubt."""
-        return WEIGHTS[kind] * max(DOUBT_S, DOUBT_TIMES * self.usual_s)
+        if kind is CallKind.CHANGE:
+            return DOUBT_S
+        return _WEIGHTS[kind] * max(DOUBT_S, DOUBT_TIMES * self.usual_s)
 
-    def shows_dead(self, *, began: float, now: float, kind: CallKind) -> bool:
+    def shows_dead(self, kind: CallKind, *, began: float, now: float) -> bool:
         """Returns whether a call in flight waits on a connection that is dead."""
-        later_answered = self._newest_answered > began
-        return later_answered and now - began >= self.doubt_s(kind)
+        if now - began < self.doubt_s(kind):
+            return False
+        if kind is CallKind.CHANGE:
+            return self._found_dead_at > began
+        return self._newest_answered > began
 
 
 @attrs.frozen
@@ -122,11 +135,12 @@
     headers: list[tuple[bytes, bytes]]
     body: bytes
     kind: CallKind
+    of_object: bool
 
     @property
     def repeatable(self) -> bool:
         """Whether it may be made again though it may have been performed."""
-        return self.method == "GET"
+        return self.kind is not CallKind.CHANGE
 
 
 @attrs.define(eq=False)
@@ -158,7 +172,7 @@
     """Calls the store on kept connections, and finds those that are dead.
 
     Attributes:
-      times: What answers took lately.
+      evidence: What answers show of calls that have none.
     """
 
     def __init__(
@@ -177,14 +191,14 @@
           probe_path: Path of a cheap read.
           on_drop: Told why how many connections were closed before their time.
         """
-        self.times = AnswerTimes()
+        self.evidence = Evidence()
         self.timeout_s = timeout_s
         self._url = url
         self._probe_path = probe_path
         self._on_drop = on_drop
         self._pools = {
-            CallKind.ROWS: _pool(_MAX_CONNECTIONS, ROWS_OPTIONS),
-            CallKind.OBJECT: _pool(_MAX_CONNECTIONS, []),
+            False: _pool(_MAX_CONNECTIONS, ROWS_OPTIONS),
+            True: _pool(_MAX_CONNECTIONS, []),
         }
         self._probing = False
         self._dropped_at = float("-inf")
@@ -209,11 +223,11 @@
                     response = await self._send(call, attempt)
                 return response
         except trio.TooSlowError as error:
-            await self._drop(Drop.UNANSWERED, attempt)
+            await self._drop(Drop.UNANSWERED, call, attempt)
             why = f"no answer within {self.timeout_s} s"
             raise NoAnswerError(why, sent=attempt.sent) from error
         except _BROKEN as error:
-            await self._drop(Drop.BROKEN, attempt)
+            await self._drop(Drop.BROKEN, call, attempt)
             why = f"the call failed: {type(error).__name__}"
             raise NoAnswerError(why, sent=attempt.sent) from error
 
@@ -228,7 +242,7 @@
         response: httpcore.Response | None = None
         broken: Exception | None = None
         async with trio.open_nursery() as nursery:
-            nursery.start_soon(self._doubt, attempt, call.kind, nursery.cancel_scope)
+            nursery.start_soon(self._doubt, call, attempt, nursery.cancel_scope)
             try:
                 response = await self._send(call, attempt)
             except _BROKEN as error:
@@ -240,39 +254,47 @@
         if broken is not None and (attempt.opened or not repeatable):
             # A connection that was opened for the call shows the store's own state.
             raise broken
-        await self._drop(Drop.SILENT if broken is None else Drop.BROKEN, attempt)
+        why = Drop.SILENT if broken is None else Drop.BROKEN
+        await self._drop(why, call, attempt)
         if not repeatable:
             raise NoAnswerError("a silent connection", sent=True)
         return None
 
     async def _send(self, call: StoreCall, attempt: _Attempt) -> httpcore.Response:
-        response = await self._pools[call.kind].request(
+        response = await self._pools[call.of_object].request(
             call.method,
             self._url + call.path,
             headers=call.headers,
             content=call.body or None,
             extensions={"trace": attempt.trace},
         )
-        self.times.observe(began=attempt.began, now=trio.current_time())
+        if call.repeatable:
+            self.evidence.note_answer(began=attempt.began, now=trio.current_time())
         return response
 
     async def _doubt(
-        self, attempt: _Attempt, kind: CallKind, scope: trio.CancelScope
+        self, call: StoreCall, attempt: _Attempt, scope: trio.CancelScope
     ) -> None:
         """Gives a call up once it shows that its connection is dead."""
         while not attempt.heard:
             now = trio.current_time()
-            if self.times.shows_dead(began=attempt.began, now=now, kind=kind):
+            if self._shows_dead(call, attempt, now):
                 scope.cancel()
                 return
-            doubtful_at = attempt.began + self.times.doubt_s(kind)
+            doubtful_at = attempt.began + self.evidence.doubt_s(call.kind)
             if now < doubtful_at:
                 await trio.sleep_until(doubtful_at)
-            elif self._probing:
+            elif self._probing or not call.repeatable:
                 await trio.sleep(_LOOK_AGAIN_S)
             else:
                 await self._probe()
 
+    def _shows_dead(self, call: StoreCall, attempt: _Attempt, now: float) -> bool:
+        if attempt.opened and not call.repeatable:
+            # It may be newer than what was found dead; the kernel decides.
+            return False
+        return self.evidence.shows_dead(call.kind, began=attempt.began, now=now)
+
     async def _probe(self) -> None:
         """Asks on a new connection, one at a time, since calls are limited."""
         self._probing = True
@@ -280,20 +302,22 @@
         try:
             async with _pool(1, ROWS_OPTIONS) as pool:
                 await pool.request("GET", self._url + self._probe_path)
-            self.times.observe(began=began, now=trio.current_time())
+            self.evidence.note_answer(began=began, now=trio.current_time())
         except _BROKEN:
             # The store is away, for new connections too; the call ends by its timeout.
             await trio.sleep(DOUBT_S)
         finally:
             self._probing = False
 
-    async def _drop(self, why: Drop, attempt: _Attempt) -> None:
+    async def _drop(self, why: Drop, call: StoreCall, attempt: _Attempt) -> None:
         """Closes the idle connections, which are as old as the one that was dead."""
         self._on_drop(why, 1)
         if attempt.began < self._dropped_at:
             # Those that are idle now were opened, or answered, since.
             return
         self._dropped_at = trio.current_time()
+        if why in (Drop.SILENT, Drop.BROKEN) and not attempt.opened:
+            self.evidence.note_dead(self._dropped_at)
         closed = 0
         for pool in self._pools.values():
             for connection in pool.connections:
@@ -304,6 +328,7 @@
         _log.info(
             "Connections to the store are dropped.",
             why=why.value,
+            call=call.kind.value,
             idle=closed,
             after_ms=round((self._dropped_at - attempt.began) * 1000),
         )
--- a/src/coppercleat/serving/_watch.py
+++ b/src/coppercleat/serving/_watch.py
@@ -54,7 +54,10 @@
 _STARVED_S = 1.0
 
 _RENEW_TRIES = 3
-"""One of them at most after an answer was lost, which may take a call's whole time."""
+
+_LOST_EARLY_S = 1.0
+"""A renewal whose answer is lost sooner met a dead connection and is made again at
+once; later, the store is away or slow, and is asked no more often."""
 
 _INSTANCE_PREFIX = "instance/"
 
@@ -359,7 +362,7 @@
             try:
                 answer = await self.platform.transact(renewal)
             except AnswerLostError:
-                if lost:
+                if lost or trio.current_time() - began > _LOST_EARLY_S:
                     raise
                 # Under the same condition: at most one of the two takes effect.
                 lost = True
