End the command line's calls on silent connections after some 5 s

Cause: a call waited 60 s for each read, also on a connection whose bytes went nowhere. Change: TCP_USER_TIMEOUT of 5 s and keep-alive of the kernel, so that an instance may still be quiet for a minute. Connections to the platform that the product's own fleet drops are counted by reason, as the gateways' are. Not tested: the kernel's probes of an idle connection, which need a network that swallows packets.

--- a/src/coppercleat/instance/_instance.py
+++ b/src/coppercleat/instance/_instance.py
@@ -68,6 +68,9 @@
             settings.platform.url,
             timeout_s=settings.platform.timeout_s,
             on_call=self._on_platform_call,
+            on_drop=lambda why, count: self.metrics.platform_drops.add(
+                {"reason": why.value}, count
+            ),
         )
         self.detector = Detector(
             self._own_line(),
--- a/src/coppercleat/observability/_metrics.py
+++ b/src/coppercleat/observability/_metrics.py
@@ -46,6 +46,10 @@
         self.platform = self._counter(
             "platform_calls_total", "Platform calls, answered or not"
         )
+        self.platform_drops = self._counter(
+            "platform_connections_dropped_total",
+            "Connections to the platform closed before their time, by reason",
+        )
         self.in_flight = self._gauge("in_flight", "Requests in flight")
         self.drift = self._gauge(
             "deployment_drift", "Runners whose versions differ from what is wanted"
--- a/src/coppercleat/rpc/_client.py
+++ b/src/coppercleat/rpc/_client.py
@@ -8,6 +8,7 @@
 
 import contextlib
 import json
+import socket
 import struct
 from collections.abc import AsyncIterator, Iterable
 from typing import Any
@@ -16,6 +17,19 @@
 
 from coppercleat.errors import RpcError
 
+_SILENT_S = 5
+"""A connection whose bytes stay unacknowledged for so long is given up by the kernel,
+which asks an idle one after this time; the instance may be quiet for a minute."""
+
+_PROBE_EVERY_S = 1
+
+_SOCKET_OPTIONS = [
+    (socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, _SILENT_S * 1000),
+    (socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1),
+    (socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, _SILENT_S),
+    (socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, _PROBE_EVERY_S),
+]
+
 _END_FLAG = 0x02
 _HEADER = struct.Struct(">BI")
 _PACKAGE = "coppercleat.v1"
@@ -37,7 +51,9 @@
         self._url = f"http://{address}"
         self._token = token
         self._timeout = {"connect": 5.0, "read": timeout_s, "write": timeout_s}
-        self._pool = httpcore.AsyncConnectionPool(max_connections=1000)
+        self._pool = httpcore.AsyncConnectionPool(
+            max_connections=1000, socket_options=_SOCKET_OPTIONS
+        )
 
     async def __aenter__(self) -> RpcClient:
         return self
--- a/tests/features/steps/store_connection_steps.py
+++ b/tests/features/steps/store_connection_steps.py
@@ -9,6 +9,7 @@
 from coppercleat.errors import PlatformUnavailableError
 from coppercleat.platform import StoreClient
 from coppercleat.platform._store_connections import CallKind, Drop, Evidence
+from coppercleat.rpc import RpcClient, RpcError
 from coppercleat.storage import AnswerLostError, Put, Transaction
 
 
@@ -45,6 +46,20 @@
 
 def with_store(context, work):
     """Runs work with a client of the store, counting its connections."""
+
+    async def with_client(address):
+        client = StoreClient(
+            f"http://{address}",
+            on_drop=lambda why, count: context.dropped.append(why),
+        )
+        await work(client)
+        await client.aclose()
+
+    with_server(context, with_client)
+
+
+def with_server(context, work):
+    """Runs work with the address of a server that answers nothing."""
     context.opened, context.dropped = 0, []
 
     async def serve(stream):
@@ -59,12 +74,7 @@
         async with trio.open_nursery() as nursery:
             listeners = await nursery.start(trio.serve_tcp, serve, 0)
             port = listeners[0].socket.getsockname()[1]
-            client = StoreClient(
-                f"http://127.0.0.1:{port}",
-                on_drop=lambda why, count: context.dropped.append(why),
-            )
-            await work(client)
-            await client.aclose()
+            await work(f"127.0.0.1:{port}")
             nursery.cancel_scope.cancel()
 
     trio.run(run)
@@ -87,6 +97,26 @@
     assert context.unknown_after_s < seconds, context.unknown_after_s
 
 
+@when("an RPC of {size:d} MB is sent to it")
+def big_rpc(context, size):
+    async def call(address):
+        began = trio.current_time()
+        async with RpcClient(address) as client:
+            try:
+                await client.call("Any", "Any", {"text": "x" * size * 10**6})
+            except RpcError as error:
+                context.kind = error.info["kind"]
+        context.took_s = trio.current_time() - began
+
+    with_server(context, call)
+
+
+@then("the RPC has failed as broken within {seconds:g} s")
+def rpc_broken(context, seconds):
+    assert context.kind == "broken"
+    assert context.took_s < seconds, context.took_s
+
+
 @then("connections were dropped as broken")
 def dropped_broken(context):
     assert Drop.BROKEN in context.dropped, context.dropped
--- a/tests/features/store_connections.feature
+++ b/tests/features/store_connections.feature
@@ -31,6 +31,11 @@
     Then it is unknown within 1.5 s whether the change was made
     And connections were dropped as broken
 
+  Scenario: A call of the command line to an instance that takes nothing ends soon
+    Given a store that accepts connections and reads nothing
+    When an RPC of 8 MB is sent to it
+    Then the RPC has failed as broken within 8 s
+
   Scenario: A store that answers nobody is asked hardly more often than calls are made
     Given a store that reads calls and answers none
     When 5 reads are made of it at once, again and again for 6 s
