Keep the judgement of unanswered calls apart from their sockets

Cause: one module held the decision and the connections, and a kept connection that the store itself had closed counted as silent for changes in flight. Change: the decision is a module without I/O. A broken connection shows others dead only if it waited as long as the kernel does; only answers about rows set the usual time. Tested: store_connections.feature passes as before.

--- a/src/coppercleat/platform/_store.py
+++ b/src/coppercleat/platform/_store.py
@@ -13,12 +13,12 @@
 from coppercleat.errors import PlatformUnavailableError
 from coppercleat.platform._names import Path
 from coppercleat.platform._store_connections import (
-    CallKind,
     Drop,
     NoAnswerError,
     StoreCall,
     StoreConnections,
 )
+from coppercleat.platform._store_evidence import CallKind
 from coppercleat.storage import (
     ABSENT,
     AnswerLostError,
--- a/src/coppercleat/platform/_store_connections.py
+++ b/src/coppercleat/platform/_store_connections.py
@@ -1,12 +1,9 @@
 """Connections to the store: kept for the next call, given up once they are dead.
 
 A connection may go silent for good, without a reset, while new ones work. Two things
-tell that from a store that is slow or away. The kernel gives a connection up whose
-bytes stay unacknowledged: the host of a slow store acknowledges them. And a read is
-given up when reads that began later have long been answered; where there are none, a
-probe on a new connection is asked. Changes may take far longer than reads, so what
-reads take says nothing of them: those on kept connections are given up once a read has
-shown that kept connections are dead.
+tell that from a store that is slow or away: the kernel gives a connection up whose
+bytes stay unacknowledged, since the host of a slow store acknowledges them; and other
+calls that are answered, a probe on a new connection where there are none.
 """
 
 from __future__ import annotations
@@ -21,6 +18,7 @@
 import trio
 
 from coppercleat.observability import part_logger
+from coppercleat.platform._store_evidence import DOUBT_S, CallKind, Evidence
 
 _MAX_CONNECTIONS = 16
 _KEEPALIVE_S = 30.0
@@ -35,16 +33,6 @@
 being a second: no sooner than the next poll does. Calls for objects go without: a slow
 store may leave them unread for as long as a call may take."""
 
-DOUBT_S = 0.3
-"""A call that is not answered for so long is in doubt; answers take some 10 ms."""
-
-DOUBT_TIMES = 4
-"""And it is not before so many times of what answers took lately: a slow store's
-answers differ by a factor of two."""
-
-_DECAY = 0.2
-"""Weight of a new answer in what answers took lately; longer ones count at once."""
-
 _LOOK_AGAIN_S = 0.05
 """Pause between looks at a call that is in doubt while another's probe runs."""
 
@@ -62,18 +50,6 @@
     SUSPECT = "suspect"
 
 
-class CallKind(enum.Enum):
-    """What a call is."""
-
-    READ = "read"
-    OBJECT_READ = "object read"
-    CHANGE = "change"
-
-
-_WEIGHTS = {CallKind.READ: 1.0, CallKind.OBJECT_READ: 3.0}
-"""How many times longer than rows an answer takes: 1.5 s where rows take 0.5 s."""
-
-
 class NoAnswerError(Exception):
     """A call got no answer.
 
@@ -88,44 +64,6 @@
         self.sent = sent
 
 
-class Evidence:
-    """What answers show of calls that have none; times in seconds.
-
-    Attributes:
-      usual_s: What the answer to a read takes: the longest of late, decaying.
-    """
-
-    def __init__(self) -> None:
-        self.usual_s = 0.0
-        self._newest_answered = float("-inf")
-        self._found_dead_at = float("-inf")
-
-    def note_answer(self, *, began: float, now: float) -> None:
-        """Takes note of a read that was answered."""
-        took_s = now - began
-        mean_s = self.usual_s + (took_s - self.usual_s) * _DECAY
-        self.usual_s = max(took_s, mean_s)
-        self._newest_answered = max(self._newest_answered, began)
-
-    def note_dead(self, now: float) -> None:
-        """Takes note of a connection that was found dead."""
-        self._found_dead_at = now
-
-    def doubt_s(self, kind: CallKind) -> float:
-        """Returns how long a call goes unanswered before it is in doubt."""
-        if kind is CallKind.CHANGE:
-            return DOUBT_S
-        return _WEIGHTS[kind] * max(DOUBT_S, DOUBT_TIMES * self.usual_s)
-
-    def shows_dead(self, kind: CallKind, *, began: float, now: float) -> bool:
-        """Returns whether a call in flight waits on a connection that is dead."""
-        if now - began < self.doubt_s(kind):
-            return False
-        if kind is CallKind.CHANGE:
-            return self._found_dead_at > began
-        return self._newest_answered > began
-
-
 @attrs.frozen
 class StoreCall:
     """What to ask the store."""
@@ -196,17 +134,15 @@
         self._url = url
         self._probe_path = probe_path
         self._on_drop = on_drop
-        self._pools = {
-            False: _pool(_MAX_CONNECTIONS, ROWS_OPTIONS),
-            True: _pool(_MAX_CONNECTIONS, []),
-        }
+        self._rows = _pool(_MAX_CONNECTIONS, ROWS_OPTIONS)
+        self._objects = _pool(_MAX_CONNECTIONS, [])
         self._probing = False
         self._dropped_at = float("-inf")
 
     async def aclose(self) -> None:
         """Closes all connections."""
-        for pool in self._pools.values():
-            await pool.aclose()
+        await self._rows.aclose()
+        await self._objects.aclose()
 
     async def call(self, call: StoreCall) -> httpcore.Response:
         """Makes a call; a read that met a dead connection is asked once more.
@@ -261,14 +197,15 @@
         return None
 
     async def _send(self, call: StoreCall, attempt: _Attempt) -> httpcore.Response:
-        response = await self._pools[call.of_object].request(
+        pool = self._objects if call.of_object else self._rows
+        response = await pool.request(
             call.method,
             self._url + call.path,
             headers=call.headers,
             content=call.body or None,
             extensions={"trace": attempt.trace},
         )
-        if call.repeatable:
+        if call.kind is CallKind.READ:
             self.evidence.note_answer(began=attempt.began, now=trio.current_time())
         return response
 
@@ -316,21 +253,23 @@
             # Those that are idle now were opened, or answered, since.
             return
         self._dropped_at = trio.current_time()
-        if why in (Drop.SILENT, Drop.BROKEN) and not attempt.opened:
+        waited_s = self._dropped_at - attempt.began
+        # One that breaks sooner was closed by the store, which says nothing of others.
+        given_up = why is Drop.BROKEN and waited_s >= UNACKNOWLEDGED_MS / 1000
+        if why is Drop.SILENT or (given_up and not attempt.opened):
             self.evidence.note_dead(self._dropped_at)
         closed = 0
-        for pool in self._pools.values():
-            for connection in pool.connections:
-                if connection.is_idle():
-                    closed += 1
-                    await connection.aclose()
+        for connection in [*self._rows.connections, *self._objects.connections]:
+            if connection.is_idle():
+                closed += 1
+                await connection.aclose()
         self._on_drop(Drop.SUSPECT, closed)
         _log.info(
             "Connections to the store are dropped.",
             why=why.value,
             call=call.kind.value,
             idle=closed,
-            after_ms=round((self._dropped_at - attempt.began) * 1000),
+            after_ms=round(waited_s * 1000),
         )
 
 
--- a/tests/features/steps/store_connection_steps.py
+++ b/tests/features/steps/store_connection_steps.py
@@ -8,7 +8,8 @@
 
 from coppercleat.errors import PlatformUnavailableError
 from coppercleat.platform import StoreClient
-from coppercleat.platform._store_connections import CallKind, Drop, Evidence
+from coppercleat.platform._store_connections import Drop
+from coppercleat.platform._store_evidence import CallKind, Evidence
 from coppercleat.rpc import RpcClient, RpcError
 from coppercleat.storage import AnswerLostError, Put, Transaction
 
