Failing test: a client that falls silent in the middle of its request

Cause: nothing bounds the wait for the next part of a body; the limit that the operator sets for what a client may take was read and not used. Seen: 4 s after 4 of 9 bytes the call is in flight; no answer is ever sent.

--- a/tests/features/gateway.feature
+++ b/tests/features/gateway.feature
@@ -108,6 +108,13 @@
     When a client leaves after the first event of a stream
     Then the run at the runner ends
 
+  Scenario: A client that falls silent in the middle of its request holds no call for long
+    Given 1 gateways and 1 runners
+    When a client sends a stream request of 9 bytes and falls silent after 4
+    And 4 s pass
+    Then gateway 1 has no call in flight
+    And the client was answered 408
+
   # A client that is gone without a word, or that reads no further, leaves a full send
   # buffer; what is sent into it can't be cancelled, so it held its run and the process.
   Scenario Outline: A client that takes no more of its answer <holds>
--- a/tests/features/steps/gateway_steps.py
+++ b/tests/features/steps/gateway_steps.py
@@ -257,18 +257,36 @@
     context.fleet.run(some)
 
 
-@when("a client sends a {route} request and reads nothing")
-def reads_nothing(context, route):
+def open_client(context, route, *, length):
+    """Sends a request's head on a connection of its own."""
     host, prefix = ROUTES[route]
-    head = f"POST {prefix}x HTTP/1.1\r\nhost: {host}\r\nrequest-id: deaf\r\n"
-    client = socket.create_connection(
-        ("127.0.0.1", context.fleet.ports["gateway-1"]["front"])
+    head = (
+        f"POST {prefix}x HTTP/1.1\r\nhost: {host}\r\nrequest-id: raw\r\n"
+        f"deadline-ms: 5000\r\ncontent-length: {length}\r\n\r\n"
     )
-    context.add_cleanup(client.close)
-    client.sendall(head.encode() + b"deadline-ms: 5000\r\ncontent-length: 0\r\n\r\n")
+    port = context.fleet.ports["gateway-1"]["front"]
+    context.client = socket.create_connection(("127.0.0.1", port), timeout=5)
+    context.add_cleanup(context.client.close)
+    context.client.sendall(head.encode())
+
+
+@when("a client sends a {route} request and reads nothing")
+def reads_nothing(context, route):
+    open_client(context, route, length=0)
     time.sleep(1)
 
 
+@when("a client sends a {route} request of {size:d} bytes and falls silent after {n:d}")
+def falls_silent(context, route, size, n):
+    open_client(context, route, length=size)
+    context.client.sendall(b"x" * n)
+
+
+@then("the client was answered {status:d}")
+def raw_answer(context, status):
+    assert context.client.recv(100).startswith(f"HTTP/1.1 {status}".encode())
+
+
 @then("gateway {number:d} has no call in flight")
 def none_in_flight(context, number):
     text = context.fleet.run(context.fleet.metrics, f"gateway-{number}")
