Answer 408 where a request's body stops, after the operator's time

Change: the operator's time for a request's head also bounds the silence between the parts of its body; the request has not run, and the answer says so.

--- a/src/coppercleat/platform/_ingress.py
+++ b/src/coppercleat/platform/_ingress.py
@@ -60,7 +60,7 @@
         headers = {name.lower(): value for name, value in scope["headers"]}
         host = headers.get(b"host", b"").decode("latin-1").partition(":")[0].lower()
         path = scope["raw_path"].decode("latin-1")
-        body = await _read_body(receive, limits.body_bytes)
+        body = await _read_body(receive, limits)
         if body is None:
             return
         for prefix, method, handle in JOB_CALLS:
@@ -100,21 +100,31 @@
         )
 
 
-async def _read_body(receive: Receive, limit: int) -> bytes | None:
+async def _read_body(receive: Receive, limits: ClientLimits) -> bytes | None:
     """Returns a request's whole body, None if the client leaves before its end."""
     parts = []
     size = 0
     while True:
-        message = await receive()
+        message = None
+        # A client that is gone without a word must not hold its call for ever.
+        with trio.move_on_after(limits.header_timeout_s):
+            message = await receive()
+        if message is None:
+            raise BadCallError(
+                Refusal(
+                    reason=RefusalReason.INCOMPLETE,
+                    detail=f"no more of the body for {limits.header_timeout_s:g} s",
+                )
+            )
         if message["type"] == "http.disconnect":
             return None
         part = message.get("body", b"")
         size += len(part)
-        if size > limit:
+        if size > limits.body_bytes:
             raise BadCallError(
                 Refusal(
                     reason=RefusalReason.TOO_LARGE,
-                    detail=f"the body exceeds {limit} bytes",
+                    detail=f"the body exceeds {limits.body_bytes} bytes",
                 )
             )
         parts.append(part)
--- a/src/coppercleat/platform/_reply.py
+++ b/src/coppercleat/platform/_reply.py
@@ -17,6 +17,7 @@
     RefusalReason.NO_CONFIGURATION: 503,
     RefusalReason.NO_ROUTE: 404,
     RefusalReason.BAD_REQUEST: 400,
+    RefusalReason.INCOMPLETE: 408,
     RefusalReason.TOO_LARGE: 413,
     RefusalReason.HEADERS_TOO_LARGE: 431,
     RefusalReason.NOT_RUN: 503,
--- a/src/coppercleat/serving/_model.py
+++ b/src/coppercleat/serving/_model.py
@@ -67,7 +67,11 @@
 
 
 class ClientLimits(msgspec.Struct, frozen=True, kw_only=True):
-    """What a client may send and how long it may take."""
+    """What a client may send and how long it may take.
+
+    Attributes:
+      header_timeout_s: For a request's head, and between the parts of its body.
+    """
 
     header_bytes: int = 16_384
     body_bytes: int = 4_194_304
@@ -134,6 +138,7 @@
     NO_CONFIGURATION = "no_configuration"
     NO_ROUTE = "no_route"
     BAD_REQUEST = "bad_request"
+    INCOMPLETE = "incomplete"
     TOO_LARGE = "too_large"
     HEADERS_TOO_LARGE = "headers_too_large"
     NOT_RUN = "not_run"
