--- a/tests/features/gateway.feature
+++ b/tests/features/gateway.feature
@@ -171,6 +171,29 @@
     When a client leaves after the first event of a stream
     Then the run at the runner ends
 
+  Scenario: A client that falls silent in the middle of its request holds no call for long
+    Given 1 gateways and 1 runners
+    When a client sends a stream request of 9 bytes and falls silent after 4
+    And 4 s pass
+    Then gateway 1 has no call in flight
+    And the client was answered 408
+
+  # A client that is gone without a word, or that reads no further, leaves a full send
+  # buffer; what is sent into it can't be cancelled, so it held its run and the process.
+  Scenario Outline: A client that takes no more of its answer <holds>
+    Given 1 gateways and 1 runners
+    And every runner is set to {"events": 400, "event_s": 0.005, "event_bytes": 60000}
+    When a client sends a <route> request and reads nothing
+    And <event>
+    Then <outcome>
+
+    Examples: the route's timeout is 5 s, a stop's grace 8 s
+      | holds                  | route  | event                           | outcome                                     |
+      | holds no run for long  | stream | 8 s pass                        | the run at the runner ends                  |
+      | holds no plain run     | plain  | 8 s pass                        | the run at the runner ends                  |
+      | holds no call for long | stream | 8 s pass                        | gateway 1 has no call in flight             |
+      | holds up no stop       | stream | gateway 1 is stopped as planned | gateway 1 has exited with code 0 within 8 s |
+
   Scenario: A silent runner costs a resumable request a moment, and others the deadline
     Given 1 gateways and 2 runners
     And runner 1 is set to {"silent": true}
@@ -247,6 +270,33 @@
       | answers late           | {"lose_share": 0.4, "late_effect_s": 1.5}|
       | has lost its history   | {"dropped_before": 1000000}              |
 
+  # Seen: all open connections of five of nine instances went silent at once, without a
+  # reset, while new ones worked. Two seconds later each of the five said that the store
+  # was away, three of them twice within a second, and its polls and renewals came 2 s
+  # late. Cause: a call met one of the kept connections, waited its whole time there, and
+  # left the next call to meet the next one. Proof: 'The store is away.' with 'no answer
+  # within 2.0 s' four polls apart, with answers on new connections in between.
+  Scenario Outline: While all open connections to the store are silent, <what>
+    Given 2 gateways and 2 runners, each reached by a link
+    And <beforehand>
+    When all open connections to the store go silent
+    And <event>
+    Then <outcome>
+    And every gateway has dropped silent connections, and none took the store as away
+
+    Examples:
+      | what                          | beforehand                            | event                                 | outcome                                                    |
+      | a job is accepted at once     | the store is set to {}                | a job of 4 items is submitted         | the job was acknowledged within 1 s                        |
+      | a job is accepted on a slow store | the store is set to {"latency_s": 0.1} | a job of 4 items is submitted    | the job was acknowledged within 2 s                        |
+      | new routes come into force    | the store is set to {}                | the operator removes the stream route | within 2 s every gateway answers a stream request with 404 |
+      | a leaving runner is let go    | the store is set to {}                | runner 1 is leaving                   | after 2 s runner 1 gets none of 6 stream requests          |
+      | jobs go on                    | a job of 12 items that take 2 s runs  | 1 s pass                              | all its items are completed, each listed once and whole    |
+
+  Scenario: A store that is slow is not taken for silent connections
+    Given 2 gateways and 2 runners, each reached by a link
+    When the store is set to {"latency_s": 0.5} for 5 s
+    Then no gateway has dropped silent connections, and none took the store as away
+
   Scenario: With the store away a job is refused as not run, online requests are served
     Given 1 gateways and 1 runners
     And the store is set to {"outage": true}
--- a/tests/features/steps/gateway_steps.py
+++ b/tests/features/steps/gateway_steps.py
@@ -4,6 +4,7 @@
 import pathlib
 import shutil
 import signal
+import socket
 import subprocess
 import sys
 import tempfile
@@ -44,6 +45,14 @@
     context.asked = 0
 
 
+@given("{gateways:d} gateways and {runners:d} runners, each reached by a link")
+def start_with_links(context, gateways, runners):
+    context.fleet = Gateways(gateways=gateways, runners=runners, proxied=True)
+    context.fleet.start()
+    context.answers = []
+    context.asked = 0
+
+
 @given("{gateways:d} gateways and a runner that answers {garbage}")
 def start_with_garbage(context, gateways, garbage):
     context.fleet = Gateways(gateways=gateways, runners=1, garbage=garbage)
@@ -248,6 +257,42 @@
     context.fleet.run(some)
 
 
+def open_client(context, route, *, length):
+    """Sends a request's head on a connection of its own."""
+    host, prefix = ROUTES[route]
+    head = (
+        f"POST {prefix}x HTTP/1.1\r\nhost: {host}\r\nrequest-id: raw\r\n"
+        f"deadline-ms: 5000\r\ncontent-length: {length}\r\n\r\n"
+    )
+    port = context.fleet.ports["gateway-1"]["front"]
+    context.client = socket.create_connection(("127.0.0.1", port), timeout=5)
+    context.add_cleanup(context.client.close)
+    context.client.sendall(head.encode())
+
+
+@when("a client sends a {route} request and reads nothing")
+def reads_nothing(context, route):
+    open_client(context, route, length=0)
+    time.sleep(1)
+
+
+@when("a client sends a {route} request of {size:d} bytes and falls silent after {n:d}")
+def falls_silent(context, route, size, n):
+    open_client(context, route, length=size)
+    context.client.sendall(b"x" * n)
+
+
+@then("the client was answered {status:d}")
+def raw_answer(context, status):
+    assert context.client.recv(100).startswith(f"HTTP/1.1 {status}".encode())
+
+
+@then("gateway {number:d} has no call in flight")
+def none_in_flight(context, number):
+    text = context.fleet.run(context.fleet.metrics, f"gateway-{number}")
+    assert "coppercleat_in_flight 0" in text, text
+
+
 @then("the run at the runner ends")
 def run_ends(context):
     async def ended():
@@ -287,9 +332,24 @@
 def submit(context, count):
     items = [f"item {index}" for index in range(count)]
     context.items = items
+    began = time.monotonic()
     context.answer = context.fleet.run(
         lambda: context.fleet.submit("gateway-1", JOB, items)
     )
+    context.took_s = time.monotonic() - began
+
+
+@then("the job was acknowledged within {seconds:g} s")
+def acknowledged_within(context, seconds):
+    assert context.answer.status == 202, context.answer
+    assert context.took_s < seconds, context.took_s
+
+
+@given("a job of {count:d} items that take {seconds:g} s runs")
+def job_runs(context, count, seconds):
+    for name in context.fleet.runners:
+        set_knobs(context, name, {"events": 40, "event_s": seconds / 40})
+    submit(context, count)
 
 
 @when("the same job is submitted again to gateway {number:d}")
@@ -393,6 +453,12 @@
     do_to_gateway(context, number, "killed")
 
 
+@when("gateway {number:d} is stopped as planned")
+def stop_gateway(context, number):
+    context.stopped_at = time.monotonic()
+    do_to_gateway(context, number, "stopped as planned")
+
+
 @when("gateway {number:d} is started again")
 def start_again(context, number):
     context.fleet.start_gateway(f"gateway-{number}")
@@ -600,3 +666,37 @@
         return any(run["runner"] == "runner-1" for run in await system.runs())
 
     system.run(until, "runner 1 runs requests again", runner_1_runs)
+
+
+@when("all open connections to the store go silent")
+def store_silent(context):
+    # So that each poll has a kept connection to meet.
+    time.sleep(1)
+    for name in context.fleet.names:
+        context.fleet.run(lambda n=name: context.fleet.link(n, silence=1))
+    assert context.fleet.run(lambda: context.fleet.control("proxy"))["silent"]
+
+
+@then("after {seconds:d} s runner {number:d} gets none of {count:d} stream requests")
+def gets_none(context, seconds, number, count):
+    time.sleep(seconds)
+    several(context, count, "stream")
+    all_whole(context)
+    ran_nothing(context, number)
+
+
+@then("{which} gateway has dropped silent connections, and none took the store as away")
+def dropped_silent(context, which):
+    for name in context.fleet.names:
+        if which == "every":
+            context.fleet.run(until, f"{name} drops", lambda n=name: drops(context, n))
+        else:
+            assert not context.fleet.run(drops, context, name), name
+    for name in context.fleet.names:
+        output = context.fleet.processes[name].output()
+        assert "The store is away." not in output, name
+
+
+async def drops(context, name):
+    text = await context.fleet.metrics(name)
+    return 'store_connections_dropped_total{reason="silent"}' in text
--- a/tests/standins/runner.py
+++ b/tests/standins/runner.py
@@ -22,6 +22,7 @@
     Attributes:
       events: Events of a whole answer.
       event_s: Time between events.
+      event_bytes: Added to each event.
       slots: Requests that run side by side.
       queue: Requests that wait beyond these.
       instance: Its id; a request that expects another gets 421.
@@ -44,6 +45,7 @@
 
     events: int = 5
     event_s: float = 0.01
+    event_bytes: int = 0
     slots: int = 8
     queue: int = 24
     instance: str = ""
@@ -168,12 +170,16 @@
         await send({"type": "http.response.start", "status": 200, "headers": head})
         skip = knobs.skip_next > 0
         knobs.skip_next -= skip
+        padding = "." * knobs.event_bytes
         first = int(run["after"]) + 1 if run["after"] is not None else 1
         for number in range(first, knobs.events + 1):
             await trio.sleep(knobs.event_s)
             if skip and number == first + 1:
                 continue
-            data = f"id: {number}\ndata: word {number}\n\n".encode()
+            data = f"id: {number}
+data: word {number}{padding}
+
+".encode()
             if cut and run["events"] >= knobs.cut_after:
                 if knobs.torn:
                     await send(_part(data[:9]))
