Test, failing: runs whose connection has gone silent keep their slots

Cause: an upstream cannot see that a silent connection's caller has gone; it runs on and holds the slot, while the instance that has given the run up, and its peers, count the slot as free. With the survey of an instance's first 1.5 s out of the way nothing asks the upstream. Ruled out: a queue at the instance; the requests wait 0 ms there. Change: a knob of the stand-in runner that lets the connections which are open now go silent both ways while their runs go on; a scenario with two gateways and two runners.

--- a/tests/features/gateway.feature
+++ b/tests/features/gateway.feature
@@ -251,6 +251,28 @@
     And runner 1 has run nothing
     And after runner 1 is free both run requests again
 
+  # Seen: open connections went silent without a reset, and for seconds afterwards
+  # requests to upstreams with free slots had their first event up to 0.9 s late.
+  # How: an upstream cannot see that a silent connection's caller has gone, and runs on
+  # to the end of the answer. The caller gave the run up, took its slot for free, and
+  # sent others there, which queued behind it at the upstream.
+  # Proof: the upstream's own report showed more runs than all instances had in flight.
+  Scenario Outline: Runs whose connection has gone silent keep their slots: <runs>
+    Given 2 gateways and 2 runners
+    And every runner is set to {"events": 50, "event_s": 0.05}
+    And the gateways have been up for 2 s
+    When of 8 <runs> those at runner 1 go silent for good and go on at runner 2
+    And 8 stream requests come to gateway <number> beside the silent runs
+    Then all are answered, and none waited at a runner for more than 0.2 s
+    And all of them ran at most 1 s after the silent runs had ended
+
+    Examples: the first instance has given them up, the second is told
+      | runs               | number |
+      | resumable requests | 1      |
+      | resumable requests | 2      |
+      | items of a job     | 1      |
+      | items of a job     | 2      |
+
   Scenario: A planned stop cuts nothing and turns new clients away only at its end
     Given 2 gateways and 1 runners
     And every runner is set to {"events": 40, "event_s": 0.05}
--- a/tests/standins/runner.py
+++ b/tests/standins/runner.py
@@ -37,6 +37,8 @@
       impossible: Items with this text in their body are answered with 422.
       silent: Take requests and send nothing.
       foreign: Slots held by runs of callers that have lost their power.
+      silenced: Changed, it lets the connections that are open now go silent for good,
+        both ways: their runs go on to their end, and hold their slots until then.
     """
 
     events: int = 5
@@ -56,12 +58,36 @@
     impossible: str = ""
     silent: bool = False
     foreign: int = 0
+    silenced: int = 0
 
 
 class CutError(Exception):
     """Ends an answer in the middle."""
 
 
+class Channel:
+    """A connection of a caller, which may go silent for good.
+
+    Attributes:
+      open: Cleared when it goes silent: nothing passes any more, either way.
+    """
+
+    def __init__(self, receive: Any, send: Any) -> None:
+        self._receive = receive
+        self._send = send
+        self.open = True
+
+    async def send(self, message: dict[str, Any]) -> None:
+        if self.open:
+            await self._send(message)
+
+    async def wait_until_left(self) -> None:
+        while (await self._receive())["type"] != "http.disconnect":
+            pass
+        if not self.open:
+            await trio.sleep_forever()
+
+
 class RunnerStandin(Controlled):
     """Serves requests with faults and logs what it ran."""
 
@@ -73,6 +99,12 @@
         self.waiting = 0
         self.waited_s = 0.0
         self.most_running = 0
+        self.channels: set[Channel] = set()
+
+    async def knobs_changed(self, names: set[str]) -> None:
+        if "silenced" in names:
+            for channel in self.channels:
+                channel.open = False
 
     def report(self) -> dict[str, Any]:
         return {
@@ -108,12 +140,23 @@
             "events": 0,
             "ended": "",
         }
+        channel = Channel(receive, send)
+        self.channels.add(channel)
+        try:
+            await self._run_in_slot(run, channel)
+        finally:
+            self.channels.discard(channel)
+        if not channel.open:
+            # The server would close the connection, which the caller would see.
+            await trio.sleep_forever()
+
+    async def _run_in_slot(self, run: dict[str, Any], channel: Channel) -> None:
         async with trio.open_nursery() as nursery:
-            nursery.start_soon(_cancel_when_left, receive, nursery.cancel_scope)
+            nursery.start_soon(_cancel_when_left, channel, nursery.cancel_scope)
             await self._wait_for_slot()
             self.runs.append(run)
             try:
-                await self._run(run, send)
+                await self._run(run, channel.send)
                 run["ended"] = "complete"
             finally:
                 run["ended"] = run["ended"] or "left"
@@ -187,9 +230,8 @@
     return f"?{query}" if query else ""
 
 
-async def _cancel_when_left(receive: Any, scope: trio.CancelScope) -> None:
-    while (await receive())["type"] != "http.disconnect":
-        pass
+async def _cancel_when_left(channel: Channel, scope: trio.CancelScope) -> None:
+    await channel.wait_until_left()
     scope.cancel()
 
 
