Hold the slots of runs that were left unheard until their upstream's report frees them

Cause: a run that was given up for its silence, or left in the middle of a pause, may go on: its upstream cannot see over a silent connection that the caller has gone. The slot counted as free at once, at its instance and by that at all others. Ruled out: telling peers of unknown runs in a field of their own. What an instance does not know of depends on whom it hears, so that a peer that hears others would count runs twice. Own runs that were left are nobody else's, and add up. Change: SilentRuns notes such runs (a log line, a counter by kind), the survey takes a run that was given up for unknown at once, and one that was left for another reason after more than 0.2 s of silence once the upstream's report shows it; own left runs are told to peers as held, in the counts that are told anyway (no new field). Survey.doubt() asks some upstreams for 0.5 s, two times or so, for other causes. A report proves a range: what was known is looked at for 0.1 s before it, and a belief moves only out of that range, or falls by one run a question. Without a report for 5 s unknown runs are taken as ended; before, one report that failed forgot them. An instance asks 24 upstreams at once at most; before, all that it knows.

--- a/src/coppercleat/gateway/_gateway.py
+++ b/src/coppercleat/gateway/_gateway.py
@@ -27,6 +27,7 @@
     Reply,
     Route,
     RouteTable,
+    SilentRuns,
     Survey,
     UpstreamCaller,
     UpstreamState,
@@ -96,8 +97,14 @@
             on_change=self._work_changed,
             on_waiting=lambda: self.peers.work_changed(urgent=True),
         )
-        self.forwarder = Forwarder(self.admission, caller, on_end=metrics.request_ended)
         self.survey = Survey(self.placement, caller, rng=self.rng)
+        self.silent_runs = SilentRuns()
+        self.forwarder = Forwarder(
+            self.admission,
+            caller,
+            on_end=metrics.request_ended,
+            silent_runs=self.silent_runs,
+        )
         self.job_index = JobIndex(platform)
         repository = JobRepository(platform, clock=time.time, rng=self.rng)
         self.items = ItemRunner(
@@ -106,6 +113,7 @@
             instance=settings.instance,
             on_change=self._work_changed,
             on_end=metrics.item_run_ended,
+            silent_runs=self.silent_runs,
         )
         self.worker = JobWorker(
             repository,
@@ -152,6 +160,9 @@
         self.peers.waiting = self._waiting
         self.peers.on_taken = self.worker.taken_elsewhere
         self.peers.on_handover = self.worker.handed_over
+        self.survey.on_change = self._unknown_changed
+        self.silent_runs.on_left = self.survey.left_unheard
+        self.silent_runs.on_count = self.metrics.run_silent
 
     def _work_changed(self, state: UpstreamState, started: bool) -> None:
         self.peers.work_changed(urgent=started)
@@ -164,6 +175,11 @@
         self.admission.look()
         self.worker.look()
 
+    def _unknown_changed(self) -> None:
+        """Tells peers of slots that are held or have come free, and uses these."""
+        self.peers.work_changed(urgent=True)
+        self._counts_changed()
+
     def _waits(self) -> bool:
         return len(self.admission.queue) > 0 or self.worker.waits()
 
--- a/src/coppercleat/gateway/_metrics.py
+++ b/src/coppercleat/gateway/_metrics.py
@@ -42,6 +42,9 @@
             buckets=_SECONDS,
         )
         self.items = self._counter("item_runs_total", "Runs of items by how they ended")
+        self.silent_runs = self._counter(
+            "silent_runs_total", "Runs that were given up or left while unheard"
+        )
         self.commits = self._counter("commits_total", "Commits of jobs by outcome")
         self.jobs = self._counter("jobs_total", "Submitted jobs by answer")
         self.store_calls = self._counter(
@@ -86,6 +89,10 @@
         """Counts a run of an item."""
         self.items.inc({"outcome": outcome})
 
+    def run_silent(self, kind: str, ended: str) -> None:
+        """Counts a run that was given up as silent, or left while unheard."""
+        self.silent_runs.inc({"kind": kind, "ended": ended})
+
     def committed(self, outcome: str) -> None:
         """Counts a commit."""
         self.commits.inc({"outcome": outcome})
--- a/src/coppercleat/jobs/_items.py
+++ b/src/coppercleat/jobs/_items.py
@@ -21,6 +21,8 @@
     Placement,
     Rank,
     Route,
+    RunKind,
+    SilentRuns,
     UpstreamAnswer,
     UpstreamBrokeError,
     UpstreamCaller,
@@ -70,6 +72,7 @@
         instance: InstanceId,
         on_change: Callable[[UpstreamState, bool], None],
         on_end: Callable[[str], None],
+        silent_runs: SilentRuns | None = None,
     ) -> None:
         """Prepares the runner.
 
@@ -79,10 +82,12 @@
           instance: This instance's id, to agree with peers on who cuts.
           on_change: Told of each run that starts (True) or ends (False).
           on_end: Told how each run ended.
+          silent_runs: Told of runs that were left while unheard; None for its own.
         """
         self.placement = placement
         self.caller = caller
         self.instance = instance
+        self.silent_runs = silent_runs or SilentRuns()
         self.on_change = on_change
         self.on_end = on_end
         self._running: list[Running] = []
@@ -217,7 +222,7 @@
         )
         stall = trio.CancelScope(deadline=trio.current_time() + STALL_S)
         end = ItemEnd.BROKEN
-        with stall:
+        with self._watched(running, attempt, stall), stall:
             try:
                 async with self.caller.exchange(
                     state.upstream,
@@ -237,6 +242,24 @@
                 return ItemEnd.BROKEN
         return end
 
+    @contextlib.contextmanager
+    def _watched(
+        self, running: Running, attempt: Attempt, stall: trio.CancelScope
+    ) -> Iterator[None]:
+        """Notes a run that was left before its upstream had ended it."""
+        try:
+            yield
+        finally:
+            cut = running.scope.cancel_called
+            if attempt.state is AttemptState.SENT and (stall.cancelled_caught or cut):
+                heard_at = stall.deadline - STALL_S
+                self.silent_runs.left(
+                    running.state,
+                    RunKind.ITEM,
+                    heard_at=heard_at,
+                    silent=stall.cancelled_caught,
+                )
+
     # Making room.
 
     def preempt(self) -> None:
--- a/src/coppercleat/serving/__init__.py
+++ b/src/coppercleat/serving/__init__.py
@@ -43,7 +43,9 @@
 from coppercleat.serving._placement import Nowhere, Placement, UpstreamState
 from coppercleat.serving._progress import AttemptEnd, NextStep, RequestProgress
 from coppercleat.serving._results import RecentResults
+from coppercleat.serving._silent_runs import RunKind, SilentRuns
 from coppercleat.serving._survey import Survey
+from coppercleat.serving._unknown_runs import believed_runs
 from coppercleat.serving._upstream_call import (
     UpstreamAnswer,
     UpstreamBrokeError,
@@ -87,6 +89,8 @@
     "RouteConfig",
     "RouteKind",
     "RouteTable",
+    "RunKind",
+    "SilentRuns",
     "StoreRates",
     "StreamEvent",
     "Survey",
@@ -103,6 +107,7 @@
     "Waiting",
     "Watch",
     "WorkCounts",
+    "believed_runs",
     "jobs_pause_s",
     "lease_s",
     "renewal_pause_s",
--- a/src/coppercleat/serving/_forwarding.py
+++ b/src/coppercleat/serving/_forwarding.py
@@ -27,6 +27,7 @@
     first_patience_s,
     gap_patience_s,
 )
+from coppercleat.serving._silent_runs import RunKind, SilentRuns
 from coppercleat.serving._upstream_call import (
     UpstreamAnswer,
     UpstreamBrokeError,
@@ -77,6 +78,7 @@
         caller: UpstreamCaller,
         *,
         on_end: Callable[[RequestEnd], None],
+        silent_runs: SilentRuns | None = None,
     ) -> None:
         """Prepares the forwarder.
 
@@ -84,12 +86,14 @@
           admission: Gives requests their slots.
           caller: Reaches upstreams.
           on_end: Told how each request ended.
+          silent_runs: Told of runs that were left while unheard; None for its own.
         """
         self.admission = admission
         self.placement = admission.queue.placement
         self.caller = caller
         self.on_end = on_end
         self.silence = SilenceWatch(self.placement)
+        self.silent_runs = silent_runs or SilentRuns()
 
     async def forward(
         self, request: OnlineRequest, route: Route, reply: Reply
@@ -186,6 +190,8 @@
             self._judge(exchange, state, attempt, AttemptEnd.COMPLETE)
         elif attempt.state is not AttemptState.QUEUED:
             exchange.progress.runs += 1
+            if attempt.state is AttemptState.SENT:
+                self._left(exchange, state, silent=False)
             self._judge_silence(exchange, state)
 
     async def _attempt_until_stall(
@@ -209,8 +215,16 @@
         if exchange.silent:
             exchange.reason = "the upstream fell silent"
             end = _end_of(attempt, exchange)
+            if attempt.state is AttemptState.SENT:
+                self._left(exchange, state, silent=True)
         return end
 
+    def _left(self, exchange: Exchange, state: UpstreamState, *, silent: bool) -> None:
+        """Notes a run whose end the upstream has not told of."""
+        self.silent_runs.left(
+            state, RunKind.ONLINE, heard_at=exchange.heard_at, silent=silent
+        )
+
     async def _pass_on(
         self, exchange: Exchange, state: UpstreamState, answer: UpstreamAnswer
     ) -> AttemptEnd:
--- a/src/coppercleat/serving/_placement.py
+++ b/src/coppercleat/serving/_placement.py
@@ -90,6 +90,8 @@
       health: Ejects it while it fails throughout.
       results: Tells whether it fails a part of its requests.
       unknown: Requests that it runs and nobody has told of, by its own report.
+      unheard: Own runs that were left unheard since there was an unknown run last;
+        peers are told of as many unknown ones, and hold their slots for taken too.
       full_until: Until when it is taken as full, since it has said so.
     """
 
@@ -100,6 +102,7 @@
     batch: int = 0
     gone: bool = False
     unknown: int = 0
+    unheard: int = 0
     full_until: float = float("-inf")
 
     @property
@@ -107,6 +110,11 @@
         """The upstream's id."""
         return self.upstream.id
 
+    @property
+    def held(self) -> int:
+        """Own runs that were left and may still hold their slots."""
+        return min(self.unheard, self.unknown)
+
     def succeeded(self, now: float) -> None:
         """Notes an attempt that ended well."""
         self.health.succeeded()
@@ -180,9 +188,10 @@
     def own(self) -> list[InFlight]:
         """Returns what this instance has in flight, to be told to peers."""
         return [
-            InFlight(state.id, state.online, state.batch)
+            # Peers cannot have a held slot cut free, as little as an online request's.
+            InFlight(state.id, state.online + state.held, state.batch)
             for state in self.states.values()
-            if state.online or state.batch
+            if state.online or state.batch or state.held
         ]
 
     def of_own_zone(self) -> list[InFlight]:
--- a/src/coppercleat/serving/_survey.py
+++ b/src/coppercleat/serving/_survey.py
@@ -1,19 +1,23 @@
 """Asks upstreams what they run, while counts of work in flight may not tell.
 
-Answers the load after instances have lost their power: an upstream goes on with runs
-whose caller is gone, for seconds, and the instances that start again know nothing of
-them. What they send to slots that seem free waits behind those runs, online requests
-behind batch items.
+Answers the load after instances have lost their power, or connections have gone silent:
+an upstream goes on with runs whose caller is gone, for seconds, and the instances know
+nothing of them. What they send to slots that seem free waits behind those runs, online
+requests behind batch items.
 """
 
 from __future__ import annotations
 
 import random
+from collections.abc import Callable, Collection
 
+import attrs
 import trio
 
+from coppercleat.ids import UpstreamId
 from coppercleat.observability import part_logger
 from coppercleat.serving._placement import Placement, UpstreamState
+from coppercleat.serving._unknown_runs import HELD_S, believed_runs
 from coppercleat.serving._upstream_call import UpstreamBrokeError, UpstreamCaller
 
 AFTER_START_S = 1.5
@@ -30,33 +34,120 @@
 """Up to this many instances all ask this often, more of them more rarely: all pay for
 what they ask, and all must know."""
 
+DOUBT_S = 0.5
+"""For so long a doubted upstream is asked, two times or so, unless it has unknown runs:
+a run that is left goes on at once or never."""
+
+SPREAD_S = 0.1
+"""Instances that doubt at the same moment begin to ask within this time."""
+
+MOST_AT_ONCE = 24
+"""Upstreams that are asked side by side. A question takes 0.1 s, and a millisecond of
+processor time: a fleet of thousands of upstreams is asked by samples, for a quarter
+of a core at most while there are doubts."""
+
+REPORT_AGE_S = 0.1
+"""A report is as old as this at most; what is known is looked at for so long before."""
+
+_LOOKS = 8
+"""How often, so that what starts and ends between is seen."""
+
 _log = part_logger("survey")
 
 
+@attrs.define
+class _Asked:
+    """What this instance remembers of its questions to an upstream.
+
+    Attributes:
+      doubted_until: Until when counts may not tell of it.
+      next_at: When it may be asked again.
+      believed_at: When its unknown runs were last learnt of.
+    """
+
+    doubted_until: float = float("-inf")
+    next_at: float = float("-inf")
+    believed_at: float = float("-inf")
+
+
 class Survey:
-    """Keeps the unknown runs at upstreams up to date while there may be some."""
+    """Keeps the unknown runs at upstreams up to date while there may be some.
+
+    Attributes:
+      on_change: Told when the number of unknown runs at an upstream has changed.
+      asked: Reports asked for.
+    """
 
     def __init__(
         self, placement: Placement, caller: UpstreamCaller, *, rng: random.Random
     ) -> None:
         self.placement = placement
         self.caller = caller
+        self.on_change: Callable[[], None] = lambda: None
+        self.asked = 0
         self._rng = rng
-        self._asking: set[str] = set()
+        self._asking: set[UpstreamId] = set()
+        self._of: dict[UpstreamId, _Asked] = {}
+        self._doubt = trio.Event()
+        self._all_until = float("inf")
 
     async def run(self) -> None:
         """Asks until cancelled."""
         await trio.sleep(FIRST_AFTER_S)
-        asks_all_until = trio.current_time() + AFTER_START_S
+        self._all_until = trio.current_time() + AFTER_START_S
         async with trio.open_nursery() as nursery:
             while True:
-                all_of_them = trio.current_time() < asks_all_until
-                for state in self.placement.states.values():
-                    doubted = all_of_them or state.unknown
-                    if doubted and state.id not in self._asking:
-                        self._asking.add(state.id)
-                        nursery.start_soon(self._ask, state)
-                await trio.sleep(self._pause_s())
+                for state in self._due(trio.current_time()):
+                    self._asking.add(state.id)
+                    nursery.start_soon(self._ask, state)
+                with trio.move_on_after(self._pause_s()):
+                    await self._doubt.wait()
+                    await trio.sleep(self._rng.uniform(0, SPREAD_S))
+                self._doubt = trio.Event()
+
+    def doubt(self, upstreams: Collection[UpstreamId]) -> None:
+        """Notes that counts may not tell of these upstreams now."""
+        until = trio.current_time() + DOUBT_S
+        for upstream in upstreams:
+            self._of.setdefault(upstream, _Asked()).doubted_until = until
+        self._doubt.set()
+
+    def left_unheard(self, state: UpstreamState, *, silent: bool) -> None:
+        """Notes that a run was left, of which the upstream may not know.
+
+        Args:
+          state: The upstream.
+          silent: Whether the run was given up for its silence. If not, the upstream
+            may only have paused, and is asked first.
+        """
+        state.unheard += 1
+        self.doubt([state.id])
+        if silent:
+            state.unknown += 1
+            self._of[state.id].believed_at = trio.current_time()
+
+    def _due(self, now: float) -> list[UpstreamState]:
+        """Returns the upstreams to be asked now, some of them if there are many."""
+        states = self.placement.states
+        self._of = {
+            upstream: a for upstream, a in self._of.items() if upstream in states
+        }
+        for upstream, asked in self._of.items():
+            if states[upstream].unknown and now >= asked.believed_at + HELD_S:
+                states[upstream].unheard = 0
+                self._believe(states[upstream], 0)
+        due = [state for state in states.values() if self._is_due(state, now)]
+        room = max(0, MOST_AT_ONCE - len(self._asking))
+        return due if len(due) <= room else self._rng.sample(due, room)
+
+    def _is_due(self, state: UpstreamState, now: float) -> bool:
+        if state.id in self._asking:
+            return False
+        asked = self._of.get(state.id)
+        if asked is None:
+            return now < self._all_until
+        doubted = now < max(self._all_until, asked.doubted_until)
+        return (doubted or state.unknown > 0) and now >= asked.next_at
 
     def _pause_s(self) -> float:
         others = len(self.placement.peers.tellers())
@@ -64,25 +155,48 @@
         return pause_s * self._rng.uniform(0.8, 1.2)
 
     async def _ask(self, state: UpstreamState) -> None:
+        asked = self._of.setdefault(state.id, _Asked())
+        # Doubts of other upstreams wake this one too; its own pause is kept by half.
+        asked.next_at = trio.current_time() + self._pause_s() / 2
+        unheard = state.unheard
         try:
+            known = await self._look(state)
+            self.asked += 1
             report = await self.caller.report(state.upstream)
         except UpstreamBrokeError as error:
-            # What cannot be asked is not reached by requests either.
-            state.unknown = 0
             _log.debug("An upstream did not report.", reason=str(error))
             return
         finally:
             self._asking.discard(state.id)
-        known = self.placement.known_load(state)
-        unknown = max(0, report.running + report.waiting - known)
-        if unknown != state.unknown:
-            _log.info(
-                "Runs that nobody has told of.",
-                upstream=state.id,
-                unknown=unknown,
-                before=state.unknown,
-                running=report.running,
-                waiting=report.waiting,
-                known=known,
-            )
+        if state.unheard != unheard:
+            return  # A run that was left meanwhile is in some of the counts only.
+        known.append(self.placement.known_load(state))
+        asked.believed_at = trio.current_time()
+        reported = report.running + report.waiting
+        unknown = believed_runs(state.unknown, reported=reported, known=known)
+        if not unknown:
+            state.unheard = 0
+        if unknown == state.unknown:
+            return
+        _log.info(
+            "Runs that nobody has told of.",
+            upstream=state.id,
+            unknown=unknown,
+            before=state.unknown,
+            running=report.running,
+            waiting=report.waiting,
+            known=known[-1],
+        )
+        self._believe(state, unknown)
+
+    async def _look(self, state: UpstreamState) -> list[int]:
+        """Returns how many runs are known at moments of the time of the report."""
+        known = [self.placement.known_load(state)]
+        for _ in range(_LOOKS):
+            await trio.sleep(REPORT_AGE_S / _LOOKS)
+            known.append(self.placement.known_load(state))
+        return known
+
+    def _believe(self, state: UpstreamState, unknown: int) -> None:
         state.unknown = unknown
+        self.on_change()
--- /dev/null
+++ b/src/coppercleat/serving/_unknown_runs.py
@@ -0,0 +1,36 @@
+"""How many runs an upstream has that nobody tells of, from its own reports.
+
+Answers the load after connections have gone silent: an upstream cannot see that its
+caller has gone, runs on to the end, and others would queue behind runs that count as
+ended. A report is some ten milliseconds old, while own runs and those of peers start
+and end, so that it proves a range and no number.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Sequence
+
+UNHEARD_S = 0.2
+"""A run that is left after so long without a word may go on: the way to its upstream
+may be silent. Ten times the pause between events, twice a prompt's longest read."""
+
+HELD_S = 5.0
+"""Without a report for so long, unknown runs are taken as ended: the longest batch item
+lasts for about 5 s, an answer to an online request for 1 s."""
+
+UNPROVED_FADE = 1
+"""Runs by which a belief falls that a report allows and does not prove: in a busy time
+each report allows one or two that there are not, and slots would stay unused."""
+
+
+def believed_runs(before: int, *, reported: int, known: Sequence[int]) -> int:
+    """Returns how many unknown runs to believe in after a report.
+
+    Args:
+      before: How many were believed in.
+      reported: Runs and waiting requests that the upstream has told of.
+      known: How many were known at several moments around that of the report.
+    """
+    most = max(0, reported - min(known))
+    proved = max(0, reported - max(known))
+    return min(most, max(proved, before - UNPROVED_FADE))
--- a/tests/features/overload.feature
+++ b/tests/features/overload.feature
@@ -92,6 +92,44 @@
       | 2     | 6       | 0    |
       | 8     | 3       | 0    |
 
+  Scenario Outline: A report of <reported> runs where <known> were known
+    Then after <before> unknown runs a report of <reported> beside <known> leaves <left>
+
+    Examples: known at moments around that of the report, as runs start and end
+      | before | known | reported | left |
+      | 0      | 3 3   | 8        | 5    |
+      | 0      | 3 4   | 8        | 4    |
+      | 5      | 3 3   | 8        | 5    |
+      | 5      | 2 4   | 8        | 4    |
+      | 5      | 8 8   | 8        | 0    |
+      | 0      | 6 8   | 7        | 0    |
+      | 2      | 8 8   | 3        | 0    |
+      | 1      | 7 8   | 8        | 0    |
+
+  Scenario Outline: <count> runs are left <how> and go on for <lasts> s
+    When <count> of an upstream's runs are left <how> for <lasts> s beside <rate> per s
+    Then from <after> s on all of them but <few> are believed in, until they end
+    And slots are left unused for 0.6 s at most after they have ended
+    And the upstream is asked <asked> times at most
+
+    Examples: a report is 0.05 s old, while other runs start and end; ten seeds
+      | count | how                        | lasts | rate | after | few | asked |
+      | 3     | as silent                  | 2.5   | 0    | 0     | 0   | 16    |
+      | 3     | as silent                  | 2.5   | 5    | 0     | 1   | 16    |
+      | 3     | for another reason         | 2.5   | 0    | 0.3   | 0   | 16    |
+      | 3     | for another reason         | 2.5   | 5    | 0.6   | 1   | 16    |
+      | 5     | by a peer that was dropped | 2.5   | 0    | 0.3   | 0   | 16    |
+      | 5     | by a peer that was dropped | 2.5   | 5    | 0.6   | 1   | 16    |
+      | 0     | by a peer that was dropped | 0     | 5    | 0     | 0   | 4     |
+      | 3     | as silent                  | 0.05  | 0    | 0     | 0   | 4     |
+
+  Scenario: What a survey asks is bounded
+    Then 6 doubted upstreams are asked 36 times a second at most
+    And 2000 doubted upstreams are asked 250 times a second at most
+
+  Scenario: Unknown runs are not kept for ever
+    Then an upstream that cannot be asked keeps its unknown runs for 5 s
+
   Scenario: Services have slots of their own
     Then one that waits for another service does not hold up a request with a free slot
 
