Hold a silence against an upstream once for the moment at which it began

Cause: three failures in a row eject an upstream, and a run given up for silence counted as one. When open connections fall silent each run on them ended so: an instance with three runs or more at an upstream ejected it for 1 to 2 s, and with it all upstreams. Ruled out: judging by the upstream's report: one that takes requests and says nothing reports well (a test has such a runner), and would never be ejected. Judging only if one upstream alone is silent: a single upstream with eight runs shows the same. Change: SilentMoments (no clock, no I/O) tells whether a silence began with one that was held against an upstream before, within 0.15 s. Only the first of a moment counts, for streams, for clients who leave, and for items. Measured: before, 4 of 4 upstreams with 3 runs each and 1 of 1 with 8 are ejected, after none; one by one, 0.16 s apart, 3 silences eject as before. A silent runner is found as before. Conclusion: an upstream that freezes with all its runs is ejected after two more moments; one that cannot be connected to at once, as before.

--- a/src/coppercleat/jobs/_items.py
+++ b/src/coppercleat/jobs/_items.py
@@ -53,12 +53,18 @@
 
 @attrs.define(eq=False)
 class Running:
-    """An item in a slot of an upstream, and how to stop it."""
+    """An item in a slot of an upstream, and how to stop it.
+
+    Attributes:
+      silent_since: When it was last heard of, if it was given up as silent; in trio's
+        time.
+    """
 
     run: JobRun
     item: ItemRun
     state: UpstreamState
     scope: trio.CancelScope
+    silent_since: float | None = None
 
 
 class ItemRunner:
@@ -178,7 +184,10 @@
             events=len(item.events) - before, seconds=trio.current_time() - began
         )
         if end in (ItemEnd.BROKEN, ItemEnd.FAILED):
-            _judge_failure(state, attempt)
+            if running.silent_since is None or self.silent_runs.blames(
+                running.silent_since
+            ):
+                _judge_failure(state, attempt)
         elif end is ItemEnd.COMPLETE:
             self._pace.observe_item(events=len(item.events))
             state.succeeded(trio.current_time())
@@ -253,6 +262,7 @@
             cut = running.scope.cancel_called
             if attempt.state is AttemptState.SENT and (stall.cancelled_caught or cut):
                 heard_at = stall.deadline - STALL_S
+                running.silent_since = heard_at if stall.cancelled_caught else None
                 self.silent_runs.left(
                     running.state,
                     RunKind.ITEM,
--- a/src/coppercleat/serving/__init__.py
+++ b/src/coppercleat/serving/__init__.py
@@ -43,6 +43,7 @@
 from coppercleat.serving._placement import Nowhere, Placement, UpstreamState
 from coppercleat.serving._progress import AttemptEnd, NextStep, RequestProgress
 from coppercleat.serving._results import RecentResults
+from coppercleat.serving._silent_moments import SilentMoments
 from coppercleat.serving._silent_runs import RunKind, SilentRuns
 from coppercleat.serving._survey import Survey
 from coppercleat.serving._unknown_runs import believed_runs
@@ -90,6 +91,7 @@
     "RouteKind",
     "RouteTable",
     "RunKind",
+    "SilentMoments",
     "SilentRuns",
     "StoreRates",
     "StreamEvent",
--- a/src/coppercleat/serving/_forwarding.py
+++ b/src/coppercleat/serving/_forwarding.py
@@ -263,7 +263,8 @@
         if attempt.state is AttemptState.QUEUED:
             state.failed(now, reached=False)
         elif end in (AttemptEnd.LOST, AttemptEnd.CUT):
-            state.failed(now)
+            if not exchange.silent or self.silent_runs.blames(exchange.heard_at):
+                state.failed(now)
         elif end is AttemptEnd.COMPLETE and exchange.status < _SERVER_ERROR:
             state.succeeded(now)
             self._observe(exchange, state, now)
@@ -280,7 +281,9 @@
         patience_s = first_patience_s if first else gap_patience_s
         silent_s = now - exchange.heard_at
         streams = exchange.route.kind is RouteKind.STREAM
-        if streams and silent_s > patience_s(exchange.route):
+        if not streams or silent_s <= patience_s(exchange.route):
+            return
+        if self.silent_runs.blames(exchange.heard_at):
             state.failed(now)
 
     def _observe(self, exchange: Exchange, state: UpstreamState, now: float) -> None:
--- a/tests/features/serving_decisions.feature
+++ b/tests/features/serving_decisions.feature
@@ -266,6 +266,28 @@
       | wfwfwfwf             | 8     | sound   |
       | ffwwwwwwwwwwwwww     | 0     | sound   |
 
+  Scenario Outline: Runs that ended by silence, last heard of at <heard> s
+    Then runs last heard of at <heard> s count against an upstream <times> times
+
+    Examples: what falls silent at one moment does so by its connections, or counts once
+      | heard                    | times |
+      | 1.0                      | 1     |
+      | 1.0 1.0 1.02 0.99 0.9    | 1     |
+      | 1.0 1.2 1.4              | 3     |
+      | 1.0 1.02 1.2 1.02        | 2     |
+      | 1.0 0.5                  | 2     |
+
+  Scenario Outline: <runs> runs at each of <upstreams> upstreams fall silent <when>
+    When <runs> runs at each of <upstreams> upstreams fall silent <when>
+    Then <ejected> of the upstreams are ejected and <suspect> seem to fail
+
+    Examples: three failures in a row eject
+      | runs | upstreams | when               | ejected | suspect |
+      | 3    | 4         | at the same moment | 0       | 0       |
+      | 8    | 1         | at the same moment | 0       | 0       |
+      | 3    | 1         | one by one         | 1       | 1       |
+      | 3    | 4         | one by one         | 4       | 4       |
+
   Scenario Outline: An instance that has work in flight tells it to one that starts <later> s later
     When 3 requests are in flight at an instance for <later> s and another starts
     Then the other knows of them within 0.4 s and for the next 1.5 s
--- a/tests/features/steps/silence_steps.py
+++ b/tests/features/steps/silence_steps.py
@@ -3,6 +3,7 @@
 import contextlib
 import random
 
+import msgspec
 import trio
 import trio.testing
 from behave import then, when
@@ -131,3 +132,69 @@
     assert context.body == b"id: 1\ndata: a\n\n", context.body
     assert context.step.value == "done", context.step
     assert " ".join(context.asked) == upstreams, context.asked
+
+
+class SilentForEver:
+    """A caller to whom no upstream ever says anything."""
+
+    @contextlib.asynccontextmanager
+    async def exchange(self, upstream, request, **options):
+        options["attempt"].move(AttemptState.SENT)
+        await trio.sleep_forever()
+        yield
+
+
+@when("{runs:d} runs at each of {upstreams:d} upstreams fall silent {when_they_do}")
+def fall_silent(context, runs, upstreams, when_they_do):
+    apart_s = 0.16 if when_they_do == "one by one" else 0.0
+    context.placement = Placement(ZoneId("a"), rng=random.Random(1))
+    context.placement.replace(
+        Upstream(
+            id=UpstreamId(f"u{number}"),
+            service="menus",
+            address="10.0.0.1:1",
+            zone=ZoneId("a"),
+            slots=8,
+        )
+        for number in range(upstreams)
+    )
+    context.ended_at = trio.run(
+        _fall_silent,
+        context.placement,
+        runs * upstreams,
+        apart_s,
+        clock=trio.testing.MockClock(autojump_threshold=0),
+    )
+
+
+async def _fall_silent(placement, runs, apart_s):
+    """Returns when the last run ended."""
+    admission = Admission(
+        AdmissionQueue(placement, rng=random.Random(1)),
+        on_change=lambda state, started: None,
+        on_waiting=lambda: None,
+    )
+    forwarder = Forwarder(admission, SilentForEver(), on_end=lambda end: None)
+    route = msgspec.structs.replace(ROUTE, resumable=False, max_attempts=1)
+
+    async with trio.open_nursery() as nursery:
+        for number in range(runs):
+            request = OnlineRequest(
+                request_id=RequestId(f"r{number}"),
+                method="POST",
+                host="ask.example",
+                target=b"/x",
+                headers=[],
+                allowed_s=2.0,
+            )
+            nursery.start_soon(forwarder.forward, request, route, Kept())
+            await trio.sleep(apart_s)
+    return trio.current_time()
+
+
+@then("{ejected:d} of the upstreams are ejected and {suspect:d} seem to fail")
+def few_ejected(context, ejected, suspect):
+    now = context.ended_at
+    states = context.placement.states.values()
+    assert sum(state.health.retry_in(now) > 0 for state in states) == ejected
+    assert len(context.placement.suspects(now)) == suspect
--- a/tests/features/steps/unknown_runs_steps.py
+++ b/tests/features/steps/unknown_runs_steps.py
@@ -9,6 +9,7 @@
 from coppercleat.ids import UpstreamId, ZoneId
 from coppercleat.serving import (
     Placement,
+    SilentMoments,
     Survey,
     Upstream,
     UpstreamBrokeError,
@@ -218,3 +219,10 @@
     seen.run(act, lasts=held + 2)
     assert set(seen.at(0.05, held - 0.1)) == {0}
     assert set(seen.at(held + 0.5, held + 2)) == {-1}
+
+
+@then("runs last heard of at {heard} s count against an upstream {times:d} times")
+def counted(context, heard, times):
+    moments = SilentMoments()
+    found = [moments.is_new(float(since)) for since in heard.split()]
+    assert sum(found) == times, found
