Leave kept connections to an engine together once one is dead

Cause: see the failing test: the pool gave out one dead connection after the other, and nothing but the caller's deadline ended a call on one. Ruled out: keeping none (a connection for each call), a shorter expiry (a busy pool keeps its connections warm, and a silence hits warm ones), a time-out for the first byte (an engine's queue may take as long as the deadline), a second try of a call that may have been sent (at most once). Change: KeptConnections holds the pool. A call that ended without a word after 0.2 s or more on a connection that was kept closes the idle ones. TCP_USER_TIMEOUT (1 s) and keep-alive probes (1 s, each 1 s) let the kernel end a connection whose bytes are not acknowledged, or whose other end is gone while an answer is awaited; an engine that is slow, or stopped, acknowledges all the same. No call is repeated; its outcome stays unknown once it may have been sent. Not tested: keep-alive probes that nobody answers; that needs a network that drops.

--- a/src/coppercleat/upstreams/_client.py
+++ b/src/coppercleat/upstreams/_client.py
@@ -8,7 +8,6 @@
 
 import contextlib
 from collections.abc import AsyncGenerator, AsyncIterator
-from typing import Any
 
 import httpcore
 import msgspec
@@ -25,11 +24,11 @@
 from coppercleat.ids import UpstreamId
 from coppercleat.upstreams._attempt import Attempt, AttemptState
 from coppercleat.upstreams._events import EventParser, MalformedStreamError
+from coppercleat.upstreams._kept import KeptConnections
 
 _MAX_ERROR_BYTES = 10_000
 _MAX_ANSWER_BYTES = 16_000_000
 _REPORT_TIMEOUT_S = 1.0
-_KEEPALIVE_S = 20.0
 _NOT_SENT = (httpcore.ConnectError, httpcore.ConnectTimeout, httpcore.PoolTimeout)
 _LOST = (
     httpcore.NetworkError,
@@ -99,17 +98,12 @@
     ) -> None:
         self.upstream = upstream
         self.address = address
-        self._url = f"http://{address}"
         self._timeout = {"connect": connect_timeout_s, "pool": connect_timeout_s}
-        self._pool = httpcore.AsyncConnectionPool(
-            max_connections=max_connections,
-            max_keepalive_connections=32,
-            keepalive_expiry=_KEEPALIVE_S,
-        )
+        self._kept = KeptConnections(address, max_connections=max_connections)
 
     async def aclose(self) -> None:
         """Closes all connections; running calls fail."""
-        await self._pool.aclose()
+        await self._kept.aclose()
 
     async def generate(
         self, request: EngineRequest, attempt: Attempt
@@ -166,13 +160,16 @@
         """Returns the upstream's own report, or None if it gives none."""
         try:
             with trio.fail_after(_REPORT_TIMEOUT_S):
-                response = await self._pool.request("GET", f"{self._url}/load")
+                async with self._kept.call(
+                    "GET", "/load", headers=[], body=None, timeout=self._timeout
+                ) as response:
+                    content = await _read_limited(response, _MAX_ANSWER_BYTES)
             if response.status != 200:
                 return None
-            return msgspec.json.decode(response.content, type=LoadReport)
+            return msgspec.json.decode(content, type=LoadReport)
         except (*_LOST, trio.TooSlowError):
             return None
-        except (msgspec.DecodeError, msgspec.ValidationError):
+        except (msgspec.MsgspecError, MalformedStreamError):
             return None
 
     async def order(self, action: str, version: str, *, fence: int) -> list[str]:
@@ -202,23 +199,21 @@
     ) -> AsyncIterator[httpcore.Response]:
         """Sends a request, and names what a failure proves."""
 
-        async def trace(event: str, info: dict[str, Any]) -> None:
-            if (
-                event.endswith("send_request_headers.started")
-                and attempt.state is AttemptState.QUEUED
-            ):
+        def sent() -> None:
+            if attempt.state is AttemptState.QUEUED:
                 attempt.move(AttemptState.SENT)
 
         try:
-            async with self._pool.stream(
+            async with self._kept.call(
                 "POST",
-                self._url + path,
+                path,
                 headers=[
                     (b"content-type", b"application/json"),
                     (b"x-request-id", request_id.encode()),
                 ],
-                content=body,
-                extensions={"timeout": self._timeout, "trace": trace},
+                body=body,
+                timeout=self._timeout,
+                on_sent=sent,
             ) as response:
                 yield response
         except _NOT_SENT as error:
