--- a/src/coppercleat/jobs/_items.py
+++ b/src/coppercleat/jobs/_items.py
@@ -22,6 +22,8 @@
     Placement,
     Rank,
     Route,
+    RunKind,
+    SilentRuns,
     UpstreamAnswer,
     UpstreamBrokeError,
     UpstreamCaller,
@@ -54,12 +56,18 @@
 
 @attrs.define(eq=False)
 class Running:
-    """An item in a slot of an upstream, and how to stop it."""
+    """An item in a slot of an upstream, and how to stop it.
+
+    Attributes:
+      silent_since: When it was last heard of, if it was given up as silent; in trio's
+        time.
+    """
 
     run: JobRun
     item: ItemRun
     state: UpstreamState
     scope: trio.CancelScope
+    silent_since: float | None = None
 
 
 class ItemRunner:
@@ -73,6 +81,7 @@
         instance: InstanceId,
         on_change: Callable[[UpstreamState, bool], None],
         on_end: Callable[[str], None],
+        silent_runs: SilentRuns | None = None,
     ) -> None:
         """Prepares the runner.
 
@@ -82,10 +91,12 @@
           instance: This instance's id, to agree with peers on who cuts.
           on_change: Told of each run that starts (True) or ends (False).
           on_end: Told how each run ended.
+          silent_runs: Told of runs that were left while unheard; None for its own.
         """
         self.placement = placement
         self.caller = caller
         self.instance = instance
+        self.silent_runs = silent_runs or SilentRuns()
         self.on_change = on_change
         self.on_end = on_end
         self._running: list[Running] = []
@@ -176,7 +187,10 @@
             events=len(item.events) - before, seconds=trio.current_time() - began
         )
         if end in (ItemEnd.BROKEN, ItemEnd.FAILED):
-            _judge_failure(state, attempt)
+            if running.silent_since is None or self.silent_runs.blames(
+                running.silent_since
+            ):
+                _judge_failure(state, attempt)
         elif end is ItemEnd.COMPLETE:
             self._pace.observe_item(events=len(item.events))
             state.succeeded(trio.current_time())
@@ -220,7 +234,7 @@
         )
         stall = trio.CancelScope(deadline=trio.current_time() + STALL_S)
         end = ItemEnd.BROKEN
-        with stall:
+        with self._watched(running, attempt, stall), stall:
             try:
                 async with self.caller.exchange(
                     state.upstream,
@@ -240,6 +254,25 @@
                 return ItemEnd.BROKEN
         return end
 
+    @contextlib.contextmanager
+    def _watched(
+        self, running: Running, attempt: Attempt, stall: trio.CancelScope
+    ) -> Iterator[None]:
+        """Notes a run that was left before its upstream had ended it."""
+        try:
+            yield
+        finally:
+            cut = running.scope.cancel_called
+            if attempt.state is AttemptState.SENT and (stall.cancelled_caught or cut):
+                heard_at = stall.deadline - STALL_S
+                running.silent_since = heard_at if stall.cancelled_caught else None
+                self.silent_runs.left(
+                    running.state,
+                    RunKind.ITEM,
+                    heard_at=heard_at,
+                    silent=stall.cancelled_caught,
+                )
+
     # Making room.
 
     def preempt(self) -> None:
--- a/src/coppercleat/serving/__init__.py
+++ b/src/coppercleat/serving/__init__.py
@@ -51,7 +51,10 @@
 )
 from coppercleat.serving._results import RecentResults
 from coppercleat.serving._sequence import EventSequence
+from coppercleat.serving._silent_moments import SilentMoments
+from coppercleat.serving._silent_runs import RunKind, SilentRuns
 from coppercleat.serving._survey import Survey
+from coppercleat.serving._unknown_runs import believed_runs
 from coppercleat.serving._upstream_call import (
     UpstreamAnswer,
     UpstreamBrokeError,
@@ -97,6 +100,9 @@
     "RouteConfig",
     "RouteKind",
     "RouteTable",
+    "RunKind",
+    "SilentMoments",
+    "SilentRuns",
     "StoreRates",
     "StreamEvent",
     "Survey",
@@ -116,6 +122,7 @@
     "WorkInFlight",
     "ZoneWork",
     "is_event_stream",
+    "believed_runs",
     "jobs_pause_s",
     "lease_s",
     "renewal_pause_s",
