Ask after news at once, after routine only when the other end is quiet

Most of it were answers to what is said by routine, and 20 looks a second. Ruled out: fewer questions for all: a burst's first messages are those whose loss matters. No questions for routine at all: two silent ways would be found with the burst only.

--- a/src/coppercleat/membership/__init__.py
+++ b/src/coppercleat/membership/__init__.py
@@ -25,7 +25,7 @@
     UpstreamLeaving,
 )
 from coppercleat.membership._messenger import Messenger
-from coppercleat.membership._silent_links import LinkWatch, Silent, Way
+from coppercleat.membership._silent_links import Kind, LinkWatch, Silent, Way
 
 __all__ = [
     "MAX_ARRIVALS",
@@ -40,6 +40,7 @@
     "HandlerRegistry",
     "Heartbeat",
     "JobHint",
+    "Kind",
     "LinkCheck",
     "LinkWatch",
     "Links",
--- a/src/coppercleat/membership/_messenger.py
+++ b/src/coppercleat/membership/_messenger.py
@@ -14,7 +14,7 @@
 from coppercleat.membership._handlers import HandlerRegistry
 from coppercleat.membership._links import Links
 from coppercleat.membership._messages import Heartbeat, LinkCheck, Message
-from coppercleat.membership._silent_links import TICK_S, LinkWatch, Mended, Silent
+from coppercleat.membership._silent_links import TICK_S, Kind, LinkWatch, Mended, Silent
 from coppercleat.observability import part_logger
 
 _log = part_logger("peers")
@@ -87,7 +87,7 @@
         heartbeat, targets = self.detector.tick(now, revision=revision)
         self._writer.incarnation = self.detector.own.incarnation
         for instance in targets:
-            self.send(instance, heartbeat)
+            self.send(instance, heartbeat, kind=Kind.ROUTINE)
         if not self.detector.alive(now)[1:]:
             self._tell_seeds(heartbeat)
         if self.detector.paused:
@@ -98,18 +98,16 @@
         for instance in instances:
             self.send(instance, Heartbeat(self.detector.own, ()))
 
-    def send(self, instance: InstanceId, message: msgspec.Struct) -> None:
-        """Sends to a member if its address is known; never waits."""
-        self._send(instance, message)
-
-    def _send(
-        self, instance: InstanceId, message: msgspec.Struct, *, is_news: bool = True
+    def send(
+        self, instance: InstanceId, message: msgspec.Struct, *, kind: Kind = Kind.NEWS
     ) -> None:
+        """Sends to a member if its address is known; never waits."""
         member = self.detector.members.get(instance)
         if member is None:
             return
         number = self._writer.number + 1
-        asks = self.watch.sent(instance, number, is_news=is_news)
+        now = trio.current_time()
+        asks = self.watch.sent(instance, number, now=now, kind=kind)
         heard = self._reader.heard(instance)
         sealed = self._writer.seal(message, heard=heard, asks=asks)
         self.links.send(member.address, sealed)
@@ -131,9 +129,9 @@
         for mended in due.mended:
             self._note_mended(mended)
         for instance in due.questions:
-            self._send(instance, LinkCheck())
+            self.send(instance, LinkCheck())
         for instance in due.answers:
-            self._send(instance, LinkCheck(), is_news=False)
+            self.send(instance, LinkCheck(), kind=Kind.ANSWER)
 
     async def receive(self, data: bytes) -> None:
         """Takes one sealed message."""
@@ -146,10 +144,11 @@
             return
         # A number that is not this start's own tells of an earlier one's messages.
         heard = opened.heard if opened.heard <= self._writer.number else 0
-        self.watch.received(sender, heard=heard, asks=opened.asks)
+        now = trio.current_time()
+        self.watch.received(sender, heard=heard, asks=opened.asks, now=now)
         if not isinstance(opened.message, LinkCheck):
             self._handlers.dispatch(self._receiver, sender, opened.message)
-        self.detector.observe_message(sender, trio.current_time())
+        self.detector.observe_message(sender, now)
 
     def _reopen(self, silent: Silent) -> None:
         member = self.detector.members.get(silent.peer)
--- a/src/coppercleat/membership/_silent_links.py
+++ b/src/coppercleat/membership/_silent_links.py
@@ -14,11 +14,11 @@
 
 from coppercleat.ids import InstanceId
 
-TICK_S = 0.05
-"""Links are looked at so often. Answers that are owed wait so long for a message that
-goes there anyway."""
+TICK_S = 0.1
+"""Links are looked at so often: a look costs some 0.1 ms. Answers that are owed wait so
+long for a message that goes there anyway."""
 
-_LONGEST_TICK_S = 3 * TICK_S
+_LONGEST_TICK_S = 2 * TICK_S
 """Time that passes at once counts as this much at most: a member that was stopped or
 busy has not yet read the answers that wait for it."""
 
@@ -44,10 +44,28 @@
 """Questions a second on all links together: each may cost an answer of some 60 bytes,
 so 2.4 KB/s at most; members that talk to each other answer by the way."""
 
+QUIET_S = 1.2
+"""What is said by routine is asked after only when nothing has come from there for so
+long: both ends say something once a second, which tells of it for nothing, and a silent
+link is still found before its member is taken for dead."""
+
 IDLE_S = 10.0
 """A link by which nothing was sent for so long is no longer looked after."""
 
 
+class Kind(enum.Enum):
+    """How soon it must be known whether a message arrived."""
+
+    NEWS = "news"
+    """At once."""
+
+    ROUTINE = "routine"
+    """Before its receiver is taken for dead: it repeats what was told before."""
+
+    ANSWER = "answer"
+    """Never; it would else be answered for ever."""
+
+
 class Way(enum.Enum):
     """Which way is silent, as far as one end can tell."""
 
@@ -121,6 +139,7 @@
 
     Attributes:
       news: Number of the last message sent, mere answers left out.
+      urgent: Number of the last one that is no routine.
       sent_at: When the last one was sent.
       unheard: The first one sent of which the other end has not told.
       asked: The one that asked for an answer, while there is none.
@@ -134,11 +153,12 @@
     """
 
     sent_at: float
+    heard_at: float
     news: int = 0
+    urgent: int = 0
     unheard: _Sent | None = None
     asked: _Sent | None = None
     asked_last: float = float("-inf")
-    heard_at: float = float("-inf")
     unread: bool = False
     owes: bool = False
     patience_s: float = ANSWER_WITHIN_S
@@ -160,106 +180,121 @@
         links = self._links.items()
         return [peer for peer, link in links if link.silent_since is not None]
 
-    def sent(self, peer: InstanceId, number: int, *, is_news: bool = True) -> bool:
+    def sent(
+        self, peer: InstanceId, number: int, *, now: float, kind: Kind = Kind.NEWS
+    ) -> bool:
         """Notes a message to a member; returns whether it is to ask for an answer.
 
         Args:
           peer: Who it goes to.
           number: Its number; grows with each message.
-          is_news: False for a mere answer, which would else be answered for ever.
+          now: Seconds on this member's clock.
+          kind: How soon it must be known whether it arrived.
         """
-        link = self._link(peer)
-        link.sent_at, link.owes = self._now, False
-        sent = _Sent(number, self._now)
+        now = self._counted(now)
+        link = self._link(peer, now)
+        link.sent_at, link.owes = now, False
+        sent = _Sent(number, now)
         link.unheard = link.unheard or sent
-        if not is_news:
+        if kind is Kind.ANSWER:
             return False
         link.news = number
-        if link.asked is not None or not self._may_ask(link):
+        if kind is Kind.NEWS:
+            link.urgent = number
+        if not self._must_ask(link, now):
             return False
-        link.asked, link.asked_last = sent, self._now
+        link.asked, link.asked_last = sent, now
         return True
 
-    def received(self, peer: InstanceId, *, heard: int, asks: bool) -> None:
+    def received(self, peer: InstanceId, *, heard: int, asks: bool, now: float) -> None:
         """Notes a message from a member.
 
         Args:
           peer: Who sent it.
           heard: Number of the last message that it had from here; 0 if none.
           asks: Whether it asks for an answer.
+          now: Seconds on this member's clock.
         """
-        link = self._link(peer)
-        link.heard_at = self._now
+        now = self._counted(now)
+        link = self._link(peer, now)
+        link.heard_at = now
         link.owes = link.owes or asks
         if link.unheard is None:
             return
         if heard < link.unheard.number:
-            waited_s = self._now - link.unheard.at
+            waited_s = now - link.unheard.at
             link.unread = link.unread or waited_s > link.patience_s * _TO_READ
             return
-        self._note_heard(link, heard)
+        self._note_heard(link, heard, now)
         if link.silent_since is not None:
-            silent_s = self._now - link.silent_since
+            silent_s = now - link.silent_since
             self._mended.append(Mended(peer, silent_s, link.reopened))
             link.silent_since, link.reopened = None, 0
 
     def tick(self, now: float) -> Due:
         """Returns what is to be done now."""
-        if self._ticked_at is not None:
-            self._now += min(now - self._ticked_at, _LONGEST_TICK_S)
-        self._ticked_at = now
+        self._now, self._ticked_at = self._counted(now), now
+        now = self._now
         due = Due(mended=self._mended)
         self._mended = []
         for peer, link in list(self._links.items()):
-            if self._now - link.sent_at > IDLE_S:
+            if now - link.sent_at > IDLE_S:
                 del self._links[peer]
-            elif self._is_silent(link):
-                due.silent.append(self._fell_silent(peer, link))
-            elif self._must_ask(link):
+            elif self._is_silent(link, now):
+                due.silent.append(self._fell_silent(peer, link, now))
+            elif self._must_ask(link, now):
                 due.questions.append(peer)
             elif link.owes:
                 due.answers.append(peer)
         return due
 
-    def _link(self, peer: InstanceId) -> _Link:
+    def _counted(self, now: float) -> float:
+        """Returns the time, without that in which this member could not look."""
+        if self._ticked_at is None:
+            return self._now
+        return self._now + min(now - self._ticked_at, _LONGEST_TICK_S)
+
+    def _link(self, peer: InstanceId, now: float) -> _Link:
         if peer not in self._links:
-            self._links[peer] = _Link(sent_at=self._now)
+            self._links[peer] = _Link(sent_at=now, heard_at=now)
         return self._links[peer]
 
-    def _may_ask(self, link: _Link) -> bool:
-        pause_s = max(ASK_PAUSE_S, len(self._links) / ASKS_PER_S)
-        return self._now - link.asked_last >= pause_s
-
-    def _must_ask(self, link: _Link) -> bool:
-        """Returns whether news has been sent with no answer asked for."""
+    def _must_ask(self, link: _Link, now: float) -> bool:
+        """Returns whether to ask after what has been sent."""
         if link.unheard is None or link.asked is not None:
             return False
-        return link.news >= link.unheard.number and self._may_ask(link)
+        if link.news < link.unheard.number:
+            return False
+        is_urgent = link.urgent >= link.unheard.number
+        if not is_urgent and now - link.heard_at <= QUIET_S:
+            return False
+        pause_s = max(ASK_PAUSE_S, len(self._links) / ASKS_PER_S)
+        return now - link.asked_last >= pause_s
 
-    def _is_silent(self, link: _Link) -> bool:
+    def _is_silent(self, link: _Link, now: float) -> bool:
         asked = link.asked
-        late = asked is not None and self._now - asked.at > link.patience_s
+        late = asked is not None and now - asked.at > link.patience_s
         return late or link.unread
 
-    def _note_heard(self, link: _Link, heard: int) -> None:
+    def _note_heard(self, link: _Link, heard: int, now: float) -> None:
         """Takes what arrived; an answer's time tells how long to wait for the next."""
         if link.asked is not None and heard >= link.asked.number:
-            took_s = self._now - link.asked.at
-            patience_s = max(ANSWER_WITHIN_S, _PATIENCE_OF_ANSWER * took_s)
+            patience_s = _PATIENCE_OF_ANSWER * (now - link.asked.at)
+            patience_s = max(ANSWER_WITHIN_S, patience_s)
             link.patience_s = min(patience_s, LONGEST_PATIENCE_S)
             link.asked = None
         link.unread = False
         link.unheard = None
         if heard < link.news:
-            link.unheard = link.asked or _Sent(link.news, self._now)
+            link.unheard = link.asked or _Sent(link.news, now)
 
-    def _fell_silent(self, peer: InstanceId, link: _Link) -> Silent:
+    def _fell_silent(self, peer: InstanceId, link: _Link, now: float) -> Silent:
         sent = link.asked or link.unheard
-        sent_at = self._now if sent is None else sent.at
+        sent_at = now if sent is None else sent.at
         way = Way.THERE if link.heard_at > sent_at else Way.EITHER
         if link.silent_since is None:
             link.silent_since = sent_at
-        found = Silent(peer, way, self._now - link.silent_since, link.reopened)
+        found = Silent(peer, way, now - link.silent_since, link.reopened)
         link.reopened += 1
         link.patience_s = min(2 * link.patience_s, LONGEST_PATIENCE_S)
         # What was sent is lost; the first message on the new link asks at once.
--- a/src/coppercleat/serving/_peers.py
+++ b/src/coppercleat/serving/_peers.py
@@ -13,6 +13,7 @@
     Detector,
     HandlerRegistry,
     Heartbeat,
+    Kind,
     LinkCheck,
     MemberLine,
     Messenger,
@@ -218,6 +219,7 @@
         self.silenced = 0
         self._asked_at = float("-inf")
         self._told_at = float("-inf")
+        self._told_last: tuple[tuple[InFlight, ...], tuple[Waiting, ...]] = ((), ())
         self._met: dict[InstanceId, int] = {}
         self._counts_at: dict[InstanceId, float] = {}
         self._zones_at: dict[ZoneId, float] = {}
@@ -396,16 +398,24 @@
             self._changed = trio.Event()
             self._urgent = trio.Event()
             self._told_at = trio.current_time()
-            self._tell_work(self._near(self.others()))
+            self._tell_work(self._near(self.others()), anew=False)
 
-    def _tell_work(self, instances: Iterable[InstanceId]) -> None:
+    def _tell_work(self, instances: Iterable[InstanceId], *, anew: bool = True) -> None:
+        """Tells of work in flight and waiting.
+
+        Args:
+          instances: Whom to tell.
+          anew: Whether it is news to them though nothing has changed.
+        """
         work = WorkInFlight(
             tuple(self.placement.own()),
             self.waiting(),
             self.placement.demand.own_rates(now=trio.current_time()),
         )
+        told, self._told_last = self._told_last, (work.counts, work.waiting)
+        kind = Kind.NEWS if anew or told != self._told_last else Kind.ROUTINE
         for instance in instances:
-            self.messenger.send(instance, work)
+            self.messenger.send(instance, work, kind=kind)
 
     async def _tell_far_forever(self) -> None:
         """Tells other zones of this one's work, if that falls to this instance."""
@@ -422,7 +432,7 @@
                 self.settings.zone, tuple(self.placement.of_own_zone()), rates
             )
             for instance in set(others) - set(near):
-                self.messenger.send(instance, zone_work)
+                self.messenger.send(instance, zone_work, kind=Kind.ROUTINE)
 
     def _near(self, others: list[InstanceId]) -> list[InstanceId]:
         """Returns those that this instance tells of its own work."""
--- a/tests/features/serving_decisions.feature
+++ b/tests/features/serving_decisions.feature
@@ -315,6 +315,9 @@
       | the way back falls silent   | 10      | 0.02  | one end   | 2     | 3    | 0.6    | 0.6   |
       | both ways fall silent       | 10      | 0.02  | both ends | 2     | 4    | 0.6    | 0.6   |
       | both ways fall silent       | 10      | 0.5   | both ends | 2     | 4    | 1.1    | 0.6   |
+      | nothing happens             | 60      | 1     | both ends by routine | 0 | 0  | 0      | 0.1   |
+      | the way there falls silent  | 10      | 1     | both ends by routine | 1 | 2  | 1.7    | 1.7   |
+      | both ways fall silent       | 10      | 1     | both ends by routine | 2 | 4  | 1.7    | 1.7   |
       | the other end is stopped    | 60      | 0.5   | both ends | 6     | 18   | 1      | 1     |
       | the own end is stopped      | 3       | 0.5   | one end   | 0     | 0    | 0      | 1     |
       | the network is cut          | 60      | 0.5   | both ends | 12    | 36   | 1      | 6     |
--- a/tests/features/steps/link_steps.py
+++ b/tests/features/steps/link_steps.py
@@ -5,7 +5,7 @@
 from behave import then, when
 
 from coppercleat.ids import InstanceId, Revision, UpstreamId, ZoneId
-from coppercleat.membership import EnvelopeWriter, Heartbeat, MemberLine
+from coppercleat.membership import EnvelopeWriter, Heartbeat, Kind, MemberLine
 from coppercleat.serving import InFlight, Rank, Waiting, WorkInFlight, ZoneWork
 from tests.harness import RelayedFleet, SimulatedLinks, free_port, make_peers
 
@@ -200,15 +200,16 @@
 
     def __init__(self):
         self.links = SimulatedLinks("ab", on_reopened=self.tell)
+        self.kind = Kind.NEWS
         self.told = {}
         self.history = []
         self.links.on_message = self.hear
         self.known_at = {}
 
-    def tell(self, sender, receiver):
+    def tell(self, sender, receiver, *, kind=Kind.NEWS):
         news = self.told.get(sender)
         if news is not None:
-            self.links.send(sender, receiver, news)
+            self.links.send(sender, receiver, news, kind=kind)
 
     def hear(self, sender, receiver, news):
         self.known_at.setdefault((receiver, news), self.links.now)
@@ -224,7 +225,7 @@
                         continue
                     self.told[sender] = (sender, self.links.now)
                     self.history.append(self.told[sender])
-                    self.tell(sender, "ab".replace(sender, ""))
+                    self.tell(sender, "ab".replace(sender, ""), kind=self.kind)
             self.links.step()
 
 
@@ -276,7 +277,9 @@
 @when("{trouble} for {seconds:g} s, with news every {every:g} s from {who}")
 def link_in_trouble(context, trouble, seconds, every, who):
     ends = context.ends = TwoEnds()
-    who = {"one end": "a", "both ends": "ab"}[who]
+    if who.endswith("by routine"):
+        ends.kind = Kind.ROUTINE
+    who = "a" if who == "one end" else "ab"
     ends.run(5, news_every_s=every, who=who)
     assert not ends.links.reopened, ends.links.reopened
     began = ends.links.now
--- a/tests/features/steps/serving_steps.py
+++ b/tests/features/steps/serving_steps.py
@@ -971,7 +971,9 @@
     async def run():
         one = make_peers("me", "a", free_port(), free_port())
         sent = []
-        one.messenger.send = lambda instance, message: sent.append((instance, message))
+        one.messenger.send = lambda instance, message, **_: sent.append(
+            (instance, message)
+        )
         told_by = {}
 
         async def hears(heartbeat):
--- a/tests/harness/_links.py
+++ b/tests/harness/_links.py
@@ -7,7 +7,7 @@
 import trio
 
 from coppercleat.ids import InstanceId, UpstreamId, ZoneId
-from coppercleat.membership import LinkWatch
+from coppercleat.membership import Kind, LinkWatch
 from coppercleat.serving import GatewaySettings, Peers, Placement, Upstream
 from tests.harness._processes import free_port
 
@@ -148,7 +148,7 @@
       mended: Links that were answered again: when, and which.
     """
 
-    STEPS_A_TICK = 5
+    STEPS_A_TICK = 10
 
     def __init__(self, names, *, step_s=0.01, on_message=None, on_reopened=None):
         self.ends = {name: _End() for name in names}
@@ -166,11 +166,11 @@
     def now(self):
         return self._steps * self.step_s
 
-    def send(self, sender, receiver, message, *, is_news=True):
+    def send(self, sender, receiver, message, *, kind=Kind.NEWS):
         end = self.ends[sender]
         end.number += 1
         self.sent += 1
-        asks = end.watch.sent(receiver, end.number, is_news=is_news)
+        asks = end.watch.sent(receiver, end.number, now=self.now, kind=kind)
         if (sender, receiver) in self.silent | self.cut:
             return
         sealed = sender, end.number, end.heard.get(receiver, 0), asks, message
@@ -198,7 +198,7 @@
             if number <= end.heard.get(sender, 0):
                 continue
             end.heard[sender] = number
-            end.watch.received(sender, heard=heard, asks=asks)
+            end.watch.received(sender, heard=heard, asks=asks, now=self.now)
             if message is not None:
                 self.on_message(sender, name, message)
 
@@ -212,4 +212,4 @@
         for peer in due.questions:
             self.send(name, peer, None)
         for peer in due.answers:
-            self.send(name, peer, None, is_news=False)
+            self.send(name, peer, None, kind=Kind.ANSWER)
