The row of a peer that is held for a moment has others start work meanwhile

Ruled out: doing without the check that one is opened: then the row says nothing of storms. Change: the others start work as the peer is held; so what is told it is news. Result: the three rows of held and killed peers pass. Conclusion: a peer to whom nothing new is said keeps its link for 1.2 s more.

--- a/tests/features/steps/link_steps.py
+++ b/tests/features/steps/link_steps.py
@@ -87,6 +87,7 @@
     async def play(fleet, first):
         before = sum(peers.messenger.links.reopened for peers in fleet.all)
         fleet.hold(0, True)
+        fleet.start_work(1, first=1)
         await watch_counts(context, fleet, seconds)
         fleet.hold(0, False)
         fleet.start_work(1)
--- a/tests/harness/_links.py
+++ b/tests/harness/_links.py
@@ -106,8 +106,8 @@
             if number in pair:
                 relay.held = held
 
-    def start_work(self, more):
-        for peers in self.all:
+    def start_work(self, more, *, first=0):
+        for peers in self.all[first:]:
             peers.placement.states[UpstreamId("x")].online += more
             peers.work_changed(urgent=True)
 
