--- a/tests/features/serving_decisions.feature
+++ b/tests/features/serving_decisions.feature
@@ -301,6 +301,15 @@
       | zone     | through others | 9.9   | 10.6 | 0     |
       | zone     | not at all     | 2.4   | 3.1  | 0     |
 
+  Scenario Outline: An entry's online requests go from <before> to <after> unheard
+    When an entry's online requests go from <before> to <after> as links fall silent
+    Then another entry knows of it within 1 s
+
+    Examples: entries tell a change once
+      | before | after |
+      | 1      | 3     |
+      | 3      | 0     |
+
   Scenario Outline: A link whose news comes every <every> s from <who> while <trouble>
     When <trouble> for <seconds> s, with news every <every> s from <who>
     Then links are opened anew <least> to <most> times, first within <within> s
--- a/tests/features/steps/link_steps.py
+++ b/tests/features/steps/link_steps.py
@@ -1,13 +1,31 @@
 """Steps for links between instances that fall silent."""
 
+import random
+import types
+
 import trio
 import trio.testing
 from behave import then, when
 
 from coppercleat.ids import InstanceId, Revision, UpstreamId, ZoneId
-from coppercleat.membership import EnvelopeWriter, Heartbeat, Kind, MemberLine
+from coppercleat.instance._peers import Peers as EntryPeers
+from coppercleat.membership import (
+    Detector,
+    EnvelopeWriter,
+    Heartbeat,
+    Kind,
+    MemberLine,
+)
+from coppercleat.observability import Metrics
+from coppercleat.routing import PeerArrivals
 from coppercleat.serving import InFlight, Rank, Waiting, WorkInFlight, ZoneWork
-from tests.harness import RelayedFleet, SimulatedLinks, free_port, make_peers
+from tests.harness import (
+    Relay,
+    RelayedFleet,
+    SimulatedLinks,
+    free_port,
+    make_peers,
+)
 
 
 @when(
@@ -193,6 +211,76 @@
     assert context.waits_s <= most, context.waits_s
 
 
+class Arrivals:
+    """An instance's end of what is told of online arrivals, through a relay."""
+
+    def __init__(self, number, port, other):
+        name = InstanceId(f"entry-{number}")
+        self.table = {UpstreamId("x"): types.SimpleNamespace(online=0)}
+        self.known = PeerArrivals()
+        line = MemberLine(name, f"127.0.0.1:{port}", ZoneId("a"), 1, 0, Revision(0))
+        detector = Detector(
+            line, suspect_after_s=3.0, fanout=4, rng=random.Random(number)
+        )
+        listed = [(InstanceId(f"entry-{1 - number}"), other, ZoneId("a"))]
+        detector.observe_list(listed, trio.current_time())
+        settings = types.SimpleNamespace(
+            instance=types.SimpleNamespace(id=name),
+            listen=types.SimpleNamespace(peers=f"127.0.0.1:{port}"),
+            peers=types.SimpleNamespace(seeds=(), keys=("k" * 16,), heartbeat_s=0.5),
+        )
+        fleet = types.SimpleNamespace(
+            arrivals=self.known,
+            table=self.table,
+            list_read=True,
+            feeder_of=lambda record: None,
+            note_online=lambda upstream: None,
+        )
+        document = types.SimpleNamespace(revision=Revision(0))
+        keeper = types.SimpleNamespace(loaded=True, document=document)
+        self.peers = EntryPeers(settings, detector, fleet, keeper, Metrics())
+
+    def set_online(self, count):
+        self.table[UpstreamId("x")].online = count
+        self.peers.online_changed(UpstreamId("x"))
+
+
+@when("an entry's online requests go from {before:d} to {after:d} as links fall silent")
+def arrivals_change(context, before, after):
+    async def run():
+        ports = [free_port(), free_port()]
+        relays = [Relay(port) for port in ports]
+        ends = [
+            Arrivals(n, ports[n], f"127.0.0.1:{relays[1 - n].port}") for n in (0, 1)
+        ]
+
+        async def until_known(count):
+            began = trio.current_time()
+            with trio.move_on_after(8):
+                while ends[1].known.total(UpstreamId("x")) != count:
+                    await trio.sleep(0.01)
+            return trio.current_time() - began
+
+        async with trio.open_nursery() as nursery:
+            for part in (*relays, *(end.peers for end in ends)):
+                nursery.start_soon(part.run)
+            await trio.sleep(1.0)
+            ends[0].set_online(before)
+            assert await until_known(before) < 8
+            for relay in relays:
+                relay.fall_silent()
+            ends[0].set_online(after)
+            context.known_after = await until_known(after)
+            nursery.cancel_scope.cancel()
+
+    trio.run(run)
+
+
+@then("another entry knows of it within {within:g} s")
+def arrivals_known(context, within):
+    assert context.known_after <= within, context.known_after
+
+
 # One link, without sockets.
 
 
