What was told to one only stays news to the others

Cause: telling one instance, since it was new or its link silent, also noted the counts as told; a change not yet told to the rest would have gone to them as routine, whose loss is asked after 1.2 s later. What waits too long ago was kept a beat longer when a peer was dropped in the same look. Both were found by reading, not seen. Ruled out: a note for each instance of what it was told: one for all is enough, if telling one leaves it alone. Change: telling all and telling one are two functions.

--- a/src/coppercleat/serving/_peers.py
+++ b/src/coppercleat/serving/_peers.py
@@ -293,11 +293,12 @@
         zones = [
             z for z in self.placement.zones.tellers() if self._zone_is_silent(z, now)
         ]
+        changed = self._forget_waiting(now)
         for peer in silent:
             self._drop_peer(peer)
         for zone in zones:
             self._drop_zone(zone)
-        if silent or zones or self._forget_waiting(now):
+        if changed or silent or zones:
             self.on_counts()
 
     def _is_silent(self, peer: InstanceId, now: float) -> bool:
@@ -362,7 +363,7 @@
         if silent.way is Way.EITHER and self.placement.order.forget(silent.peer):
             self.on_counts()
         if silent.peer in self._near(self.others()):
-            self._tell_work([silent.peer])
+            self._tell_work(silent.peer)
 
     def _tells_as_one(self, zone: ZoneId | None, now: float) -> bool:
         """Returns whether a whole zone's work has been told of lately."""
@@ -398,24 +399,26 @@
             self._changed = trio.Event()
             self._urgent = trio.Event()
             self._told_at = trio.current_time()
-            self._tell_work(self._near(self.others()), anew=False)
+            self._tell_all(self._near(self.others()))
 
-    def _tell_work(self, instances: Iterable[InstanceId], *, anew: bool = True) -> None:
-        """Tells of work in flight and waiting.
+    def _tell_all(self, instances: Iterable[InstanceId]) -> None:
+        """Tells of work in flight and waiting; it is routine if nothing has changed."""
+        work = self._own_work()
+        told, self._told_last = self._told_last, (work.counts, work.waiting)
+        kind = Kind.ROUTINE if told == self._told_last else Kind.NEWS
+        for instance in instances:
+            self.messenger.send(instance, work, kind=kind)
 
-        Args:
-          instances: Whom to tell.
-          anew: Whether it is news to them though nothing has changed.
-        """
-        work = WorkInFlight(
+    def _tell_work(self, instance: InstanceId) -> None:
+        """Tells one of work in flight and waiting that may know nothing of it."""
+        self.messenger.send(instance, self._own_work())
+
+    def _own_work(self) -> WorkInFlight:
+        return WorkInFlight(
             tuple(self.placement.own()),
             self.waiting(),
             self.placement.demand.own_rates(now=trio.current_time()),
         )
-        told, self._told_last = self._told_last, (work.counts, work.waiting)
-        kind = Kind.NEWS if anew or told != self._told_last else Kind.ROUTINE
-        for instance in instances:
-            self.messenger.send(instance, work, kind=kind)
 
     async def _tell_far_forever(self) -> None:
         """Tells other zones of this one's work, if that falls to this instance."""
@@ -460,7 +463,7 @@
         self.detector.observe(heartbeat, now)
         if not met and sender in self._near(self.others()):
             # What was told before did not reach it.
-            self._tell_work([sender])
+            self._tell_work(sender)
 
     @_handlers.handles(WorkInFlight)
     def _on_work(self, sender: InstanceId, work: WorkInFlight) -> None:
@@ -473,7 +476,7 @@
             self._forget_zone(zone)
         if self.detector.has_died(sender, now):
             # Nothing was told to it while it was taken for dead.
-            self._tell_work([sender])
+            self._tell_work(sender)
         self._counts_at[sender] = now
         self.placement.peers.observe(sender, work.counts)
         self.placement.order.observe(sender, work.waiting, now=now)
