Test, failing: an item that upstreams answer with 502, 503 and 504

Cause, as seen by reading: any status of 500 and more counts as a failed attempt of the item, three of which end it as failed for good.

--- a/tests/features/serving_decisions.feature
+++ b/tests/features/serving_decisions.feature
@@ -524,6 +524,9 @@
       | 200 x / 200 1                      | completed | 1         | none none   |
       | 200 1 cut / 500 / 500 / 500        | failed    | -         | none 1 1 1  |
       | 200 1 cut / 422                    | failed    | -         | none 1      |
+      | 503 / 503 / 503 / 200 1            | completed | 1         | none none none none |
+      | 502 / 500 / 504 / 500 / 200 1      | completed | 1         | none none none none none |
+      | 500 / 503 / 500 / 502 / 500        | failed    | -         | none none none none none |
 
   Scenario Outline: The length that an upstream gives to its answer to a <route> request
     When upstreams answer a <route> request in turn: 200 length 1 2, to a client that sends POST and has none
