Only an upstream's own failure counts against an item

Cause: any status of 500 and more counted as a failed attempt; 502, 503 and 504 tell of an upstream that is busy, or of what stands before it. Three of them ended an item as failed, which its caller reads as final. Ruled out: ejecting such upstreams sooner: the item's count would still rise meanwhile. Change: 500 counts, the others are runs that broke, after which the item goes elsewhere.

--- a/src/coppercleat/jobs/_items.py
+++ b/src/coppercleat/jobs/_items.py
@@ -49,7 +49,10 @@
 """For how long an upstream that refused an item as full gets none."""
 
 _UNPROCESSABLE = 422
-_SERVER_ERROR = 500
+_FAILED = 500
+"""By which an upstream says that it ran the item and failed. Other errors tell of the
+upstream or of what stands before it: they end no item."""
+
 
 _log = part_logger("jobs")
 
@@ -318,7 +321,7 @@
         return ItemEnd.NOT_RUN
     if answer.status == _UNPROCESSABLE:
         return ItemEnd.IMPOSSIBLE
-    if answer.status >= _SERVER_ERROR:
+    if answer.status == _FAILED:
         return ItemEnd.FAILED
     if answer.status != 200:
         raise UpstreamBrokeError(f"the upstream answered {answer.status}")
