Test, failing: a link to a member of the release before

Cause: fields at the end of an envelope read as 0 where they are missing, so each message of such a member tells that nothing sent to it has arrived, and its link is silent for ever. Ruled out: that it only costs questions; none is asked, what comes unread is enough.

--- a/tests/features/serving_decisions.feature
+++ b/tests/features/serving_decisions.feature
@@ -333,6 +333,12 @@
       | answers take 0.4 s          | 60      | 0.1   | one end   | 1     | 4    | 0.6    | 0.1   |
       | answers take 1 s            | 60      | 0.1   | one end   | 2     | 6    | 0.6    | 0.1   |
 
+  # While a fleet is updated, members of the release before seal no numbers that they
+  # heard: their messages tell nothing of those sent to them.
+  Scenario: A link to a member whose envelopes tell of nothing heard
+    When for 60 s a member's envelopes of the format before arrive, and it is told news
+    Then its link is opened anew 1 times at most, and it is asked 1 times at most
+
   Scenario Outline: An upstream whose attempts ended <ends>, one every 0.5 s
     Then after <later> s more it is <taken>
 
