Judge no link by a member whose release does not tell what it heard

Cause: an envelope of the format before read as one that says that nothing was heard. Ruled out: taking 0 for that; a member that has just started says so truly. Change: the missing field is None; such a link is not judged until its member tells. Not measured: a mixed fleet of real processes. Conclusion: a fleet can be updated by turns; between the releases silent links are found as before by nobody, until both ends are new.

--- a/src/coppercleat/membership/_envelope.py
+++ b/src/coppercleat/membership/_envelope.py
@@ -33,7 +33,7 @@
     incarnation: int
     number: int
     message: _M
-    heard: int = 0
+    heard: int | None = None
     asks: bool = False
 
 
@@ -51,13 +51,14 @@
     """A fresh message from a member.
 
     Attributes:
-      heard: Number of the last envelope that the sender had of the receiver; 0 if none.
+      heard: Number of the last envelope that the sender had of the receiver; 0 if
+        none, None from a member whose release does not tell.
       asks: Whether the sender asks for an answer.
     """
 
     sender: InstanceId
     message: Any
-    heard: int
+    heard: int | None
     asks: bool
 
 
--- a/src/coppercleat/membership/_messenger.py
+++ b/src/coppercleat/membership/_messenger.py
@@ -143,7 +143,9 @@
         if sender == self.detector.own.instance:
             return
         # A number that is not this start's own tells of an earlier one's messages.
-        heard = opened.heard if opened.heard <= self._writer.number else 0
+        heard = opened.heard
+        if heard is not None and heard > self._writer.number:
+            heard = 0
         now = trio.current_time()
         self.watch.received(sender, heard=heard, asks=opened.asks, now=now)
         if not isinstance(opened.message, LinkCheck):
--- a/src/coppercleat/membership/_silent_links.py
+++ b/src/coppercleat/membership/_silent_links.py
@@ -150,6 +150,7 @@
       patience_s: How long an answer may take.
       silent_since: Since when the link is silent; None if it is not.
       reopened: How often it was opened anew since.
+      tells: Whether the other end's release tells what it has heard.
     """
 
     sent_at: float
@@ -164,6 +165,7 @@
     patience_s: float = ANSWER_WITHIN_S
     silent_since: float | None = None
     reopened: int = 0
+    tells: bool = True
 
 
 class LinkWatch:
@@ -194,6 +196,8 @@
         now = self._counted(now)
         link = self._link(peer, now)
         link.sent_at, link.owes = now, False
+        if not link.tells:
+            return False
         sent = _Sent(number, now)
         link.unheard = link.unheard or sent
         if kind is Kind.ANSWER:
@@ -206,12 +210,15 @@
         link.asked, link.asked_last = sent, now
         return True
 
-    def received(self, peer: InstanceId, *, heard: int, asks: bool, now: float) -> None:
+    def received(
+        self, peer: InstanceId, *, heard: int | None, asks: bool, now: float
+    ) -> None:
         """Notes a message from a member.
 
         Args:
           peer: Who sent it.
-          heard: Number of the last message that it had from here; 0 if none.
+          heard: Number of the last message that it had from here; 0 if none, None if
+            its release does not tell: such a link cannot be judged.
           asks: Whether it asks for an answer.
           now: Seconds on this member's clock.
         """
@@ -219,6 +226,11 @@
         link = self._link(peer, now)
         link.heard_at = now
         link.owes = link.owes or asks
+        link.tells = heard is not None
+        if heard is None:
+            link.unheard, link.asked, link.unread = None, None, False
+            link.silent_since, link.reopened = None, 0
+            return
         if link.unheard is None:
             return
         if heard < link.unheard.number:
--- a/tests/features/steps/mixed_fleet_steps.py
+++ b/tests/features/steps/mixed_fleet_steps.py
@@ -6,8 +6,7 @@
 from behave import then, when
 
 from coppercleat.ids import InstanceId, Revision, ZoneId
-from coppercleat.membership import Heartbeat, LinkWatch, MemberLine
-from coppercleat.membership._envelope import EnvelopeReader
+from coppercleat.membership import EnvelopeReader, Heartbeat, LinkWatch, MemberLine
 
 KEY = "fleet"
 PEER = InstanceId("before")
