Test, failing: a process that stood still takes waiting bytes for silence

Cause: timers that are due as the process goes on are judged before the bytes that arrived meanwhile are read: a client's body, events of streams, events of items. Conclusion: a time in which nothing could be read must not count as silence.

--- a/tests/features/gateway.feature
+++ b/tests/features/gateway.feature
@@ -178,6 +178,26 @@
     Then gateway 1 has no call in flight
     And the client was answered 408
 
+  # A process that stood still has not read what waits for it: its timers prove nothing.
+  Scenario: The rest of a request arrives while the process stands still
+    Given 1 gateways and 1 runners
+    When a client sends a stream request of 9 bytes and falls silent after 4
+    And 1 s pass
+    And gateway 1 stands still for 4 s while the last 5 bytes arrive
+    Then the client was answered 200
+
+  Scenario Outline: Events of <count> <runs> arrive while the process stands still
+    Given 1 gateways and 2 runners
+    And every runner is set to {"events": 60, "event_s": 0.05}
+    And the gateways have been up for 2 s
+    When gateway 1 stands still for 1.5 s in the middle of <count> <runs>
+    Then each was run once, and none was taken for silent
+
+    Examples: after a silence of 0.6 s and 1 s runs go elsewhere
+      | count | runs               |
+      | 6     | resumable requests |
+      | 6     | items of a job     |
+
   # A client that is gone without a word, or that reads no further, leaves a full send
   # buffer; what is sent into it can't be cancelled, so it held its run and the process.
   Scenario Outline: A client that takes no more of its answer <holds>
