Take no silence of streams from a look that comes late

Cause: after this process stood still the looks for silent upstreams came before the events that waited had been read, so all streams that may be resumed were run anew. Change: a look that comes 0.15 s late or more is left out, once in a row. Conclusion: items still have the fault: their time is a deadline and is not looked at.

--- a/src/coppercleat/serving/_silence.py
+++ b/src/coppercleat/serving/_silence.py
@@ -24,6 +24,9 @@
 SILENCE_LOOK_S = 0.05
 """Between looks for a slot elsewhere, for a request whose upstream is silent."""
 
+LATE_LOOK_S = 3 * SILENCE_LOOK_S
+"""A look that comes so late is left out, once: a busy process looks some ms late."""
+
 
 def first_patience_s(route: Route) -> float:
     """Returns for how long an upstream may be silent before the first event."""
@@ -61,9 +64,17 @@
 
     async def run(self) -> None:
         """Ends attempts at silent upstreams, until cancelled."""
+        looked_at, waited = trio.current_time(), False
         while True:
             await trio.sleep(SILENCE_LOOK_S)
             now = trio.current_time()
+            late = now - looked_at > LATE_LOOK_S
+            looked_at = now
+            if late and not waited:
+                # What came while this process stood still has not been read yet.
+                waited = True
+                continue
+            waited = False
             for exchange, (state, scope) in list(self._open.items()):
                 if self._has_stalled(exchange, state, now):
                     exchange.silent = True
