--- a/src/coppercleat/gateway/_gateway.py
+++ b/src/coppercleat/gateway/_gateway.py
@@ -215,6 +215,7 @@
             nursery.start_soon(self.admission.run)
             nursery.start_soon(self.forwarder.silence.run)
             nursery.start_soon(self.survey.run)
+            nursery.start_soon(self.items.end_silent)
             nursery.start_soon(self.worker.run)
             nursery.start_soon(self.sweeper.run)
 
--- a/src/coppercleat/jobs/_items.py
+++ b/src/coppercleat/jobs/_items.py
@@ -29,6 +29,7 @@
     UpstreamCaller,
     UpstreamState,
     is_event_stream,
+    looks_for_silence,
     why_incomplete,
 )
 from coppercleat.upstreams import Attempt, AttemptState
@@ -62,6 +63,8 @@
     """An item in a slot of an upstream, and how to stop it.
 
     Attributes:
+      stall: Cancelled when the upstream is silent.
+      heard_at: When the run began or its last event came, in trio's time.
       silent_since: When it was last heard of, if it was given up as silent; in trio's
         time.
     """
@@ -70,6 +73,8 @@
     item: ItemRun
     state: UpstreamState
     scope: trio.CancelScope
+    stall: trio.CancelScope = attrs.field(factory=trio.CancelScope)
+    heard_at: float = 0.0
     silent_since: float | None = None
 
 
@@ -191,7 +196,7 @@
         )
         if end in (ItemEnd.BROKEN, ItemEnd.FAILED):
             if running.silent_since is None or self.silent_runs.blames(
-                running.silent_since
+                state, running.silent_since
             ):
                 _judge_failure(state, attempt)
         elif end is ItemEnd.COMPLETE:
@@ -235,9 +240,9 @@
             body=item.spec.body,
             allowed_s=0.0,
         )
-        stall = trio.CancelScope(deadline=trio.current_time() + STALL_S)
+        running.heard_at = trio.current_time()
         end = ItemEnd.BROKEN
-        with self._watched(running, attempt, stall), stall:
+        with self._watched(running, attempt), running.stall:
             try:
                 async with self.caller.exchange(
                     state.upstream,
@@ -246,7 +251,7 @@
                     allowed_s=None,
                     resume_after=item.last_event,
                 ) as answer:
-                    end = await _collect(item, state, answer, stall)
+                    end = await _collect(running, answer)
             except UpstreamBrokeError as error:
                 _log.info(
                     "Item broke off.",
@@ -258,24 +263,29 @@
         return end
 
     @contextlib.contextmanager
-    def _watched(
-        self, running: Running, attempt: Attempt, stall: trio.CancelScope
-    ) -> Iterator[None]:
+    def _watched(self, running: Running, attempt: Attempt) -> Iterator[None]:
         """Notes a run that was left before its upstream had ended it."""
         try:
             yield
         finally:
             cut = running.scope.cancel_called
-            if attempt.state is AttemptState.SENT and (stall.cancelled_caught or cut):
-                heard_at = stall.deadline - STALL_S
-                running.silent_since = heard_at if stall.cancelled_caught else None
+            silent = running.stall.cancelled_caught
+            if attempt.state is AttemptState.SENT and (silent or cut):
+                running.silent_since = running.heard_at if silent else None
                 self.silent_runs.left(
                     running.state,
                     RunKind.ITEM,
-                    heard_at=heard_at,
-                    silent=stall.cancelled_caught,
+                    heard_at=running.heard_at,
+                    silent=silent,
                 )
 
+    async def end_silent(self) -> None:
+        """Ends runs at upstreams that have fallen silent, until cancelled."""
+        async for now in looks_for_silence():
+            for running in self._running:
+                if running.heard_at and now - running.heard_at > STALL_S:
+                    running.stall.cancel()
+
     # Making room.
 
     def preempt(self) -> None:
@@ -306,16 +316,15 @@
             running.scope.cancel()
 
 
-async def _collect(
-    item: ItemRun, state: UpstreamState, answer: UpstreamAnswer, stall: trio.CancelScope
-) -> ItemEnd:
+async def _collect(running: Running, answer: UpstreamAnswer) -> ItemEnd:
     """Takes an item's events and returns how the run ended.
 
     Raises:
       UpstreamBrokeError: The run is not complete, or not one of this item.
     """
+    item = running.item
     if answer.other_instance:
-        state.gone = True
+        running.state.gone = True
         return ItemEnd.NOT_RUN
     if answer.refused:
         return ItemEnd.NOT_RUN
@@ -335,7 +344,7 @@
             if event.number is not None:
                 item.last_event = event.number
                 item.events.append(event.data)
-                stall.deadline = trio.current_time() + STALL_S
+                running.heard_at = trio.current_time()
         if not in_order:
             raise UpstreamBrokeError("an event is out of order")
     if incomplete := why_incomplete(
--- a/src/coppercleat/membership/_detector.py
+++ b/src/coppercleat/membership/_detector.py
@@ -19,6 +19,9 @@
 _FORGET_FACTOR = 20
 _TELL_ALL = 16
 _CROSS_ZONE_TARGETS = 1
+_STOOD_STILL = 0.5
+"""Beats come four times within the time to suspect: a pause of this part of it between
+two of them says that this instance stood still, and has not read what others said."""
 
 
 @attrs.define(kw_only=True)
@@ -125,9 +128,10 @@
     ) -> tuple[Heartbeat, list[InstanceId]]:
         """Makes the next heartbeat and says whom to send it to."""
         last = self._ticked_at
-        self.paused = last is not None and now - last > self._suspect_after_s
-        if self.paused:
-            self._forgive(now)
+        passed_s = now - last if last is not None else 0.0
+        self.paused = passed_s > self._suspect_after_s
+        if passed_s > self._suspect_after_s * _STOOD_STILL:
+            self._forgive(passed_s, now)
         self._ticked_at = now
         self.own = _replace(self.own, beat=self.own.beat + 1, revision=revision)
         self._forget(now)
@@ -184,11 +188,11 @@
             and now - member.advanced_at <= self._suspect_after_s
         )
 
-    def _forgive(self, now: float) -> None:
-        """After a pause, silence proves nothing: the clock starts anew."""
+    def _forgive(self, pause_s: float, now: float) -> None:
+        """After a pause, silence proves nothing: the time of the pause is left out."""
         for member in self.members.values():
             if member.line is not None:
-                member.advanced_at = now
+                member.advanced_at = min(now, member.advanced_at + pause_s)
 
     def _forget(self, now: float) -> None:
         limit = self._suspect_after_s * _FORGET_FACTOR
--- a/src/coppercleat/membership/_messenger.py
+++ b/src/coppercleat/membership/_messenger.py
@@ -154,8 +154,10 @@
 
     def _reopen(self, silent: Silent) -> None:
         member = self.detector.members.get(silent.peer)
-        if member is None or not self.links.reopen(member.address):
+        if member is None:
             return
+        # The socket may be gone as the least used: what it carried is lost too.
+        self.links.reopen(member.address)
         _log.info(
             "A link is opened anew.",
             peer=silent.peer,
--- a/src/coppercleat/platform/_edges.py
+++ b/src/coppercleat/platform/_edges.py
@@ -27,7 +27,9 @@
 what waits is of no use to it by then. A lost packet costs 0.2 to 2 s. At a stop there
 is no more time than for calls in flight."""
 
-_LEAST_UNTAKEN_S = 1.0
+_LEAST_UNTAKEN_S = 3.0
+"""With any grace period: shorter pauses of a connection may pass by themselves."""
+
 _READINESS_GRACE_S = 0.1
 _MAX_HEADER_BYTES = 65_536
 _MANY = 1_000_000_000
--- a/src/coppercleat/serving/__init__.py
+++ b/src/coppercleat/serving/__init__.py
@@ -51,6 +51,7 @@
 )
 from coppercleat.serving._results import RecentResults
 from coppercleat.serving._sequence import EventSequence
+from coppercleat.serving._silence import looks_for_silence
 from coppercleat.serving._silent_moments import SilentMoments
 from coppercleat.serving._silent_runs import RunKind, SilentRuns
 from coppercleat.serving._survey import Survey
@@ -125,6 +126,7 @@
     "believed_runs",
     "jobs_pause_s",
     "lease_s",
+    "looks_for_silence",
     "renewal_pause_s",
     "routes_pause_s",
     "upstreams_pause_s",
--- a/src/coppercleat/serving/_forwarding.py
+++ b/src/coppercleat/serving/_forwarding.py
@@ -262,7 +262,7 @@
         if attempt.state is AttemptState.QUEUED:
             state.failed(now, reached=False)
         elif end in (AttemptEnd.LOST, AttemptEnd.CUT):
-            if not exchange.silent or self.silent_runs.blames(exchange.heard_at):
+            if not exchange.silent or self.silent_runs.blames(state, exchange.heard_at):
                 state.failed(now)
         elif end is AttemptEnd.COMPLETE and exchange.status < _SERVER_ERROR:
             state.succeeded(now)
@@ -282,7 +282,7 @@
         streams = exchange.route.kind is RouteKind.STREAM
         if not streams or silent_s <= patience_s(exchange.route):
             return
-        if self.silent_runs.blames(exchange.heard_at):
+        if self.silent_runs.blames(state, exchange.heard_at):
             state.failed(now)
 
     def _observe(self, exchange: Exchange, state: UpstreamState, now: float) -> None:
--- a/src/coppercleat/serving/_placement.py
+++ b/src/coppercleat/serving/_placement.py
@@ -14,6 +14,7 @@
 from coppercleat.serving._fleet_order import FleetOrder
 from coppercleat.serving._model import Route, Target, Upstream
 from coppercleat.serving._results import RecentResults
+from coppercleat.serving._silent_moments import SilentMoments
 from coppercleat.serving._work_counts import InFlight, WorkCounts
 
 OTHER_ZONE_LOAD = 1.5
@@ -89,6 +90,7 @@
       gone: Whether it has been found to have left, before the list shows it.
       health: Ejects it while it fails throughout.
       results: Tells whether it fails a part of its requests.
+      silences: When it fell silent, as far as that is held against it.
       unknown: Requests that it runs and nobody has told of, by its own report.
       unheard: Own runs that were left unheard since there was an unknown run last;
         peers are told of as many unknown ones, and hold their slots for taken too.
@@ -98,6 +100,7 @@
     upstream: Upstream
     health: Health = attrs.field(factory=lambda: Health(longest_s=LONGEST_EJECTION_S))
     results: RecentResults = attrs.field(factory=RecentResults)
+    silences: SilentMoments = attrs.field(factory=SilentMoments)
     online: int = 0
     batch: int = 0
     gone: bool = False
--- a/src/coppercleat/serving/_silence.py
+++ b/src/coppercleat/serving/_silence.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import contextlib
-from collections.abc import Iterator
+from collections.abc import AsyncIterator, Iterator
 
 import trio
 
@@ -38,6 +38,23 @@
     return max(GAP_STALL_S, GAP_STALL_TARGETS * route.gap_target_s)
 
 
+async def looks_for_silence() -> AsyncIterator[float]:
+    """Yields the time of each look, but of none that comes late.
+
+    What came while this process stood still has not been read at a late look, and would
+    be taken for silence.
+    """
+    looked_at, waited = trio.current_time(), False
+    while True:
+        await trio.sleep(SILENCE_LOOK_S)
+        now = trio.current_time()
+        late = now - looked_at > LATE_LOOK_S
+        looked_at = now
+        waited = late and not waited
+        if not waited:
+            yield now
+
+
 class SilenceWatch:
     """Looks at all open attempts of an instance by turns.
 
@@ -64,17 +81,7 @@
 
     async def run(self) -> None:
         """Ends attempts at silent upstreams, until cancelled."""
-        looked_at, waited = trio.current_time(), False
-        while True:
-            await trio.sleep(SILENCE_LOOK_S)
-            now = trio.current_time()
-            late = now - looked_at > LATE_LOOK_S
-            looked_at = now
-            if late and not waited:
-                # What came while this process stood still has not been read yet.
-                waited = True
-                continue
-            waited = False
+        async for now in looks_for_silence():
             for exchange, (state, scope) in list(self._open.items()):
                 if self._has_stalled(exchange, state, now):
                     exchange.silent = True
--- a/src/coppercleat/serving/_silent_moments.py
+++ b/src/coppercleat/serving/_silent_moments.py
@@ -2,7 +2,7 @@
 
 Answers the load after open connections have gone silent while new ones work: each run
 on them ends by silence, at all upstreams, and none of these is ill. What begins at one
-moment is one sign, however many runs show it.
+moment is one sign of an upstream, however many runs there show it.
 """
 
 from __future__ import annotations
@@ -13,12 +13,12 @@
 """Silences that began within this time began together: events come 20 ms apart, and a
 run that reads its prompt beside a full batch was last heard of up to 0.1 s before."""
 
-_REMEMBERED = 32
-"""Moments that are kept; a run ends by silence some seconds after it began at most."""
+_REMEMBERED = 8
+"""Moments that are kept of an upstream; three of them in a row eject it."""
 
 
 class SilentMoments:
-    """When silences began; the clock is passed in."""
+    """When silences of one upstream began; the clock is passed in."""
 
     def __init__(self) -> None:
         self._moments: collections.deque[float] = collections.deque(maxlen=_REMEMBERED)
--- a/src/coppercleat/serving/_silent_runs.py
+++ b/src/coppercleat/serving/_silent_runs.py
@@ -10,7 +10,6 @@
 
 from coppercleat.observability import part_logger
 from coppercleat.serving._placement import UpstreamState
-from coppercleat.serving._silent_moments import SilentMoments
 from coppercleat.serving._unknown_runs import UNHEARD_S
 
 _log = part_logger("silence")
@@ -40,7 +39,6 @@
     def __init__(self) -> None:
         self.on_left: OnLeft = lambda state, *, silent: None
         self.on_count: Callable[[str, str], None] = lambda kind, ended: None
-        self._moments = SilentMoments()
 
     def left(
         self, state: UpstreamState, kind: RunKind, *, heard_at: float, silent: bool
@@ -67,6 +65,6 @@
         self.on_count(kind.value, ended)
         self.on_left(state, silent=silent)
 
-    def blames(self, heard_at: float) -> bool:
+    def blames(self, state: UpstreamState, heard_at: float) -> bool:
         """Returns whether a silence is held against its upstream, once a moment."""
-        return self._moments.is_new(heard_at)
+        return state.silences.is_new(heard_at)
--- a/src/coppercleat/serving/_survey.py
+++ b/src/coppercleat/serving/_survey.py
@@ -129,14 +129,19 @@
     def _due(self, now: float) -> list[UpstreamState]:
         """Returns the upstreams to be asked now, some of them if there are many."""
         states = self.placement.states
-        self._of = {
-            upstream: a for upstream, a in self._of.items() if upstream in states
-        }
-        for upstream, asked in self._of.items():
-            if states[upstream].unknown and now >= asked.believed_at + HELD_S:
-                states[upstream].unheard = 0
-                self._believe(states[upstream], 0)
-        due = [state for state in states.values() if self._is_due(state, now)]
+        for upstream, asked in list(self._of.items()):
+            state = states.get(upstream)
+            if state is not None and state.unknown:
+                if now >= asked.believed_at + HELD_S:
+                    state.unheard = 0
+                    self._believe(state, 0)
+            elif upstream not in self._asking and now >= max(
+                self._all_until, asked.doubted_until
+            ):
+                del self._of[upstream]
+        # In a large fleet there are thousands of upstreams, of which few are in doubt.
+        looked_at = states if now < self._all_until else self._of.keys() & states.keys()
+        due = [states[u] for u in looked_at if self._is_due(states[u], now)]
         room = max(0, MOST_AT_ONCE - len(self._asking))
         return due if len(due) <= room else self._rng.sample(due, room)
 
--- a/src/coppercleat/upstreams/_kept.py
+++ b/src/coppercleat/upstreams/_kept.py
@@ -135,10 +135,11 @@
 
     async def _drop_idle(self) -> None:
         """Closes the idle connections, which are as old as the one that was dead."""
-        idle = [kept for kept in self._pool.connections if kept.is_idle()]
+        closed = 0
         with trio.CancelScope(shield=True):
-            for kept in idle:
-                await kept.aclose()
-        _log.info(
-            "Kept connections are dropped.", address=self._address, idle=len(idle)
-        )
+            for kept in list(self._pool.connections):
+                # Another call may take one while an earlier one is closed.
+                if kept.is_idle():
+                    closed += 1
+                    await kept.aclose()
+        _log.info("Kept connections are dropped.", address=self._address, idle=closed)
--- a/tests/features/decisions.feature
+++ b/tests/features/decisions.feature
@@ -114,7 +114,7 @@
   Scenario Outline: The detector with <events>
     Then member "x" is thought <state>
 
-    Examples: hIB heartbeat of incarnation I beat B, wN wait N seconds ticking, pN pause N seconds; 3 s to suspect
+    Examples: hIB heartbeat of incarnation I beat B, wN wait N seconds ticking, pN pause N seconds, sN stand still for less than 3; 3 s to suspect
       | events              | state  |
       | h1.1 w2             | alive  |
       | h1.1 w4             | silent |
@@ -124,6 +124,11 @@
       | h2.1 w4 h1.9        | silent |
       | h1.1 p10            | alive  |
       | h1.1 p10 w4         | silent |
+      | h1.1 w2 s1.6        | alive  |
+      | h1.1 w2 s1.6 w2     | silent |
+      | h1.1 w2 s1.4        | silent |
+      | h1.1 w4 s1.6        | silent |
+      | h1.1 w4 p10         | silent |
 
   Scenario: An instance whose earlier start is remembered outdoes it
     When a peer remembers incarnation 9 of an instance that started as 5
--- a/tests/features/serving_decisions.feature
+++ b/tests/features/serving_decisions.feature
@@ -374,6 +374,7 @@
       | 8    | 1         | at the same moment | 0       | 0       |
       | 3    | 1         | one by one         | 1       | 1       |
       | 3    | 4         | one by one         | 4       | 4       |
+      | 8    | 4         | in turn            | 4       | 4       |
 
   Scenario Outline: An instance that has work in flight tells it to one that starts <later> s later
     When 3 requests are in flight at an instance for <later> s and another starts
--- a/tests/features/steps/decision_steps.py
+++ b/tests/features/steps/decision_steps.py
@@ -309,6 +309,10 @@
             for _ in range(2 * int(event[1:])):
                 now += 0.5
                 found.tick(now, revision=0)
+        elif event[0] == "s":
+            now += float(event[1:])
+            found.tick(now, revision=0)
+            assert not found.paused
         else:
             now += int(event[1:])
             found.tick(now, revision=0)
--- a/tests/features/steps/silence_steps.py
+++ b/tests/features/steps/silence_steps.py
@@ -146,7 +146,7 @@
 
 @when("{runs:d} runs at each of {upstreams:d} upstreams fall silent {when_they_do}")
 def fall_silent(context, runs, upstreams, when_they_do):
-    apart_s = 0.16 if when_they_do == "one by one" else 0.0
+    apart_s = {"one by one": 0.16, "in turn": 0.04}.get(when_they_do, 0.0)
     context.placement = Placement(ZoneId("a"), rng=random.Random(1))
     context.placement.replace(
         Upstream(
