Messages of another fleet are counted, and warned of

Cause: a gateway drops messages that bear the seal of another fleet and said so in a debug line only; two parts of a fleet that take each other for strangers looked like a fleet of one each, with no word on why. Ruled out: warning of all reasons. Messages that come over an old link after its new one are dropped as replayed in good order. Change: coppercleat_peer_garbage_total by reason, as on instances of the control side, and a warning a minute at most for wrong_key. Measured: the new scenario fails without the change (no such metric after 60 s) and passes with it. Conclusion: kept; costs a comparison for each dropped message.

--- a/src/coppercleat/gateway/_gateway.py
+++ b/src/coppercleat/gateway/_gateway.py
@@ -244,6 +244,8 @@
         metrics.links_mended.set({}, self.peers.messenger.mended)
         metrics.links_silent.set({}, len(self.peers.messenger.watch.silent()))
         metrics.peers_silent.set({}, self.peers.silenced)
+        for reason, count in self.peers.dropped.counts.items():
+            metrics.garbage.set({"reason": reason}, count)
         states = self.placement.states.values()
         metrics.unknown_runs.set({}, sum(state.unknown for state in states))
         metrics.owned_jobs.set({}, len(self.worker.runs))
--- a/src/coppercleat/gateway/_metrics.py
+++ b/src/coppercleat/gateway/_metrics.py
@@ -72,6 +72,9 @@
         self.peers_silent = self._counter(
             "peers_silent_total", "Times that a peer's work in flight was dropped"
         )
+        self.garbage = self._counter(
+            "peer_garbage_total", "Peer messages dropped, by reason"
+        )
         self.unknown_runs = self._gauge(
             "unknown_runs", "Runs that upstreams report and no instance has told of"
         )
--- a/src/coppercleat/serving/_peers.py
+++ b/src/coppercleat/serving/_peers.py
@@ -21,6 +21,7 @@
     Way,
 )
 from coppercleat.observability import part_logger
+from coppercleat.serving._dropped_messages import DroppedMessages
 from coppercleat.serving._fleet_order import Waiting
 from coppercleat.serving._model import RouteConfig, Upstream
 from coppercleat.serving._node import GatewaySettings
@@ -156,6 +157,7 @@
     Attributes:
       detector: Which instances are heard of.
       messenger: Sends to them and receives.
+      dropped: Messages that could not be taken.
       silenced: Times that a peer's work in flight was dropped.
       on_peer_dropped: Told at which upstreams a peer or a zone had work when what it
         had told was dropped: the work may go on.
@@ -204,6 +206,7 @@
         self.on_handover: Callable[[JobId, list[ItemEvents]], None] = (
             lambda job, items: None
         )
+        self.dropped = DroppedMessages()
         self.messenger = Messenger(
             self.detector,
             listen=settings.peers,
@@ -213,7 +216,7 @@
             receiver=self,
             handlers=_handlers,
             messages=_Messages,
-            on_garbage=lambda why: _log.debug("A message was dropped.", reason=why),
+            on_garbage=self.dropped.note,
             on_reopened=self._on_reopened,
         )
         self.silenced = 0
--- a/tests/features/gateway.feature
+++ b/tests/features/gateway.feature
@@ -305,6 +305,15 @@
     When a client sends a stream request
     Then the answer is 200 whole 1-5 after 1 runs
 
+  # Seen: gateways that reached the store by different addresses took each other for
+  # instances of other fleets and dropped all messages. Each heard no peer, and no
+  # metric nor any line above debug told of it.
+  Scenario: Messages of another fleet are counted, and warned of once
+    Given 1 gateways and 1 runners
+    When 3 messages of another fleet reach gateway 1
+    Then gateway 1 counts 3 dropped messages with reason wrong_key
+    And gateway 1 warns of another fleet once
+
   Scenario: A gateway that starts while the store is away learns from its peers
     Given 2 gateways and 1 runners
     When the store is set to {"outage": true}
--- a/tests/features/steps/gateway_steps.py
+++ b/tests/features/steps/gateway_steps.py
@@ -12,9 +12,12 @@
 import tomllib
 
 import httpcore
+import pynng
 import trio
 from behave import given, then, when
 
+from coppercleat.ids import InstanceId
+from coppercleat.membership import EnvelopeWriter, LinkCheck
 from tests.harness import JOBS, ONCE, PLAIN, RESUMABLE, STREAM, Gateways, until
 
 ROUTES = {"stream": STREAM, "resumable": RESUMABLE, "plain": PLAIN, "once": ONCE}
@@ -787,3 +790,29 @@
 @then("all of them ran at most {within:g} s after the silent runs had ended")
 def ran_after(context, within):
     assert context.ran_after_s <= within, context.ran_after_s
+
+
+@when("{count:d} messages of another fleet reach gateway {number:d}")
+def of_another_fleet(context, count, number):
+    port = context.fleet.ports[f"gateway-{number}"]["control"]
+    stranger = EnvelopeWriter(InstanceId("stranger"), 1, key="another fleet")
+    with pynng.Push0(dial=f"tcp://127.0.0.1:{port}", send_timeout=5000) as push:
+        for _ in range(count):
+            push.send(stranger.seal(LinkCheck()))
+
+
+@then("gateway {number:d} counts {count:d} dropped messages with reason {reason}")
+def counts_dropped(context, number, count, reason):
+    line = f'coppercleat_peer_garbage_total{{reason="{reason}"}} {count}'
+
+    async def counted():
+        metrics = await context.fleet.metrics(f"gateway-{number}")
+        return line in metrics.splitlines()
+
+    context.fleet.run(until, "dropped messages are counted", counted)
+
+
+@then("gateway {number:d} warns of another fleet once")
+def warns_once(context, number):
+    output = context.fleet.processes[f"gateway-{number}"].output()
+    assert output.count("Messages of another fleet are dropped.") == 1, output[-3000:]
