A test: gateways that reach the store by different addresses hear each other

Cause: GatewaySettings.fleet_name is made of the host and port of the store, and keys the seals of messages; with an address for each instance (a proxy, a relay) each is a fleet of its own. Ruled out: addresses or seeds that do not fit: the messages arrive, and are counted as wrong_key. Measured: fails, no gateway of 3 hears 2 others within 5 s.

--- a/tests/features/gateway.feature
+++ b/tests/features/gateway.feature
@@ -314,6 +314,14 @@
     Then gateway 1 counts 3 dropped messages with reason wrong_key
     And gateway 1 warns of another fleet once
 
+  # Seen: instances that reached the store each by an address of its own heard no peer,
+  # and waited for slots as if each were alone. The key of their messages was made of the
+  # store's address; each side counted the other's messages as another fleet's.
+  Scenario: Gateways that reach the store by different addresses hear each other
+    Given 3 gateways and 1 runners, each reached by a link
+    Then within 5 s every gateway hears 2 others
+    And no gateway has dropped messages of another fleet
+
   Scenario: A gateway that starts while the store is away learns from its peers
     Given 2 gateways and 1 runners
     When the store is set to {"outage": true}
--- a/tests/features/steps/gateway_steps.py
+++ b/tests/features/steps/gateway_steps.py
@@ -816,3 +816,22 @@
 def warns_once(context, number):
     output = context.fleet.processes[f"gateway-{number}"].output()
     assert output.count("Messages of another fleet are dropped.") == 1, output[-3000:]
+
+
+@then("within {seconds:d} s every gateway hears {count:d} others")
+def hears_others(context, seconds, count):
+    line = f"coppercleat_peers_heard {count}"
+
+    async def all_hear():
+        pages = [await context.fleet.metrics(name) for name in context.fleet.names]
+        return all(line in page.splitlines() for page in pages)
+
+    what = f"every gateway hears {count} others"
+    context.fleet.run(lambda: until(what, all_hear, wait_s=seconds))
+
+
+@then("no gateway has dropped messages of another fleet")
+def none_of_another_fleet(context):
+    for name in context.fleet.names:
+        page = context.fleet.run(context.fleet.metrics, name)
+        assert "wrong_key" not in page, name
