A flag names the fleet where instances reach the store by different addresses

Cause: the name that keys the seals of messages was made of the store's address, so instances with an address each dropped all that others told: routes, work in flight, jobs taken over. Gateways of the soak and of the scenarios with links ran without any peer, which is one reason why the soak met no silent link. Ruled out: a name from the settings file, which has no field that names the fleet; one constant name, which would let two fleets on one network mix. The harness gives it to gateways that have a link each to the store.

--- a/src/coppercleat/cli/_gateway.py
+++ b/src/coppercleat/cli/_gateway.py
@@ -20,11 +20,18 @@
         "Least level logged.",
         flag_values=values,
     )
+    flags.DEFINE_string(
+        "fleet",
+        "",
+        "Name of the fleet, the same on all its instances; needed where they reach "
+        "the store by different addresses. Otherwise the store's address.",
+        flag_values=values,
+    )
 
 
 @command("gateway", "Runs one gateway instance on the users' platform.", define=_define)
 def gateway(values: flags.FlagValues, arguments: Sequence[str]) -> int:
     """Runs ``gateway``."""
     configure_logs(level=values.log_level, as_json=True, ring=EventRing())
-    trio.run(run_on_platform, settings_path())
+    trio.run(run_on_platform, settings_path(), values.fleet)
     return ExitCode.OK
--- a/src/coppercleat/platform/_edges.py
+++ b/src/coppercleat/platform/_edges.py
@@ -36,8 +36,9 @@
 class PlatformEdges:
     """Serves a gateway's ports; see ``GatewayEdges``."""
 
-    def __init__(self, path: pathlib.Path) -> None:
+    def __init__(self, path: pathlib.Path, *, fleet: str) -> None:
         self.path = path
+        self.fleet = fleet
 
     async def serve(
         self,
@@ -58,7 +59,7 @@
 
     def reload(self) -> GatewaySettings:
         """See ``GatewayEdges.reload``."""
-        return load_platform_settings(self.path).gateway
+        return load_platform_settings(self.path, fleet=self.fleet).gateway
 
 
 async def _serve(application: Callable, config: Config, shutdown: Callable) -> None:
@@ -75,9 +76,14 @@
     return config
 
 
-async def run_on_platform(path: pathlib.Path) -> None:
-    """Runs a gateway instance by the platform's settings file until it is stopped."""
-    settings = load_platform_settings(path)
+async def run_on_platform(path: pathlib.Path, fleet: str) -> None:
+    """Runs a gateway instance by the platform's settings file until it is stopped.
+
+    Args:
+      path: Where the file is.
+      fleet: See ``load_platform_settings``.
+    """
+    settings = load_platform_settings(path, fleet=fleet)
     metrics = GatewayMetrics()
     store = StoreClient(
         f"http://{settings.store}",
@@ -91,4 +97,4 @@
         caller=HttpUpstreamCaller(),
         metrics=metrics,
     )
-    await run_gateway(gateway, PlatformEdges(path))
+    await run_gateway(gateway, PlatformEdges(path, fleet=fleet))
--- a/src/coppercleat/platform/_settings.py
+++ b/src/coppercleat/platform/_settings.py
@@ -76,9 +76,13 @@
     return pathlib.Path(path)
 
 
-def load_platform_settings(path: pathlib.Path) -> PlatformSettings:
+def load_platform_settings(path: pathlib.Path, *, fleet: str) -> PlatformSettings:
     """Reads and checks the settings file.
 
+    Args:
+      path: Where the file is.
+      fleet: Name of the fleet; if empty, the store's address stands for it.
+
     Raises:
       SettingsError: The file cannot be read or a field does not fit.
     """
@@ -111,6 +115,6 @@
             writes_per_s=file.platform.writes_per_s,
         ),
         # Behind a path, as in tests, each instance may have a way of its own.
-        fleet_name=f"fleet at {file.platform.address.partition('/')[0]}",
+        fleet_name=fleet or f"fleet at {file.platform.address.partition('/')[0]}",
     )
     return PlatformSettings(gateway, file.platform.address)
--- a/tests/harness/_gateways.py
+++ b/tests/harness/_gateways.py
@@ -127,6 +127,8 @@
             return
         os.environ["COPPERCLEAT_CONFIG"] = str(path)
         arguments = ["deploy/start.py", "gateway", "--log_level=debug"]
+        if self.proxy_port:
+            arguments.append(f"--fleet=fleet at {self.store_port}")
         self.processes[name] = Process(name, arguments)
 
     def _deployed(
