The soak lets open connections fall silent and refuses to go on with streams

Cause: a link of the soak's proxy harmed all connections or none, and its runners never answered a resumed request with anything but events; so silent kept connections and a short answer that ends as complete were beyond it. Ruled out: a relay between gateways. A gateway tells others the address at which it listens and has no setting for another; tests/harness/_links.py plays silent links in one process. Change: faults store_connections_silent, runner_connections_silent (one link or all, in series), streams_not_resumed (every runner cuts and answers 200, 404 or 500 to go on), silenced runs at a runner; after healing every gateway must hear all others within 10 s. Changes of links are made one at a time, so that overlapping faults do not undo each other.

--- a/bench/soak.py
+++ b/bench/soak.py
@@ -3,8 +3,11 @@
 ``python -m bench.soak --seeds 1-50`` plays each seed: clients send streams, calls and
 jobs on connections of their own while gateways are killed, paused, stopped and told to
 reload, the store is away, slow or loses answers, and a proxy cuts, silences or delays
-the ways to the store and to the runners, in series and together. At the end everything
-heals, and what callers and runners saw is held against docs/PROMISES.md.
+the ways to the store and to the runners, or only the connections that are open then,
+in series and together. At the end everything heals, and what callers and runners saw is
+held against docs/PROMISES.md. Ways between gateways are not harmed: a gateway tells
+others the address at which it listens, so nothing can stand between; links that fall
+silent are played in one process, see tests/harness/_links.py.
 A seed that fails leaves its output in ``out/soak-SEED.log``.
 """
 
@@ -34,6 +37,9 @@
 CANCEL_S = 3.0
 """After a job's end is acknowledged nothing of it may start for longer than this."""
 
+HEARD_S = 10.0
+"""After a restart a gateway hears others within seconds: beats come twice a second."""
+
 SETTLE_S = 60.0
 _OUT = pathlib.Path("out")
 _NETWORK = (httpcore.NetworkError, httpcore.ProtocolError, httpcore.TimeoutException)
@@ -210,13 +216,27 @@
         for name in self.fleet.links:
             await self.fleet.link(name)
         for name in self.fleet.runners:
-            await self.fleet.control(name, silent=False)
+            await self.fleet.control(name, silent=False, resume_status=0, cut_next=0)
             await _insist(lambda n=name: self.fleet.list_runner(n))
         for name in self.fleet.names:
             if not self.fleet.processes[name].running:
                 self.fleet.start_gateway(name)
         for name in self.fleet.names:
             await self.fleet.ready(name)
+        with trio.move_on_after(HEARD_S):
+            while await self._unheard():
+                await trio.sleep(0.1)
+        self.problems += await self._unheard()
+
+    async def _unheard(self) -> list[str]:
+        """Returns which gateways do not hear all others, in words."""
+        line = f"coppercleat_peers_heard {len(self.fleet.names) - 1}"
+        pages = {name: await self.fleet.metrics(name) for name in self.fleet.names}
+        return [
+            f"{name} does not hear all others"
+            for name, page in pages.items()
+            if line not in page.splitlines()
+        ]
 
     # What must hold.
 
@@ -352,6 +372,26 @@
     await soak.fleet.link(name)
 
 
+async def _connections_fall_silent(soak: Soak, names: list[str]) -> None:
+    """At one link or all, open connections fall silent, several times in series."""
+    harmed = names if soak.rng.random() < 0.5 else [soak.rng.choice(names)]
+    for _ in range(soak.rng.randint(1, 5)):
+        await soak.fleet.silence(harmed)
+        await trio.sleep(soak.rng.uniform(0.1, 2.5))
+
+
+@fault
+async def store_connections_silent(soak: Soak) -> None:
+    """Open connections to the store fall silent for good, and new ones work."""
+    await _connections_fall_silent(soak, soak.fleet.names)
+
+
+@fault
+async def runner_connections_silent(soak: Soak) -> None:
+    """Open connections to runners fall silent for good, and new ones work."""
+    await _connections_fall_silent(soak, soak.fleet.runners)
+
+
 @fault
 async def gateway_killed(soak: Soak) -> None:
     """A gateway is killed and starts again after a while."""
@@ -397,7 +437,7 @@
 
 @fault
 async def runner_faulty(soak: Soak) -> None:
-    """A runner cuts, crosses, fails, sheds or says nothing."""
+    """A runner cuts, crosses, fails, sheds or says nothing, or its runs go unheard."""
     name = soak.rng.choice(soak.fleet.runners)
     knobs = soak.rng.choice(
         [
@@ -406,6 +446,7 @@
             {"fail_next": 3},
             {"shed_next": 5},
             {"silent": True},
+            {"silenced": 1},
         ]
     )
     await soak.fleet.control(name, **knobs)
@@ -414,6 +455,18 @@
         await soak.fleet.control(name, silent=False)
 
 
+@fault
+async def streams_not_resumed(soak: Soak) -> None:
+    """Runners cut streams, and none of them goes on with one."""
+    status = soak.rng.choice([200, 404, 500])
+    knobs = {"cut_next": 30, "cut_after": soak.rng.randint(1, 20)}
+    for name in soak.fleet.runners:
+        await soak.fleet.control(name, resume_status=status, **knobs)
+    await trio.sleep(soak.rng.uniform(0.5, 4.0))
+    for name in soak.fleet.runners:
+        await soak.fleet.control(name, resume_status=0, cut_next=0)
+
+
 @fault
 async def runner_grey(soak: Soak) -> None:
     """A runner fails a part of its requests, and is otherwise well."""
--- a/tests/harness/_gateways.py
+++ b/tests/harness/_gateways.py
@@ -76,6 +76,8 @@
         self.checkout = checkout
         self.proxy_port = free_port() if proxied else 0
         self.links: dict[str, int] = {}
+        self.linking = trio.Lock()
+        self.silences = 0
         self.names = [f"gateway-{n + 1}" for n in range(gateways)]
 
     def start(self) -> None:
@@ -184,9 +186,20 @@
         if name in self.runners:
             target = self.ports[name]["http"]
         link = {"target": f"127.0.0.1:{target}"} | faults
-        report = await self.control("proxy")
-        links = report["knobs"]["links"] | {str(self.links[name]): link}
-        await self.control("proxy", links=links)
+        async with self.linking:
+            report = await self.control("proxy")
+            links = report["knobs"]["links"] | {str(self.links[name]): link}
+            await self.control("proxy", links=links)
+
+    async def silence(self, names: list[str]) -> None:
+        """Lets the open connections of these links fall silent; other faults stay."""
+        async with self.linking:
+            report = await self.control("proxy")
+            links = report["knobs"]["links"]
+            self.silences += 1
+            for name in names:
+                links[str(self.links[name])]["silence"] = self.silences
+            await self.control("proxy", links=links)
 
     # The operator and the runners.
 
