A test: an empty answer of no kind does not end an item

Cause: a run that goes on after an item's last event has no event, and an answer without a content type may be an event stream; so an empty 200 without a type after a cut listed the item as completed with the events before the cut.

--- a/tests/features/gateway.feature
+++ b/tests/features/gateway.feature
@@ -49,6 +49,19 @@
       | 404    |
       | 200    |
 
+  # Seen: items whose runs were cut after 8 of 30 events were listed as completed with
+  # these 8. Cause: the upstream that was to go on answered 200 with neither a body nor a
+  # kind; a run that goes on after the last event brings none either, and any answer
+  # without a kind passed for such a run. Proved by the log: 'Item run ended.' as broken
+  # with 8 events, then as complete with 8.
+  Scenario: An item is cut and what is to go on with it is an empty answer of no kind
+    Given 1 gateways and 1 runners
+    And every runner is set to {"cut_next": 1, "resume_status": 200}
+    When a job of 1 items is submitted
+    And 1 s pass
+    And every runner is now set to {"resume_status": 0}
+    Then all its items are completed, each listed once and whole
+
   Scenario Outline: A call that <case>
     Given 1 gateways and 1 runners
     When a client calls <method> <host> <target> with <headers> and <size> bytes
--- a/tests/features/steps/gateway_steps.py
+++ b/tests/features/steps/gateway_steps.py
@@ -82,6 +82,7 @@
 
 
 @given("every runner is set to {knobs}")
+@when("every runner is now set to {knobs}")
 def every_runner(context, knobs):
     for name in context.fleet.runners:
         # What hits a number of requests hits the first runner only.
