An item ends with an empty run only if that is of the kind of its last one

Cause: any answer without a content type may be an event stream: its bytes tell. An empty one has none, and passed for a run after the last event; the item was listed as completed with the events before the cut. Ruled out: refusing answers without a type: upstreams may send none. Keeping the type with what the platform keeps of an item: an item begun elsewhere counts as an event stream, which is what upstreams are to send; only one whose upstreams send no type, and that was taken over after its last event and before its end, would not end. Change: an item knows the type of its last run with events; an empty run of another type is a broken one, as it is for online requests.

--- a/src/coppercleat/jobs/_items.py
+++ b/src/coppercleat/jobs/_items.py
@@ -28,6 +28,7 @@
     UpstreamBrokeError,
     UpstreamCaller,
     UpstreamState,
+    head_of,
     is_event_stream,
     why_incomplete,
 )
@@ -324,6 +325,7 @@
         raise UpstreamBrokeError(f"the upstream answered {answer.status}")
     if not is_event_stream(answer):
         raise UpstreamBrokeError("no stream of events")
+    media_type = head_of(answer).media_type
     splitter = EventSplitter()
     sequence = EventSequence(item.last_event, numbered=True)
     async for data in answer.body:
@@ -332,6 +334,7 @@
             if event.number is not None:
                 item.last_event = event.number
                 item.events.append(event.data)
+                item.media_type = media_type
                 stall.deadline = trio.current_time() + STALL_S
         if not in_order:
             raise UpstreamBrokeError("an event is out of order")
@@ -339,6 +342,9 @@
         splitter, sequence, framed=answer.framed, may_move=True
     ):
         raise UpstreamBrokeError(incomplete)
+    # Any empty answer would else pass for a run that went on after the last event.
+    if not sequence.length and media_type != item.media_type:
+        raise UpstreamBrokeError("what was to go on with an item is of another kind")
     return ItemEnd.COMPLETE
 
 
--- a/src/coppercleat/jobs/_run.py
+++ b/src/coppercleat/jobs/_run.py
@@ -9,7 +9,7 @@
 from coppercleat.ids import UpstreamId
 from coppercleat.jobs._records import ItemSpec, ItemState, PartialRow
 from coppercleat.jobs._repository import Finished, Held
-from coppercleat.serving import ItemEvents
+from coppercleat.serving import EVENT_STREAM, ItemEvents
 
 
 class ItemEnd(enum.Enum):
@@ -30,6 +30,8 @@
     Attributes:
       events: Data of the events so far.
       last_event: Number of the last one; None before the first.
+      media_type: Of the last run that brought events; one that is not known here, as
+        after a takeover, was an event stream.
       failures: Runs that the upstream answered with a failure.
       kept_events: How many events the platform keeps.
       kept_failures: How many failures it knows.
@@ -41,6 +43,7 @@
     spec: ItemSpec
     events: list[bytes] = attrs.field(factory=list)
     last_event: int | None = None
+    media_type: bytes = EVENT_STREAM
     failures: int = 0
     kept_events: int = 0
     kept_failures: int = 0
--- a/src/coppercleat/serving/__init__.py
+++ b/src/coppercleat/serving/__init__.py
@@ -7,7 +7,7 @@
     TooLate,
     Waiter,
 )
-from coppercleat.serving._answer_use import is_event_stream
+from coppercleat.serving._answer_use import EVENT_STREAM, head_of, is_event_stream
 from coppercleat.serving._answers import why_incomplete
 from coppercleat.serving._demand import AnswerTimes, Demand
 from coppercleat.serving._events import EventSplitter, StreamEvent
@@ -65,6 +65,7 @@
 from coppercleat.serving._work_counts import InFlight, WorkCounts
 
 __all__ = [
+    "EVENT_STREAM",
     "RETRY_AFTER_S",
     "Admission",
     "AdmissionQueue",
@@ -121,6 +122,7 @@
     "WorkCounts",
     "WorkInFlight",
     "ZoneWork",
+    "head_of",
     "is_event_stream",
     "believed_runs",
     "jobs_pause_s",
--- a/src/coppercleat/serving/_answer_use.py
+++ b/src/coppercleat/serving/_answer_use.py
@@ -14,7 +14,7 @@
 from coppercleat.serving._model import Route, RouteKind
 from coppercleat.serving._upstream_call import UpstreamAnswer
 
-_EVENT_STREAM = b"text/event-stream"
+EVENT_STREAM = b"text/event-stream"
 _PLAIN = frozenset({b"", b"identity"})
 _BODILESS = frozenset({204, 205})
 _FINAL = 200
@@ -58,7 +58,7 @@
     One that says nothing of its kind may be one: its bytes tell.
     """
     encoding = answer.header(b"content-encoding").strip().lower()
-    return encoding in _PLAIN and head_of(answer).media_type in (b"", _EVENT_STREAM)
+    return encoding in _PLAIN and head_of(answer).media_type in (b"", EVENT_STREAM)
 
 
 def use_of(
