The soak's line of a seed names its faults

Cause: a line gave only a count, so a seed without problems did not tell whether it had met a new fault. Ruled out: reading it from the seed: what is drawn when depends on timing. Change: the names with their counts.

--- a/bench/soak.py
+++ b/bench/soak.py
@@ -14,6 +14,7 @@
 from __future__ import annotations
 
 import argparse
+import collections
 import json
 import pathlib
 import random
@@ -512,7 +513,7 @@
             "seed": seed,
             "requests": len(soak.answers),
             "jobs": sum(job.accepted for job in soak.jobs),
-            "faults": len(soak.done),
+            "faults": collections.Counter(soak.done),
             "problems": soak.problems[:10],
         }
         print(json.dumps(line), flush=True)
