--- a/tests/features/gateway.feature
+++ b/tests/features/gateway.feature
@@ -471,5 +471,10 @@
     Then a soak of 6 s with seed <seed> breaks no promise
 
     Examples: a seed that ever failed stays here, with a line on the cause
-      | seed |
-      | 7    |
+      # 1: an empty answer of no kind ended items that had been cut; listed short.
+      # 869888: a job was listed nowhere 60 s after all had healed; another gateway's
+      # takeover had lost its answer. Seen once in 15 s of play; the cause is open.
+      | seed   |
+      | 7      |
+      | 1      |
+      | 869888 |
