Sight: a job's end is logged; findings of the incident and of the soak

Cause: a soak's job was listed nowhere, and whether its client's end had taken effect could not be told: ends were not logged, and the soak did not say whether one was asked. Change: 'Job's end asked.' with outcome and time; the soak's problem says the same. Not reproduced.

--- a/bench/soak.py
+++ b/bench/soak.py
@@ -64,6 +64,7 @@
     statuses: list[int] = attrs.field(factory=list)
     seen: dict[int, Any] = attrs.field(factory=dict)
     ended_at: float = 0.0
+    end_asked: bool = False
 
     @property
     def accepted(self) -> bool:
@@ -162,6 +163,7 @@
             await trio.sleep(self.rng.uniform(0.2, 1.2))
 
     async def _end(self, job: Job) -> None:
+        job.end_asked = True
         try:
             with trio.move_on_after(4):
                 answer = await self.fleet.call(
@@ -248,7 +250,9 @@
                 await trio.sleep(0.05)
         names = [result["id"] for result in job.seen.values()]
         if sorted(names) != [f"{job.id}-item-{n}" for n in range(len(job.items))]:
-            self.problems.append(f"{job.id}: listed are {names}")
+            self.problems.append(
+                f"{job.id}: listed are {names}, its end was asked: {job.end_asked}"
+            )
         text = "\n".join(f"word {n}" for n in range(1, EVENTS + 1))
         for result in job.seen.values():
             good = result["state"] == "completed" and result["text"] == text
--- a/src/coppercleat/gateway/_job_service.py
+++ b/src/coppercleat/gateway/_job_service.py
@@ -181,7 +181,16 @@
             answer = JobAnswer.ENDED if found else JobAnswer.ABSENT
             return JobReply(answer=answer)
 
-        return await _bounded(write)
+        began = trio.current_time()
+        reply = await _bounded(write)
+        # An end without an answer may have taken effect: then nobody runs the job.
+        _log.info(
+            "Job's end asked.",
+            job=job,
+            outcome=reply.answer.value,
+            ms=round((trio.current_time() - began) * 1000),
+        )
+        return reply
 
     async def _row(self, host: str, job: JobId) -> JobRow | None:
         """Returns a job's row; what never changes may come from the job_index."""
