One record of a traced call for the store and for engines; one maker of histograms

Cause: the connections to the store and to engines each had a copy of the record that follows a call by its HTTP client's trace, and the metrics repeated the same histogram. Ruled out: the twins in test steps and in tools: their set-ups differ in what they vary. Change: upstreams/_traced_call.py serves both; GatewayMetrics._seconds makes histograms. Behaviour, names of metrics and tests are as they were. Conclusion: no copy is left of the two.

--- a/src/coppercleat/gateway/_metrics.py
+++ b/src/coppercleat/gateway/_metrics.py
@@ -23,24 +23,13 @@
         self.registry = Registry()
         self.requests = self._counter("requests_total", "Requests by how they ended")
         self.tries = self._counter("tries_total", "Upstreams asked for requests")
-        self.first_event = aioprometheus.Histogram(
-            "coppercleat_first_event_seconds",
-            "Time from arrival to the first part of the answer",
-            registry=self.registry,
-            buckets=_SECONDS,
+        self.first_event = self._seconds(
+            "first_event_seconds", "Time from arrival to the first part of the answer"
         )
-        self.waited = aioprometheus.Histogram(
-            "coppercleat_waited_seconds",
-            "Time for which a request waited for a slot",
-            registry=self.registry,
-            buckets=_SECONDS,
-        )
-        self.total = aioprometheus.Histogram(
-            "coppercleat_total_seconds",
-            "Time from arrival to the end",
-            registry=self.registry,
-            buckets=_SECONDS,
+        self.waited = self._seconds(
+            "waited_seconds", "Time for which a request waited for a slot"
         )
+        self.total = self._seconds("total_seconds", "Time from arrival to the end")
         self.items = self._counter("item_runs_total", "Runs of items by how they ended")
         self.silent_runs = self._counter(
             "silent_runs_total", "Runs that were given up or left while unheard"
@@ -50,11 +39,9 @@
         self.store_calls = self._counter(
             "store_calls_total", "Calls to the platform's store, answered or not"
         )
-        self.store_seconds = aioprometheus.Histogram(
-            "coppercleat_store_call_seconds",
+        self.store_seconds = self._seconds(
+            "store_call_seconds",
             "Time of a call to the platform's store, answered or not",
-            registry=self.registry,
-            buckets=_SECONDS,
         )
         self.store_drops = self._counter(
             "store_connections_dropped_total",
@@ -124,5 +111,10 @@
     def _counter(self, name: str, doc: str) -> aioprometheus.Counter:
         return aioprometheus.Counter(f"coppercleat_{name}", doc, registry=self.registry)
 
+    def _seconds(self, name: str, doc: str) -> aioprometheus.Histogram:
+        return aioprometheus.Histogram(
+            f"coppercleat_{name}", doc, registry=self.registry, buckets=_SECONDS
+        )
+
     def _gauge(self, name: str, doc: str) -> aioprometheus.Gauge:
         return aioprometheus.Gauge(f"coppercleat_{name}", doc, registry=self.registry)
--- a/src/coppercleat/platform/_store_connections.py
+++ b/src/coppercleat/platform/_store_connections.py
@@ -11,7 +11,6 @@
 import enum
 import socket
 from collections.abc import Callable
-from typing import Any
 
 import attrs
 import httpcore
@@ -19,6 +18,7 @@
 
 from coppercleat.observability import part_logger
 from coppercleat.platform._store_evidence import DOUBT_S, CallKind, Evidence
+from coppercleat.upstreams import TracedCall
 
 _MAX_CONNECTIONS = 16
 _KEEPALIVE_S = 30.0
@@ -81,31 +81,6 @@
         return self.kind is not CallKind.CHANGE
 
 
-@attrs.define(eq=False)
-class _Attempt:
-    """A call on one connection.
-
-    Attributes:
-      opened: Whether the connection was opened for it.
-      sent: Whether any of it may have been sent.
-      heard: Whether its answer has begun.
-    """
-
-    began: float
-    opened: bool = False
-    sent: bool = False
-    heard: bool = False
-
-    async def trace(self, event: str, info: dict[str, Any]) -> None:
-        """Follows the call; see httpcore's extension of this name."""
-        if event == "connection.connect_tcp.started":
-            self.opened = True
-        elif event == "http11.send_request_headers.started":
-            self.sent = True
-        elif event == "http11.receive_response_headers.complete":
-            self.heard = True
-
-
 class StoreConnections:
     """Calls the store on kept connections, and finds those that are dead.
 
@@ -150,12 +125,12 @@
         Raises:
           NoAnswerError: No answer came in time.
         """
-        attempt = _Attempt(trio.current_time())
+        attempt = TracedCall(trio.current_time())
         try:
             with trio.fail_after(self.timeout_s):
                 response = await self._attempt(call, attempt)
                 if response is None:
-                    attempt = _Attempt(trio.current_time())
+                    attempt = TracedCall(trio.current_time())
                     response = await self._send(call, attempt)
                 return response
         except trio.TooSlowError as error:
@@ -168,7 +143,7 @@
             raise NoAnswerError(why, sent=attempt.sent) from error
 
     async def _attempt(
-        self, call: StoreCall, attempt: _Attempt
+        self, call: StoreCall, attempt: TracedCall
     ) -> httpcore.Response | None:
         """Makes a call; returns None if it met a dead connection and may be repeated.
 
@@ -196,7 +171,7 @@
             raise NoAnswerError("a silent connection", sent=True)
         return None
 
-    async def _send(self, call: StoreCall, attempt: _Attempt) -> httpcore.Response:
+    async def _send(self, call: StoreCall, attempt: TracedCall) -> httpcore.Response:
         pool = self._objects if call.of_object else self._rows
         response = await pool.request(
             call.method,
@@ -210,7 +185,7 @@
         return response
 
     async def _doubt(
-        self, call: StoreCall, attempt: _Attempt, scope: trio.CancelScope
+        self, call: StoreCall, attempt: TracedCall, scope: trio.CancelScope
     ) -> None:
         """Gives a call up once it shows that its connection is dead."""
         while not attempt.heard:
@@ -226,7 +201,7 @@
             else:
                 await self._probe()
 
-    def _shows_dead(self, call: StoreCall, attempt: _Attempt, now: float) -> bool:
+    def _shows_dead(self, call: StoreCall, attempt: TracedCall, now: float) -> bool:
         if attempt.opened and not call.repeatable:
             # It may be newer than what was found dead; the kernel decides.
             return False
@@ -246,7 +221,7 @@
         finally:
             self._probing = False
 
-    async def _drop(self, why: Drop, call: StoreCall, attempt: _Attempt) -> None:
+    async def _drop(self, why: Drop, call: StoreCall, attempt: TracedCall) -> None:
         """Closes the idle connections, which are as old as the one that was dead."""
         self._on_drop(why, 1)
         if attempt.began < self._dropped_at:
--- a/src/coppercleat/upstreams/__init__.py
+++ b/src/coppercleat/upstreams/__init__.py
@@ -8,6 +8,7 @@
     UpstreamClient,
 )
 from coppercleat.upstreams._events import EventParser, MalformedStreamError, TokenEvent
+from coppercleat.upstreams._traced_call import TracedCall
 
 __all__ = [
     "Attempt",
@@ -18,5 +19,6 @@
     "MalformedStreamError",
     "OrderRefusedError",
     "TokenEvent",
+    "TracedCall",
     "UpstreamClient",
 ]
--- a/src/coppercleat/upstreams/_kept.py
+++ b/src/coppercleat/upstreams/_kept.py
@@ -10,13 +10,12 @@
 import contextlib
 import socket
 from collections.abc import AsyncIterator, Callable
-from typing import Any
 
-import attrs
 import httpcore
 import trio
 
 from coppercleat.observability import part_logger
+from coppercleat.upstreams._traced_call import TracedCall
 
 _MOST_KEPT = 32
 _KEEPALIVE_S = 20.0
@@ -44,36 +43,10 @@
 _log = part_logger("upstreams")
 
 
-@attrs.define(eq=False)
-class _Call:
-    """A call on one connection.
-
-    Attributes:
-      opened: Whether the connection was opened for it.
-      sent: Whether any of it may have been sent.
-      heard: Whether its answer has begun.
-    """
-
-    began: float
-    on_sent: Callable[[], None]
-    opened: bool = False
-    sent: bool = False
-    heard: bool = False
-
-    async def trace(self, event: str, info: dict[str, Any]) -> None:
-        """Follows the call; see httpcore's extension of this name."""
-        if event == "connection.connect_tcp.started":
-            self.opened = True
-        elif event == "http11.send_request_headers.started":
-            self.sent = True
-            self.on_sent()
-        elif event == "http11.receive_response_headers.complete":
-            self.heard = True
-
-    def shows_dead(self, now: float) -> bool:
-        """Returns whether its connection, which was kept, seems to have been dead."""
-        unheard = self.sent and not self.opened and not self.heard
-        return unheard and now - self.began >= SUSPECT_S
+def _shows_dead(call: TracedCall, now: float) -> bool:
+    """Returns whether its connection, which was kept, seems to have been dead."""
+    unheard = call.sent and not call.opened and not call.heard
+    return unheard and now - call.began >= SUSPECT_S
 
 
 class KeptConnections:
@@ -119,7 +92,7 @@
           timeout: Seconds, by httpcore's names.
           on_sent: Told as the request begins to be sent.
         """
-        call = _Call(trio.current_time(), on_sent)
+        call = TracedCall(trio.current_time(), on_sent)
         try:
             async with self._pool.stream(
                 method,
@@ -130,7 +103,7 @@
             ) as response:
                 yield response
         finally:
-            if call.shows_dead(trio.current_time()):
+            if _shows_dead(call, trio.current_time()):
                 await self._drop_idle()
 
     async def _drop_idle(self) -> None:
