Sight: a fingerprint tells which requests are the same

Cause: a request that comes again has a new id, so the lines of ten requests under which ten upstreams ended could not be told from those of ten requests that were cut beside it. Change: a hash of method, host, target, account and body, in 'Request ended.' and 'Item run ended.'.

--- a/src/coppercleat/jobs/_items.py
+++ b/src/coppercleat/jobs/_items.py
@@ -12,6 +12,7 @@
 from coppercleat.jobs._pace import ItemPace
 from coppercleat.jobs._run import ItemEnd, ItemRun, JobRun
 from coppercleat.observability import part_logger
+from coppercleat.quarantine import shown
 from coppercleat.serving import (
     EventSequence,
     EventSplitter,
@@ -72,6 +73,7 @@
 
     run: JobRun
     item: ItemRun
+    request: OnlineRequest
     state: UpstreamState
     scope: trio.CancelScope
     stall: trio.CancelScope = attrs.field(factory=trio.CancelScope)
@@ -176,7 +178,8 @@
 
     def claim_slot(self, run: JobRun, item: ItemRun, state: UpstreamState) -> Running:
         """Counts a run before anything else can be placed."""
-        running = Running(run, item, state, trio.CancelScope())
+        request = _request_of(run, item)
+        running = Running(run, item, request, state, trio.CancelScope())
         run.start(item, state.id)
         self._running.append(running)
         state.batch += 1
@@ -214,6 +217,7 @@
             "Item run ended.",
             job=run.held.row.job,
             item=item.spec.id,
+            fingerprint=shown(running.request.fingerprint),
             upstream=state.id,
             ended=end.value,
             events=len(item.events),
@@ -232,15 +236,7 @@
 
     async def _attempt(self, running: Running, attempt: Attempt) -> ItemEnd:
         item, state = running.item, running.state
-        request = OnlineRequest(
-            request_id=RequestId(item.spec.id),
-            method="POST",
-            host=running.run.held.row.host,
-            target=item.spec.target.encode(),
-            headers=item.spec.headers,
-            body=item.spec.body,
-            allowed_s=0.0,
-        )
+        request = running.request
         running.heard_at = trio.current_time()
         end = ItemEnd.BROKEN
         with self._watched(running, attempt), running.stall:
@@ -317,6 +313,19 @@
             running.scope.cancel()
 
 
+def _request_of(run: JobRun, item: ItemRun) -> OnlineRequest:
+    """Returns an item as the request that an upstream gets."""
+    return OnlineRequest(
+        request_id=RequestId(item.spec.id),
+        method="POST",
+        host=run.held.row.host,
+        target=item.spec.target.encode(),
+        headers=item.spec.headers,
+        body=item.spec.body,
+        allowed_s=0.0,
+    )
+
+
 async def _collect(running: Running, answer: UpstreamAnswer) -> ItemEnd:
     """Takes an item's events and returns how the run ended.
 
--- a/src/coppercleat/serving/_forwarding.py
+++ b/src/coppercleat/serving/_forwarding.py
@@ -8,6 +8,7 @@
 import trio
 
 from coppercleat.observability import part_logger
+from coppercleat.quarantine import shown
 from coppercleat.serving._admission import Admission
 from coppercleat.serving._admission_queue import TooLate, Waiter
 from coppercleat.serving._answer_use import Unfit, use_of
@@ -316,6 +317,7 @@
         write(
             "Request ended.",
             request=exchange.request.request_id,
+            fingerprint=shown(exchange.request.fingerprint),
             route=exchange.route.name,
             outcome=step.value,
             upstream=exchange.upstream,
--- a/src/coppercleat/serving/_model.py
+++ b/src/coppercleat/serving/_model.py
@@ -3,16 +3,21 @@
 from __future__ import annotations
 
 import enum
+import functools
 from typing import Protocol
 
 import msgspec
 
 from coppercleat.ids import RequestId, UpstreamId, ZoneId
+from coppercleat.quarantine import Fingerprint, fingerprint_of
 
 Header = tuple[bytes, bytes]
 """A header's name in lower case, and its value."""
 
 
+_AUTHORIZATION = b"authorization"
+
+
 class RouteKind(enum.Enum):
     """What may be done with a request of a route."""
 
@@ -112,7 +117,7 @@
     cold_s: float = 0.0
 
 
-class OnlineRequest(msgspec.Struct, kw_only=True):
+class OnlineRequest(msgspec.Struct, kw_only=True, dict=True):
     """A client's request, to be passed on unchanged.
 
     Attributes:
@@ -136,6 +141,25 @@
         """The path without the query."""
         return self.target.partition(b"?")[0].decode("latin-1")
 
+    @functools.cached_property
+    def fingerprint(self) -> Fingerprint:
+        """Names what it asks: the same when a client sends it again."""
+        return fingerprint_of(
+            method=self.method,
+            host=self.host,
+            target=self.target,
+            account=self._account,
+            body=self.body,
+        )
+
+    @property
+    def _account(self) -> bytes:
+        """What the client proves its account by, if it does."""
+        for name, value in self.headers:
+            if name.lower() == _AUTHORIZATION:
+                return value
+        return b""
+
 
 class RefusalReason(enum.Enum):
     """Why a request gets an answer of our own."""
