Reproduce: a request that ends its upstreams goes on ending them

The test fails on the code as it is, before any change of logic: 25 requests one after the other end more than 20 runners on a stream route, and those of an idempotent route end three each by our own retries. Four rows pass and must go on passing: a request whose answers are lost while its runners live is served afterwards.

--- /dev/null
+++ b/tests/features/steps/quarantine_steps.py
@@ -0,0 +1,157 @@
+"""Steps for requests that end the upstreams that run them."""
+
+import contextlib
+import json
+
+import httpcore
+import trio
+from behave import then, when
+
+from tests.harness import ONCE, PLAIN, RESUMABLE, STREAM
+
+ROUTES = {"stream": STREAM, "resumable": RESUMABLE, "plain": PLAIN, "once": ONCE}
+DEADLY = "a deadly prompt"
+DEADLY_KNOBS = {"deadly": "deadly"}
+PAUSE_S = 0.25
+NETWORK = (httpcore.NetworkError, httpcore.ProtocolError)
+LAST = 3
+
+
+class Plays:
+    """What was sent and answered.
+
+    Attributes:
+      deadly: Answers to the deadly request, and how long each took; None for none.
+      proper: When each proper request was sent, and whether it was answered whole.
+    """
+
+    def __init__(self, fleet):
+        self.fleet = fleet
+        self.sent = 0
+        self.deadly = []
+        self.proper = []
+
+    async def send_deadly(self, route, *, gateway):
+        self.sent += 1
+        name = f"deadly-{self.sent}"
+        began = trio.current_time()
+        answer = None
+        with contextlib.suppress(*NETWORK):
+            answer = await self.fleet.ask(gateway, ROUTES[route], name, body=DEADLY)
+        self.deadly.append((name, answer, trio.current_time() - began))
+
+    async def send_proper(self, number):
+        sent_at = trio.current_time()
+        gateway = self.fleet.names[number % len(self.fleet.names)]
+        whole = False
+        with contextlib.suppress(*NETWORK):
+            answer = await self.fleet.ask(gateway, PLAIN, f"proper-{number}")
+            whole = answer.status == 200 and answer.whole
+        self.proper.append((sent_at, whole))
+
+    async def play(self, route, *, times, at_once):
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(self._revive)
+            async with trio.open_nursery() as clients:
+                for number in range(times):
+                    for k in range(at_once):
+                        names = self.fleet.names
+                        gateway = names[(number + k) % len(names)]
+                        clients.start_soon(self._send_deadly, route, gateway)
+                    clients.start_soon(self.send_proper, 2 * number)
+                    await trio.sleep(PAUSE_S / 2)
+                    clients.start_soon(self.send_proper, 2 * number + 1)
+                    await trio.sleep(PAUSE_S / 2)
+            while self.fleet.reviving:
+                await trio.sleep(0.05)
+            nursery.cancel_scope.cancel()
+
+    async def _send_deadly(self, route, gateway):
+        await self.send_deadly(route, gateway=gateway)
+
+    async def _revive(self):
+        await self.fleet.revive_forever(after_s=1.0, **DEADLY_KNOBS)
+
+
+def plays_of(context):
+    if not hasattr(context, "plays"):
+        context.plays = Plays(context.fleet)
+    return context.plays
+
+
+@when(
+    "a deadly {route} request comes {times:d} times in turn, "
+    "while runners are back after 1 s"
+)
+def in_turn(context, route, times):
+    plays = plays_of(context)
+    context.fleet.run(lambda: plays.play(route, times=times, at_once=1))
+
+
+@when(
+    "a deadly {route} request comes {times:d} times, {n:d} at once, "
+    "while runners are back after 1 s"
+)
+def at_once(context, route, times, n):
+    plays = plays_of(context)
+    context.fleet.run(lambda: plays.play(route, times=times, at_once=n))
+
+
+@when("{count:d} equal {route} requests are answered while runners are set to {knobs}")
+def answered(context, count, route, knobs):
+    plays = plays_of(context)
+
+    async def play():
+        for name in context.fleet.runners:
+            await context.fleet.control(name, **json.loads(knobs))
+        for number in range(count):
+            gateway = context.fleet.names[number % len(context.fleet.names)]
+            await plays.send_deadly(route, gateway=gateway)
+
+    context.fleet.run(play)
+
+
+@when("runners are set to {knobs} again")
+def healed(context, knobs):
+    async def heal():
+        for name in context.fleet.runners:
+            await context.fleet.control(name, **json.loads(knobs))
+
+    context.fleet.run(heal)
+
+
+@when("a deadly {route} request comes {times:d} times in turn")
+def again(context, route, times):
+    plays = plays_of(context)
+
+    async def play():
+        for number in range(times):
+            gateway = context.fleet.names[number % len(context.fleet.names)]
+            await plays.send_deadly(route, gateway=gateway)
+
+    context.fleet.run(play)
+
+
+@then("at most {most:d} runners have ended under it")
+def ended(context, most):
+    found = context.fleet.ended
+    assert 0 < len(found) <= most, found
+
+
+@then("its last answers are all {status:d}, within {s:g} s, and it was {run}")
+def last_answers(context, status, s, run):
+    plays = plays_of(context)
+    started = {ran["id"] for ran in context.fleet.run(context.fleet.runs)}
+    for name, answer, took_s in plays.deadly[-LAST:]:
+        assert answer is not None and answer.status == status, (name, answer)
+        assert took_s <= s, (name, took_s)
+        assert (name in started) == (run == "run"), name
+        if status == 503:
+            assert float(answer.headers["retry-after"]) > 0, answer
+
+
+@then("no proper request sent later than {s:g} s after the third end has failed")
+def proper(context, s):
+    third = context.fleet.ended[2][0]
+    later = [whole for at, whole in plays_of(context).proper if at > third + s]
+    assert len(later) > 10 and all(later), later
--- a/tests/harness/_gateways.py
+++ b/tests/harness/_gateways.py
@@ -78,6 +78,8 @@
         self.links: dict[str, int] = {}
         self.linking = trio.Lock()
         self.silences = 0
+        self.ended: list[tuple[float, str]] = []
+        self.reviving: set[str] = set()
         self.names = [f"gateway-{n + 1}" for n in range(gateways)]
 
     def start(self) -> None:
@@ -215,7 +217,12 @@
 
     async def list_runner(self, name: str, *, state: str = "ready") -> None:
         """Writes a runner's entry."""
-        entry = {
+        await self.put(f"servers/{name}", await self.entry(name, state=state))
+
+    async def entry(self, name: str, *, state: str = "ready") -> dict[str, Any]:
+        """Returns a runner's entry as it writes it."""
+        born = 0 if self.garbage else (await self.control(name))["born"]
+        return {
             "service": SERVICE,
             "address": f"127.0.0.1:{self.links.get(name, self.ports[name]['http'])}",
             "zone": _ZONES[self.runners.index(name) % len(_ZONES)],
@@ -224,8 +231,33 @@
             "state": state,
             "coldLeftMs": 0,
             "seqNo": 1,
+            "born": born,
         }
-        await self.put(f"servers/{name}", entry)
+
+    async def revive_forever(self, *, after_s: float, **knobs: Any) -> None:
+        """Starts runners that have ended again, under their ids, until cancelled.
+
+        Args:
+          after_s: Seconds from the end to the new start.
+          knobs: What each starts with.
+        """
+        async with trio.open_nursery() as nursery:
+            while True:
+                for name in self.runners:
+                    if not self.processes[name].running and name not in self.reviving:
+                        self.ended.append((trio.current_time(), name))
+                        self.reviving.add(name)
+                        nursery.start_soon(self._revive, name, after_s, knobs)
+                await trio.sleep(0.005)
+
+    async def _revive(self, name: str, after_s: float, knobs: dict[str, Any]) -> None:
+        await trio.sleep(after_s)
+        port = self.ports[name]["http"]
+        flags = [f"--name={name}", f"--knobs={json.dumps(knobs)}"]
+        self._process(name, "tests.standins.runner", port, *flags)
+        await until(f"{name} is back", lambda: _answers(port))
+        await self.list_runner(name)
+        self.reviving.discard(name)
 
     async def unlist_runner(self, name: str) -> None:
         """Removes a runner's entry."""
@@ -336,15 +368,16 @@
         request: str,
         *,
         deadline_ms: int = 5000,
+        body: str = "",
         **headers: str,
     ) -> Answer:
-        """Sends an online request."""
+        """Sends an online request, with a body of its own if none is given."""
         host, prefix = route
         sent = {"request-id": request, "deadline-ms": str(deadline_ms)}
         sent |= {key.replace("_", "-"): value for key, value in headers.items()}
-        body = f"prompt of {request}".encode()
+        content = (body or f"prompt of {request}").encode()
         target = prefix + "x?q=%2F1"
-        return await self.call(name, "POST", host, target, headers=sent, body=body)
+        return await self.call(name, "POST", host, target, headers=sent, body=content)
 
     async def submit(self, name: str, job: str, items: list[str]) -> Answer:
         """Submits a job with items of these bodies."""
--- a/tests/standins/runner.py
+++ b/tests/standins/runner.py
@@ -6,6 +6,8 @@
 
 from __future__ import annotations
 
+import json
+import os
 import time
 from typing import Any
 
@@ -15,6 +17,8 @@
 from coppercleat.asgi import read_body, send_json
 from tests.standins.control import Controlled, arguments, run_standin, start
 
+DEADLY_AFTER_S = 0.06
+
 
 class Knobs(msgspec.Struct, kw_only=True):
     """What a test can set; counts are of further requests that it hits.
@@ -41,6 +45,8 @@
       impossible: Items with this text in their body are answered with 422.
       silent: Take requests and send nothing.
       foreign: Slots held by runs of callers that have lost their power.
+      deadly: Requests with this text in their body end the whole process, 60 ms after
+        they have begun to run.
       silenced: Changed, it lets the connections that are open now go silent for good,
         both ways: their runs go on to their end, and hold their slots until then.
     """
@@ -65,6 +71,7 @@
     impossible: str = ""
     silent: bool = False
     foreign: int = 0
+    deadly: str = ""
     silenced: int = 0
 
 
@@ -98,9 +105,11 @@
 class RunnerStandin(Controlled):
     """Serves requests with faults and logs what it ran."""
 
-    def __init__(self, name: str) -> None:
-        super().__init__(Knobs(instance=name))
+    def __init__(self, name: str, knobs: str) -> None:
+        values = json.loads(knobs or "{}")
+        super().__init__(msgspec.convert({"instance": name} | values, Knobs))
         self.name = name
+        self.born = time.time_ns() // 1_000_000
         self.runs: list[dict[str, Any]] = []
         self.running = 0
         self.waiting = 0
@@ -119,12 +128,17 @@
             "running": self.running,
             "most_running": self.most_running,
             "waited_s": self.waited_s,
+            "born": self.born,
         }
 
     async def serve(self, scope: Any, receive: Any, send: Any) -> None:
         knobs = self.knobs
         if scope["path"] == "/v1/report":
-            report = {"running": self.running + knobs.foreign, "queued": self.waiting}
+            report = {
+                "running": self.running + knobs.foreign,
+                "queued": self.waiting,
+                "born": self.born,
+            }
             await send_json(send, 200, report)
             return
         headers = {name.decode(): value.decode() for name, value in scope["headers"]}
@@ -186,6 +200,9 @@
         knobs = self.knobs
         if knobs.silent:
             await trio.sleep_forever()
+        if knobs.deadly and knobs.deadly in run["body"]:
+            await trio.sleep(DEADLY_AFTER_S)
+            os._exit(1)
         echoed = run["id"]
         if knobs.cross_next > 0:
             knobs.cross_next -= 1
@@ -251,11 +268,11 @@
     scope.cancel()
 
 
-async def main(port: int, name: str) -> None:
-    """Serves until killed."""
-    await run_standin(RunnerStandin(name), port)
+async def main(port: int, name: str, knobs: str) -> None:
+    """Serves until killed; ``knobs`` are what it starts with, as JSON."""
+    await run_standin(RunnerStandin(name, knobs), port)
 
 
 if __name__ == "__main__":
-    options = arguments("name")
-    start(main, options.port, options.name)
+    options = arguments("name", "knobs")
+    start(main, options.port, options.name, options.knobs)
