--- a/tests/features/quarantine.feature
+++ b/tests/features/quarantine.feature
@@ -53,3 +53,92 @@
       | cross answers   | stream | {"cross_next": 1000}               | {"cross_next": 0} |
       | fail            | once   | {"failing": true}                  | {"failing": false} |
       | shed            | plain  | {"shed_next": 1000}                | {"shed_next": 0}  |
+
+  Scenario Outline: What is held against a request after <what>
+    When of a request it is learnt, by the second: <learnt>
+    Then at <at> s it is <standing>, for <retry> s
+
+    Examples: "end" is a proved end, "broke" a run that broke off, "lives" takes an end back
+      | what                               | learnt                                          | at    | standing    | retry |
+      | nothing                            | nothing                                         | 1     | free        | 0     |
+      | two ends                           | 0 end a, 1 end b                                | 2     | free        | 0     |
+      | three ends                         | 0 end a, 1 end b, 2 end c                       | 2     | quarantined | 60    |
+      | three ends, later                  | 0 end a, 1 end b, 2 end c                       | 32    | quarantined | 30    |
+      | three ends, a pause later          | 0 end a, 1 end b, 2 end c                       | 62    | trial       | 0     |
+      | a trial                            | 0 end a, 1 end b, 2 end c, 62 trial             | 63    | quarantined | 59    |
+      | a trial that ended its upstream    | 0 end a, 1 end b, 2 end c, 62 trial, 63 end d   | 63    | quarantined | 600   |
+      | five ends                          | 0 end a, 1 end b, 2 end c, 3 end d, 4 end e     | 4     | quarantined | 3600  |
+      | six ends                           | 0 end a, 1 end b, 2 end c, 3 end d, 4 end e, 5 end f | 4000 | quarantined | 82405 |
+      | one upstream that ended thrice     | 0 end a, 2 end a, 4 end a                       | 4     | quarantined | 60    |
+      | one end that three saw             | 0 end a, 0.1 end a, 0.2 end a                   | 1     | free        | 0     |
+      | ends that are a day old            | 0 end a, 1 end b, 2 end c, 86500 heard          | 86500 | free        | 0     |
+      | one end and two runs that broke    | 0 end a, 1 broke b, 1 broke c                   | 1     | held        | 1     |
+      | three runs that broke              | 0 broke a, 0 broke b, 0 broke c                 | 0     | held        | 1     |
+      | four runs that broke at one        | 0 broke a, 0 broke a, 0 broke a, 0 broke a      | 0     | free        | 0     |
+      | three of which one is found alive  | 0 broke a, 0 broke b, 0 broke c, 1 settled c    | 1     | free        | 0     |
+      | three ends and an answer           | 0 end a, 1 end b, 2 end c, 3 answer             | 3     | free        | 0     |
+      | word of ends before an answer      | 0 end a, 3 answer, 3 late a 0, 3 late b 1, 3 late c 2 | 4 | free       | 0     |
+      | ends after an answer               | 0 end a, 1 answer, 2 end b, 3 end c, 4 end d    | 4     | quarantined | 60    |
+      | an end that is taken back          | 0 end a, 1 end b, 2 end c, 3 lives c 2          | 3     | free        | 0     |
+      | word of an end after it is back    | 0 end a, 1 end b, 3 lives c 2, 4 late c 2       | 4     | free        | 0     |
+      | another end of what was back       | 0 end a, 1 end b, 3 lives c 2, 4 end c          | 4     | quarantined | 60    |
+
+  Scenario Outline: A run <breaks> at an upstream that <does>
+    When a run <breaks> at an upstream that <does>: <answers>
+    Then <ends> ends are held against the request after <s> s
+
+    Examples: what the upstream answers, question by question; "-" is no answer
+      | breaks      | does                                | answers               | ends | s  |
+      | breaks off  | ended before                        | refused               | 1    | 1  |
+      | breaks off  | lives                               | same                  | 0    | 1  |
+      | breaks off  | lives and tells of no birth         | unknown               | 0    | 1  |
+      | breaks off  | started again                       | other                 | 1    | 1  |
+      | breaks off  | is cut off                          | -                     | 0    | 10 |
+      | breaks off  | is cut off for a moment             | - - same              | 0    | 10 |
+      | breaks off  | is slow to end                      | - - refused           | 1    | 10 |
+      | breaks off  | is behind a link that refuses       | refused refused same  | 0    | 10 |
+      | breaks off  | ends and starts again               | refused refused other | 1    | 10 |
+      | falls silent | lives                              | same                  | 0    | 1  |
+      | falls silent | ended before                       | refused               | 1    | 1  |
+      | falls silent | is cut off                         | -                     | 0    | 10 |
+      | breaks off  | is leaving                          | refused               | 0    | 10 |
+      | breaks off  | is no longer listed                 | refused               | 0    | 10 |
+      | breaks off  | is listed with another birth        | -                     | 1    | 1  |
+
+  Scenario Outline: A request is <same> with another <part>
+    Then the fingerprint is <same> with another <part>
+
+    Examples:
+      | part     | same      |
+      | id       | the same  |
+      | deadline | the same  |
+      | host in capitals | the same |
+      | method   | different |
+      | host     | different |
+      | path     | different |
+      | query    | different |
+      | account  | different |
+      | body     | different |
+      | cut between path and body | different |
+
+  # Seen in the code: what was known of an upstream was kept as long as its id was listed.
+  # One that ended and was back within a beat kept failures, slots and silences of its life
+  # before.
+  Scenario Outline: An upstream is listed again with <birth> after <known>
+    When an upstream with <known> is listed with <birth>
+    Then what is known, <known>, is <kept>
+
+    Examples:
+      | known           | birth         | kept      |
+      | failures        | the same birth | kept     |
+      | failures        | another birth | forgotten |
+      | failures        | no birth      | kept      |
+      | failed results  | another birth | forgotten |
+      | silences        | another birth | forgotten |
+      | runs in flight  | the same birth | kept     |
+      | runs in flight  | another birth | forgotten |
+      | unknown runs    | another birth | forgotten |
+      | unheard runs    | another birth | forgotten |
+      | a full queue    | another birth | forgotten |
+      | a wrong address | another birth | forgotten |
+      | runs that peers told | another birth | kept |
--- /dev/null
+++ b/tests/features/steps/quarantine_decision_steps.py
@@ -0,0 +1,218 @@
+"""Steps that ask decisions about requests under which upstreams ended."""
+
+import random
+
+import trio
+import trio.testing
+from behave import then, when
+
+from coppercleat.ids import InstanceId, RequestId, UpstreamId, ZoneId
+from coppercleat.quarantine import EndLedger, Standing, ToldEnd, fingerprint_of
+from coppercleat.serving import (
+    EndWatch,
+    InFlight,
+    NothingListensError,
+    OnlineRequest,
+    Placement,
+    Upstream,
+    UpstreamBrokeError,
+    UpstreamReport,
+    UpstreamState,
+)
+
+BORN = 1_796_260_943_655
+
+
+def request(**changes):
+    fields = {
+        "request_id": RequestId("r-1"),
+        "method": "POST",
+        "host": "stream.example",
+        "target": b"/ask/x?q=1",
+        "headers": [(b"authorization", b"Bearer one")],
+        "body": b"prompt",
+        "allowed_s": 5.0,
+    }
+    return OnlineRequest(**(fields | changes))
+
+
+FINGERPRINT = request().fingerprint
+
+
+def upstream(born_ms=BORN, **more):
+    return Upstream(
+        id=UpstreamId("a"),
+        service="menus",
+        address="127.0.0.1:1",
+        zone=ZoneId("z"),
+        born_ms=born_ms,
+        **more,
+    )
+
+
+def learn(ledger, at, what, args):
+    told_at = float(args[1]) if len(args) > 1 else at
+    learnt = {
+        "end": lambda: ledger.ended(FINGERPRINT, args[0], at),
+        "late": lambda: tell(ledger, args[0], at, told_at, withdrawn=False),
+        "lives": lambda: tell(ledger, args[0], at, told_at, withdrawn=True),
+        "broke": lambda: ledger.broke_off(FINGERPRINT, args[0]),
+        "settled": lambda: ledger.settled(FINGERPRINT, args[0]),
+        "answer": lambda: ledger.clear(FINGERPRINT, now=at),
+        "trial": lambda: ledger.begin_trial(FINGERPRINT, now=at),
+        "heard": lambda: ledger.take_told((), (), now=at),
+    }
+    learnt[what]()
+
+
+def tell(ledger, upstream_id, now, at, *, withdrawn):
+    end = ToldEnd(FINGERPRINT, UpstreamId(upstream_id), now - at, withdrawn)
+    ledger.take_told([end], (), now=now)
+
+
+@when("of a request it is learnt, by the second: {learnt}")
+def learnt_of_request(context, learnt):
+    context.ledger = EndLedger()
+    for entry in learnt.split(", ") if learnt != "nothing" else ():
+        at, what, *args = entry.split()
+        learn(context.ledger, float(at), what, args)
+
+
+@then("at {at:g} s it is {standing}, for {retry:g} s")
+def stands(context, at, standing, retry):
+    verdict = context.ledger.verdict(FINGERPRINT, now=at)
+    expected = Standing.FREE
+    if standing == "trial":
+        expected = Standing.QUARANTINED
+    elif standing != "free":
+        expected = Standing(standing)
+    assert verdict.standing is expected, verdict
+    assert abs(verdict.retry_after_s - retry) < 1e-6, verdict
+
+
+class AskedUpstream:
+    """Answers questions as a test says; the last answer stays."""
+
+    def __init__(self, answers):
+        self.answers = answers.split()
+
+    async def report(self, asked):
+        answer = self.answers[0]
+        if len(self.answers) > 1:
+            self.answers.pop(0)
+        if answer == "refused":
+            raise NothingListensError("no report")
+        if answer == "-":
+            raise UpstreamBrokeError("no report")
+        born = {"same": BORN, "other": BORN + 5000, "unknown": 0}[answer]
+        return UpstreamReport(running=0, waiting=0, born_ms=born)
+
+
+@when("a run {breaks} at an upstream that {does}: {answers}")
+def run_breaks(context, breaks, does, answers):
+    context.play = (breaks, does, answers)
+
+
+@then("{ends:d} ends are held against the request after {s:g} s")
+def ends_held(context, ends, s):
+    breaks, does, answers = context.play
+    placement = Placement(ZoneId("z"), rng=random.Random(1))
+    placement.replace([upstream(draining=does == "is leaving")])
+    state = placement.states[UpstreamId("a")]
+    if does == "is no longer listed":
+        placement.replace([])
+    watch = EndWatch(AskedUpstream(answers))
+    # Others end up with the same.
+    other = EndLedger()
+    watch.on_news = lambda found, cleared: other.take_told(
+        found, cleared, now=trio.current_time()
+    )
+
+    async def play():
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(watch.run)
+            await trio.testing.wait_all_tasks_blocked()
+            watch.broke_off(FINGERPRINT, state, silent=breaks == "falls silent")
+            if does == "is listed with another birth":
+                placement.replace([upstream(BORN + 5000)])
+            await trio.sleep(s)
+            nursery.cancel_scope.cancel()
+
+    trio.run(play, clock=trio.testing.MockClock(autojump_threshold=0))
+    assert len(watch.ledger.upstreams_of(FINGERPRINT)) == ends
+    assert len(other.upstreams_of(FINGERPRINT)) == ends
+
+
+@then("the fingerprint is {same} with another {part}")
+def fingerprints(context, same, part):
+    others = {
+        "id": lambda: request(request_id=RequestId("r-2")).fingerprint,
+        "deadline": lambda: request(allowed_s=1.0).fingerprint,
+        "host in capitals": lambda: request(host="STREAM.example").fingerprint,
+        "method": lambda: request(method="PUT").fingerprint,
+        "host": lambda: request(host="plain.example").fingerprint,
+        "path": lambda: request(target=b"/ask/y?q=1").fingerprint,
+        "query": lambda: request(target=b"/ask/x?q=2").fingerprint,
+        "account": lambda: request(headers=[]).fingerprint,
+        "body": lambda: request(body=b"another").fingerprint,
+        "cut between path and body": lambda: fingerprint_of(
+            method="POST",
+            host="stream.example",
+            target=b"/ask/x?q=",
+            account=b"Bearer one",
+            body=b"1prompt",
+        ),
+    }
+    assert (others[part]() == FINGERPRINT) == (same == "the same")
+
+
+def fail(state):
+    state.health.unreachable(0.0)
+
+
+KNOWN = {
+    "failures": (fail, lambda s: not s.health.may_try(0.1)),
+    "failed results": (
+        lambda s: [s.results.observe(failed=True, now=0.0) for _ in range(4)],
+        lambda s: s.results.suspect(0.0),
+    ),
+    "silences": (
+        lambda s: s.silences.is_new(0.0),
+        lambda s: not s.silences.is_new(0.0),
+    ),
+    "runs in flight": (lambda s: setattr(s, "online", 3), lambda s: s.online == 3),
+    "unknown runs": (lambda s: setattr(s, "unknown", 3), lambda s: s.unknown == 3),
+    "unheard runs": (lambda s: setattr(s, "unheard", 3), lambda s: s.unheard == 3),
+    "a full queue": (
+        lambda s: setattr(s, "full_until", 9.0),
+        lambda s: s.full_until == 9.0,
+    ),
+    "a wrong address": (lambda s: setattr(s, "gone", True), lambda s: s.gone),
+}
+BIRTHS = {"the same birth": BORN, "another birth": BORN + 5000, "no birth": 0}
+
+
+@when("an upstream with {known} is listed with {birth}")
+def listed_again(context, known, birth):
+    placement = Placement(ZoneId("z"), rng=random.Random(1))
+    placement.replace([upstream()])
+    state = placement.states[UpstreamId("a")]
+    if known == "runs that peers told":
+        told = [InFlight(UpstreamId("a"), 2, 0)]
+        placement.peers.observe(InstanceId("peer"), told)
+    else:
+        KNOWN[known][0](state)
+    placement.replace([upstream(BIRTHS[birth])])
+    context.placement, context.before = placement, state
+
+
+@then("what is known, {known}, is {kept}")
+def is_kept(context, known, kept):
+    state: UpstreamState = context.placement.states[UpstreamId("a")]
+    if known == "runs that peers told":
+        # Their connections broke too: each peer takes its own back, or its run goes on.
+        assert context.placement.load(state) == 2
+        return
+    assert KNOWN[known][1](state) == (kept == "kept")
+    assert (state is context.before) == (kept == "kept")
+    assert context.before.restarted == (kept != "kept")
