--- a/src/coppercleat/platform/__init__.py
+++ b/src/coppercleat/platform/__init__.py
@@ -1,5 +1,6 @@
 """The users' platform: its names, formats and calls, translated; nothing is decided."""
 
+from coppercleat.platform._catalogue import PlatformCatalogue
 from coppercleat.platform._edges import run_on_platform
 from coppercleat.platform._ingress import HttpReply
 from coppercleat.platform._settings import load_platform_settings, settings_path
@@ -7,6 +8,7 @@
 
 __all__ = [
     "HttpReply",
+    "PlatformCatalogue",
     "StoreClient",
     "load_platform_settings",
     "run_on_platform",
