An entry that does not fit names no upstream, and hides no other

Cause: entries were taken for the platform's own: what did not fit left the one before in use, unknown states counted as ready, addresses and numbers were not looked at. A row of an instance that did not fit ended the poll, so that no other instance was seen any more; one of a job could pass for another job's. Change: all fields of the page are required and checked, 'born' may be missing; the key of an upstream must fit into a header; rows of instances and jobs that do not fit are left out. Each is logged once a version. Thousands of brackets are an error like others.

--- a/src/coppercleat/jobs/_index.py
+++ b/src/coppercleat/jobs/_index.py
@@ -7,7 +7,7 @@
 import trio
 
 from coppercleat.ids import JobId
-from coppercleat.jobs._records import JOB_SPACE, JobRow
+from coppercleat.jobs._records import JOB_SPACE, JobRow, job_key
 from coppercleat.jobs._repository import Held
 from coppercleat.observability import part_logger
 from coppercleat.storage import HistoryLostError, Platform, Row, decode_row
@@ -35,6 +35,7 @@
         self.loaded = False
         self.fresh_at = float("-inf")
         self.on_change: Callable[[Held], None] = lambda held: None
+        self._misfits: dict[str, int] = {}
         self._version = 0
         self._rescan_at = float("-inf")
 
@@ -74,6 +75,7 @@
         for changed in changes.rows:
             if changed.row is None:
                 self.held.pop(JobId(changed.key.removeprefix(f"{JOB_SPACE}/")), None)
+                self._misfits.pop(changed.key, None)
             else:
                 self._take(changed.key, changed.row)
         self._version = max(self._version, changes.version)
@@ -96,6 +98,12 @@
 
     def _take(self, key: str, row: Row) -> None:
         try:
-            self.observe(Held(decode_row(row, JobRow), row.version))
+            job = decode_row(row, JobRow)
+            if key != job_key(job.job):
+                raise ValueError(f"It is the row of {job.job!r}")
+            self.observe(Held(job, row.version))
         except Exception as error:  # noqa: BLE001 - one bad row must not hide the rest
+            if self._misfits.get(key) == row.version:
+                return
+            self._misfits[key] = row.version
             _log.error("A job's row does not fit.", key=key, reason=str(error))
--- a/src/coppercleat/platform/_catalogue.py
+++ b/src/coppercleat/platform/_catalogue.py
@@ -2,7 +2,10 @@
 
 from __future__ import annotations
 
-from typing import Any
+import enum
+import ipaddress
+import re
+from typing import Annotated, Any
 
 import msgspec
 
@@ -18,9 +21,22 @@
     Target,
     Upstream,
 )
+from coppercleat.storage import BAD_BYTES, Row
 
 _MS = 1000
-_DRAINING = "draining"
+_MAX_PORT = 65_535
+_MAX_SLOTS = 65_536
+"""More than an address has ports; such an entry would draw all requests to it."""
+
+_MAX_COLD_MS = 3_600_000.0
+"""An upstream that stays slow for longer than an hour after its start is none."""
+
+_MAX_BORN_MS = 2**53
+"""The largest number that every writer of JSON keeps whole."""
+
+_ID = re.compile(r"[\x21-\x7e]{1,200}")
+"""An id goes into a header; the store takes keys of 200 bytes."""
+
 _CONFIG_KEY = "op/config"
 _UPSTREAM_TABLE = "servers"
 
@@ -73,14 +89,28 @@
     limits: _WireLimits = msgspec.field(default_factory=_WireLimits)
 
 
+class _UpstreamWord(enum.Enum):
+    """Words for what an upstream says that it does."""
+
+    READY = "ready"
+    DRAINING = "draining"
+
+
 class _WireUpstream(msgspec.Struct, rename="camel"):
-    service: str
+    """An upstream's entry; other writers' entries lack fields or have other types.
+
+    An upstream that tells no birth is used like one whose birth is not known.
+    """
+
+    service: Annotated[str, msgspec.Meta(min_length=1)]
     address: str
-    zone: str = ""
-    slots: int = 1
-    state: str = "ready"
-    cold_left_ms: float = 0
-    born: int = 0
+    zone: Annotated[str, msgspec.Meta(min_length=1)]
+    version: str
+    slots: Annotated[int, msgspec.Meta(ge=1, le=_MAX_SLOTS)]
+    state: _UpstreamWord
+    cold_left_ms: Annotated[float, msgspec.Meta(ge=0, le=_MAX_COLD_MS)]
+    seq_no: Annotated[int, msgspec.Meta(ge=0)]
+    born: Annotated[int, msgspec.Meta(ge=0, le=_MAX_BORN_MS)] = 0
 
 
 class PlatformCatalogue:
@@ -90,7 +120,7 @@
         self.store = store
         self._route_version = 0
         self._routes: RouteConfig | None = None
-        self._upstreams: dict[str, tuple[int, Upstream]] = {}
+        self._upstreams: dict[str, tuple[int, Upstream | None]] = {}
 
     async def read_routes(self) -> RouteConfig | None:
         """See ``Catalogue.read_routes``; what does not fit changes nothing."""
@@ -101,7 +131,7 @@
         self._route_version = row.version
         try:
             self._routes = decode_routes(row.value)
-        except (msgspec.DecodeError, msgspec.ValidationError) as error:
+        except BAD_BYTES as error:
             _log.error(
                 "The configuration does not fit.",
                 key=_CONFIG_KEY,
@@ -111,43 +141,69 @@
         return self._routes
 
     async def read_upstreams(self) -> list[Upstream]:
-        """See ``Catalogue.read_upstreams``; an entry that does not fit is left out."""
-        decoded: dict[str, tuple[int, Upstream]] = {}
+        """See ``Catalogue.read_upstreams``.
+
+        An entry that does not fit names no upstream, whatever it was before, and is
+        logged once.
+        """
+        decoded: dict[str, tuple[int, Upstream | None]] = {}
         for key, row in await self.store.rows_of(_UPSTREAM_TABLE):
             known = self._upstreams.get(key)
             if known is not None and known[0] == row.version:
                 decoded[key] = known
-                continue
-            try:
-                decoded[key] = (row.version, decode_upstream(key, row.value))
-            except (msgspec.DecodeError, msgspec.ValidationError) as error:
-                _log.error(
-                    "An upstream's entry does not fit.",
-                    key=key,
-                    version=row.version,
-                    reason=str(error),
-                )
-                if known is not None:
-                    decoded[key] = (row.version, known[1])
+            else:
+                decoded[key] = (row.version, _upstream_or_none(key, row))
         self._upstreams = decoded
-        return [upstream for _, upstream in decoded.values()]
+        return [upstream for _, upstream in decoded.values() if upstream is not None]
+
+
+def _upstream_or_none(key: str, row: Row) -> Upstream | None:
+    try:
+        return decode_upstream(key, row.value)
+    except BAD_BYTES as error:
+        _log.error(
+            "An upstream's entry does not fit.",
+            key=key,
+            version=row.version,
+            reason=str(error),
+        )
+        return None
 
 
 def decode_upstream(key: str, value: bytes) -> Upstream:
-    """Decodes an upstream's entry."""
+    """Decodes an upstream's entry.
+
+    Raises:
+      BAD_BYTES: It is none.
+    """
+    if not _ID.fullmatch(key):
+        raise msgspec.ValidationError("The key is no id")
     wire = msgspec.json.decode(value, type=_WireUpstream)
+    _check_address(wire.address)
     return Upstream(
         id=UpstreamId(key),
         service=wire.service,
         address=wire.address,
         zone=ZoneId(wire.zone),
-        slots=max(1, wire.slots),
-        draining=wire.state == _DRAINING,
+        slots=wire.slots,
+        draining=wire.state is _UpstreamWord.DRAINING,
         cold_s=wire.cold_left_ms / _MS,
         born_ms=wire.born,
     )
 
 
+def _check_address(address: str) -> None:
+    """Raises ``msgspec.ValidationError`` for what is not ``IP:PORT``."""
+    host, _, port = address.rpartition(":")
+    # Only ASCII digits: int() takes others, and signs.
+    if not (port.isascii() and port.isdigit() and 0 < int(port[:6]) <= _MAX_PORT):
+        raise msgspec.ValidationError("The address has no port")
+    try:
+        ipaddress.ip_address(host)
+    except ValueError as error:
+        raise msgspec.ValidationError("The address has no IP") from error
+
+
 def decode_routes(value: bytes) -> RouteConfig:
     """Decodes the operator's document; a route that does not fit is left out."""
     wire = msgspec.json.decode(value, type=_WireConfig)
@@ -155,7 +211,7 @@
     for raw in wire.routes:
         try:
             routes.append(_route(msgspec.json.decode(raw, type=_WireRoute)))
-        except msgspec.ValidationError as error:
+        except BAD_BYTES as error:
             _log.error("A route does not fit.", version=wire.version, reason=str(error))
     limits = ClientLimits(
         header_bytes=wire.limits.max_header_bytes,
--- a/src/coppercleat/serving/_watch.py
+++ b/src/coppercleat/serving/_watch.py
@@ -29,6 +29,7 @@
     Check,
     Platform,
     Put,
+    Row,
     Transaction,
     TransactionRefused,
     decode_row,
@@ -171,6 +172,7 @@
         self._instances_read_at = float("-inf")
         self._own_version = ABSENT
         self._sights: dict[InstanceId, _Sight] = {}
+        self._misfits: dict[InstanceId, int] = {}
         self._leaving = False
         self._away = False
         self._reached_at = float("-inf")
@@ -376,6 +378,22 @@
             self._own_version = rows[key].version if key in rows else ABSENT
         raise PlatformUnavailableError("The own row changes under this instance")
 
+    def _take_row(self, instance: InstanceId, row: Row, now: float) -> None:
+        """Takes another instance's row; one that does not fit must not hide others."""
+        try:
+            decoded = decode_row(row, InstanceRow)
+        except PlatformUnavailableError as error:
+            if self._misfits.get(instance) != row.version:
+                self._misfits[instance] = row.version
+                _log.error(
+                    "An instance's row does not fit.",
+                    instance=instance,
+                    version=row.version,
+                    reason=str(error),
+                )
+            return
+        self._sights[instance] = _Sight(decoded, row.version, now)
+
     async def leave(self) -> None:
         """Tells the others that this instance stops; they need not wait."""
         self._leaving = True
@@ -403,8 +421,9 @@
                 continue
             sight = self._sights.get(instance)
             if sight is None or sight.version != row.version:
-                decoded = decode_row(row, InstanceRow)
-                self._sights[instance] = _Sight(decoded, row.version, now)
+                self._take_row(instance, row, now)
         for instance in set(self._sights) - seen:
             del self._sights[instance]
+        for instance in set(self._misfits) - seen:
+            del self._misfits[instance]
         self.on_members([(i, s.row.peers, s.row.zone) for i, s in self._sights.items()])
--- a/src/coppercleat/storage/__init__.py
+++ b/src/coppercleat/storage/__init__.py
@@ -4,6 +4,7 @@
 from coppercleat.storage._pace import paced
 from coppercleat.storage._port import (
     ABSENT,
+    BAD_BYTES,
     AnswerLostError,
     ChangedRow,
     Changes,
@@ -23,6 +24,7 @@
 
 __all__ = [
     "ABSENT",
+    "BAD_BYTES",
     "AnswerLostError",
     "ChangedRow",
     "Changes",
--- a/src/coppercleat/storage/_port.py
+++ b/src/coppercleat/storage/_port.py
@@ -39,6 +39,11 @@
 _T = TypeVar("_T")
 
 
+BAD_BYTES = (msgspec.MsgspecError, RecursionError)
+"""What decoding raises for bytes that are not what was to be read; the second for
+thousands of brackets."""
+
+
 def decode_row(row: Row, kind: type[_T]) -> _T:
     """Decodes a row's JSON.
 
@@ -47,7 +52,7 @@
     """
     try:
         return msgspec.json.decode(row.value, type=kind)
-    except (msgspec.DecodeError, msgspec.ValidationError) as error:
+    except BAD_BYTES as error:
         raise PlatformUnavailableError(f"A row does not fit: {error}") from error
 
 
