One clock that counts suspended time

Cause: trio's clock is the steady one, which stands still while a machine is suspended. By it a lease held, a list of upstreams was fresh, a peer lived and a client waited after any suspension. Ruled out: reading the time of day beside it (it jumps), a look at both clocks in each part (some 200 places). Change: a clock of seconds since boot, handed to trio at the one place where programs run. A suspension is to all parts what a pause of the process is, which they know; noticed within a sleep, 0.1 s.

--- a/src/coppercleat/cli/_client.py
+++ b/src/coppercleat/cli/_client.py
@@ -7,9 +7,9 @@
 from collections.abc import Awaitable, Callable
 from typing import Any
 
-import trio
 from absl import flags
 
+from coppercleat import clock
 from coppercleat.rpc import RpcClient
 
 _DEFAULT_SERVER = "127.0.0.1:7400"
@@ -40,7 +40,7 @@
         async with RpcClient(values.server, token=token) as client:
             return await function(client)
 
-    return trio.run(run)
+    return clock.run(run)
 
 
 def print_answer(values: flags.FlagValues, answer: Any, text: str) -> None:
--- a/src/coppercleat/cli/_fleet.py
+++ b/src/coppercleat/cli/_fleet.py
@@ -8,9 +8,9 @@
 from collections.abc import Sequence
 
 import httpcore
-import trio
 from absl import flags
 
+from coppercleat import clock
 from coppercleat.cli._client import define_client_flags, print_answer, with_client
 from coppercleat.cli._registry import ExitCode, command
 from coppercleat.observability import lines_about
@@ -80,7 +80,7 @@
             return json.loads((await pool.request("GET", url)).content)
 
     try:
-        events = trio.run(run)
+        events = clock.run(run)
     except (httpcore.NetworkError, httpcore.ProtocolError) as error:
         print(f"explain: cannot reach {values.admin}: {error}", file=sys.stderr)
         return ExitCode.FAILED
--- a/src/coppercleat/cli/_gateway.py
+++ b/src/coppercleat/cli/_gateway.py
@@ -4,9 +4,9 @@
 
 from collections.abc import Sequence
 
-import trio
 from absl import flags
 
+from coppercleat import clock
 from coppercleat.cli._registry import ExitCode, command
 from coppercleat.observability import EventRing, configure_logs
 from coppercleat.platform import run_on_platform, settings_path
@@ -33,5 +33,5 @@
 def gateway(values: flags.FlagValues, arguments: Sequence[str]) -> int:
     """Runs ``gateway``."""
     configure_logs(level=values.log_level, as_json=True, ring=EventRing())
-    trio.run(run_on_platform, settings_path(), values.fleet)
+    clock.run(run_on_platform, settings_path(), values.fleet)
     return ExitCode.OK
--- a/src/coppercleat/cli/_serve.py
+++ b/src/coppercleat/cli/_serve.py
@@ -6,9 +6,9 @@
 import sys
 from collections.abc import Sequence
 
-import trio
 from absl import flags
 
+from coppercleat import clock
 from coppercleat.cli._registry import ExitCode, command
 from coppercleat.emulator import EngineSpeed
 from coppercleat.errors import SettingsError
@@ -31,7 +31,7 @@
 @command("entry", "Runs one entry instance.", define=_define_settings)
 def entry(values: flags.FlagValues, arguments: Sequence[str]) -> int:
     """Runs ``entry``."""
-    trio.run(run_entry, _settings(values))
+    clock.run(run_entry, _settings(values))
     return ExitCode.OK
 
 
@@ -73,7 +73,7 @@
         "nothing outlives this process.",
         file=sys.stderr,
     )
-    trio.run(
+    clock.run(
         lambda: run_standalone(
             listen=values.listen,
             port=values.port,
