Items that may not run hold no others up; a job with a deadly item as a test

An item that is kept from running for minutes was told to others as waiting, and a slot would have been left to it. Only items that may start are told, and looked for often.

--- a/src/coppercleat/clock.py
+++ b/src/coppercleat/clock.py
@@ -2,8 +2,8 @@
 
 trio's own clock is the system's steady one, which leaves out the time for which a
 machine was suspended. An instance would wake and believe that its lease holds, its
-peers are fresh and its clients still wait. By this clock a suspension is to the instance
-what it is to all others: a pause.
+peers are fresh and its clients still wait. By this clock a suspension is to the
+instance what it is to all others: a pause.
 """
 
 from __future__ import annotations
--- a/src/coppercleat/jobs/_run.py
+++ b/src/coppercleat/jobs/_run.py
@@ -117,6 +117,14 @@
         """Whether nothing is left to do."""
         return not (self.pending or self.running or self.finished)
 
+    def startable(self, now: float) -> list[ItemRun]:
+        """Returns the items that wait for nothing but a slot.
+
+        Args:
+          now: In trio's time.
+        """
+        return [item for item in self.pending if item.not_before <= now]
+
     def start(self, item: ItemRun, upstream: UpstreamId) -> None:
         """Moves an item from pending to running."""
         self.pending.remove(item)
--- a/src/coppercleat/jobs/_starter.py
+++ b/src/coppercleat/jobs/_starter.py
@@ -8,7 +8,7 @@
 
 from coppercleat.ids import JobId
 from coppercleat.jobs._items import ItemRunner, Running
-from coppercleat.jobs._run import JobRun
+from coppercleat.jobs._run import ItemRun, JobRun
 from coppercleat.jobs._schedule import next_turns
 from coppercleat.observability import part_logger
 from coppercleat.serving import Rank, Route, RouteTable, Waiting
@@ -73,10 +73,12 @@
     def late_items(self) -> int:
         """Returns how many waiting items cannot be done by their job's due time."""
         wall = self.clock()
-        return sum(self._late(run, run.due_at - wall) for run in self.runs.values())
+        return sum(
+            self._late(run.pending, run.due_at - wall) for run in self.runs.values()
+        )
 
-    def _late(self, run: JobRun, due_in_s: float) -> int:
-        return sum(self.items.seconds_left(item) > due_in_s for item in run.pending)
+    def _late(self, items: list[ItemRun], due_in_s: float) -> int:
+        return sum(self.items.seconds_left(item) > due_in_s for item in items)
 
     def waiting(self) -> tuple[Waiting, ...]:
         """Returns what waits here for a slot, as of a moment ago, to tell to others."""
@@ -87,7 +89,7 @@
         return self._gathered
 
     def _gather(self) -> tuple[Waiting, ...]:
-        wall = self.clock()
+        wall, now = self.clock(), trio.current_time()
         found = []
         table = self.routes()
         for run in sorted(self.runs.values(), key=lambda run: run.due_at):
@@ -96,10 +98,12 @@
                 continue
             service = route.targets[0].service
             due_in_s = run.due_at - wall
-            late = self._late(run, due_in_s)
-            self._forecast(run, late, due_in_s)
-            if len(run.pending) > late:
-                on_time = len(run.pending) - late
+            self._forecast(run, self._late(run.pending, due_in_s), due_in_s)
+            # Slots are left to what is told to wait: not to what may not run yet.
+            startable = run.startable(now)
+            late = self._late(startable, due_in_s)
+            if len(startable) > late:
+                on_time = len(startable) - late
                 found.append(Waiting(Rank.BATCH, due_in_s, service, on_time))
             if late:
                 found.append(Waiting(Rank.BATCH_LATE, due_in_s, service, late))
@@ -134,8 +138,9 @@
                 self._wake = trio.Event()
 
     async def _wait(self) -> None:
-        pending = any(run.pending for run in self.runs.values())
-        with trio.move_on_after(_TICK_S if pending else _IDLE_TICK_S):
+        soon = trio.current_time() + _IDLE_TICK_S
+        waits = any(run.startable(soon) for run in self.runs.values())
+        with trio.move_on_after(_TICK_S if waits else _IDLE_TICK_S):
             await self._wake.wait()
 
     def _start_next(self, nursery: trio.Nursery) -> bool:
--- a/src/coppercleat/jobs/_worker.py
+++ b/src/coppercleat/jobs/_worker.py
@@ -139,7 +139,8 @@
 
     def waits(self) -> bool:
         """Returns whether an item waits here for a slot."""
-        return any(run.pending for run in self.runs.values())
+        now = trio.current_time()
+        return any(run.startable(now) for run in self.runs.values())
 
     def look(self) -> None:
         """Looks for slots anew, if anything waits."""
--- a/tests/features/quarantine.feature
+++ b/tests/features/quarantine.feature
@@ -39,6 +39,16 @@
     And a deadly stream request comes 8 times in turn, while runners are back after 1 s
     Then at most 3 runners have ended under it, or were about to
 
+  # What the platform allows to be done with such an item is little: it may not be given
+  # up before its time, and open it stays. So it must not run, and hold nothing up.
+  Scenario: A job of which one item ends the upstreams that run it
+    Given 3 gateways and 12 runners
+    And every runner is set to {"deadly": "deadly"}
+    And the gateways have been up for 2 s
+    When a job of 6 items is submitted, of which one is deadly, and 10 s pass
+    Then at most 3 runners have ended under it, or were about to
+    And all other items are completed
+
   Scenario Outline: A request whose answers are lost while runners <live> is served later
     Given 3 gateways and 4 runners
     And the gateways have been up for 2 s
--- a/tests/features/steps/quarantine_steps.py
+++ b/tests/features/steps/quarantine_steps.py
@@ -173,3 +173,26 @@
     third = context.fleet.ended[2][0]
     later = [whole for at, whole in plays_of(context).proper if at > third + s]
     assert len(later) > 10 and all(later), later
+
+
+@when("a job of {count:d} items is submitted, of which one is deadly, and {s:d} s pass")
+def deadly_job(context, count, s):
+    async def play():
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(plays_of(context)._revive)
+            items = [DEADLY, *(f"item {number}" for number in range(1, count))]
+            answer = await context.fleet.submit("gateway-1", "job-1", items)
+            assert answer.status == 202, answer
+            await trio.sleep(s)
+            nursery.cancel_scope.cancel()
+        return await context.fleet.results("gateway-2", "job-1")
+
+    context.page = context.fleet.run(play)
+
+
+@then("all other items are completed")
+def others_completed(context):
+    page = context.page
+    done = [r["id"] for r in page["results"] if r["state"] == "completed"]
+    assert len(done) == page["total"] - 1 == len(page["results"]), page
+    assert "job-1-item-0" not in done, done
