The product's own door remembers requests that end their engines too

Cause: the same one elsewhere: attempts were counted within one call, and a caller that asked again began at nothing, at any entry. Batch items of this door were bounded by their own count of lost attempts already. Change: the watch of ends knows no kind of upstream any more and serves both doors; the dispatcher asks it before each attempt. An entry tells members, who pass news on, and reminds one member a beat.

--- a/src/coppercleat/gateway/_gateway.py
+++ b/src/coppercleat/gateway/_gateway.py
@@ -10,16 +10,15 @@
 
 from coppercleat.gateway._job_service import JobService
 from coppercleat.gateway._metrics import GatewayMetrics
-from coppercleat.ids import random_token
+from coppercleat.ids import InstanceId, random_token
 from coppercleat.jobs import ItemRunner, JobIndex, JobRepository, JobWorker, Sweeper
 from coppercleat.observability import part_logger
-from coppercleat.quarantine import Fingerprint, ToldEnd, shown
+from coppercleat.quarantine import EndsSeen, EndWatch, Fingerprint, ToldEnd, shown
 from coppercleat.routing import owner
 from coppercleat.serving import (
     Admission,
     AdmissionQueue,
     Catalogue,
-    EndWatch,
     Forwarder,
     GatewaySettings,
     OnlineRequest,
@@ -37,6 +36,7 @@
     Waiting,
     Watch,
     jobs_pause_s,
+    life_question,
 )
 from coppercleat.storage import Platform
 
@@ -102,7 +102,7 @@
         )
         self.survey = Survey(self.placement, caller, rng=self.rng)
         self.silent_runs = SilentRuns()
-        self.end_watch = EndWatch(caller)
+        self.end_watch = EndWatch(life_question(caller))
         self.forwarder = Forwarder(
             self.admission,
             caller,
@@ -169,7 +169,7 @@
         self.peers.on_taken = self.worker.taken_elsewhere
         self.peers.on_handover = self.worker.handed_over
         self.peers.ends = self._ends
-        self.peers.on_ends = self.end_watch.take_news
+        self.peers.on_ends = self._hear_of_ends
         self.end_watch.on_news = self.peers.ends_found
         self.end_watch.may_try = self._tries
         self.end_watch.on_barred = self.metrics.request_barred
@@ -177,6 +177,9 @@
         self.silent_runs.on_left = self.survey.left_unheard
         self.silent_runs.on_count = self.metrics.run_silent
 
+    def _hear_of_ends(self, sender: InstanceId, seen: EndsSeen) -> None:
+        self.end_watch.take_news(sender, seen.ends, seen.cleared)
+
     def _ends(self) -> tuple[ToldEnd, ...]:
         return self.end_watch.ledger.told(now=trio.current_time())
 
--- a/src/coppercleat/instance/_instance.py
+++ b/src/coppercleat/instance/_instance.py
@@ -20,6 +20,8 @@
 from coppercleat.online import AnswerStore, OnlineServices, Pipeline, pick_version
 from coppercleat.orders import OrderKeeper
 from coppercleat.platform import StoreClient
+from coppercleat.quarantine import EndWatch, Finding, Fingerprint, shown
+from coppercleat.routing import UpstreamRecord, owner
 from coppercleat.settings import Settings
 from coppercleat.storage import Platform
 
@@ -113,6 +115,13 @@
             engines=self.fleet,
             metrics=self.metrics,
         )
+        self.end_watch = EndWatch(self._look_at)
+        self.end_watch.on_news = self.peers.spread_ends
+        self.end_watch.may_try = self._tries
+        self.end_watch.on_barred = lambda standing: self.metrics.barred.inc(
+            {"standing": standing}
+        )
+        self.peers.end_watch = self.end_watch
         self.pipeline = Pipeline(self._online_services())
         self.fleet.on_leaving = self.peers.spread_leaving
         self.peers.on_arrivals = self.batch.online_changed
@@ -145,9 +154,22 @@
             live_instances=self.live_instances,
             online_changed=self._online_changed,
             batch_active=lambda: self.batch.state.open_jobs > 0,
+            end_watch=self.end_watch,
             stall_s=online.stall_s,
         )
 
+    async def _look_at(self, record: UpstreamRecord) -> Finding:
+        try:
+            client = self.fleet.online_client(record.upstream)
+        except KeyError:
+            return Finding.NO_ANSWER  # No longer followed.
+        return await client.look()
+
+    def _tries(self, fingerprint: Fingerprint) -> bool:
+        """Returns whether a trial falls to this instance: to one of all that live."""
+        own = self.settings.instance.instance_id
+        return owner(shown(fingerprint), self.fleet.alive()) == own
+
     def _spread_changes(self, changes: list[Change]) -> None:
         self.peers.spread_changes(changes)
 
@@ -186,6 +208,7 @@
             nursery.start_soon(self.peers.run)
             nursery.start_soon(self.batch.run)
             nursery.start_soon(self.orders.run)
+            nursery.start_soon(self.end_watch.run)
             while not self.ready:
                 await trio.sleep(_READY_POLL_S)
             _log.info("Instance ready.", instance=self.settings.instance.id)
--- a/src/coppercleat/instance/_peers.py
+++ b/src/coppercleat/instance/_peers.py
@@ -27,6 +27,8 @@
     UpstreamLeaving,
 )
 from coppercleat.observability import Metrics, part_logger
+from coppercleat.quarantine import EndsSeen, EndWatch, Fingerprint, ToldEnd
+from coppercleat.routing import UpstreamRecord
 from coppercleat.settings import Settings
 
 _DEPARTURES_S = 0.05
@@ -48,6 +50,7 @@
       messenger: Sends to other instances and receives.
       on_arrivals: Told of upstreams whose online requests changed.
       on_job_hint: Told to look for jobs now.
+      end_watch: Knows requests that end their upstreams; None before it is set.
     """
 
     def __init__(
@@ -75,6 +78,7 @@
             on_garbage=lambda reason: metrics.garbage.inc({"reason": reason}),
             on_reopened=self._tell_again,
         )
+        self.end_watch: EndWatch[UpstreamRecord] | None = None
         self._pulled_at = float("-inf")
         self._told: dict[UpstreamId, int] = {}
         self._departed: set[UpstreamId] = set()
@@ -98,6 +102,7 @@
 
     def _beat(self, now: float) -> None:
         self.messenger.beat(now, revision=self.keeper.document.revision)
+        self._remind_one(now)
         self._forget_dead(now)
         self._pull_if_behind(now)
         self.metrics.members.set({}, len(self.detector.alive(now)))
@@ -143,6 +148,19 @@
         """Spreads that an upstream is leaving."""
         self.send_all(UpstreamLeaving(upstream))
 
+    def spread_ends(
+        self, ends: tuple[ToldEnd, ...], cleared: tuple[Fingerprint, ...]
+    ) -> None:
+        """Spreads that upstreams ended under requests."""
+        self.send_all(EndsSeen(ends, cleared))
+
+    def _remind_one(self, now: float) -> None:
+        """Tells a member by chance what it may have missed."""
+        others = self.detector.alive(now)[1:]
+        ends = self.end_watch.ledger.told(now=now) if self.end_watch else ()
+        if others and ends:
+            self.messenger.send(self.fleet.rng.choice(others), EndsSeen(ends))
+
     def hint_job(self, job: JobId) -> None:
         """Tells members to look for jobs now."""
         self.send_all(JobHint(job))
@@ -240,6 +258,12 @@
         if self.fleet.table.mark_leaving(message.upstream):
             self.spread_leaving(message.upstream)
 
+    @_handlers.handles(EndsSeen)
+    def _on_ends(self, sender: InstanceId, seen: EndsSeen) -> None:
+        watch = self.end_watch
+        if watch and watch.take_news(sender, seen.ends, seen.cleared):
+            self.send_all(seen)
+
     @_handlers.handles(JobHint)
     def _on_job_hint(self, sender: InstanceId, message: JobHint) -> None:
         self.on_job_hint()
--- a/src/coppercleat/jobs/_items.py
+++ b/src/coppercleat/jobs/_items.py
@@ -12,9 +12,8 @@
 from coppercleat.jobs._pace import ItemPace
 from coppercleat.jobs._run import ItemEnd, ItemRun, JobRun
 from coppercleat.observability import part_logger
-from coppercleat.quarantine import shown
+from coppercleat.quarantine import EndWatch, shown
 from coppercleat.serving import (
-    EndWatch,
     EventSequence,
     EventSplitter,
     Nowhere,
@@ -32,6 +31,7 @@
     UpstreamState,
     head_of,
     is_event_stream,
+    life_question,
     looks_for_silence,
     why_incomplete,
 )
@@ -96,7 +96,7 @@
         on_change: Callable[[UpstreamState, bool], None],
         on_end: Callable[[str], None],
         silent_runs: SilentRuns | None = None,
-        end_watch: EndWatch | None = None,
+        end_watch: EndWatch[UpstreamState] | None = None,
     ) -> None:
         """Prepares the runner.
 
@@ -113,7 +113,7 @@
         self.caller = caller
         self.instance = instance
         self.silent_runs = silent_runs or SilentRuns()
-        self.end_watch = end_watch or EndWatch(caller)
+        self.end_watch = end_watch or EndWatch(life_question(caller))
         self.on_change = on_change
         self.on_end = on_end
         self._running: list[Running] = []
--- a/src/coppercleat/membership/_messages.py
+++ b/src/coppercleat/membership/_messages.py
@@ -8,6 +8,7 @@
 
 from coppercleat.configuration import Change, Snapshot
 from coppercleat.ids import InstanceId, JobId, Revision, UpstreamId, ZoneId
+from coppercleat.quarantine import EndsSeen
 from coppercleat.storage import Node
 
 _MAX_MEMBERS = 64
@@ -101,4 +102,5 @@
     | OnlineArrivals
     | UpstreamLeaving
     | JobHint
+    | EndsSeen
 )
--- a/src/coppercleat/observability/_metrics.py
+++ b/src/coppercleat/observability/_metrics.py
@@ -30,6 +30,10 @@
         )
         self.requests = self._counter("requests_total", "Requests by how they ended")
         self.retries = self._counter("retries_total", "Attempts after the first")
+        self.barred = self._counter(
+            "barred_requests_total",
+            "Requests not sent to an upstream, since upstreams ended under them",
+        )
         self.items = self._counter("batch_items_total", "Batch items by how they ended")
         self.commits = self._counter("batch_commits_total", "Chunk commits by outcome")
         self.claims = self._counter("batch_claims_total", "Segment claims by outcome")
--- a/src/coppercleat/online/_dispatch.py
+++ b/src/coppercleat/online/_dispatch.py
@@ -19,8 +19,9 @@
 from coppercleat.observability import part_logger
 from coppercleat.online._exchange import Call, Chunk, Exchange, Infer
 from coppercleat.online._services import OnlineServices
+from coppercleat.quarantine import Standing
 from coppercleat.routing import Choice, NoUpstream, UpstreamRecord, Wanted, choose
-from coppercleat.upstreams import Attempt, EngineRequest
+from coppercleat.upstreams import Attempt, AttemptState, EngineRequest
 
 _MAX_ATTEMPTS = 4
 _SMOOTHING = 0.1
@@ -47,6 +48,7 @@
         self.services.retries.first_attempt()
         tried: set[UpstreamId] = set()
         while True:
+            self._require_not_barred(exchange)
             choice = self._choose(exchange, tried)
             attempt = Attempt()
             exchange.attempts += 1
@@ -60,8 +62,23 @@
                 if exchange.max_tokens and exchange.generated >= exchange.max_tokens:
                     return
                 tried.add(choice.record.upstream)
+                if isinstance(error, UpstreamFailedError):
+                    self._note_broken(exchange, choice.record, attempt)
                 self._require_retry(exchange, attempt, error)
 
+    def _require_not_barred(self, exchange: Exchange) -> None:
+        """Returns if no upstreams have ended under the request, raises otherwise."""
+        verdict = self.services.end_watch.admit(exchange)
+        if verdict.may_run:
+            return
+        raise UpstreamUnavailableError(
+            f"{verdict.ends} upstreams ended while they ran this request"
+            if verdict.standing is Standing.QUARANTINED
+            else "Upstreams may have ended while they ran this request",
+            outcome=_outcome(exchange),
+            retry_after_ms=round(1000 * verdict.retry_after_s),
+        )
+
     def _choose(self, exchange: Exchange, tried: set[UpstreamId]) -> Choice:
         services = self.services
         choice = choose(
@@ -107,6 +124,7 @@
                 async for chunk in self._until(chunks, exchange, attempt):
                     yield chunk
             record.health.succeeded()
+            self.services.end_watch.answered(exchange.fingerprint)
 
     @contextlib.contextmanager
     def _count(self, record: UpstreamRecord) -> Iterator[None]:
@@ -205,6 +223,16 @@
         exchange.body = body
         yield Chunk("", 0, body)
 
+    def _note_broken(
+        self, exchange: Exchange, record: UpstreamRecord, attempt: Attempt
+    ) -> None:
+        """Has the upstream asked whether it ended under the request."""
+        watch = self.services.end_watch
+        if attempt.state is AttemptState.LOST:
+            watch.broke_off(exchange.fingerprint, record)
+        elif attempt.state is AttemptState.SENT:
+            watch.broke_off(exchange.fingerprint, record, silent=True)
+
     def _require_retry(
         self, exchange: Exchange, attempt: Attempt, error: CoppercleatError
     ) -> None:
--- a/src/coppercleat/online/_exchange.py
+++ b/src/coppercleat/online/_exchange.py
@@ -2,10 +2,13 @@
 
 from __future__ import annotations
 
+import functools
+
 import attrs
 import msgspec
 
 from coppercleat.ids import RequestId, TenantId, UpstreamId
+from coppercleat.quarantine import Fingerprint, fingerprint_of
 
 
 class Infer(msgspec.Struct, kw_only=True):
@@ -93,6 +96,23 @@
         """The prompt, or nothing for a plain service."""
         return self.asked.prompt if isinstance(self.asked, Infer) else ""
 
+    @functools.cached_property
+    def fingerprint(self) -> Fingerprint:
+        """Names what it asks: the same when a client asks again."""
+        asked = self.asked
+        if isinstance(asked, Infer):
+            target = f"{asked.deployment}/{asked.adapter}/{asked.max_tokens}"
+            body = asked.prompt.encode()
+        else:
+            target, body = asked.route, asked.body
+        return fingerprint_of(
+            method=self.request_class,
+            host="",
+            target=target.encode(),
+            account=self.tenant.encode(),
+            body=body,
+        )
+
     @property
     def request_class(self) -> str:
         """The class that histograms are kept by."""
--- a/src/coppercleat/platform/_upstream_calls.py
+++ b/src/coppercleat/platform/_upstream_calls.py
@@ -23,7 +23,7 @@
     UpstreamBrokeError,
     UpstreamReport,
 )
-from coppercleat.upstreams import Attempt, AttemptState
+from coppercleat.upstreams import Attempt, AttemptState, nothing_listens
 
 CONNECT_TIMEOUT_S = 0.1
 """Connecting takes about 2 ms; an upstream that does not answer by then is taken as
@@ -79,7 +79,11 @@
                 )
                 body = msgspec.json.decode(response.content, type=_ReportBody)
             except (*_BROKEN, msgspec.MsgspecError) as error:
-                kind = NothingListensError if _refused(error) else UpstreamBrokeError
+                kind = (
+                    NothingListensError
+                    if nothing_listens(error)
+                    else UpstreamBrokeError
+                )
                 raise kind(f"no report: {error!r}") from error
         return UpstreamReport(
             running=body.running, waiting=body.queued, born_ms=body.born
@@ -198,12 +202,3 @@
         f"{upstream.id} at {upstream.address}: {type(error).__name__} {error}",
         disconnected=True,
     )
-
-
-def _refused(error: BaseException | None) -> bool:
-    """Returns whether a host said that nothing listens; the cause lies deep."""
-    if isinstance(error, ConnectionRefusedError):
-        return True
-    if isinstance(error, BaseExceptionGroup):
-        return all(_refused(single) for single in error.exceptions)
-    return error is not None and _refused(error.__cause__ or error.__context__)
--- a/src/coppercleat/quarantine/__init__.py
+++ b/src/coppercleat/quarantine/__init__.py
@@ -1,10 +1,12 @@
 """Finds requests that end the upstreams that run them, and keeps them from more."""
 
+from coppercleat.quarantine._end_watch import Asking, EndWatch, Finding, Watched
 from coppercleat.quarantine._fingerprint import Fingerprint, fingerprint_of, shown
 from coppercleat.quarantine._ledger import (
     FREE,
     HELD_RETRY_S,
     EndLedger,
+    EndsSeen,
     Standing,
     ToldEnd,
     Verdict,
@@ -13,11 +15,16 @@
 __all__ = [
     "FREE",
     "HELD_RETRY_S",
+    "Asking",
     "EndLedger",
+    "EndWatch",
+    "EndsSeen",
+    "Finding",
     "Fingerprint",
     "Standing",
     "ToldEnd",
     "Verdict",
+    "Watched",
     "fingerprint_of",
     "shown",
 ]
--- a/src/coppercleat/serving/_end_watch.py
+++ b/src/coppercleat/quarantine/_end_watch.py
@@ -7,28 +7,23 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable
+import enum
+from collections.abc import Awaitable, Callable
+from typing import Generic, Protocol, TypeVar
 
 import attrs
 import trio
 
+from coppercleat.ids import UpstreamId
 from coppercleat.observability import part_logger
-from coppercleat.quarantine import (
+from coppercleat.quarantine._fingerprint import Fingerprint, shown
+from coppercleat.quarantine._ledger import (
     FREE,
     HELD_RETRY_S,
     EndLedger,
-    Fingerprint,
     Standing,
     ToldEnd,
     Verdict,
-    shown,
-)
-from coppercleat.serving._model import OnlineRequest
-from coppercleat.serving._placement import UpstreamState
-from coppercleat.serving._upstream_call import (
-    NothingListensError,
-    UpstreamBrokeError,
-    UpstreamCaller,
 )
 
 LOOK_PAUSES_S = (0.0, 0.05, 0.1, 0.2, 0.4, 0.8, 1.0, 1.0, 1.0)
@@ -44,8 +39,57 @@
 _log = part_logger("quarantine")
 
 
+class Finding(enum.Enum):
+    """What a question to an upstream has shown."""
+
+    NOTHING_LISTENS = "nothing listens at its address"
+    OTHER_LIFE = "it tells of another start"
+    LIVES = "it lives"
+    NO_ANSWER = "it does not answer"
+
+
+class Watched(Protocol):
+    """One life of an upstream."""
+
+    @property
+    def id(self) -> UpstreamId:
+        """Its id."""
+        ...
+
+    @property
+    def stopping(self) -> bool:
+        """Whether it leaves, or has left, as planned."""
+        ...
+
+    @property
+    def restarted(self) -> bool:
+        """Whether it is known to have started again, which is another life."""
+        ...
+
+
+class Asking(Protocol):
+    """A request that wants to be sent to an upstream."""
+
+    @property
+    def request_id(self) -> str:
+        """Its id, for the log."""
+        ...
+
+    @property
+    def fingerprint(self) -> Fingerprint:
+        """What it asks."""
+        ...
+
+
+_W = TypeVar("_W", bound=Watched)
+
+_PROOFS = frozenset({Finding.NOTHING_LISTENS, Finding.OTHER_LIFE})
+_FINAL = frozenset({Finding.LIVES, Finding.OTHER_LIFE})
+"""Nothing listens also where a link refuses for a moment: it is asked again."""
+
+
 @attrs.define(eq=False)
-class _Inquiry:
+class _Inquiry(Generic[_W]):
     """What is asked of one life of an upstream.
 
     Attributes:
@@ -53,12 +97,12 @@
       found_ended: Whether it is taken to have ended.
     """
 
-    state: UpstreamState
+    state: _W
     suspects: dict[Fingerprint, float] = attrs.field(factory=dict)
     found_ended: bool = False
 
 
-class EndWatch:
+class EndWatch(Generic[_W]):
     """Keeps the ledger of ends up to date, and tells others of what is found.
 
     Attributes:
@@ -68,17 +112,22 @@
       on_barred: Told the standing of each request that was not let through.
     """
 
-    def __init__(self, caller: UpstreamCaller) -> None:
-        self.caller = caller
+    def __init__(self, ask: Callable[[_W], Awaitable[Finding]]) -> None:
+        """Prepares the watch.
+
+        Args:
+          ask: Puts one question to an upstream.
+        """
+        self.ask = ask
         self.ledger = EndLedger()
         self.on_news: Callable[[tuple[ToldEnd, ...], tuple[Fingerprint, ...]], None] = (
             lambda ends, cleared: None
         )
         self.may_try: Callable[[Fingerprint], bool] = lambda fingerprint: True
         self.on_barred: Callable[[str], None] = lambda standing: None
-        self._inquiries: dict[UpstreamState, _Inquiry] = {}
-        self._opened: list[_Inquiry] = []
-        self._untold: list[tuple[Fingerprint, UpstreamState, float, bool]] = []
+        self._inquiries: dict[_W, _Inquiry[_W]] = {}
+        self._opened: list[_Inquiry[_W]] = []
+        self._untold: list[tuple[Fingerprint, UpstreamId, float, bool]] = []
         self._cleared: list[Fingerprint] = []
         self._wake = trio.Event()
 
@@ -96,14 +145,14 @@
     # What the serving path tells.
 
     def broke_off(
-        self, fingerprint: Fingerprint, state: UpstreamState, *, silent: bool = False
+        self, fingerprint: Fingerprint, state: _W, *, silent: bool = False
     ) -> None:
         """Notes a run that broke off, or fell silent, at an upstream.
 
         One that was leaving ends as planned. Silence is less than a broken connection:
         it holds no request up before the end is proved.
         """
-        if state.upstream.draining or (state.gone and not state.restarted):
+        if state.stopping:
             return
         inquiry = self._inquiries.get(state)
         if inquiry is None:
@@ -125,7 +174,7 @@
             self._cleared.append(fingerprint)
             self._wake.set()
 
-    def verdict(self, request: OnlineRequest) -> Verdict:
+    def verdict(self, request: Asking) -> Verdict:
         """Returns whether a request may be sent to an upstream now."""
         if not len(self.ledger):
             return FREE
@@ -137,7 +186,7 @@
             return Verdict(Standing.QUARANTINED, HELD_RETRY_S, verdict.ends)
         return verdict
 
-    def admit(self, request: OnlineRequest) -> Verdict:
+    def admit(self, request: Asking) -> Verdict:
         """Does the same for one that is sent at once if it may be; counts a trial."""
         verdict = self.verdict(request)
         if verdict.standing is Standing.TRIAL:
@@ -152,7 +201,7 @@
 
     # Asking.
 
-    async def _inquire(self, inquiry: _Inquiry) -> None:
+    async def _inquire(self, inquiry: _Inquiry[_W]) -> None:
         state = inquiry.state
         try:
             for pause_s in LOOK_PAUSES_S:
@@ -164,56 +213,47 @@
             for fingerprint in inquiry.suspects:
                 self.ledger.settled(fingerprint, state.id)
 
-    async def _settled(self, inquiry: _Inquiry) -> bool:
+    async def _settled(self, inquiry: _Inquiry[_W]) -> bool:
         """Looks once; returns whether nothing more can be learnt."""
         state = inquiry.state
         if state.restarted:
             self._found_ended(inquiry, "it has started again")
             return True
-        try:
-            report = await self.caller.report(state.upstream)
-        except NothingListensError:
-            self._found_ended(inquiry, "nothing listens at its address")
-            return False
-        except UpstreamBrokeError as error:
-            _log.debug("An upstream did not report.", reason=str(error))
-            return False
-        born_ms = state.upstream.born_ms
-        if 0 not in (report.born_ms, born_ms) and report.born_ms != born_ms:
-            self._found_ended(inquiry, "it tells of another start")
-        elif inquiry.found_ended:
+        finding = await self.ask(state)
+        if finding in _PROOFS:
+            self._found_ended(inquiry, finding.value)
+        elif finding is Finding.LIVES and inquiry.found_ended:
             self._withdraw(inquiry)
-        return True
+        return finding in _FINAL
 
-    def _found_ended(self, inquiry: _Inquiry, proof: str) -> None:
+    def _found_ended(self, inquiry: _Inquiry[_W], proof: str) -> None:
         if inquiry.found_ended:
             return
         inquiry.found_ended = True
         _log.warning(
             "An upstream ended under requests.",
             upstream=inquiry.state.id,
-            born_ms=inquiry.state.upstream.born_ms,
             proof=proof,
             requests=len(inquiry.suspects),
         )
         for fingerprint in inquiry.suspects:
             self._note_end(inquiry, fingerprint)
 
-    def _note_end(self, inquiry: _Inquiry, fingerprint: Fingerprint) -> None:
+    def _note_end(self, inquiry: _Inquiry[_W], fingerprint: Fingerprint) -> None:
         state, at = inquiry.state, inquiry.suspects[fingerprint]
         self.ledger.settled(fingerprint, state.id)
         if self.ledger.ended(fingerprint, state.id, at):
             self._log_verdict(fingerprint, teller="")
-        self._untold.append((fingerprint, state, at, False))
+        self._untold.append((fingerprint, state.id, at, False))
         self._wake.set()
 
-    def _withdraw(self, inquiry: _Inquiry) -> None:
+    def _withdraw(self, inquiry: _Inquiry[_W]) -> None:
         """Takes an end back: the link to the upstream had refused for a moment."""
         state = inquiry.state
         _log.warning("An upstream lives after all.", upstream=state.id)
         for fingerprint, at in inquiry.suspects.items():
             self.ledger.withdraw(fingerprint, state.id, at)
-            self._untold.append((fingerprint, state, at, True))
+            self._untold.append((fingerprint, state.id, at, True))
         self._wake.set()
 
     # Telling and hearing.
@@ -226,21 +266,22 @@
                 await trio.sleep(REPEAT_S)
             now = trio.current_time()
             ends = tuple(
-                ToldEnd(fingerprint, state.id, now - at, withdrawn)
-                for fingerprint, state, at, withdrawn in untold
+                ToldEnd(fingerprint, upstream, now - at, withdrawn)
+                for fingerprint, upstream, at, withdrawn in untold
             )
             # What was cleared is not told again: it may have become suspect since.
             self.on_news(ends, () if repeat else cleared)
 
     def take_news(
         self, teller: str, ends: tuple[ToldEnd, ...], cleared: tuple[Fingerprint, ...]
-    ) -> None:
-        """Takes what another instance has found."""
+    ) -> bool:
+        """Takes what another instance has found; returns whether it is news."""
         now = trio.current_time()
         before = self.ledger.quarantined(now=now)
-        self.ledger.take_told(ends, cleared, now=now)
+        news = self.ledger.take_told(ends, cleared, now=now)
         for fingerprint in self.ledger.quarantined(now=now).keys() - before.keys():
             self._log_verdict(fingerprint, teller=teller)
+        return news
 
     def _log_verdict(self, fingerprint: Fingerprint, *, teller: str) -> None:
         verdict = self.ledger.verdict(fingerprint, now=trio.current_time())
--- a/src/coppercleat/quarantine/_ledger.py
+++ b/src/coppercleat/quarantine/_ledger.py
@@ -93,6 +93,17 @@
     withdrawn: bool = False
 
 
+class EndsSeen(msgspec.Struct, frozen=True, tag="ends", array_like=True):
+    """Tells of upstreams that ended under requests, found or heard of.
+
+    Attributes:
+      cleared: Requests that an upstream has answered.
+    """
+
+    ends: tuple[ToldEnd, ...]
+    cleared: tuple[Fingerprint, ...] = ()
+
+
 @attrs.define
 class _Record:
     """What is held against one request.
@@ -156,16 +167,22 @@
 
     def withdraw(
         self, fingerprint: Fingerprint, upstream: UpstreamId, at: float
-    ) -> None:
-        """Notes that an upstream that seemed to have ended then lives on."""
+    ) -> bool:
+        """Notes that an upstream that seemed to have ended then lives on.
+
+        Returns:
+          Whether its end was held against the request.
+        """
         self._void[fingerprint, upstream] = at + SAME_END_S
         record = self._records.get(fingerprint)
         if record is None:
-            return
+            return False
         end = record.same_end(upstream, at)
-        if end in record.ends:
+        held = end in record.ends
+        if held:
             record.ends.remove(end)
         self._drop_if_empty(fingerprint, record)
+        return held
 
     def clear(self, fingerprint: Fingerprint, *, now: float) -> bool:
         """Notes a run that was answered; returns whether anything was held against it.
@@ -180,15 +197,15 @@
 
     def take_told(
         self, ends: Iterable[ToldEnd], cleared: Iterable[Fingerprint], *, now: float
-    ) -> None:
-        """Takes what another instance tells."""
-        for fingerprint in cleared:
-            self.clear(fingerprint, now=now)
+    ) -> bool:
+        """Takes what another instance tells; returns whether any of it is new."""
+        news = [self.clear(fingerprint, now=now) for fingerprint in cleared]
         for told in ends:
             at = now - told.age_s
             note = self.withdraw if told.withdrawn else self.ended
-            note(told.fingerprint, told.upstream, at)
+            news.append(note(told.fingerprint, told.upstream, at))
         self._forget(now)
+        return any(news)
 
     # What follows.
 
--- a/src/coppercleat/routing/_table.py
+++ b/src/coppercleat/routing/_table.py
@@ -14,7 +14,7 @@
 _LEAVING = "leaving"
 
 
-@attrs.define(kw_only=True)
+@attrs.define(kw_only=True, eq=False)
 class UpstreamRecord:
     """One upstream as this instance sees it.
 
@@ -48,6 +48,21 @@
     first_token_s: float = 0.0
     health: Health = attrs.field(factory=Health)
 
+    @property
+    def id(self) -> UpstreamId:
+        """The upstream's id."""
+        return UpstreamId(self.node.id)
+
+    @property
+    def stopping(self) -> bool:
+        """Whether it leaves as planned."""
+        return self.leaving
+
+    @property
+    def restarted(self) -> bool:
+        """Whether it is another life than before: the list does not tell."""
+        return False
+
     @property
     def upstream(self) -> UpstreamId:
         """The upstream's id."""
--- a/src/coppercleat/serving/__init__.py
+++ b/src/coppercleat/serving/__init__.py
@@ -10,7 +10,6 @@
 from coppercleat.serving._answer_use import EVENT_STREAM, head_of, is_event_stream
 from coppercleat.serving._answers import why_incomplete
 from coppercleat.serving._demand import AnswerTimes, Demand
-from coppercleat.serving._end_watch import EndWatch
 from coppercleat.serving._events import EventSplitter, StreamEvent
 from coppercleat.serving._fleet_order import (
     FleetOrder,
@@ -20,6 +19,7 @@
     Waiting,
 )
 from coppercleat.serving._forwarding import Forwarder, RequestEnd
+from coppercleat.serving._life_question import life_question
 from coppercleat.serving._model import (
     ClientLimits,
     Header,
@@ -77,7 +77,6 @@
     "Catalogue",
     "ClientLimits",
     "Demand",
-    "EndWatch",
     "EventSequence",
     "EventSplitter",
     "FleetOrder",
@@ -132,6 +131,7 @@
     "believed_runs",
     "jobs_pause_s",
     "lease_s",
+    "life_question",
     "looks_for_silence",
     "renewal_pause_s",
     "routes_pause_s",
--- a/src/coppercleat/serving/_forwarding.py
+++ b/src/coppercleat/serving/_forwarding.py
@@ -8,13 +8,13 @@
 import trio
 
 from coppercleat.observability import part_logger
-from coppercleat.quarantine import Standing, Verdict, shown
+from coppercleat.quarantine import EndWatch, Standing, Verdict, shown
 from coppercleat.serving._admission import Admission
 from coppercleat.serving._admission_queue import TooLate, Waiter
 from coppercleat.serving._answer_use import Unfit, use_of
 from coppercleat.serving._answers import PASS
-from coppercleat.serving._end_watch import EndWatch
 from coppercleat.serving._exchange import Exchange
+from coppercleat.serving._life_question import life_question
 from coppercleat.serving._model import (
     OnlineRequest,
     Refusal,
@@ -78,7 +78,7 @@
         *,
         on_end: Callable[[RequestEnd], None],
         silent_runs: SilentRuns | None = None,
-        end_watch: EndWatch | None = None,
+        end_watch: EndWatch[UpstreamState] | None = None,
     ) -> None:
         """Prepares the forwarder.
 
@@ -95,7 +95,7 @@
         self.on_end = on_end
         self.silence = SilenceWatch(self.placement)
         self.silent_runs = silent_runs or SilentRuns()
-        self.end_watch = end_watch or EndWatch(caller)
+        self.end_watch = end_watch or EndWatch(life_question(caller))
 
     async def forward(
         self, request: OnlineRequest, route: Route, reply: Reply
--- /dev/null
+++ b/src/coppercleat/serving/_life_question.py
@@ -0,0 +1,37 @@
+"""Whether an upstream still lives, by its own report."""
+
+from __future__ import annotations
+
+from collections.abc import Awaitable, Callable
+
+from coppercleat.observability import part_logger
+from coppercleat.quarantine import Finding
+from coppercleat.serving._placement import UpstreamState
+from coppercleat.serving._upstream_call import (
+    NothingListensError,
+    UpstreamBrokeError,
+    UpstreamCaller,
+)
+
+_log = part_logger("quarantine")
+
+
+def life_question(
+    caller: UpstreamCaller,
+) -> Callable[[UpstreamState], Awaitable[Finding]]:
+    """Returns the question that ``EndWatch`` puts to upstreams."""
+
+    async def ask(state: UpstreamState) -> Finding:
+        try:
+            report = await caller.report(state.upstream)
+        except NothingListensError:
+            return Finding.NOTHING_LISTENS
+        except UpstreamBrokeError as error:
+            _log.debug("An upstream did not report.", reason=str(error))
+            return Finding.NO_ANSWER
+        born_ms = state.upstream.born_ms
+        if 0 not in (report.born_ms, born_ms) and report.born_ms != born_ms:
+            return Finding.OTHER_LIFE
+        return Finding.LIVES
+
+    return ask
--- a/src/coppercleat/serving/_peers.py
+++ b/src/coppercleat/serving/_peers.py
@@ -21,7 +21,7 @@
     Way,
 )
 from coppercleat.observability import part_logger
-from coppercleat.quarantine import Fingerprint, ToldEnd
+from coppercleat.quarantine import EndsSeen, Fingerprint, ToldEnd
 from coppercleat.serving._dropped_messages import DroppedMessages
 from coppercleat.serving._fleet_order import Waiting
 from coppercleat.serving._model import RouteConfig, Upstream
@@ -94,17 +94,6 @@
     results: tuple[AttemptResults, ...]
 
 
-class EndsSeen(msgspec.Struct, frozen=True, tag="ends", array_like=True):
-    """Upstreams that ended under requests, as far as the sender has found or heard.
-
-    Attributes:
-      cleared: Requests that an upstream has answered.
-    """
-
-    ends: tuple[ToldEnd, ...]
-    cleared: tuple[Fingerprint, ...] = ()
-
-
 class KnowledgeWanted(msgspec.Struct, frozen=True, tag="ask", array_like=True):
     """Asks for routes newer than a version, and for the list of upstreams."""
 
@@ -226,9 +215,7 @@
             lambda job, items: None
         )
         self.ends: Callable[[], tuple[ToldEnd, ...]] = tuple
-        self.on_ends: Callable[
-            [InstanceId, tuple[ToldEnd, ...], tuple[Fingerprint, ...]], None
-        ] = lambda sender, ends, cleared: None
+        self.on_ends: Callable[[InstanceId, EndsSeen], None] = lambda sender, seen: None
         self.dropped = DroppedMessages()
         self.messenger = Messenger(
             self.detector,
@@ -566,7 +553,7 @@
 
     @_handlers.handles(EndsSeen)
     def _on_ends(self, sender: InstanceId, seen: EndsSeen) -> None:
-        self.on_ends(sender, seen.ends, seen.cleared)
+        self.on_ends(sender, seen)
 
     @_handlers.handles(KnowledgeWanted)
     def _on_wanted(self, sender: InstanceId, wanted: KnowledgeWanted) -> None:
--- a/src/coppercleat/serving/_placement.py
+++ b/src/coppercleat/serving/_placement.py
@@ -115,6 +115,11 @@
         """The upstream's id."""
         return self.upstream.id
 
+    @property
+    def stopping(self) -> bool:
+        """Whether it leaves, or has left, as planned."""
+        return self.upstream.draining or (self.gone and not self.restarted)
+
     @property
     def held(self) -> int:
         """Own runs that were left and may still hold their slots."""
--- a/src/coppercleat/upstreams/__init__.py
+++ b/src/coppercleat/upstreams/__init__.py
@@ -8,6 +8,7 @@
     UpstreamClient,
 )
 from coppercleat.upstreams._events import EventParser, MalformedStreamError, TokenEvent
+from coppercleat.upstreams._refused import nothing_listens
 from coppercleat.upstreams._traced_call import TracedCall
 
 __all__ = [
@@ -21,4 +22,5 @@
     "TokenEvent",
     "TracedCall",
     "UpstreamClient",
+    "nothing_listens",
 ]
--- a/src/coppercleat/upstreams/_client.py
+++ b/src/coppercleat/upstreams/_client.py
@@ -22,9 +22,11 @@
     error_kind,
 )
 from coppercleat.ids import UpstreamId
+from coppercleat.quarantine import Finding
 from coppercleat.upstreams._attempt import Attempt, AttemptState
 from coppercleat.upstreams._events import EventParser, MalformedStreamError
 from coppercleat.upstreams._kept import KeptConnections
+from coppercleat.upstreams._refused import nothing_listens
 
 _MAX_ERROR_BYTES = 10_000
 _MAX_ANSWER_BYTES = 16_000_000
@@ -172,6 +174,19 @@
         except (msgspec.MsgspecError, MalformedStreamError):
             return None
 
+    async def look(self) -> Finding:
+        """Asks whether the upstream still lives; any answer of its own shows that."""
+        try:
+            with trio.fail_after(_REPORT_TIMEOUT_S):
+                async with self._kept.call(
+                    "GET", "/load", headers=[], body=None, timeout=self._timeout
+                ):
+                    return Finding.LIVES
+        except (*_LOST, trio.TooSlowError) as error:
+            if nothing_listens(error):
+                return Finding.NOTHING_LISTENS
+            return Finding.NO_ANSWER
+
     async def order(self, action: str, version: str, *, fence: int) -> list[str]:
         """Orders the engine to load or unload a version.
 
--- a/tests/features/quarantine.feature
+++ b/tests/features/quarantine.feature
@@ -49,6 +49,15 @@
     Then at most 3 runners have ended under it, or were about to
     And all other items are completed
 
+  # The same cause at the product's own door: attempts were counted within one call.
+  Scenario: An inference that ends the engines that run it comes again and again
+    Given a fleet of 1 zones, each with 3 entries and 9 engines
+    And every engine has {"deadly": "deadly"}
+    When a deadly inference is asked 12 times in turn at all entries
+    Then at most 3 engines have ended
+    And the last 6 were refused as not run, with a time to come back
+    And a proper inference is answered
+
   Scenario Outline: A request whose answers are lost while runners <live> is served later
     Given 3 gateways and 4 runners
     And the gateways have been up for 2 s
--- a/tests/features/steps/quarantine_decision_steps.py
+++ b/tests/features/steps/quarantine_decision_steps.py
@@ -7,9 +7,14 @@
 from behave import then, when
 
 from coppercleat.ids import InstanceId, RequestId, UpstreamId, ZoneId
-from coppercleat.quarantine import EndLedger, Standing, ToldEnd, fingerprint_of
-from coppercleat.serving import (
+from coppercleat.quarantine import (
+    EndLedger,
     EndWatch,
+    Standing,
+    ToldEnd,
+    fingerprint_of,
+)
+from coppercleat.serving import (
     InFlight,
     NothingListensError,
     OnlineRequest,
@@ -18,6 +23,7 @@
     UpstreamBrokeError,
     UpstreamReport,
     UpstreamState,
+    life_question,
 )
 
 BORN = 1_796_260_943_655
@@ -121,7 +127,7 @@
     state = placement.states[UpstreamId("a")]
     if does == "is no longer listed":
         placement.replace([])
-    watch = EndWatch(AskedUpstream(answers))
+    watch = EndWatch(life_question(AskedUpstream(answers)))
     # Others end up with the same.
     other = EndLedger()
     watch.on_news = lambda found, cleared: other.take_told(
--- a/tests/features/steps/quarantine_steps.py
+++ b/tests/features/steps/quarantine_steps.py
@@ -8,7 +8,9 @@
 import trio
 from behave import then, when
 
+from coppercleat.rpc import RpcError
 from tests.harness import ONCE, PLAIN, RESUMABLE, STREAM
+from tests.harness.scenario import engines
 from tests.standins.runner import DEADLY_AFTER_S
 
 ROUTES = {"stream": STREAM, "resumable": RESUMABLE, "plain": PLAIN, "once": ONCE}
@@ -196,3 +198,51 @@
     done = [r["id"] for r in page["results"] if r["state"] == "completed"]
     assert len(done) == page["total"] - 1 == len(page["results"]), page
     assert "job-1-item-0" not in done, done
+
+
+@when("a deadly inference is asked {times:d} times in turn at all entries")
+def deadly_inference(context, times):
+    context.errors = []
+
+    async def play():
+        names = list(context.fleet.entries)
+        for number in range(times):
+            entry = names[number % len(names)]
+            context.errors.append(await ask_to_fail(context, entry))
+            await trio.sleep(PAUSE_S)
+
+    context.fleet.run(play)
+
+
+async def ask_to_fail(context, entry):
+    asked = {"deployment": "menus", "prompt": DEADLY}
+    try:
+        await context.fleet.call(entry, "OnlineService", "Infer", **asked)
+    except RpcError as error:
+        return error
+    return None
+
+
+@then("at most {most:d} engines have ended")
+def engines_ended(context, most):
+    processes = context.fleet.processes
+    ended = [name for name in engines(context) if not processes[name].running]
+    assert 0 < len(ended) <= most, ended
+
+
+@then("the last {count:d} were refused as not run, with a time to come back")
+def refused_at_last(context, count):
+    for error in context.errors[-count:]:
+        assert error is not None and error.outcome == "NOT_RUN", error
+        assert int(error.info["retryAfterMs"]) > 0, error.info
+        assert "ended while they ran" in str(error), error
+
+
+@then("a proper inference is answered")
+def proper_inference(context):
+    async def ask():
+        asked = {"deployment": "menus", "prompt": "a proper one"}
+        entry = next(iter(context.fleet.entries))
+        return await context.fleet.call(entry, "OnlineService", "Infer", **asked)
+
+    assert context.fleet.run(ask)["text"]
--- a/tests/standins/engine.py
+++ b/tests/standins/engine.py
@@ -25,6 +25,7 @@
       die_after: Exit after so many parts; -1 for never.
       fail_next: So many requests are answered with status 500.
       reject_prompts: Prompts with this text are answered with status 400.
+      deadly: Prompts with this text end the process as their first token comes.
       slow_every: Every so-manieth request waits, 0 for none.
       slow_s: For so long.
       silent: Give no load reports.
@@ -39,6 +40,7 @@
     die_after: int = -1
     fail_next: int = 0
     reject_prompts: str = ""
+    deadly: str = ""
     slow_every: int = 0
     slow_s: float = 0.0
     silent: bool = False
@@ -99,7 +101,7 @@
             await send(_head(500))
             await send({"type": "http.response.body", "body": b"{}"})
             return
-        receive = _checked(receive, knobs)
+        receive = self._watched(_checked(receive, knobs))
         request_id = dict(scope["headers"]).get(b"x-request-id", b"").decode()
         kind = "batch" if "-" in request_id else "online"
         self._started(kind)
@@ -108,6 +110,18 @@
         finally:
             self._ended(kind)
 
+    def _watched(self, receive: Any) -> Any:
+        """Notes whether a body is a deadly one."""
+
+        async def watched() -> Any:
+            message = await receive()
+            text = self.knobs.deadly.encode()
+            if text and text in message.get("body", b""):
+                self.knobs.die_after = 0
+            return message
+
+        return watched
+
     def _started(self, kind: str) -> None:
         self.active[kind] += 1
         if kind == "online" and self.active["batch"] and self.online_since is None:
