--- a/src/coppercleat/platform/_upstream_calls.py
+++ b/src/coppercleat/platform/_upstream_calls.py
@@ -79,12 +79,9 @@
                 )
                 body = msgspec.json.decode(response.content, type=_ReportBody)
             except (*_BROKEN, msgspec.MsgspecError) as error:
-                kind = (
-                    NothingListensError
-                    if nothing_listens(error)
-                    else UpstreamBrokeError
-                )
-                raise kind(f"no report: {error!r}") from error
+                if nothing_listens(error):
+                    raise NothingListensError("no report: refused") from error
+                raise UpstreamBrokeError(f"no report: {error!r}") from error
         return UpstreamReport(
             running=body.running, waiting=body.queued, born_ms=body.born
         )
--- a/src/coppercleat/upstreams/_refused.py
+++ b/src/coppercleat/upstreams/_refused.py
@@ -4,7 +4,7 @@
 
 
 def nothing_listens(error: BaseException | None) -> bool:
-    """Returns whether an error tells so; the system's own lies deep among its causes."""
+    """Returns whether an error tells so; the system's own is among its causes."""
     if isinstance(error, ConnectionRefusedError):
         return True
     if isinstance(error, BaseExceptionGroup):
