Rows of instances keep verdicts, for those that only reach the platform or start anew

Cause: ends were known in memory and told by messages alone. After all instances had ended at once nobody knew of them; a zone that is cut off from the others, but not from the platform, learnt of none. Change: the row that an instance renews each second, and that all read, tells the quarantined requests; three instances keep each. No call more. An instance that starts reads its own row of before as it renews it. Only verdicts are kept: ends that two clocks place differently would count twice. Nine rows by the store alone.

--- a/src/coppercleat/gateway/_gateway.py
+++ b/src/coppercleat/gateway/_gateway.py
@@ -13,8 +13,15 @@
 from coppercleat.ids import InstanceId, random_token
 from coppercleat.jobs import ItemRunner, JobIndex, JobRepository, JobWorker, Sweeper
 from coppercleat.observability import part_logger
-from coppercleat.quarantine import EndsSeen, EndWatch, Fingerprint, ToldEnd, shown
-from coppercleat.routing import owner
+from coppercleat.quarantine import (
+    EndKeeper,
+    EndsSeen,
+    EndWatch,
+    Fingerprint,
+    ToldEnd,
+    shown,
+)
+from coppercleat.routing import ranked
 from coppercleat.serving import (
     Admission,
     AdmissionQueue,
@@ -43,6 +50,10 @@
 STARTING_RETRY_S = 0.5
 """When to come back to an instance that knows no routes yet."""
 
+KEEPERS = 3
+"""Instances that keep a quarantined request in their rows: after a start of all of them
+it is learnt again, and a large fleet's rows stay small."""
+
 _log = part_logger("gateway")
 
 
@@ -103,6 +114,9 @@
         self.survey = Survey(self.placement, caller, rng=self.rng)
         self.silent_runs = SilentRuns()
         self.end_watch = EndWatch(life_question(caller))
+        self.end_keeper = EndKeeper(
+            self.end_watch.ledger, clock=time.time, keeps=self._keeps
+        )
         self.forwarder = Forwarder(
             self.admission,
             caller,
@@ -168,6 +182,8 @@
         self.peers.on_peer_dropped = self.survey.doubt
         self.peers.on_taken = self.worker.taken_elsewhere
         self.peers.on_handover = self.worker.handed_over
+        self.watch.kept_ends = self.end_keeper.to_keep
+        self.watch.on_kept_ends = self.end_keeper.take_kept
         self.peers.ends = self._ends
         self.peers.on_ends = self._hear_of_ends
         self.end_watch.on_news = self.peers.ends_found
@@ -183,10 +199,18 @@
     def _ends(self) -> tuple[ToldEnd, ...]:
         return self.end_watch.ledger.told(now=trio.current_time())
 
-    def _tries(self, fingerprint: Fingerprint) -> bool:
-        """Returns whether a trial falls to this instance: to one of all that live."""
+    def _ranked(self, fingerprint: Fingerprint) -> list[str]:
+        """Returns all living instances, in an order that they agree on."""
         living = [self.settings.instance, *self.peers.others()]
-        return owner(shown(fingerprint), living) == self.settings.instance
+        return ranked(shown(fingerprint), living)
+
+    def _tries(self, fingerprint: Fingerprint) -> bool:
+        """Returns whether a trial of a request falls to this instance."""
+        return self._ranked(fingerprint)[0] == self.settings.instance
+
+    def _keeps(self, fingerprint: Fingerprint) -> bool:
+        """Returns whether this instance is one of those that keep a request's ends."""
+        return self.settings.instance in self._ranked(fingerprint)[:KEEPERS]
 
     def _work_changed(self, state: UpstreamState, started: bool) -> None:
         self.peers.work_changed(urgent=started)
--- a/src/coppercleat/quarantine/__init__.py
+++ b/src/coppercleat/quarantine/__init__.py
@@ -1,5 +1,6 @@
 """Finds requests that end the upstreams that run them, and keeps them from more."""
 
+from coppercleat.quarantine._end_keeper import EndKeeper, KeptEnds
 from coppercleat.quarantine._end_watch import Asking, EndWatch, Finding, Watched
 from coppercleat.quarantine._fingerprint import Fingerprint, fingerprint_of, shown
 from coppercleat.quarantine._ledger import (
@@ -16,10 +17,12 @@
     "FREE",
     "HELD_RETRY_S",
     "Asking",
+    "EndKeeper",
     "EndLedger",
     "EndWatch",
     "EndsSeen",
     "Finding",
+    "KeptEnds",
     "Fingerprint",
     "Standing",
     "ToldEnd",
--- /dev/null
+++ b/src/coppercleat/quarantine/_end_keeper.py
@@ -0,0 +1,84 @@
+"""Keeps verdicts on requests in rows that instances write and read anyway.
+
+So an instance that can reach the platform alone learns of them, and one that starts,
+also after all have ended at once. A row tells only of requests that are quarantined:
+its times are by the clock of the machine that wrote it, and an end that two clocks
+place differently would count twice.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Callable, Iterable
+
+import msgspec
+import trio
+
+from coppercleat.ids import UpstreamId
+from coppercleat.quarantine._fingerprint import Fingerprint
+from coppercleat.quarantine._ledger import MOST_ENDS, EndLedger
+
+MOST_KEPT = 8
+"""Requests in one row, those with the most ends: some 2 kB with six ends each."""
+
+
+class KeptEnds(msgspec.Struct, frozen=True, array_like=True):
+    """A quarantined request.
+
+    Attributes:
+      ends: Which upstream ended when, in Unix seconds.
+    """
+
+    fingerprint: Fingerprint
+    ends: tuple[tuple[UpstreamId, float], ...]
+
+
+class EndKeeper:
+    """Translates between a ledger and rows."""
+
+    def __init__(
+        self,
+        ledger: EndLedger,
+        *,
+        clock: Callable[[], float],
+        keeps: Callable[[Fingerprint], bool],
+    ) -> None:
+        """Prepares the keeper.
+
+        Args:
+          ledger: What this instance knows.
+          clock: Unix time in seconds.
+          keeps: Returns whether it falls to this instance to keep a request: a few do,
+            so that the rows of a large fleet stay small.
+        """
+        self.ledger = ledger
+        self.clock = clock
+        self.keeps = keeps
+
+    def to_keep(self) -> tuple[KeptEnds, ...]:
+        """Returns what this instance's row should tell."""
+        now = trio.current_time()
+        counts = self.ledger.quarantined(now=now)
+        mine = [fingerprint for fingerprint in counts if self.keeps(fingerprint)]
+        mine.sort(key=lambda fingerprint: -counts[fingerprint])
+        wall_at_zero = self.clock() - now
+        return tuple(
+            KeptEnds(
+                fingerprint,
+                tuple(
+                    (upstream, wall_at_zero + at)
+                    for upstream, at in self.ledger.ends_of(fingerprint)
+                ),
+            )
+            for fingerprint in mine[:MOST_KEPT]
+        )
+
+    def take_kept(self, kept: Iterable[KeptEnds]) -> None:
+        """Takes what a row tells, of requests that are not quarantined here."""
+        now = trio.current_time()
+        wall_at_zero = self.clock() - now
+        for request in kept:
+            if len(self.ledger.ends_of(request.fingerprint)) >= MOST_ENDS:
+                continue
+            # A clock that is ahead must not make an end of the future.
+            ends = [(u, min(now, wall - wall_at_zero)) for u, wall in request.ends]
+            self.ledger.adopt(request.fingerprint, ends)
--- a/src/coppercleat/quarantine/_ledger.py
+++ b/src/coppercleat/quarantine/_ledger.py
@@ -165,6 +165,16 @@
         record.ends.append((upstream, at))
         return True
 
+    def adopt(
+        self, fingerprint: Fingerprint, ends: list[tuple[UpstreamId, float]]
+    ) -> None:
+        """Takes all ends that another knows in place of the own, if they are more."""
+        counted = [e for e in ends if e[1] > self._void_until(fingerprint, e[0])]
+        record = self._record(fingerprint)
+        if len(counted) > len(record.ends):
+            record.ends = counted
+        self._drop_if_empty(fingerprint, record)
+
     def withdraw(
         self, fingerprint: Fingerprint, upstream: UpstreamId, at: float
     ) -> bool:
@@ -243,10 +253,13 @@
             for upstream, at in record.ends
         )
 
+    def ends_of(self, fingerprint: Fingerprint) -> list[tuple[UpstreamId, float]]:
+        """Returns which upstreams have ended under a request, and when."""
+        return list(self._records.get(fingerprint, _Record()).ends)
+
     def upstreams_of(self, fingerprint: Fingerprint) -> list[UpstreamId]:
         """Returns the upstreams that have ended under a request, in order."""
-        record = self._records.get(fingerprint, _Record())
-        return [upstream for upstream, _ in record.ends]
+        return [upstream for upstream, _ in self.ends_of(fingerprint)]
 
     def quarantined(self, *, now: float) -> dict[Fingerprint, int]:
         """Returns requests that are kept from running, with the ends under each."""
--- a/src/coppercleat/serving/_watch.py
+++ b/src/coppercleat/serving/_watch.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import contextlib
 import random
 from collections.abc import Callable
 from typing import Protocol
@@ -13,6 +14,7 @@
 from coppercleat.errors import CoppercleatError, PlatformUnavailableError
 from coppercleat.ids import InstanceId, UpstreamId, ZoneId
 from coppercleat.observability import part_logger
+from coppercleat.quarantine import KeptEnds
 from coppercleat.serving._model import RouteConfig, RouteTable, Upstream
 from coppercleat.serving._node import GatewaySettings
 from coppercleat.serving._pauses import (
@@ -82,12 +84,14 @@
 
     Attributes:
       boot: Names one start of the instance.
+      quarantined: Requests under which upstreams ended, as far as it keeps them.
     """
 
     boot: str
     peers: str
     zone: ZoneId
     leaving: bool = False
+    quarantined: tuple[KeptEnds, ...] = ()
 
 
 class UpstreamList:
@@ -141,6 +145,8 @@
       table: The routes in force; None while none are known.
       upstreams_known: Whether a list of upstreams has come from anywhere.
       on_upstreams_gone: Told of upstreams that are no longer used.
+      kept_ends: Returns the quarantined requests that the own row should tell.
+      on_kept_ends: Told those of any row, the own one of an earlier start included.
     """
 
     def __init__(
@@ -164,6 +170,8 @@
         self.on_members: Callable[[list[tuple[InstanceId, str, ZoneId]]], None] = (
             lambda members: None
         )
+        self.kept_ends: Callable[[], tuple[KeptEnds, ...]] = tuple
+        self.on_kept_ends: Callable[[tuple[KeptEnds, ...]], None] = lambda kept: None
         self._list = UpstreamList()
         self._upstreams: tuple[Upstream, ...] = ()
         self._upstreams_at = float("-inf")
@@ -353,18 +361,12 @@
     async def _renew(self) -> None:
         """Renews this instance's own row, under its last version."""
         key = _INSTANCE_PREFIX + self.settings.instance
-        row = InstanceRow(
-            boot=self.boot,
-            peers=self.settings.peers,
-            zone=self.settings.zone,
-            leaving=self._leaving,
-        )
         lost = False
         for _ in range(_RENEW_TRIES):
             began = trio.current_time()
             renewal = Transaction(
                 checks=[Check(key, self._own_version)],
-                puts=[Put(key, msgspec.json.encode(row))],
+                puts=[Put(key, msgspec.json.encode(self._own_row()))],
             )
             try:
                 answer = await self.platform.transact(renewal)
@@ -381,8 +383,24 @@
             # An earlier start of this instance, or a renewal whose answer was lost.
             rows = await self.platform.read([key])
             self._own_version = rows[key].version if key in rows else ABSENT
+            if key in rows:
+                self._take_kept(rows[key])
         raise PlatformUnavailableError("The own row changes under this instance")
 
+    def _own_row(self) -> InstanceRow:
+        return InstanceRow(
+            boot=self.boot,
+            peers=self.settings.peers,
+            zone=self.settings.zone,
+            leaving=self._leaving,
+            quarantined=self.kept_ends(),
+        )
+
+    def _take_kept(self, row: Row) -> None:
+        """Takes what an earlier start of this instance kept, if it still fits."""
+        with contextlib.suppress(PlatformUnavailableError):
+            self.on_kept_ends(decode_row(row, InstanceRow).quarantined)
+
     def _take_row(self, instance: InstanceId, row: Row, now: float) -> None:
         """Takes another instance's row; one that does not fit must not hide others."""
         try:
@@ -398,6 +416,8 @@
                 )
             return
         self._sights[instance] = _Sight(decoded, row.version, now)
+        if decoded.quarantined:
+            self.on_kept_ends(decoded.quarantined)
 
     async def leave(self) -> None:
         """Tells the others that this instance stops; they need not wait."""
--- a/tests/features/quarantine.feature
+++ b/tests/features/quarantine.feature
@@ -71,6 +71,32 @@
     And the last 6 were refused as not run, with a time to come back
     And a proper inference is answered
 
+  Scenario: All gateways are killed and start again after a deadly request was found
+    Given 3 gateways and 12 runners
+    And every runner is set to {"deadly": "deadly"}
+    And the gateways have been up for 2 s
+    When a deadly stream request comes 8 times in turn, while runners are back after 1 s
+    And 3 s pass
+    And all gateways are killed and start again
+    And a deadly stream request comes 8 times in turn, while runners are back after 1 s
+    Then at most 3 runners have ended under it, or were about to
+
+  Scenario Outline: A quarantined request and an instance that <learns>
+    When an instance knows of <ends> ends under a request, and another <learns>
+    Then the other knows of <known>
+
+    Examples: by the rows of instances alone; what a row tells counts only as a verdict
+      | learns                                     | ends | known |
+      | reads the rows                             | 3    | 3     |
+      | reads the rows                             | 2    | 0     |
+      | reads the rows                             | 5    | 5     |
+      | reads the rows, and knew of 3              | 3    | 3     |
+      | reads the rows, after an answer            | 3    | 0     |
+      | reads the rows twice                       | 3    | 3     |
+      | reads the rows with another time of day    | 3    | 3     |
+      | starts under the same name                 | 3    | 3     |
+      | starts under the same name                 | 2    | 0     |
+
   Scenario Outline: A request whose answers are lost while runners <live> is served later
     Given 3 gateways and 4 runners
     And the gateways have been up for 2 s
--- a/tests/features/steps/quarantine_decision_steps.py
+++ b/tests/features/steps/quarantine_decision_steps.py
@@ -1,6 +1,7 @@
 """Steps that ask decisions about requests under which upstreams ended."""
 
 import random
+import time
 
 import trio
 import trio.testing
@@ -8,6 +9,7 @@
 
 from coppercleat.ids import InstanceId, RequestId, UpstreamId, ZoneId
 from coppercleat.quarantine import (
+    EndKeeper,
     EndLedger,
     EndWatch,
     Standing,
@@ -23,8 +25,11 @@
     UpstreamBrokeError,
     UpstreamReport,
     UpstreamState,
+    Watch,
     life_question,
 )
+from coppercleat.storage import MemoryPlatform
+from tests.harness import node_settings
 
 BORN = 1_796_260_943_655
 
@@ -222,3 +227,69 @@
     assert KNOWN[known][1](state) == (kept == "kept")
     assert (state is context.before) == (kept == "kept")
     assert context.before.restarted == (kept != "kept")
+
+
+class Kept:
+    """An instance's watch of the platform, with its ledger of ends."""
+
+    def __init__(self, name, platform, boot, *, wall_ahead_s=0.0):
+        rng = random.Random(name)
+        self.ledger = EndLedger()
+        self.watch = Watch(
+            node_settings(name, "a"),
+            None,
+            platform,
+            Placement(ZoneId("a"), rng=rng),
+            boot=boot,
+            rng=rng,
+        )
+        self.keeper = EndKeeper(
+            self.ledger, clock=lambda: time.time() + wall_ahead_s, keeps=lambda f: True
+        )
+        self.watch.kept_ends = self.keeper.to_keep
+        self.watch.on_kept_ends = self.keeper.take_kept
+
+    def learn(self, ends):
+        now = trio.current_time()
+        for number in range(ends):
+            self.ledger.ended(FINGERPRINT, UpstreamId(f"u{number}"), now - 10 + number)
+
+
+LEARNERS = {
+    "reads the rows": {},
+    "reads the rows, and knew of 3": {"knew": 3},
+    "reads the rows, after an answer": {"answered": True},
+    "reads the rows twice": {"reads": 2},
+    "reads the rows with another time of day": {"wall_ahead_s": 5.0},
+}
+
+
+async def learn_from_rows(ends, learns):
+    platform = MemoryPlatform()
+    first = Kept("first", platform, "b-1")
+    first.learn(ends)
+    await first.watch._renew()
+    if learns == "starts under the same name":
+        again = Kept("first", platform, "b-2")
+        await again.watch._renew()
+        return again.ledger
+    how = dict(LEARNERS[learns])
+    other = Kept("other", platform, "b", wall_ahead_s=how.get("wall_ahead_s", 0.0))
+    other.learn(how.get("knew", 0))
+    if how.get("answered"):
+        other.learn(1)
+        other.ledger.clear(FINGERPRINT, now=trio.current_time())
+    for _ in range(how.get("reads", 1)):
+        await first.watch._renew()
+        await other.watch._poll_instances()
+    return other.ledger
+
+
+@when("an instance knows of {ends:d} ends under a request, and another {learns}")
+def learns_ends(context, ends, learns):
+    context.ledger = trio.run(learn_from_rows, ends, learns)
+
+
+@then("the other knows of {known:d}")
+def knows_ends(context, known):
+    assert len(context.ledger.upstreams_of(FINGERPRINT)) == known
--- a/tests/features/steps/quarantine_steps.py
+++ b/tests/features/steps/quarantine_steps.py
@@ -105,6 +105,17 @@
     context.fleet.run(lambda: plays.play(route, times=times, at_once=n))
 
 
+@when("all gateways are killed and start again")
+def all_restart(context):
+    fleet = context.fleet
+    for name in fleet.names:
+        fleet.processes[name].kill()
+    for name in fleet.names:
+        fleet.start_gateway(name)
+    for name in fleet.names:
+        fleet.run(fleet.ready, name)
+
+
 @given("all runners are listed anew")
 def listed_anew(context):
     async def list_all():
