Operators list quarantined requests and clear one: a page, and coppercleat quarantine

The page is at the readiness port of a gateway and at the admin port of an entry; what is cleared is cleared at all instances. A scenario lists a request with its three upstreams at one gateway, clears it there, has it served, and finds nothing at another.

--- a/src/coppercleat/admin/_application.py
+++ b/src/coppercleat/admin/_application.py
@@ -1,4 +1,4 @@
-"""The ASGI application of the admin port; it only reads."""
+"""The ASGI application of the admin port; it reads, and clears suspect requests."""
 
 from __future__ import annotations
 
@@ -8,6 +8,7 @@
 import msgspec
 from aioprometheus import render
 
+from coppercleat import quarantine
 from coppercleat.admin._status_page import status_page
 from coppercleat.asgi import Application, Receive, Scope, Send, serve_lifespan
 from coppercleat.instance import Instance
@@ -73,6 +74,9 @@
         if scope["type"] == "lifespan":
             await serve_lifespan(receive, send)
             return
+        if scope["path"] == quarantine.PAGE:
+            await quarantine.serve_page(instance.end_watch, scope, send)
+            return
         page = PAGES.get(scope["path"])
         query = parse_qs(scope.get("query_string", b"").decode("latin-1"))
         status, kind, body = (
--- a/src/coppercleat/cli/_main.py
+++ b/src/coppercleat/cli/_main.py
@@ -14,7 +14,15 @@
 _MODULES = {"gateway": ("_gateway",)}
 """Modules of the commands that must stay small in memory, by first word."""
 
-_ALL_MODULES = ("_batch", "_configuration", "_fleet", "_gateway", "_infer", "_serve")
+_ALL_MODULES = (
+    "_batch",
+    "_configuration",
+    "_fleet",
+    "_gateway",
+    "_infer",
+    "_quarantine",
+    "_serve",
+)
 
 _LONGEST_NAME_WORDS = 2
 _EXIT_CODES_HELP = (
--- a/src/coppercleat/platform/_ingress.py
+++ b/src/coppercleat/platform/_ingress.py
@@ -8,6 +8,7 @@
 
 import trio
 
+from coppercleat import quarantine
 from coppercleat.asgi import Receive, Scope, Send, serve_lifespan
 from coppercleat.gateway import Gateway
 from coppercleat.ids import JobId, RequestId
@@ -216,5 +217,7 @@
             await reply.whole(200 if self.gateway.ready else 503, [TEXT], b"")
         elif scope["path"] == Path.METRICS:
             await reply.whole(200, [TEXT], self.gateway.render_metrics())
+        elif scope["path"] == quarantine.PAGE:
+            await quarantine.serve_page(self.gateway.end_watch, scope, send)
         else:
             await reply.whole(404, [TEXT], b"no such page")
--- a/src/coppercleat/quarantine/__init__.py
+++ b/src/coppercleat/quarantine/__init__.py
@@ -12,6 +12,7 @@
     ToldEnd,
     Verdict,
 )
+from coppercleat.quarantine._page import PAGE, serve_page
 
 __all__ = [
     "FREE",
@@ -24,10 +25,12 @@
     "Finding",
     "KeptEnds",
     "Fingerprint",
+    "PAGE",
     "Standing",
     "ToldEnd",
     "Verdict",
     "Watched",
     "fingerprint_of",
+    "serve_page",
     "shown",
 ]
--- a/src/coppercleat/quarantine/_end_watch.py
+++ b/src/coppercleat/quarantine/_end_watch.py
@@ -168,12 +168,18 @@
         elif not silent:
             self.ledger.broke_off(fingerprint, state.id)
 
-    def answered(self, fingerprint: Fingerprint) -> None:
-        """Notes a run that its upstream has answered: it did not end under it."""
-        if self.ledger.clear(fingerprint, now=trio.current_time()):
+    def answered(self, fingerprint: Fingerprint) -> bool:
+        """Notes a run that its upstream has answered: it did not end under it.
+
+        Returns:
+          Whether anything was held against the request.
+        """
+        held = self.ledger.clear(fingerprint, now=trio.current_time())
+        if held:
             _log.info("A request was cleared.", fingerprint=shown(fingerprint))
             self._cleared.append(fingerprint)
             self._wake.set()
+        return held
 
     def verdict(self, request: Asking) -> Verdict:
         """Returns whether a request may be sent to an upstream now."""
--- a/tests/features/quarantine.feature
+++ b/tests/features/quarantine.feature
@@ -81,6 +81,18 @@
     And a deadly stream request comes 8 times in turn, while runners are back after 1 s
     Then at most 3 runners have ended under it, or were about to
 
+  Scenario: An operator lists quarantined requests and clears one
+    Given 3 gateways and 12 runners
+    And every runner is set to {"deadly": "deadly"}
+    And the gateways have been up for 2 s
+    When a deadly stream request comes 8 times in turn, while runners are back after 1 s
+    Then "quarantine" at gateway 2 lists it with 3 upstreams
+    When every runner is now set to {"deadly": ""}
+    And "quarantine" at gateway 2 clears it
+    And a deadly stream request comes 3 times in turn
+    Then its last answers are all 200, within 1 s, and it was run
+    And "quarantine" at gateway 3 lists nothing
+
   Scenario Outline: A quarantined request and an instance that <learns>
     When an instance knows of <ends> ends under a request, and another <learns>
     Then the other knows of <known>
--- a/tests/features/steps/quarantine_steps.py
+++ b/tests/features/steps/quarantine_steps.py
@@ -2,6 +2,8 @@
 
 import contextlib
 import json
+import subprocess
+import sys
 import time
 
 import httpcore
@@ -268,3 +270,32 @@
         return await context.fleet.call(entry, "OnlineService", "Infer", **asked)
 
     assert context.fleet.run(ask)["text"]
+
+
+def run_quarantine(context, number, *flags):
+    port = context.fleet.ports[f"gateway-{number}"]["readiness"]
+    command = [sys.executable, "-m", "coppercleat", "quarantine"]
+    command += [f"--admin=127.0.0.1:{port}", *flags]
+    done = subprocess.run(command, capture_output=True, text=True, check=False)
+    assert done.returncode == 0, done.stdout + done.stderr
+    return json.loads(done.stdout)
+
+
+@then('"quarantine" at gateway {number:d} lists it with {count:d} upstreams')
+def lists_request(context, number, count):
+    [listed] = run_quarantine(context, number)
+    assert len(listed["upstreams"]) == count, listed
+    assert 0 < listed["retry_after_s"] <= 60, listed
+    context.fingerprint = listed["fingerprint"]
+
+
+@when('"quarantine" at gateway {number:d} clears it')
+def clears_request(context, number):
+    answer = run_quarantine(context, number, f"--clear={context.fingerprint}")
+    assert answer == {"cleared": True}, answer
+    time.sleep(0.2)
+
+
+@then('"quarantine" at gateway {number:d} lists nothing')
+def lists_nothing(context, number):
+    assert run_quarantine(context, number) == []
