Ends of runs that were left, of upstreams that fall silent, and news at size

Found by reading the mend cold. A client that leaves before its run ends the upstream left no trace: such a run is now as suspect for a second as one that broke off. An upstream that answers nothing and is then no longer listed, without having left, has ended. Fewer than three ends are forgotten after ten minutes, so that requests are seldom hashed. Bytes that are no report end no process.

--- a/src/coppercleat/gateway/_gateway.py
+++ b/src/coppercleat/gateway/_gateway.py
@@ -193,8 +193,8 @@
         self.silent_runs.on_left = self.survey.left_unheard
         self.silent_runs.on_count = self.metrics.run_silent
 
-    def _hear_of_ends(self, sender: InstanceId, seen: EndsSeen) -> None:
-        self.end_watch.take_news(sender, seen.ends, seen.cleared)
+    def _hear_of_ends(self, sender: InstanceId, seen: EndsSeen) -> bool:
+        return self.end_watch.take_news(sender, seen.ends, seen.cleared)
 
     def _ends(self) -> tuple[ToldEnd, ...]:
         return self.end_watch.ledger.told(now=trio.current_time())
--- a/src/coppercleat/platform/_upstream_calls.py
+++ b/src/coppercleat/platform/_upstream_calls.py
@@ -23,6 +23,7 @@
     UpstreamBrokeError,
     UpstreamReport,
 )
+from coppercleat.storage import BAD_BYTES
 from coppercleat.upstreams import Attempt, AttemptState, nothing_listens
 
 CONNECT_TIMEOUT_S = 0.1
@@ -78,7 +79,7 @@
                     extensions={"timeout": limits},
                 )
                 body = msgspec.json.decode(response.content, type=_ReportBody)
-            except (*_BROKEN, msgspec.MsgspecError) as error:
+            except (*_BROKEN, *BAD_BYTES) as error:
                 if nothing_listens(error):
                     raise NothingListensError("no report: refused") from error
                 raise UpstreamBrokeError(f"no report: {error!r}") from error
--- a/src/coppercleat/quarantine/_end_watch.py
+++ b/src/coppercleat/quarantine/_end_watch.py
@@ -7,6 +7,7 @@
 
 from __future__ import annotations
 
+import collections
 import enum
 from collections.abc import Awaitable, Callable
 from typing import Generic, Protocol, TypeVar
@@ -31,11 +32,18 @@
 refuses for a moment from an upstream that has ended. A question takes 2 ms of network
 and 1 ms of processor time, and comes with a broken connection only."""
 
+LEFT_S = 1.0
+"""A run that its client left is as suspect if its upstream ends within this time: most
+upstreams end such a run at once, and what it had begun may end them all the same."""
+
 REPEAT_S = 0.5
 REPEATS = 2
 """Ends are told again so often, since a link may be silent; a silent one is opened anew
 within a second. Who could not be reached for longer gets all when it is heard again."""
 
+_MOST_LEFT = 256
+"""Runs that were left and are remembered for a second."""
+
 _log = part_logger("quarantine")
 
 
@@ -57,6 +65,11 @@
         """Its id."""
         ...
 
+    @property
+    def unlisted(self) -> bool:
+        """Whether it is no longer listed, and has not said that it leaves."""
+        ...
+
     @property
     def stopping(self) -> bool:
         """Whether it leaves, or has left, as planned."""
@@ -130,6 +143,9 @@
         self._opened: list[_Inquiry[_W]] = []
         self._untold: list[tuple[Fingerprint, UpstreamId, float, bool]] = []
         self._cleared: list[Fingerprint] = []
+        self._left: collections.deque[tuple[Fingerprint, _W, float]] = (
+            collections.deque(maxlen=_MOST_LEFT)
+        )
         self._wake = trio.Event()
 
     async def run(self) -> None:
@@ -153,6 +169,11 @@
         One that was leaving ends as planned. Silence is less than a broken connection:
         it holds no request up before the end is proved.
         """
+        self._suspect(fingerprint, state, trio.current_time(), silent=silent)
+
+    def _suspect(
+        self, fingerprint: Fingerprint, state: _W, at: float, *, silent: bool
+    ) -> None:
         if state.stopping:
             return
         inquiry = self._inquiries.get(state)
@@ -162,12 +183,31 @@
             self._wake.set()
         if fingerprint in inquiry.suspects:
             return
-        inquiry.suspects[fingerprint] = trio.current_time()
+        inquiry.suspects[fingerprint] = at
         if inquiry.found_ended:
             self._note_end(inquiry, fingerprint)
         elif not silent:
             self.ledger.broke_off(fingerprint, state.id)
 
+    def left(self, fingerprint: Fingerprint, state: _W) -> None:
+        """Notes a run that was left before its upstream had answered it."""
+        self._left.append((fingerprint, state, trio.current_time()))
+
+    def unreachable(self, state: _W) -> None:
+        """Notes that no connection to an upstream could be made."""
+        for fingerprint, left_at in self._left_at(state.id, trio.current_time()):
+            self._suspect(fingerprint, state, left_at, silent=True)
+
+    def _left_at(
+        self, upstream: UpstreamId, end_at: float
+    ) -> list[tuple[Fingerprint, float]]:
+        """Returns the runs that were left at an upstream shortly before its end."""
+        return [
+            (fingerprint, left_at)
+            for fingerprint, state, left_at in self._left
+            if state.id == upstream and 0 <= end_at - left_at <= LEFT_S
+        ]
+
     def note_answer(self, request: Asking) -> None:
         """Does what ``answered`` does, if anything is held against any request."""
         if len(self.ledger):
@@ -220,10 +260,13 @@
                 await trio.sleep(pause_s)
                 if await self._settled(inquiry):
                     return
+            if state.unlisted:
+                self._found_ended(inquiry, "it answers nothing and is unlisted")
         finally:
             self._inquiries.pop(state, None)
             for fingerprint in inquiry.suspects:
                 self.ledger.settled(fingerprint, state.id)
+            self.ledger.forget_old(trio.current_time())
 
     async def _settled(self, inquiry: _Inquiry[_W]) -> bool:
         """Looks once; returns whether nothing more can be learnt."""
@@ -243,6 +286,10 @@
         if inquiry.found_ended:
             return
         inquiry.found_ended = True
+        for fingerprint, left_at in self._left_at(
+            inquiry.state.id, min(inquiry.suspects.values())
+        ):
+            inquiry.suspects.setdefault(fingerprint, left_at)
         _log.warning(
             "An upstream ended under requests.",
             upstream=inquiry.state.id,
@@ -292,10 +339,21 @@
         now = trio.current_time()
         before = self.ledger.quarantined(now=now)
         news = self.ledger.take_told(ends, cleared, now=now)
+        for end in ends:
+            self._note_left(end, now)
         for fingerprint in self.ledger.quarantined(now=now).keys() - before.keys():
             self._log_verdict(fingerprint, teller=teller)
         return news
 
+    def _note_left(self, end: ToldEnd, now: float) -> None:
+        """Takes an end that another found as one of the runs that were left there."""
+        at = now - end.age_s
+        for fingerprint, _ in self._left_at(end.upstream, at):
+            if not end.withdrawn and self.ledger.ended(fingerprint, end.upstream, at):
+                self._log_verdict(fingerprint, teller="")
+                self._untold.append((fingerprint, end.upstream, at, False))
+                self._wake.set()
+
     def _log_verdict(self, fingerprint: Fingerprint, *, teller: str) -> None:
         verdict = self.ledger.verdict(fingerprint, now=trio.current_time())
         if verdict.standing is not Standing.QUARANTINED:
--- a/src/coppercleat/quarantine/_ledger.py
+++ b/src/coppercleat/quarantine/_ledger.py
@@ -28,7 +28,11 @@
 costs three upstreams more within two hours."""
 
 REMEMBERED_S = 24 * 3600.0
-"""Ends that are older are forgotten, all of a request at once."""
+"""A request that is quarantined is forgotten so long after its last end."""
+
+SUSPECT_S = 600.0
+"""One with fewer ends is forgotten after this time: a client gives up much sooner, and
+while any is remembered each request has its fingerprint worked out."""
 
 SAME_END_S = 0.5
 """What two instances saw of an upstream's end within this time was one end: they see
@@ -214,7 +218,7 @@
             at = now - told.age_s
             note = self.withdraw if told.withdrawn else self.ended
             news.append(note(told.fingerprint, told.upstream, at))
-        self._forget(now)
+        self.forget_old(now)
         return any(news)
 
     # What follows.
@@ -245,7 +249,7 @@
 
     def told(self, *, now: float) -> tuple[ToldEnd, ...]:
         """Returns what to tell an instance that may know nothing of it."""
-        self._forget(now)
+        self.forget_old(now)
         records = sorted(self._records.items(), key=lambda item: -len(item[1].ends))
         return tuple(
             ToldEnd(fingerprint, upstream, now - at)
@@ -295,10 +299,11 @@
 
         del self._records[min(self._records, key=weight)]
 
-    def _forget(self, now: float) -> None:
+    def forget_old(self, now: float) -> None:
         """Drops what is too old to count."""
         for fingerprint, record in list(self._records.items()):
-            if record.ends and now - record.last_at > REMEMBERED_S:
+            lasts_s = REMEMBERED_S if len(record.ends) >= MOST_ENDS else SUSPECT_S
+            if record.ends and now - record.last_at > lasts_s:
                 del self._records[fingerprint]
         while len(self._void) > MOST_REQUESTS:
             del self._void[next(iter(self._void))]
--- a/src/coppercleat/routing/_table.py
+++ b/src/coppercleat/routing/_table.py
@@ -53,6 +53,11 @@
         """The upstream's id."""
         return UpstreamId(self.node.id)
 
+    @property
+    def unlisted(self) -> bool:
+        """Whether it is no longer listed; its last record does not tell."""
+        return False
+
     @property
     def stopping(self) -> bool:
         """Whether it leaves as planned."""
--- a/src/coppercleat/serving/_forwarding.py
+++ b/src/coppercleat/serving/_forwarding.py
@@ -212,6 +212,7 @@
             exchange.progress.runs += 1
             if attempt.state is AttemptState.SENT:
                 self._left(exchange, state, silent=False)
+                self.end_watch.left(exchange.request.fingerprint, state)
             self._judge_silence(exchange, state)
 
     async def _attempt_until_stall(
@@ -295,6 +296,7 @@
             self.end_watch.broke_off(fingerprint, state, silent=exchange.silent)
         if attempt.state is AttemptState.QUEUED:
             state.failed(now, reached=False)
+            self.end_watch.unreachable(state)
         elif end in (AttemptEnd.LOST, AttemptEnd.CUT):
             if not exchange.silent or self.silent_runs.blames(state, exchange.heard_at):
                 state.failed(now)
--- a/src/coppercleat/serving/_peers.py
+++ b/src/coppercleat/serving/_peers.py
@@ -176,7 +176,8 @@
         had made of it.
       on_handover: Told what a peer had made of a job.
       ends: Returns the ends under requests that are known here.
-      on_ends: Told the ends that a peer has found or heard of, and what was cleared.
+      on_ends: Told the ends that a peer has found or heard of, and what was cleared;
+        returns whether any of it is news.
     """
 
     def __init__(
@@ -215,7 +216,9 @@
             lambda job, items: None
         )
         self.ends: Callable[[], tuple[ToldEnd, ...]] = tuple
-        self.on_ends: Callable[[InstanceId, EndsSeen], None] = lambda sender, seen: None
+        self.on_ends: Callable[[InstanceId, EndsSeen], bool] = lambda sender, seen: (
+            False
+        )
         self.dropped = DroppedMessages()
         self.messenger = Messenger(
             self.detector,
@@ -272,13 +275,19 @@
     def ends_found(
         self, ends: tuple[ToldEnd, ...], cleared: tuple[Fingerprint, ...]
     ) -> None:
-        """Tells all others of upstreams that ended under requests.
+        """Tells others of upstreams that ended under requests.
 
-        All of them in any fleet: the request's client may go to any, and it is a few
-        dozen bytes for each run that an upstream's end cuts.
+        In a large fleet a few are told, who pass on what is news to them: as many links
+        as members can't be kept, and what a link carries is lost when it is closed.
         """
-        for instance in self.others():
-            self.messenger.send(instance, EndsSeen(ends, cleared))
+        self._spread_ends(EndsSeen(ends, cleared))
+
+    def _spread_ends(self, seen: EndsSeen) -> None:
+        others = self.others()
+        if len(others) > _TELL_ALL:
+            others = self.detector.audience()
+        for instance in others:
+            self.messenger.send(instance, seen)
 
     def listed(self, members: list[tuple[InstanceId, str, ZoneId]]) -> None:
         """Takes instances and their addresses as the platform keeps them.
@@ -553,7 +562,9 @@
 
     @_handlers.handles(EndsSeen)
     def _on_ends(self, sender: InstanceId, seen: EndsSeen) -> None:
-        self.on_ends(sender, seen)
+        news = self.on_ends(sender, seen)
+        if news and len(self.others()) > _TELL_ALL:
+            self._spread_ends(seen)
 
     @_handlers.handles(KnowledgeWanted)
     def _on_wanted(self, sender: InstanceId, wanted: KnowledgeWanted) -> None:
--- a/src/coppercleat/serving/_placement.py
+++ b/src/coppercleat/serving/_placement.py
@@ -115,6 +115,11 @@
         """The upstream's id."""
         return self.upstream.id
 
+    @property
+    def unlisted(self) -> bool:
+        """Whether it is no longer listed, and has not said that it leaves."""
+        return self.gone and not self.restarted and not self.upstream.draining
+
     @property
     def stopping(self) -> bool:
         """Whether it leaves, or has left, as planned."""
--- a/tests/features/quarantine.feature
+++ b/tests/features/quarantine.feature
@@ -142,6 +142,8 @@
       | one upstream that ended thrice     | 0 end a, 2 end a, 4 end a                       | 4     | quarantined | 60    |
       | one end that three saw             | 0 end a, 0.1 end a, 0.2 end a                   | 1     | free        | 0     |
       | ends that are a day old            | 0 end a, 1 end b, 2 end c, 86500 heard          | 86500 | free        | 0     |
+      | two ends, and long after a third   | 0 end a, 1 end b, 700 heard, 701 end c          | 701   | free        | 0     |
+      | two ends, and soon after a third   | 0 end a, 1 end b, 500 heard, 501 end c          | 501   | quarantined | 60    |
       | one end and two runs that broke    | 0 end a, 1 broke b, 1 broke c                   | 1     | held        | 1     |
       | three runs that broke              | 0 broke a, 0 broke b, 0 broke c                 | 0     | held        | 1     |
       | four runs that broke at one        | 0 broke a, 0 broke a, 0 broke a, 0 broke a      | 0     | free        | 0     |
@@ -172,6 +174,13 @@
       | falls silent | lives                              | same                  | 0    | 1  |
       | falls silent | ended before                       | refused               | 1    | 1  |
       | falls silent | is cut off                         | -                     | 0    | 10 |
+      | falls silent | answers nothing and is unlisted    | -                     | 1    | 10 |
+      | falls silent | leaves unheard                     | -                     | 0    | 10 |
+      | is left     | ended before                        | refused               | 0    | 10 |
+      | is left     | ends under others                   | refused               | 1    | 1  |
+      | is left     | ends under others, elsewhere told   | refused               | 1    | 1  |
+      | is left     | is found gone by the next request   | refused               | 1    | 1  |
+      | is left 2 s before | is found gone by the next request | refused          | 0    | 10 |
       | breaks off  | is leaving                          | refused               | 0    | 10 |
       | breaks off  | is no longer listed                 | refused               | 0    | 10 |
       | breaks off  | is listed with another birth        | -                     | 1    | 1  |
--- a/tests/features/steps/quarantine_decision_steps.py
+++ b/tests/features/steps/quarantine_decision_steps.py
@@ -101,6 +101,32 @@
     assert abs(verdict.retry_after_s - retry) < 1e-6, verdict
 
 
+OTHER = request(body=b"of another client").fingerprint
+
+
+def tell_of_end(watch, state, placement):
+    watch.take_news("peer", (ToldEnd(OTHER, state.id, 0.01),), ())
+
+
+AFTERWARDS = {
+    "is listed with another birth": lambda watch, state, placement: placement.replace(
+        [upstream(BORN + 5000)]
+    ),
+    "answers nothing and is unlisted": lambda watch, state, placement: (
+        placement.replace([])
+    ),
+    "leaves unheard": lambda watch, state, placement: (
+        placement.replace([upstream(draining=True)]),
+        placement.replace([]),
+    ),
+    "ends under others": lambda watch, state, placement: watch.broke_off(OTHER, state),
+    "ends under others, elsewhere told": tell_of_end,
+    "is found gone by the next request": lambda watch, state, placement: (
+        watch.unreachable(state)
+    ),
+}
+
+
 class AskedUpstream:
     """Answers questions as a test says; the last answer stays."""
 
@@ -143,9 +169,13 @@
         async with trio.open_nursery() as nursery:
             nursery.start_soon(watch.run)
             await trio.testing.wait_all_tasks_blocked()
-            watch.broke_off(FINGERPRINT, state, silent=breaks == "falls silent")
-            if does == "is listed with another birth":
-                placement.replace([upstream(BORN + 5000)])
+            if breaks.startswith("is left"):
+                watch.left(FINGERPRINT, state)
+                await trio.sleep(2.0 if "before" in breaks else 0.1)
+            else:
+                watch.broke_off(FINGERPRINT, state, silent=breaks == "falls silent")
+            if does in AFTERWARDS:
+                AFTERWARDS[does](watch, state, placement)
             await trio.sleep(s)
             nursery.cancel_scope.cancel()
 
