A reading of all jobs that breaks off skips no change

Cause: after the store had dropped its history the newest version was taken as read before the jobs were; where the reading then broke off, changes were followed from there. An end that lay before stayed unknown for up to 6 s, and items of the ended job were started. Before: the new scenario fails. After: it passes.

--- a/src/coppercleat/jobs/_index.py
+++ b/src/coppercleat/jobs/_index.py
@@ -82,8 +82,9 @@
         self.fresh_at = began
 
     async def _read_all(self) -> None:
-        # The version is read first: what changes meanwhile is shown again.
-        self._version = await self.platform.newest_version()
+        # The version is read first: what changes meanwhile is shown again. It is taken
+        # last: what a reading that breaks off has not seen must be shown as well.
+        newest = await self.platform.newest_version()
         for part in await self.platform.parts(JOB_SPACE):
             prefix, after = f"{JOB_SPACE}/", ""
             while True:
@@ -93,6 +94,7 @@
                 if not rows:
                     break
                 after = rows[-1][0]
+        self._version = newest
         self.loaded = True
         self._rescan_at = trio.current_time() + RESCAN_S
 
--- a/tests/features/gateway.feature
+++ b/tests/features/gateway.feature
@@ -482,8 +482,14 @@
     When a client sends a stream request
     Then the answer is 200 whole 1-5 after 1 runs
 
-  Scenario: A short soak in which runners end, some under a request that comes again
-    Then a soak of 6 s with seed 26, in which runners end, breaks no promise
+  Scenario Outline: A short soak in which runners end, some under a request, seed <seed>
+    Then a soak of 6 s with seed <seed>, in which runners end, breaks no promise
+
+    Examples: a seed that ever failed stays here, with a line on the cause
+      # 203: items ran after their job's end; the index had skipped the change.
+      | seed |
+      | 26   |
+      | 203  |
 
   Scenario Outline: A short soak, seed <seed>
     Then a soak of 6 s with seed <seed> breaks no promise
--- a/tests/features/serving_decisions.feature
+++ b/tests/features/serving_decisions.feature
@@ -208,6 +208,15 @@
     When a job is accepted while the changes show nothing
     Then an index that has been read before knows it within 10 s
 
+  # Seen in a soak: items of a job ran more than 4 s after its end was acknowledged. The
+  # store had dropped its history, the reading of all jobs broke off after it had asked for
+  # the newest version, and the changes were then followed from there: the end was before.
+  # Proof: 'Changes were lost, jobs are read anew.', 'Jobs could not be read.', and items
+  # that started once the changes could be read, until a commit was refused.
+  Scenario: The reading of all jobs breaks off after the changes were lost
+    When a job ends, the changes are lost, and the reading of all jobs breaks off once
+    Then the index knows that it has ended as soon as it is fresh
+
   Scenario Outline: An upstream that is unreachable for <cut> s
     When an upstream that is tried whenever it may be is unreachable for <cut> s
     Then it is used again at most 2 s later
--- a/tests/features/steps/foreign_entry_steps.py
+++ b/tests/features/steps/foreign_entry_steps.py
@@ -1,6 +1,7 @@
 """Steps for entries of the platform that another writer has put there."""
 
 import ast
+import contextlib
 import json
 import random
 
@@ -10,11 +11,18 @@
 import trio.testing
 from behave import then, when
 
+from coppercleat.errors import PlatformUnavailableError
 from coppercleat.ids import InstanceId, ZoneId
 from coppercleat.jobs import JobIndex, JobRow
 from coppercleat.platform import PlatformCatalogue
 from coppercleat.serving import Placement, Watch
-from coppercleat.storage import MemoryPlatform, Put, Row, Transaction
+from coppercleat.storage import (
+    HistoryLostError,
+    MemoryPlatform,
+    Put,
+    Row,
+    Transaction,
+)
 from tests.harness import make_peers, node_settings
 
 READS = 3
@@ -176,3 +184,59 @@
     assert context.known == {"first": 1, "last": 3}, context.known
     told = [line for line in context.lines if line.get("key") == "job/foreign"]
     assert len(told) == 1, told
+
+
+class Breaking(MemoryPlatform):
+    """A platform whose changes are lost once, and whose next scan fails."""
+
+    def __init__(self):
+        super().__init__()
+        self.lost = self.fails = False
+
+    async def changes(self, table, *, after):
+        if self.lost:
+            self.lost = False
+            raise HistoryLostError(f"Changes after {after} are dropped")
+        return await super().changes(table, after=after)
+
+    async def scan(self, prefix, **options):
+        if self.fails:
+            self.fails = False
+            raise PlatformUnavailableError("The store is away")
+        return await super().scan(prefix, **options)
+
+
+@when("a job ends, the changes are lost, and the reading of all jobs breaks off once")
+def reading_breaks_off(context):
+    async def play():
+        platform = Breaking()
+        row = JobRow(
+            job="job",
+            host="h",
+            path="/week/x",
+            accepted_at=1.0,
+            due_at=2.0,
+            expires_at=3.0,
+            tokens=(1,),
+        )
+        put = Put("job/job", msgspec.json.encode(row))
+        await platform.transact(Transaction(puts=[put], part="h"))
+        index = JobIndex(platform)
+        await index.refresh()
+        ended = msgspec.structs.replace(row, ended=True)
+        put = Put("job/job", msgspec.json.encode(ended))
+        await platform.transact(Transaction(puts=[put], part="h"))
+        platform.lost = platform.fails = True
+        fresh_at = index.fresh_at
+        while index.fresh_at == fresh_at:
+            with contextlib.suppress(PlatformUnavailableError):
+                await index.refresh()
+            await trio.sleep(0.001)
+        return index.get("job").row.ended
+
+    context.ended = trio.run(play)
+
+
+@then("the index knows that it has ended as soon as it is fresh")
+def knows_end(context):
+    assert context.ended
