Ends that a deadlier request explains are held against nobody else

Change: an end counts for a request only if no request with more ends, three at least, met it too; with the same ends both are kept. Items get a first trial after 5 s, then after a minute and ten: six ends at most, as before.

--- a/src/coppercleat/jobs/_items.py
+++ b/src/coppercleat/jobs/_items.py
@@ -159,7 +159,7 @@
         It may not be listed as failed for what its upstreams do, so it stays open until
         its time is up.
         """
-        verdict = self.end_watch.admit(_request_of(run, item))
+        verdict = self.end_watch.admit(_request_of(run, item), item=True)
         if verdict.may_run:
             return False
         self.end_watch.on_barred(verdict.standing.value)
--- a/src/coppercleat/quarantine/__init__.py
+++ b/src/coppercleat/quarantine/__init__.py
@@ -6,6 +6,7 @@
 from coppercleat.quarantine._ledger import (
     FREE,
     HELD_RETRY_S,
+    ITEM_PAUSES_S,
     EndLedger,
     EndsSeen,
     Standing,
@@ -17,6 +18,7 @@
 __all__ = [
     "FREE",
     "HELD_RETRY_S",
+    "ITEM_PAUSES_S",
     "Asking",
     "EndKeeper",
     "EndLedger",
--- a/src/coppercleat/quarantine/_end_watch.py
+++ b/src/coppercleat/quarantine/_end_watch.py
@@ -21,6 +21,8 @@
 from coppercleat.quarantine._ledger import (
     FREE,
     HELD_RETRY_S,
+    ITEM_PAUSES_S,
+    PAUSES_S,
     EndLedger,
     Standing,
     ToldEnd,
@@ -226,21 +228,30 @@
             self._wake.set()
         return held
 
-    def verdict(self, request: Asking) -> Verdict:
-        """Returns whether a request may be sent to an upstream now."""
+    def verdict(self, request: Asking, *, item: bool = False) -> Verdict:
+        """Returns whether a request may be sent to an upstream now.
+
+        Args:
+          request: The request.
+          item: Whether it is one of a job, which one instance alone runs.
+        """
         if not len(self.ledger):
             return FREE
         fingerprint = request.fingerprint
-        verdict = self.ledger.verdict(fingerprint, now=trio.current_time())
+        verdict = self.ledger.verdict(
+            fingerprint,
+            now=trio.current_time(),
+            pauses_s=ITEM_PAUSES_S if item else PAUSES_S,
+        )
         if verdict.standing is Standing.QUARANTINED and not verdict.retry_after_s:
-            if self.may_try(fingerprint):
+            if item or self.may_try(fingerprint):
                 return Verdict(Standing.TRIAL, ends=verdict.ends)
             return Verdict(Standing.QUARANTINED, HELD_RETRY_S, verdict.ends)
         return verdict
 
-    def admit(self, request: Asking) -> Verdict:
+    def admit(self, request: Asking, *, item: bool = False) -> Verdict:
         """Does the same for one that is sent at once if it may be; counts a trial."""
-        verdict = self.verdict(request)
+        verdict = self.verdict(request, item=item)
         if verdict.standing is Standing.TRIAL:
             self.ledger.begin_trial(request.fingerprint, now=trio.current_time())
             _log.warning(
--- a/src/coppercleat/quarantine/_ledger.py
+++ b/src/coppercleat/quarantine/_ledger.py
@@ -9,7 +9,7 @@
 from __future__ import annotations
 
 import enum
-from collections.abc import Iterable
+from collections.abc import Iterable, Sequence
 
 import attrs
 import msgspec
@@ -27,6 +27,10 @@
 one trial is let through, so that a proper request is not refused for ever; a deadly one
 costs three upstreams more within two hours."""
 
+ITEM_PAUSES_S = (5.0, 60.0, 600.0)
+"""The same for items. They are run again without anybody asking, so that a proper one
+meets the ends of others more often, and they are due in seconds."""
+
 REMEMBERED_S = 24 * 3600.0
 """A request that is quarantined is forgotten so long after its last end."""
 
@@ -223,25 +227,45 @@
 
     # What follows.
 
-    def verdict(self, fingerprint: Fingerprint, *, now: float) -> Verdict:
+    def verdict(
+        self,
+        fingerprint: Fingerprint,
+        *,
+        now: float,
+        pauses_s: Sequence[float] = PAUSES_S,
+    ) -> Verdict:
         """Returns whether a request may run, or when one trial of it may."""
         record = self._records.get(fingerprint)
         if record is None:
             return FREE
-        ends = len(record.ends)
+        ends = self._own_ends(fingerprint, record)
         if ends < MOST_ENDS:
             if ends + len(set(record.pending)) < MOST_ENDS:
                 return Verdict(Standing.FREE, ends=ends)
             return Verdict(Standing.HELD, HELD_RETRY_S, ends)
-        return Verdict(Standing.QUARANTINED, self._pause_left_s(record, now), ends)
-
-    def _pause_left_s(self, record: _Record, now: float) -> float:
-        """Returns how long it is kept from running; 0 if a trial may be made."""
-        later = len(record.ends) - MOST_ENDS
-        if later >= len(PAUSES_S):
-            return max(0.1, record.last_at + REMEMBERED_S - now)
-        begins_at = max(record.last_at, record.trial_at) + PAUSES_S[later]
-        return max(0.0, begins_at - now)
+        if ends - MOST_ENDS < len(pauses_s):
+            begins_at = max(record.last_at, record.trial_at)
+            pause_left_s = begins_at + pauses_s[ends - MOST_ENDS] - now
+        else:
+            pause_left_s = max(0.1, record.last_at + REMEMBERED_S - now)
+        return Verdict(Standing.QUARANTINED, max(0.0, pause_left_s), ends)
+
+    def _own_ends(self, fingerprint: Fingerprint, record: _Record) -> int:
+        """Counts the ends that no request with more ends explains.
+
+        What ran beside a deadly request meets some of its ends and lacks others. With
+        the same ends both are kept from running: either may be the deadly one.
+        """
+        most = max(MOST_ENDS - 1, len(record.ends))
+        deadlier = [
+            other
+            for name, other in self._records.items()
+            if name != fingerprint and len(other.ends) > most
+        ]
+        return sum(
+            not any(other.same_end(*end) in other.ends for other in deadlier)
+            for end in record.ends
+        )
 
     def begin_trial(self, fingerprint: Fingerprint, *, now: float) -> None:
         """Notes that one run is let through; the next waits for a pause again."""
@@ -267,11 +291,12 @@
 
     def quarantined(self, *, now: float) -> dict[Fingerprint, int]:
         """Returns requests that are kept from running, with the ends under each."""
-        return {
-            fingerprint: len(record.ends)
+        counts = {
+            fingerprint: self._own_ends(fingerprint, record)
             for fingerprint, record in self._records.items()
             if len(record.ends) >= MOST_ENDS and now - record.last_at <= REMEMBERED_S
         }
+        return {name: ends for name, ends in counts.items() if ends >= MOST_ENDS}
 
     # Bounds.
 
--- a/tests/features/steps/quarantine_decision_steps.py
+++ b/tests/features/steps/quarantine_decision_steps.py
@@ -9,6 +9,7 @@
 
 from coppercleat.ids import InstanceId, RequestId, UpstreamId, ZoneId
 from coppercleat.quarantine import (
+    ITEM_PAUSES_S,
     EndKeeper,
     EndLedger,
     EndWatch,
@@ -323,3 +324,27 @@
 @then("the other knows of {known:d}")
 def knows_ends(context, known):
     assert len(context.ledger.upstreams_of(FINGERPRINT)) == known
+
+
+@when("of two requests one met the ends {deadly}, the other {proper}")
+def two_requests(context, deadly, proper):
+    context.ledger = ledger = EndLedger()
+    met = {OTHER: deadly.split(), FINGERPRINT: proper.split()}
+    for at, name in enumerate("abcdef"):
+        for fingerprint, names in met.items():
+            if name in names:
+                ledger.ended(fingerprint, UpstreamId(name), float(at))
+    # Word of the same ends comes late from others, and changes nothing.
+    for at, name in enumerate("abcdef"):
+        if name in met[FINGERPRINT]:
+            tell(ledger, name, 9.0, float(at), withdrawn=False)
+
+
+@then("{held:d} ends are held against the other; as an item it may run after {s:d} s")
+def ends_of_other(context, held, s):
+    ledger = context.ledger
+    last = max(at for _, at in ledger.ends_of(FINGERPRINT))
+    verdict = ledger.verdict(FINGERPRINT, now=last, pauses_s=ITEM_PAUSES_S)
+    assert verdict.ends == held, verdict
+    assert abs(verdict.retry_after_s - s) < 1e-6, verdict
+    assert (FINGERPRINT in ledger.quarantined(now=last)) == (held >= 3)
--- a/tests/features/steps/quarantine_steps.py
+++ b/tests/features/steps/quarantine_steps.py
@@ -182,6 +182,13 @@
     assert len(found) <= 2 * most, found
 
 
+@then("at most {most:d} runners have ended under it, and one more {s:g} s later")
+def ended_and_one_more(context, most, s):
+    found = [at for at, _ in context.fleet.ended]
+    assert 0 < len(found) <= most + 1, found
+    assert len(found) <= most or found[most] >= found[most - 1] + s, found
+
+
 @then("its last answers are all {status:d}, within {s:g} s, and it was {run}")
 def last_answers(context, status, s, run):
     plays = plays_of(context)
