--- a/tools/behave_shards.py
+++ b/tools/behave_shards.py
@@ -22,6 +22,11 @@
 """Processes at once: a scenario starts up to 20 processes that mostly wait."""
 
 BATCH = 6
+HEAVY = ("tests/features/quarantine.feature",)
+"""Features whose scenarios start some 15 processes each, and start them again: side by
+side they leave others no time (load 17 on 8 cores). One process takes all of such a one,
+and begins with it."""
+
 BATCH_TIMEOUT_S = 900
 _FAILED_TAIL = 6000
 
@@ -57,7 +62,8 @@
     by_feature: dict[str, list[tuple[str, str]]] = {}
     for scenario in scenarios:
         by_feature.setdefault(scenario[0].partition(":")[0], []).append(scenario)
-    return [
+    heavy = [by_feature.pop(name) for name in HEAVY if name in by_feature]
+    return heavy + [
         of_feature[begin : begin + BATCH]
         for of_feature in by_feature.values()
         for begin in range(0, len(of_feature), BATCH)
