--- a/tools/behave_shards.py
+++ b/tools/behave_shards.py
@@ -24,8 +24,8 @@
 BATCH = 6
 HEAVY = ("tests/features/quarantine.feature",)
 """Features whose scenarios start some 15 processes each, and start them again: side by
-side they leave others no time (load 17 on 8 cores). One process takes all of such a one,
-and begins with it."""
+side they leave others no time (load 17 on 8 cores). One process takes all of such a
+feature, and begins with it."""
 
 BATCH_TIMEOUT_S = 900
 _FAILED_TAIL = 6000
