One comparison of two births, and ends are listed once a beat

Read once more: whether two births are known and differ was worked out in two places, and the list of ends was sorted anew for each instance that is told.

--- a/src/coppercleat/serving/_life_question.py
+++ b/src/coppercleat/serving/_life_question.py
@@ -13,6 +13,12 @@
     UpstreamCaller,
 )
 
+_FINDINGS = {
+    None: Finding.SOMETHING_LISTENS,
+    False: Finding.OTHER_LIFE,
+    True: Finding.SAME_LIFE,
+}
+
 _log = part_logger("quarantine")
 
 
@@ -35,11 +41,6 @@
             born_ms=report.born_ms,
             listed_born_ms=state.upstream.born_ms,
         )
-        born_ms = state.upstream.born_ms
-        if 0 in (report.born_ms, born_ms):
-            return Finding.SOMETHING_LISTENS
-        if report.born_ms != born_ms:
-            return Finding.OTHER_LIFE
-        return Finding.SAME_LIFE
+        return _FINDINGS[state.upstream.is_same_life(report.born_ms)]
 
     return ask
--- a/src/coppercleat/serving/_model.py
+++ b/src/coppercleat/serving/_model.py
@@ -119,9 +119,11 @@
     cold_s: float = 0.0
     born_ms: int = 0
 
-    def is_other_life(self, of: Upstream) -> bool:
-        """Returns whether the two are known to be different starts of one upstream."""
-        return 0 not in (self.born_ms, of.born_ms) and self.born_ms != of.born_ms
+    def is_same_life(self, born_ms: int) -> bool | None:
+        """Returns whether this start is the one of a birth; None if it is not known."""
+        if 0 in (self.born_ms, born_ms):
+            return None
+        return self.born_ms == born_ms
 
 
 class OnlineRequest(msgspec.Struct, kw_only=True, dict=True):
--- a/src/coppercleat/serving/_peers.py
+++ b/src/coppercleat/serving/_peers.py
@@ -459,8 +459,10 @@
         """
         others = self.others()
         chosen = self.placement.rng.choice(others) if others else None
+        ends = self.ends()
         for instance in {*self._to_teach, *([chosen] if chosen else [])}:
-            self._tell_ends(instance)
+            if ends:
+                self.messenger.send(instance, EndsSeen(ends))
         self._to_teach = {
             instance: beats - 1
             for instance, beats in self._to_teach.items()
--- a/src/coppercleat/serving/_placement.py
+++ b/src/coppercleat/serving/_placement.py
@@ -173,7 +173,7 @@
             self.states.pop(upstream_id).gone = True
         for upstream in listed.values():
             state = self.states.get(upstream.id)
-            if state is None or state.upstream.is_other_life(upstream):
+            if state is None or state.upstream.is_same_life(upstream.born_ms) is False:
                 self.states[upstream.id] = UpstreamState(upstream)
                 if state is not None:
                     # What was in flight there ended with it; its failures were its own.
