--- a/bench/soak.py
+++ b/bench/soak.py
@@ -16,6 +16,7 @@
 import argparse
 import collections
 import contextlib
+import datetime
 import json
 import pathlib
 import random
@@ -94,6 +95,7 @@
       ends: Whether runners end, some of them under a request that comes again.
       killed: Runners that were killed.
       problems: Broken promises, in words.
+      told: Clients' calls about jobs and the faults, with their times.
     """
 
     def __init__(self, seed: int, *, length_s: float, ends: bool = False) -> None:
@@ -110,6 +112,7 @@
         self.problems: list[str] = []
         self.down: set[str] = set()
         self.ends_at = 0.0
+        self.told: list[dict[str, Any]] = []
 
     # The play.
 
@@ -158,6 +161,11 @@
     def _gateway(self) -> str:
         return self.rng.choice(self.fleet.names)
 
+    def _tell(self, what: str, began: float, **details: Any) -> None:
+        """Keeps what a client or a fault did, and from when to when."""
+        line = {"what": what, "from": _wall(began), "to": _wall(time.time())}
+        self.told.append(line | details)
+
     async def _client(self, number: int) -> None:
         count = 0
         while self._playing():
@@ -191,6 +199,8 @@
             job = Job(f"j-{len(self.jobs)}", [f"i{n}" for n in range(6)])
             self.jobs.append(job)
             for _ in range(self.rng.randint(1, 4)):
+                began, before = time.time(), len(job.statuses)
+                gateway = ""
                 try:
                     with trio.move_on_after(4):
                         gateway = self._gateway()
@@ -198,6 +208,8 @@
                         job.statuses.append(answer.status)
                 except _NETWORK:
                     job.statuses.append(0)
+                status = job.statuses[before:]
+                self._tell("submit", began, job=job.id, at=gateway, status=status)
                 if job.accepted and self.rng.random() < 0.8:
                     break
             if job.accepted and self.rng.random() < 0.15:
@@ -206,15 +218,18 @@
 
     async def _end(self, job: Job) -> None:
         job.end_asked = True
+        began, gateway, status = time.time(), self._gateway(), 0
         try:
             with trio.move_on_after(4):
                 answer = await self.fleet.call(
-                    self._gateway(), "DELETE", JOBS[0], f"/v1/lots/{job.id}"
+                    gateway, "DELETE", JOBS[0], f"/v1/lots/{job.id}"
                 )
-                if answer.status == 200:
+                status = answer.status
+                if status == 200:
                     job.ended_at = time.monotonic()
         except _NETWORK:
             pass
+        self._tell("end", began, job=job.id, at=gateway, status=status)
 
     async def _reader(self) -> None:
         while self._playing():
@@ -225,14 +240,15 @@
     async def _read(self, job: Job) -> int:
         """Reads some results, compares them with what was read; returns how many."""
         after = self.rng.randint(0, len(job.seen)) if job.seen else 0
-        # A read that crosses its job's acceptance may truly find none.
-        accepted = job.accepted
+        began = time.time()
         try:
             with trio.move_on_after(4):
                 gateway = self._gateway()
                 target = f"/v1/lots/{job.id}?after={after}"
                 answer = await self.fleet.call(gateway, "GET", JOBS[0], target)
-                if answer.status == 404 and accepted:
+                if answer.status == 404:
+                    self._tell("read", began, job=job.id, at=gateway, status=404)
+                if answer.status == 404 and job.accepted:
                     self.problems.append(f"{job.id}: 404 after it was accepted")
                 if answer.status != 200:
                     return 0
@@ -260,11 +276,13 @@
 
     async def _do(self, name: str) -> None:
         """Plays one fault; a runner that has ended meanwhile can't be set."""
+        began = time.time()
         try:
             await self.faults[name](self)
         except _NETWORK:
             if not self.ends:
                 raise
+        self._tell("fault", began, fault=name)
 
     async def _heal(self) -> None:
         await self.fleet.control("store", **HEALTHY_STORE)
@@ -298,23 +316,15 @@
 
     # What must hold.
 
-    async def _has_ended(self, job: Job) -> bool:
-        """Returns whether a job's end took effect that was asked and not answered.
-
-        Such a job owes nothing more; one whose end had no effect owes everything.
-        """
-        return job.end_asked and (await self.fleet.job_row(job.id))["ended"]
-
     async def _whole(self, job: Job) -> None:
         with trio.move_on_after(SETTLE_S):
             while len(job.seen) < len(job.items):
-                if await self._has_ended(job):
-                    break
                 await self._read(job)
                 await trio.sleep(0.05)
         names = [result["id"] for result in job.seen.values()]
-        expected = [f"{job.id}-item-{n}" for n in range(len(job.items))]
-        if sorted(names) != expected and not await self._has_ended(job):
+        if sorted(names) != [f"{job.id}-item-{n}" for n in range(len(job.items))]:
+            row = await self.fleet.job_row(job.id)
+            self._tell("row", time.time(), job=job.id, row=row)
             self.problems.append(
                 f"{job.id}: listed are {names}, its end was asked: {job.end_asked}"
             )
@@ -370,10 +380,17 @@
         _OUT.mkdir(exist_ok=True)
         with (_OUT / f"soak-{self.seed}.log").open("w", encoding="utf-8") as out:
             out.write(json.dumps({"problems": self.problems, "faults": self.done}))
+            out.write("\n--- clients and faults\n")
+            out.writelines(json.dumps(line) + "\n" for line in self.told)
             for name, process in self.fleet.processes.items():
                 out.write(f"\n--- {name}\n{process.output()}")
 
 
+def _wall(unix_s: float) -> str:
+    """Returns a time of day as the processes' logs write it, in UTC."""
+    return datetime.datetime.fromtimestamp(unix_s, datetime.UTC).isoformat()[11:23]
+
+
 HEALTHY_STORE = {
     "outage": False,
     "hang": False,
