Jobs: a line as one is begun, and one while it stands still

An end that took effect, a takeover that nobody acts on and items that wait for a slot looked alike. Change: 'Job begun.' with its reason, 'Job given up.' also where a job changed as it was loaded, and a bounded 'Job stands still.' with what the instance believes of it.

--- a/src/coppercleat/jobs/_worker.py
+++ b/src/coppercleat/jobs/_worker.py
@@ -20,6 +20,7 @@
 )
 from coppercleat.jobs._run import JobRun
 from coppercleat.jobs._starter import JOBS_STALE_S, ItemStarter
+from coppercleat.jobs._still_jobs import StillJobs
 from coppercleat.observability import part_logger
 from coppercleat.routing import ranked
 from coppercleat.serving import ItemEvents, RouteTable, Waiting
@@ -106,6 +107,7 @@
         self._orphans: dict[JobId, float] = {}
         self._taking: set[JobId] = set()
         self._handed: dict[JobId, list[ItemEvents]] = {}
+        self._still = StillJobs()
         self._nursery: trio.Nursery | None = None
         self._starter = ItemStarter(
             items,
@@ -169,6 +171,7 @@
             except CoppercleatError as error:
                 _log.debug("Jobs could not be read.", reason=str(error))
             self._look_for_orphans()
+            self._say_what_stands_still()
             await trio.sleep(self.pause_s())
 
     def _job_changed(self, held: Held) -> None:
@@ -178,14 +181,14 @@
             if held.row.owner != self.owner or held.row.ended:
                 self._drop(run, "ended" if held.row.ended else "taken over")
         elif run is None and held.row.open and held.row.owner == self.owner:
-            self._begin(held)
+            self._begin(held, "ours, as it changed")
 
-    def _begin(self, held: Held) -> None:
+    def _begin(self, held: Held, why: str) -> None:
         job = held.row.job
         if job in self._taking or self._nursery is None or self.stopping:
             return
         self._taking.add(job)
-        self._nursery.start_soon(self._run_job, held)
+        self._nursery.start_soon(self._run_job, held, why)
 
     def _look_for_orphans(self) -> None:
         """Takes jobs whose owner is gone; the first in line begins."""
@@ -197,7 +200,7 @@
             if not held.row.open or job in self.runs or job in self._taking:
                 self._orphans.pop(job, None)
             elif held.row.owner == self.owner:
-                self._begin(held)
+                self._begin(held, "ours, but not held here")
             elif self._owner_lives(held.row.owner, now):
                 self._orphans.pop(job, None)
             else:
@@ -228,7 +231,33 @@
         self.job_index.observe(taken)
         self.on_taken(held.row.job)
         await self._wait_for_handover(held.row.job)
-        await self._run_job(taken)
+        await self._run_job(taken, "taken over")
+
+    def _say_what_stands_still(self) -> None:
+        """Says of jobs that stand still what is known of them here.
+
+        A job that another runs is spoken of by the first in line alone.
+        """
+        now = trio.current_time()
+        for held, still_s in self._still.look(self.job_index, now=now):
+            job, owner = held.row.job, held.row.owner
+            run = self.runs.get(job)
+            first = ranked(job, self.living())[0] == self.owner
+            if (run is not None and run.running) or not (first or owner == self.owner):
+                continue
+            _log.warning(
+                "Job stands still.",
+                job=job,
+                still_s=round(still_s, 1),
+                version=held.version,
+                owner=owner,
+                owner_lives=self._owner_lives(owner, now),
+                held=run is not None,
+                begun=job in self._taking,
+                pending=len(run.pending) if run is not None else None,
+                may_start=self._may_start(),
+                jobs_age_s=round(now - self.job_index.fresh_at, 1),
+            )
 
     async def _wait_for_handover(self, job: JobId) -> None:
         """Waits a moment for what the owner before had made, if it can be heard."""
@@ -256,14 +285,25 @@
 
     # One job.
 
-    async def _run_job(self, held: Held) -> None:
+    async def _run_job(self, held: Held, why: str) -> None:
         """Runs a job until all its items are listed or it is no longer ours."""
         job = held.row.job
+        began = trio.current_time()
         try:
             run = await self._load(held)
             if run is None:
+                _log.info("Job given up.", job=job, why="changed as it was loaded")
                 return
             self.runs[job] = run
+            _log.info(
+                "Job begun.",
+                job=job,
+                why=why,
+                version=run.held.version,
+                pending=len(run.pending),
+                finished=len(run.finished),
+                ms=round((trio.current_time() - began) * 1000),
+            )
             self._starter.wake()
             await self._commit_forever(run)
         finally:
