Tests that fail, and sight: an instance that stands still holds it against others

Traces: the lines at the heads of the scenarios of no_processor_time.feature. Sight: 'This process stood still.' with its length, once a second at most, and coppercleat_standstill_seconds; logs of a test's processes can be kept (COPPERCLEAT_TEST_LOGS).

--- a/src/coppercleat/gateway/__init__.py
+++ b/src/coppercleat/gateway/__init__.py
@@ -4,6 +4,7 @@
 from coppercleat.gateway._job_service import JobAnswer, JobService
 from coppercleat.gateway._metrics import GatewayMetrics
 from coppercleat.gateway._run import GatewayEdges, run_gateway
+from coppercleat.gateway._standstill import Standstill
 
 __all__ = [
     "Gateway",
@@ -11,5 +12,6 @@
     "GatewayMetrics",
     "JobAnswer",
     "JobService",
+    "Standstill",
     "run_gateway",
 ]
--- a/src/coppercleat/gateway/_gateway.py
+++ b/src/coppercleat/gateway/_gateway.py
@@ -10,6 +10,7 @@
 
 from coppercleat.gateway._job_service import JobService
 from coppercleat.gateway._metrics import GatewayMetrics
+from coppercleat.gateway._standstill import Standstill
 from coppercleat.ids import InstanceId, random_token
 from coppercleat.jobs import ItemRunner, JobIndex, JobRepository, JobWorker, Sweeper
 from coppercleat.observability import part_logger
@@ -106,6 +107,7 @@
             rng=self.rng,
         )
         self.metrics = metrics
+        self.standstill = Standstill()
         self.admission = Admission(
             AdmissionQueue(self.placement, rng=self.rng),
             on_change=self._work_changed,
@@ -256,6 +258,7 @@
     async def run(self) -> None:
         """Runs all parts until cancelled."""
         async with trio.open_nursery() as nursery:
+            nursery.start_soon(self.standstill.run)
             nursery.start_soon(self.watch.run)
             nursery.start_soon(self.peers.run)
             nursery.start_soon(self.admission.run)
@@ -284,6 +287,7 @@
         """Returns the metrics page as text."""
         metrics = self.metrics
         metrics.in_flight.set({}, self.in_flight)
+        metrics.standstill.set({}, self.standstill.longest_s)
         metrics.waiting.set({}, len(self.admission.queue))
         metrics.late_items.set({}, self.worker.late_items())
         metrics.route_version.set({}, self.watch.version)
--- a/src/coppercleat/gateway/_metrics.py
+++ b/src/coppercleat/gateway/_metrics.py
@@ -73,6 +73,9 @@
             "quarantined_requests", "Requests that are kept from running"
         )
         self.in_flight = self._gauge("in_flight", "Clients' calls in flight")
+        self.standstill = self._gauge(
+            "standstill_seconds", "Longest time for which this process stood still"
+        )
         self.waiting = self._gauge("waiting", "Online requests that wait for a slot")
         self.late_items = self._gauge(
             "late_items", "Waiting items that cannot be done by their job's due time"
--- a/src/coppercleat/upstreams/__init__.py
+++ b/src/coppercleat/upstreams/__init__.py
@@ -9,6 +9,7 @@
 )
 from coppercleat.upstreams._events import EventParser, MalformedStreamError, TokenEvent
 from coppercleat.upstreams._refused import nothing_listens
+from coppercleat.upstreams._running_time import RunningTimeBackend, within
 from coppercleat.upstreams._traced_call import TracedCall
 
 __all__ = [
@@ -19,8 +20,10 @@
     "LoadReport",
     "MalformedStreamError",
     "OrderRefusedError",
+    "RunningTimeBackend",
     "TokenEvent",
     "TracedCall",
     "UpstreamClient",
     "nothing_listens",
+    "within",
 ]
--- /dev/null
+++ b/tests/features/no_processor_time.feature
@@ -0,0 +1,52 @@
+Feature: A process that had no processor time does not hold it against others
+
+  # Seen: four requests at once were 'Going elsewhere.' with ConnectTimeout of an upstream
+  # with eight free slots, 0.6 s after they had come, and waited 3.4 s for a slot at the
+  # other, full one, or were refused where none was left. The instance had stood still for
+  # 0.55 s meanwhile (paused by signal): its 0.1 s for a connection ran out while it could
+  # not see that the connection stood. An upstream's report was lost the same way.
+  Scenario Outline: A process stands still for 0.4 s as it <does>
+    When a process stands still for 0.4 s at each step as it <does>
+    Then it has its answer each time
+
+    Examples:
+      | does                                        |
+      | sends a request to an upstream              |
+      | asks an upstream for its load               |
+      | sends a request on a pool of kept connections |
+
+  Scenario Outline: An upstream takes no connection as a process <does>
+    When an upstream takes no connection as a process <does>
+    Then it has no answer, and knows so after <least> to <most> s
+
+    Examples:
+      | does                                          | least | most |
+      | sends a request to an upstream                | 0.1   | 0.25 |
+      | asks an upstream for its load                 | 0.1   | 0.45 |
+      | sends a request on a pool of kept connections | 0.1   | 0.25 |
+
+  # Seen: an upstream that had let one connection wait for 0.1 s got no other request of
+  # the same client, though nobody else served it: 'ConnectTimeout' of the one runner left,
+  # and a refusal with seconds left until the deadline.
+  Scenario Outline: The only upstream <does>
+    When the only upstream <does>: <answers>
+    Then the client has <body>, <end>, after <tries> tries
+
+    Examples: a host that refuses connections has no process there
+      | does                              | answers                    | body | end     | tries |
+      | takes a connection the second time | late / 200 1 2            | 1 2  | whole   | 2     |
+      | takes none twice                  | late / late / 200 1        | -    | not_run | 2     |
+      | refuses the connection            | refused / 200 1            | -    | not_run | 1     |
+
+  # Seen: four of six requests were held for 5 s in the queue of an upstream that runs of
+  # before filled, while the other had eight free slots. The upstream had been paused as a
+  # gateway that had just started asked it for its load ('An upstream did not report.'),
+  # and counted as free until it was asked again.
+  Scenario: An upstream that has not reported yet is used after those that have
+    Given a start of an instance before upstreams x and y, x in its own zone
+    When x does not report for 0.8 s, and y does
+    Then requests go to y until x has reported, and to x afterwards
+
+  Scenario: An instance tells for how long it stood still
+    When an instance stands still for 0.4 s
+    Then it writes one line that says so, and its metric has at least 0.35 s
--- a/tests/harness/_gateways.py
+++ b/tests/harness/_gateways.py
@@ -23,6 +23,7 @@
 from coppercleat.errors import CoppercleatError
 from coppercleat.platform import StoreClient
 from coppercleat.storage import Put, Transaction, TransactionRefused
+from tests.harness._pauses import Pauses, plan_of_environment
 from tests.harness._processes import Process, free_port, until
 
 _T = TypeVar("_T")
@@ -83,6 +84,7 @@
         self.ended: list[tuple[float, str]] = []
         self.reviving: set[str] = set()
         self.names = [f"gateway-{n + 1}" for n in range(gateways)]
+        self.pauses: Pauses | None = None
 
     def start(self) -> None:
         """Starts everything and waits until all gateways are ready."""
@@ -104,9 +106,13 @@
             self.start_gateway(name)
         for name in self.names:
             trio.run(self.ready, name)
+        if plan := plan_of_environment():
+            self.pauses = Pauses(plan, lambda: dict(self.processes))
 
     def close(self) -> None:
         """Ends everything."""
+        if self.pauses is not None:
+            self.pauses.stop()
         for process in self.processes.values():
             process.signal(signal.SIGCONT)
             process.close()
--- a/tests/harness/_processes.py
+++ b/tests/harness/_processes.py
@@ -4,6 +4,7 @@
 
 import os
 import pathlib
+import shutil
 import signal
 import socket
 import subprocess
@@ -21,6 +22,9 @@
 DEFAULT_WAIT_S = 60.0
 
 
+KEPT_LOGS = "COPPERCLEAT_TEST_LOGS"
+"""The environment variable that names a folder in which all logs are kept."""
+
 _PORTS_FROM = 20_000
 _PORTS = 12_000
 _SHARDS = 12
@@ -92,8 +96,11 @@
         return self.popen.wait(timeout=_STOP_S + 20)
 
     def close(self) -> None:
-        """Ends it and removes the log."""
+        """Ends it and removes the log, or moves it where logs are kept."""
         self.kill()
+        kept = os.environ.get(KEPT_LOGS)
+        if kept and self.log.exists():
+            shutil.move(self.log, pathlib.Path(kept) / self.log.name)
         self.log.unlink(missing_ok=True)
 
     def output(self) -> str:
