A standstill of the own process is not held against upstreams

Cause: the limit of 0.1 s for a connection ran on while the instance stood still; it then counted the connection as not made, ejected the upstream and barred it for the request for good. And an upstream that was not heard in the first question after a start counted as free until it was asked again. Ruled out: the upstream (its connection stood, its report came at the next question); ejecting only after two time-outs in a row (a standstill loses several connections at once). Change: limits of connections and reports count in sleeps of 20 ms, of which a standstill costs one; an upstream that took no connection in time gets one more chance by the same request, one whose host refuses gets none; after a start, upstreams that have told what they run go before those that have not, for 5 s at most, and the questions begin with the first list of upstreams. Same cause elsewhere: the pool of kept connections to small engines and the look at an address have the same limit; silences of runs, clients and links had been guarded before.

--- a/src/coppercleat/platform/_upstream_calls.py
+++ b/src/coppercleat/platform/_upstream_calls.py
@@ -12,6 +12,7 @@
 
 import httpcore
 import msgspec
+import trio
 
 from coppercleat.platform._names import CONNECTION_HEADERS, HeaderName, Path
 from coppercleat.serving import (
@@ -24,11 +25,20 @@
     UpstreamReport,
 )
 from coppercleat.storage import BAD_BYTES
-from coppercleat.upstreams import Attempt, AttemptState, nothing_listens
+from coppercleat.upstreams import (
+    Attempt,
+    AttemptState,
+    RunningTimeBackend,
+    nothing_listens,
+    within,
+)
 
 CONNECT_TIMEOUT_S = 0.1
-"""Connecting takes about 2 ms; an upstream that does not answer by then is taken as
-unreachable, with most of a request's 0.3 s still unspent elsewhere."""
+"""Connecting takes about 2 ms; an upstream that does not answer by then, while this
+process runs, is taken as unreachable, with most of a request's 0.3 s still unspent
+elsewhere."""
+
+_BACKEND = RunningTimeBackend()
 
 _MS = 1000
 _MISDIRECTED = 421
@@ -69,17 +79,19 @@
     async def report(self, upstream: Upstream) -> UpstreamReport:
         """See ``UpstreamCaller.report``."""
         url = _url(upstream, Path.UPSTREAM_REPORT)
-        limits = {"connect": CONNECT_TIMEOUT_S, "read": REPORT_TIMEOUT_S}
-        async with httpcore.AsyncHTTPConnection(origin=url.origin) as connection:
+        async with _connection_to(url) as connection:
             try:
-                response = await connection.request(
-                    "GET",
-                    url,
-                    headers=[(b"host", upstream.address.encode())],
-                    extensions={"timeout": limits},
+                response = await within(
+                    CONNECT_TIMEOUT_S + REPORT_TIMEOUT_S,
+                    lambda: connection.request(
+                        "GET",
+                        url,
+                        headers=[(b"host", upstream.address.encode())],
+                        extensions={"timeout": {"connect": CONNECT_TIMEOUT_S}},
+                    ),
                 )
                 body = msgspec.json.decode(response.content, type=_ReportBody)
-            except (*_BROKEN, *BAD_BYTES) as error:
+            except (*_BROKEN, *BAD_BYTES, trio.TooSlowError) as error:
                 if nothing_listens(error):
                     raise NothingListensError("no report: refused") from error
                 raise UpstreamBrokeError(f"no report: {error!r}") from error
@@ -99,7 +111,7 @@
     ) -> AsyncIterator[UpstreamAnswer]:
         """See ``UpstreamCaller.exchange``."""
         url = _url(upstream, request.target)
-        connection = httpcore.AsyncHTTPConnection(origin=url.origin)
+        connection = _connection_to(url)
 
         async def trace(event: str, info: dict[str, Any]) -> None:
             if event.endswith("send_request_headers.started"):
@@ -121,6 +133,10 @@
             await connection.aclose()
 
 
+def _connection_to(url: httpcore.URL) -> httpcore.AsyncHTTPConnection:
+    return httpcore.AsyncHTTPConnection(origin=url.origin, network_backend=_BACKEND)
+
+
 def _url(upstream: Upstream, target: bytes) -> httpcore.URL:
     """Returns where a call to an upstream goes; ``target`` is its path and query."""
     host, _, port = upstream.address.rpartition(":")
@@ -196,7 +212,8 @@
 ) -> UpstreamBrokeError:
     if attempt.state is AttemptState.SENT:
         attempt.move(AttemptState.LOST)
-    return UpstreamBrokeError(
+    kind = NothingListensError if nothing_listens(error) else UpstreamBrokeError
+    return kind(
         f"{upstream.id} at {upstream.address}: {type(error).__name__} {error}",
         disconnected=True,
     )
--- a/src/coppercleat/serving/_exchange.py
+++ b/src/coppercleat/serving/_exchange.py
@@ -18,7 +18,8 @@
     """One request on its way, through all its attempts.
 
     Attributes:
-      refused_by: The upstream that refused last; it gets one more chance.
+      passed_by: The upstream that last refused, or took no connection in time; it
+        gets one more chance, since another may not be left.
       heard_at: When the attempt began or its last event came, in trio's time.
       sent_at: When the attempt began, in trio's time.
       status: Of the attempt's answer; 0 before one.
@@ -39,7 +40,7 @@
     ends_at: float
     tried: set[UpstreamId] = attrs.field(factory=set)
     upstream: str = ""
-    refused_by: str = ""
+    passed_by: str = ""
     reason: str = ""
     arrived_at: float = 0.0
     first_at: float = 0.0
@@ -54,6 +55,12 @@
     waited_s: float = 0.0
     retry_after_s: float = RETRY_AFTER_S
 
+    def allow_again(self, upstream: UpstreamId) -> None:
+        """Lets an upstream be tried once more that has run nothing of the request."""
+        if self.passed_by != upstream:
+            self.passed_by = upstream
+            self.tried.discard(upstream)
+
     async def begin(self, answer: UpstreamAnswer, passed: Passed) -> None:
         """Sends the head of the first answer; later ones go on in the same body.
 
--- a/src/coppercleat/serving/_forwarding.py
+++ b/src/coppercleat/serving/_forwarding.py
@@ -32,6 +32,7 @@
 )
 from coppercleat.serving._silent_runs import RunKind, SilentRuns
 from coppercleat.serving._upstream_call import (
+    NothingListensError,
     UpstreamAnswer,
     UpstreamBrokeError,
     UpstreamCaller,
@@ -234,6 +235,10 @@
                 exchange.reason = str(error)
                 exchange.disconnected = error.disconnected
                 end = _end_of(attempt, exchange)
+                if attempt.state is AttemptState.QUEUED and not isinstance(
+                    error, NothingListensError
+                ):
+                    exchange.allow_again(state.id)
         if exchange.silent and not exchange.progress.finished:
             exchange.reason = "the upstream fell silent"
             end = _end_of(attempt, exchange)
@@ -259,9 +264,7 @@
         if answer.refused:
             exchange.reason = f"the upstream refused with {answer.status}"
             state.full_until = trio.current_time() + FULL_S
-            if exchange.refused_by != state.id:
-                exchange.refused_by = state.id
-                exchange.tried.discard(state.id)
+            exchange.allow_again(state.id)
             return AttemptEnd.NOT_RUN
         use = use_of(
             answer,
--- a/src/coppercleat/serving/_placement.py
+++ b/src/coppercleat/serving/_placement.py
@@ -51,8 +51,8 @@
 
 _SLOT_FREE, _SLOT_CUT, _SUSPECT, _SLOT_QUEUED = range(4)
 """A slot is free; a batch item will be cut for it, which takes some 5 ms; there is
-one, but the upstream seems to fail a part of its requests; or online requests hold all
-slots, and one must end."""
+one, but the upstream seems to fail a part of its requests, or may run some that are not
+known yet; or online requests hold all slots, and one must end."""
 
 
 class AttemptResults(msgspec.Struct, frozen=True, array_like=True):
@@ -96,6 +96,8 @@
       unheard: Own runs that were left unheard since there was an unknown run last;
         peers are told of as many unknown ones, and hold their slots for taken too.
       full_until: Until when it is taken as full, since it has said so.
+      unproved_until: Until when it may run requests of before this instance's start;
+        never, once it has told how many it runs.
     """
 
     upstream: Upstream
@@ -109,6 +111,7 @@
     unknown: int = 0
     unheard: int = 0
     full_until: float = float("-inf")
+    unproved_until: float = float("-inf")
 
     @property
     def id(self) -> UpstreamId:
@@ -388,7 +391,7 @@
         rank = _SLOT_CUT if self._told_late(state) else _SLOT_FREE
         if self.free_slots(state) <= 0:
             rank = _SLOT_CUT if self._may_cut(state) else _SLOT_QUEUED
-        if state.results.suspect(now):
+        if self._doubtful(state, now):
             rank = max(rank, _SUSPECT)
         return rank, self._load_cost(state)
 
@@ -398,8 +401,12 @@
         return state.batch + told > 0 and self.online_slots(state) > 0
 
     def _batch_cost(self, state: UpstreamState, now: float) -> float:
-        suspect = state.results.suspect(now)
-        return self._load_cost(state) + (SUSPECT_LOAD if suspect else 0.0)
+        doubtful = self._doubtful(state, now)
+        return self._load_cost(state) + (SUSPECT_LOAD if doubtful else 0.0)
+
+    def _doubtful(self, state: UpstreamState, now: float) -> bool:
+        """Returns whether a slot that seems free there may be worth less."""
+        return state.results.suspect(now) or now < state.unproved_until
 
     def _load_cost(self, state: UpstreamState) -> float:
         cost = self.load(state) / max(1, state.upstream.slots) * 8
--- a/src/coppercleat/serving/_survey.py
+++ b/src/coppercleat/serving/_survey.py
@@ -24,6 +24,9 @@
 """For so long after its start an instance asks every upstream: the first report may
 be older than the start, and requests of before may begin to run after it."""
 
+LISTED_LOOK_S = 0.05
+"""Between looks for the first upstreams, after the store was away at the start."""
+
 FIRST_AFTER_S = 0.2
 """Others tell of their work in this time; what they have told is no unknown run."""
 
@@ -94,6 +97,8 @@
     async def run(self) -> None:
         """Asks until cancelled."""
         await trio.sleep(FIRST_AFTER_S)
+        while not self.placement.states:
+            await trio.sleep(LISTED_LOOK_S)
         self._all_until = trio.current_time() + AFTER_START_S
         async with trio.open_nursery() as nursery:
             while True:
@@ -131,6 +136,8 @@
         states = self.placement.states
         for upstream, asked in list(self._of.items()):
             state = states.get(upstream)
+            if state is not None and now < state.unproved_until:
+                continue
             if state is not None and state.unknown:
                 if now >= asked.believed_at + HELD_S:
                     state.unheard = 0
@@ -141,10 +148,19 @@
                 del self._of[upstream]
         # In a large fleet there are thousands of upstreams, of which few are in doubt.
         looked_at = states if now < self._all_until else self._of.keys() & states.keys()
+        if now < self._all_until:
+            self._mark_unproved()
         due = [states[u] for u in looked_at if self._is_due(states[u], now)]
         room = max(0, MOST_AT_ONCE - len(self._asking))
         return due if len(due) <= room else self._rng.sample(due, room)
 
+    def _mark_unproved(self) -> None:
+        """Marks upstreams that were never asked: any may run requests of before."""
+        until = self._all_until - AFTER_START_S + HELD_S
+        for upstream, state in self.placement.states.items():
+            if upstream not in self._of:
+                state.unproved_until = until
+
     def _is_due(self, state: UpstreamState, now: float) -> bool:
         if state.id in self._asking:
             return False
@@ -152,7 +168,8 @@
         if asked is None:
             return now < self._all_until
         doubted = now < max(self._all_until, asked.doubted_until)
-        return (doubted or state.unknown > 0) and now >= asked.next_at
+        open_question = now < state.unproved_until or state.unknown > 0
+        return (doubted or open_question) and now >= asked.next_at
 
     def _pause_s(self) -> float:
         others = len(self.placement.peers.tellers())
@@ -177,6 +194,7 @@
             return  # A run that was left meanwhile is in some of the counts only.
         known.append(self.placement.known_load(state))
         asked.believed_at = trio.current_time()
+        state.unproved_until = float("-inf")
         reported = report.running + report.waiting
         unknown = believed_runs(state.unknown, reported=reported, known=known)
         if not unknown:
--- a/src/coppercleat/upstreams/_client.py
+++ b/src/coppercleat/upstreams/_client.py
@@ -27,6 +27,7 @@
 from coppercleat.upstreams._events import EventParser, MalformedStreamError
 from coppercleat.upstreams._kept import KeptConnections
 from coppercleat.upstreams._refused import nothing_listens
+from coppercleat.upstreams._running_time import within
 
 _MAX_ERROR_BYTES = 10_000
 _MAX_ANSWER_BYTES = 16_000_000
@@ -184,8 +185,10 @@
         """
         host, _, port = self.address.rpartition(":")
         try:
-            with trio.fail_after(self._timeout["connect"]):
-                stream = await trio.open_tcp_stream(host, int(port))
+            stream = await within(
+                self._timeout["connect"],
+                lambda: trio.open_tcp_stream(host, int(port)),
+            )
         except (OSError, trio.TooSlowError) as error:
             if nothing_listens(error):
                 return Finding.NOTHING_LISTENS
--- a/src/coppercleat/upstreams/_kept.py
+++ b/src/coppercleat/upstreams/_kept.py
@@ -15,6 +15,7 @@
 import trio
 
 from coppercleat.observability import part_logger
+from coppercleat.upstreams._running_time import RunningTimeBackend
 from coppercleat.upstreams._traced_call import TracedCall
 
 _MOST_KEPT = 32
@@ -65,6 +66,7 @@
             max_keepalive_connections=_MOST_KEPT,
             keepalive_expiry=_KEEPALIVE_S,
             socket_options=SOCKET_OPTIONS,
+            network_backend=RunningTimeBackend(),
         )
 
     async def aclose(self) -> None:
