An instance that has just started asks at once what upstreams run

Cause: the first question came 0.2 s after the start and took 0.1 s more, so that for 0.3 s an instance placed requests blindly; a standstill only makes more of them fall into it. Change: one question to each upstream as soon as the list is there; until the second all that it runs counts as unknown. Peers' counts that come meanwhile make the second lower it. Stand-in: a report from before the test's own beginning says that nothing runs.

--- a/src/coppercleat/serving/_survey.py
+++ b/src/coppercleat/serving/_survey.py
@@ -24,11 +24,14 @@
 """For so long after its start an instance asks every upstream: the first report may
 be older than the start, and requests of before may begin to run after it."""
 
-LISTED_LOOK_S = 0.05
-"""Between looks for the first upstreams, after the store was away at the start."""
+LISTED_LOOK_S = 0.01
+"""Between looks for the first upstreams: they are listed some 20 ms after the start, or
+once the store is back."""
 
 FIRST_AFTER_S = 0.2
-"""Others tell of their work in this time; what they have told is no unknown run."""
+"""Others tell of their work in this time; what they have told is no unknown run. The
+first question does not wait for it: until the second, all that an upstream runs counts
+as unknown."""
 
 PAUSE_S = 0.25
 """Between two questions to one upstream; a run lasts for 0.7 s at least."""
@@ -96,11 +99,14 @@
 
     async def run(self) -> None:
         """Asks until cancelled."""
-        await trio.sleep(FIRST_AFTER_S)
         while not self.placement.states:
             await trio.sleep(LISTED_LOOK_S)
-        self._all_until = trio.current_time() + AFTER_START_S
         async with trio.open_nursery() as nursery:
+            for state in self._due(trio.current_time()):
+                self._asking.add(state.id)
+                nursery.start_soon(self._ask_first, state)
+            await trio.sleep(FIRST_AFTER_S)
+            self._all_until = trio.current_time() + AFTER_START_S
             while True:
                 for state in self._due(trio.current_time()):
                     self._asking.add(state.id)
@@ -156,7 +162,7 @@
 
     def _mark_unproved(self) -> None:
         """Marks upstreams that were never asked: any may run requests of before."""
-        until = self._all_until - AFTER_START_S + HELD_S
+        until = min(self._all_until, trio.current_time() + AFTER_START_S) + HELD_S
         for upstream, state in self.placement.states.items():
             if upstream not in self._of:
                 state.unproved_until = until
@@ -176,6 +182,22 @@
         pause_s = PAUSE_S * max(1.0, (others + 1) / ASKERS)
         return pause_s * self._rng.uniform(0.8, 1.2)
 
+    async def _ask_first(self, state: UpstreamState) -> None:
+        """Takes all that an upstream runs as unknown, until others have told."""
+        try:
+            self.asked += 1
+            report = await self.caller.report(state.upstream)
+        except UpstreamBrokeError as error:
+            _log.debug("An upstream did not report.", reason=str(error))
+            return
+        finally:
+            self._asking.discard(state.id)
+        running = report.running + report.waiting
+        asked = self._of.setdefault(state.id, _Asked())
+        asked.believed_at = trio.current_time()
+        state.unproved_until = float("-inf")
+        self._believe(state, max(0, running - self.placement.known_load(state)))
+
     async def _ask(self, state: UpstreamState) -> None:
         asked = self._of.setdefault(state.id, _Asked())
         # Doubts of other upstreams wake this one too; its own pause is kept by half.
--- a/tests/features/no_processor_time.feature
+++ b/tests/features/no_processor_time.feature
@@ -47,6 +47,23 @@
     When x does not report for 0.8 s, and y does
     Then requests go to y until x has reported, and to x afterwards
 
+  # Seen: an instance stood still for 0.55 s just after it had read the list of upstreams,
+  # and the requests that had come meanwhile were placed before it had asked any upstream:
+  # four of six were held for 5 s behind eight runs of before, beside eight free slots.
+  # An instance without a standstill was as blind, for its first 0.3 s.
+  Scenario Outline: An instance that has just started before an upstream with <runs> runs of before
+    Given a start of an instance before upstreams x and y, x in its own zone
+    When x reports <runs> runs, and y none
+    Then <after> ms after the start requests go to <where>
+
+    Examples: x has 8 slots
+      | runs | after | where |
+      | 8    | 50    | y     |
+      | 8    | 250   | y     |
+      | 8    | 450   | y     |
+      | 0    | 50    | x     |
+      | 0    | 450   | x     |
+
   Scenario: An instance tells for how long it stood still
     When an instance stands still for 0.4 s
     Then it writes one line that says so, and its metric has at least 0.35 s
--- a/tests/features/steps/no_processor_time_steps.py
+++ b/tests/features/steps/no_processor_time_steps.py
@@ -256,6 +256,37 @@
     trio.run(run, clock=trio.testing.MockClock(autojump_threshold=0))
 
 
+@when("x reports {runs:d} runs, and y none")
+def x_reports_runs(context, runs):
+    class Reports:
+        async def report(self, upstream):
+            await trio.sleep(0.002)
+            return UpstreamReport(running=runs if upstream.id == "x" else 0, waiting=0)
+
+    context.chosen = []
+    survey = Survey(context.placement, Reports(), rng=random.Random(1))
+
+    async def run():
+        began = trio.current_time()
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(survey.run)
+            while (after := trio.current_time() - began) < 0.5:
+                chosen = context.placement.choose_online(
+                    "menus", tried=(), now=trio.current_time()
+                )
+                context.chosen.append((after, chosen.id))
+                await trio.sleep(0.01)
+            nursery.cancel_scope.cancel()
+
+    trio.run(run, clock=trio.testing.MockClock(autojump_threshold=0))
+
+
+@then("{after:d} ms after the start requests go to {where}")
+def goes_at(context, after, where):
+    found = {u for at, u in context.chosen if abs(at - after / 1000) < 0.03}
+    assert found == {where}, found
+
+
 @then("requests go to y until x has reported, and to x afterwards")
 def goes_where_known(context):
     # y's first report takes 0.2 s until it is asked, and 0.11 s.
--- a/tests/features/steps/unknown_runs_steps.py
+++ b/tests/features/steps/unknown_runs_steps.py
@@ -60,7 +60,8 @@
         if self.away:
             raise UpstreamBrokeError("away")
         then = [n for at, n in self._history if at <= asked_at - REPORT_LAG_S]
-        return UpstreamReport(running=then[-1], waiting=0)
+        # Nothing ran before the test's own beginning.
+        return UpstreamReport(running=then[-1] if then else 0, waiting=0)
 
 
 class Observed:
