--- a/tests/harness/__init__.py
+++ b/tests/harness/__init__.py
@@ -10,6 +10,7 @@
     Answer,
     Gateways,
 )
+from tests.harness._job_play import JobPlay, draw_plan
 from tests.harness._jobs import (
     HOST,
     LOOK_S,
@@ -43,11 +44,13 @@
     "Deployment",
     "Fleet",
     "Gateways",
+    "JobPlay",
     "Process",
     "Relay",
     "RelayedFleet",
     "SimulatedLinks",
     "accept_job",
+    "draw_plan",
     "free_port",
     "make_peers",
     "make_repository",
