--- a/src/coppercleat/jobs/_still_jobs.py
+++ b/src/coppercleat/jobs/_still_jobs.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Iterable
+from collections.abc import Callable, Iterable
 
 import attrs
 
@@ -27,7 +27,7 @@
 
     Attributes:
       since: When this version was first seen.
-      said_at: When it was last said that the job stands still.
+      said_at: When it was last asked whether to say that the job stands still.
     """
 
     version: int
@@ -42,11 +42,19 @@
         self._sights: dict[JobId, _Sight] = {}
         self._looked_at = float("-inf")
 
-    def look(self, jobs: Iterable[Held], *, now: float) -> list[tuple[Held, float]]:
+    def look(
+        self,
+        jobs: Iterable[Held],
+        *,
+        is_ours_to_say: Callable[[Held], bool],
+        now: float,
+    ) -> list[tuple[Held, float]]:
         """Returns jobs to speak of, each with the seconds for which it stands still.
 
         Args:
           jobs: All jobs as known here.
+          is_ours_to_say: Tells whether this instance speaks of a job; asked of one that
+            stands still, once in ``SAY_AGAIN_S``.
           now: Seconds on this instance's clock.
         """
         if now - self._looked_at < LOOK_EVERY_S:
@@ -64,5 +72,6 @@
             due = now - sight.said_at >= SAY_AGAIN_S
             if now - sight.since >= STILL_S and due and len(still) < MOST_LINES:
                 sight.said_at = now
-                still.append((held, now - sight.since))
+                if is_ours_to_say(held):
+                    still.append((held, now - sight.since))
         return still
--- a/src/coppercleat/jobs/_worker.py
+++ b/src/coppercleat/jobs/_worker.py
@@ -239,12 +239,12 @@
         A job that another runs is spoken of by the first in line alone.
         """
         now = trio.current_time()
-        for held, still_s in self._still.look(self.job_index, now=now):
+        still = self._still.look(
+            self.job_index, is_ours_to_say=self._is_ours_to_say, now=now
+        )
+        for held, still_s in still:
             job, owner = held.row.job, held.row.owner
             run = self.runs.get(job)
-            first = ranked(job, self.living())[0] == self.owner
-            if (run is not None and run.running) or not (first or owner == self.owner):
-                continue
             _log.warning(
                 "Job stands still.",
                 job=job,
@@ -259,6 +259,14 @@
                 jobs_age_s=round(now - self.job_index.fresh_at, 1),
             )
 
+    def _is_ours_to_say(self, held: Held) -> bool:
+        run = self.runs.get(held.row.job)
+        if run is not None and run.running:
+            return False
+        if held.row.owner == self.owner:
+            return True
+        return ranked(held.row.job, self.living())[0] == self.owner
+
     async def _wait_for_handover(self, job: JobId) -> None:
         """Waits a moment for what the owner before had made, if it can be heard."""
         with trio.move_on_after(HANDOVER_WAIT_S):
--- a/tests/features/serving_decisions.feature
+++ b/tests/features/serving_decisions.feature
@@ -594,3 +594,15 @@
       | route     | length |
       | resumable | no     |
       | stream    | a      |
+
+  Scenario Outline: <jobs> jobs whose rows have not changed for <seconds> s
+    When <jobs> open jobs beside an ended one are looked at for <seconds> s
+    Then <said> lines are due, <again> of them of a job that was said before
+
+    Examples: after 8 s, every 10 s a job, and five at one look
+      | jobs | seconds | said | again |
+      | 1    | 7       | 0    | 0     |
+      | 1    | 12      | 1    | 0     |
+      | 1    | 22      | 2    | 1     |
+      | 12   | 9       | 10   | 0     |
+      | 12   | 12      | 12   | 0     |
--- a/tests/features/steps/job_steps.py
+++ b/tests/features/steps/job_steps.py
@@ -8,7 +8,15 @@
 
 from coppercleat.gateway import JobService
 from coppercleat.ids import JobId, UpstreamId
-from coppercleat.jobs import Finished, ItemState, JobIndex, Superseded
+from coppercleat.jobs import (
+    Finished,
+    Held,
+    ItemState,
+    JobIndex,
+    JobRow,
+    StillJobs,
+    Superseded,
+)
 from coppercleat.storage import MemoryPlatform
 from tests.harness import (
     HOST,
@@ -167,3 +175,32 @@
 @then("its owner runs {running:d} of its items")
 def owner_runs(context, running):
     assert context.running == running, context.running
+
+
+@when("{jobs:d} open jobs beside an ended one are looked at for {seconds:d} s")
+def jobs_looked_at(context, jobs, seconds):
+    def held(name, *, ended=False):
+        row = JobRow(
+            job=JobId(name),
+            host=HOST,
+            path="/week/s",
+            tokens=(1,),
+            accepted_at=0.0,
+            due_at=60.0,
+            expires_at=60.0,
+            ended=ended,
+        )
+        return Held(row, 1)
+
+    known = [held(f"j-{number}") for number in range(jobs)] + [held("e", ended=True)]
+    still = StillJobs()
+    context.said = []
+    for now in range(seconds + 1):
+        found = still.look(known, is_ours_to_say=lambda job: True, now=float(now))
+        context.said += [job.row.job for job, _ in found]
+
+
+@then("{said:d} lines are due, {again:d} of them of a job that was said before")
+def lines_due(context, said, again):
+    assert len(context.said) == said, context.said
+    assert len(context.said) - len(set(context.said)) == again, context.said
