Survey: one way to ask an upstream for its report

Change: both call _report; no behaviour changes. Ruled out: one function for both questions, since the first neither looks around first nor lowers a belief step by step.

--- a/src/coppercleat/serving/_survey.py
+++ b/src/coppercleat/serving/_survey.py
@@ -18,7 +18,11 @@
 from coppercleat.observability import part_logger
 from coppercleat.serving._placement import Placement, UpstreamState
 from coppercleat.serving._unknown_runs import HELD_S, believed_runs
-from coppercleat.serving._upstream_call import UpstreamBrokeError, UpstreamCaller
+from coppercleat.serving._upstream_call import (
+    UpstreamBrokeError,
+    UpstreamCaller,
+    UpstreamReport,
+)
 
 AFTER_START_S = 1.5
 """For so long after its start an instance asks every upstream: the first report may
@@ -184,14 +188,9 @@
 
     async def _ask_first(self, state: UpstreamState) -> None:
         """Takes all that an upstream runs as unknown, until others have told."""
-        try:
-            self.asked += 1
-            report = await self.caller.report(state.upstream)
-        except UpstreamBrokeError as error:
-            _log.debug("An upstream did not report.", reason=str(error))
+        report = await self._report(state)
+        if report is None:
             return
-        finally:
-            self._asking.discard(state.id)
         running = report.running + report.waiting
         asked = self._of.setdefault(state.id, _Asked())
         asked.believed_at = trio.current_time()
@@ -203,15 +202,10 @@
         # Doubts of other upstreams wake this one too; its own pause is kept by half.
         asked.next_at = trio.current_time() + self._pause_s() / 2
         unheard = state.unheard
-        try:
-            known = await self._look(state)
-            self.asked += 1
-            report = await self.caller.report(state.upstream)
-        except UpstreamBrokeError as error:
-            _log.debug("An upstream did not report.", reason=str(error))
+        known = await self._look(state)
+        report = await self._report(state)
+        if report is None:
             return
-        finally:
-            self._asking.discard(state.id)
         if state.unheard != unheard:
             return  # A run that was left meanwhile is in some of the counts only.
         known.append(self.placement.known_load(state))
@@ -234,6 +228,17 @@
         )
         self._believe(state, unknown)
 
+    async def _report(self, state: UpstreamState) -> UpstreamReport | None:
+        """Returns an upstream's report, None if it gives none; ends the question."""
+        try:
+            self.asked += 1
+            return await self.caller.report(state.upstream)
+        except UpstreamBrokeError as error:
+            _log.debug("An upstream did not report.", reason=str(error))
+            return None
+        finally:
+            self._asking.discard(state.id)
+
     async def _look(self, state: UpstreamState) -> list[int]:
         """Returns how many runs are known at moments of the time of the report."""
         known = [self.placement.known_load(state)]
