Suite: a scenario that fails is printed with its own steps

The counts tell it: of its steps one failed and one was left out, so it was 'its last answers are all 503, within 0.1 s, and it was not run'. Change: the part of the output that is the scenario's, its steps and the end of its logs.

--- a/tools/behave_shards.py
+++ b/tools/behave_shards.py
@@ -10,6 +10,7 @@
 import json
 import os
 import pathlib
+import re
 import subprocess
 import sys
 import tempfile
@@ -28,7 +29,9 @@
 feature, and begins with it."""
 
 BATCH_TIMEOUT_S = 900
-_FAILED_TAIL = 6000
+_FAILED_HEAD = 2000
+_FAILED_TAIL = 4000
+"""Characters of a failed scenario's output that are printed again at the end."""
 
 
 def list_scenarios() -> list[tuple[str, str]]:
@@ -99,10 +102,28 @@
                 if location in passed:
                     self.passed.append(name)
                 else:
-                    self.failed.append((location, name, output))
+                    self.failed.append((location, name, part_of(output, name)))
                     print(f"FAILED {location} {name}", flush=True)
 
 
+def part_of(output: str, name: str) -> str:
+    """Returns what a batch printed of one scenario, all if it is not to be found.
+
+    A batch may print a hundred scenarios after the one that failed.
+    """
+    _, title, rest = output.partition(f": {name}\n")
+    if not title:
+        return output
+    return name + "\n" + re.split(r"\n  Scenario(?: Outline)?: ", rest, maxsplit=1)[0]
+
+
+def shortened(part: str) -> str:
+    """Returns a scenario's output cut to its steps, first, and its logs, last."""
+    if len(part) <= _FAILED_HEAD + _FAILED_TAIL:
+        return part
+    return f"{part[:_FAILED_HEAD]}\n[...]\n{part[-_FAILED_TAIL:]}"
+
+
 def run_batch(locations: list[str], environment: dict[str, str]) -> tuple[set, str]:
     """Runs scenarios; returns the locations of those that passed, and the output."""
     with tempfile.TemporaryDirectory() as directory:
@@ -148,7 +169,7 @@
     red = known_red()
     unlisted = [failure for failure in run.failed if failure[1] not in red]
     for location, name, output in run.failed:
-        print(f"--- {location} {name}\n{output[-_FAILED_TAIL:]}")
+        print(f"--- {location} {name}\n{shortened(output)}")
         if name in red:
             print(f"known red, see KNOWN-RED.txt: {name}")
     for name in red:
