Store: one probe for all reads in doubt, also once the call that began it has ended

Symptom: 20 connections for 15 reads of a store that answers nobody, once beside load. Cause: a probe ends with the call that began it; the next call in doubt, for its last moments, began another on a new connection, which nobody answered either. A probe that its call ended sooner shows nothing: the next may begin at once. Ruled out: a probe that outlives its call, which would want a task of the pool's own.

--- a/src/coppercleat/platform/_store_connections.py
+++ b/src/coppercleat/platform/_store_connections.py
@@ -112,6 +112,7 @@
         self._rows = _pool(_MAX_CONNECTIONS, ROWS_OPTIONS)
         self._objects = _pool(_MAX_CONNECTIONS, [])
         self._probing = False
+        self._probe_after = float("-inf")
         self._dropped_at = float("-inf")
 
     async def aclose(self) -> None:
@@ -196,7 +197,7 @@
             doubtful_at = attempt.began + self.evidence.doubt_s(call.kind)
             if now < doubtful_at:
                 await trio.sleep_until(doubtful_at)
-            elif self._probing or not call.repeatable:
+            elif not call.repeatable or self._probing or now < self._probe_after:
                 await trio.sleep(_LOOK_AGAIN_S)
             else:
                 await self._probe()
@@ -208,18 +209,27 @@
         return self.evidence.shows_dead(call.kind, began=attempt.began, now=now)
 
     async def _probe(self) -> None:
-        """Asks on a new connection, one at a time, since calls are limited."""
+        """Asks on a new connection, one at a time, since calls are limited.
+
+        A probe speaks for all calls in doubt, but ends with the one that began it. If
+        it is in doubt itself by then, the others would only ask the same again.
+        """
         self._probing = True
         began = trio.current_time()
+        unanswered = False
         try:
             async with _pool(1, ROWS_OPTIONS) as pool:
                 await pool.request("GET", self._url + self._probe_path)
             self.evidence.note_answer(began=began, now=trio.current_time())
         except _BROKEN:
-            # The store is away, for new connections too; the call ends by its timeout.
-            await trio.sleep(DOUBT_S)
+            unanswered = True
+        except trio.Cancelled:
+            unanswered = trio.current_time() - began >= DOUBT_S
+            raise
         finally:
             self._probing = False
+            if unanswered:
+                self._probe_after = trio.current_time() + DOUBT_S
 
     async def _drop(self, why: Drop, call: StoreCall, attempt: TracedCall) -> None:
         """Closes the idle connections, which are as old as the one that was dead."""
