Quarantine: a life of an upstream ends once, however late that is told

Symptom: see the rows. Cause: ends were told apart by time alone, 0.5 s, and each word that lies unread during a standstill, its own or the teller's, makes an end later. Change: ends of one birth are one. Where no birth is told (such entries, and the product's own list of nodes) time decides as before. Also: an upstream that is back and ends again within 0.5 s counts twice now, as it should. A row of mine had a wrong bound (60 s from 0.3 s on is 59.3 s at 1 s): it asks at 0.3 s now.

--- a/src/coppercleat/quarantine/_ledger.py
+++ b/src/coppercleat/quarantine/_ledger.py
@@ -39,8 +39,8 @@
 while any is remembered each request has its fingerprint worked out."""
 
 SAME_END_S = 0.5
-"""What two instances saw of an upstream's end within this time was one end: they see
-its connections break within milliseconds, and a start takes longer."""
+"""Ends of an upstream that tells no birth were one end if they were seen within this
+time: connections break within milliseconds, and a start takes longer."""
 
 HELD_RETRY_S = 1.0
 """When to come back while it is not known whether upstreams have ended: they are asked,
@@ -101,9 +101,16 @@
     born_ms: int = 0
 
     def is_same(self, other: End) -> bool:
-        """Returns whether two instances that tell of these saw the same end."""
-        same_upstream = self.upstream == other.upstream
-        return same_upstream and abs(self.at - other.at) < SAME_END_S
+        """Returns whether both tell of the same end.
+
+        A life ends once. Times tell less: an end is told by its age, so that each word
+        of it that lies unread, while an instance stands still, places it later.
+        """
+        if self.upstream != other.upstream:
+            return False
+        if 0 not in (self.born_ms, other.born_ms):
+            return self.born_ms == other.born_ms
+        return abs(self.at - other.at) < SAME_END_S
 
 
 class ToldEnd(msgspec.Struct, frozen=True, array_like=True):
--- a/tests/features/quarantine.feature
+++ b/tests/features/quarantine.feature
@@ -172,7 +172,7 @@
       | an end that was seen late           | 0 late a1 0, 1 late b1 1, 2 end a1         | 2  | free        | 0     |
       | word of an end of no known life     | 0 end a1, 1 end b1, 1.2 late a 0.2         | 2  | free        | 0     |
       | the end of a later life             | 0 end a1, 1 end b1, 2 end a2               | 2  | quarantined | 60    |
-      | the end of a later life, soon after | 0 end a1, 0.1 end b1, 0.3 end a2           | 1  | quarantined | 60    |
+      | the end of a later life, soon after | 0 end a1, 0.1 end b1, 0.3 end a2           | 0.3 | quarantined | 60   |
       | word, read late, of a life that lives | 0 end a1, 1 end b1, 2 end c1, 4 lives c1 3.5 | 4 | free     | 0     |
 
   # Seen in a soak: proper items that were run beside a deadly request, three times, were
