Survey: a failing row, silent runs are believed in, in a hundred plays

Traced with the reports: each that does not prove the belief lowers it by one, also where most moments that it may speak of would show all of them.

--- a/tests/features/overload.feature
+++ b/tests/features/overload.feature
@@ -143,6 +143,14 @@
       | 0     | by a peer that was dropped | 0     | 5    | 0     | 0   | 4     |
       | 3     | as silent                  | 0.05  | 0    | 0     | 0   | 4     |
 
+  # Seen with a hundred seeds in place of ten: in ten of them two of three silent runs were
+  # not believed in for 0.25 s, and others queued behind them. Cause: each report of a busy
+  # time that did not prove them lowered the belief by one, also where it spoke for them.
+  Scenario: Runs that are left as silent beside others are believed in, in a hundred plays
+    When 3 of an upstream's runs are left as silent for 2.5 s beside 5 per s, in 100 plays
+    Then from 0 s on all of them but 1 are believed in, until they end
+    And slots are left unused for 0.6 s at most after they have ended
+
   Scenario: What a survey asks is bounded
     Then 6 doubted upstreams are asked 36 times a second at most
     And 2000 doubted upstreams are asked 250 times a second at most
--- a/tests/features/steps/unknown_runs_steps.py
+++ b/tests/features/steps/unknown_runs_steps.py
@@ -133,8 +133,20 @@
     "beside {rate:d} per s"
 )
 def left_runs(context, count, how, lasts, rate):
+    play_left_runs(context, count, how, lasts, rate, plays=10)
+
+
+@when(
+    "{count:d} of an upstream's runs are left {how} for {lasts:g} s "
+    "beside {rate:d} per s, in {plays:d} plays"
+)
+def left_runs_often(context, count, how, lasts, rate, plays):
+    play_left_runs(context, count, how, lasts, rate, plays=plays)
+
+
+def play_left_runs(context, count, how, lasts, rate, *, plays):
     context.seen = []
-    for seed in range(10):
+    for seed in range(plays):
         seen = Observed(rate=rate, seed=seed)
 
         def act(seen=seen):
