Survey: a report that speaks for silent runs does not lower the belief in them

Cause: each report that did not prove the belief lowered it by one, also where at most of the moments that it may be of it showed all of them; two such in succession made it two.

--- a/src/coppercleat/serving/_survey.py
+++ b/src/coppercleat/serving/_survey.py
@@ -59,8 +59,8 @@
 REPORT_AGE_S = 0.1
 """A report is as old as this at most; what is known is looked at for so long before."""
 
-_LOOKS = 8
-"""How often, so that what starts and ends between is seen."""
+_LOOKS = 12
+"""How often, so that what starts and ends between is seen, and how long it was so."""
 
 _log = part_logger("survey")
 
--- a/src/coppercleat/serving/_unknown_runs.py
+++ b/src/coppercleat/serving/_unknown_runs.py
@@ -19,8 +19,15 @@
 lasts for about 5 s, an answer to an online request for 1 s."""
 
 UNPROVED_FADE = 1
-"""Runs by which a belief falls that a report allows and does not prove: in a busy time
-each report allows one or two that there are not, and slots would stay unused."""
+"""Runs by which a belief falls that a report allows and does not speak for: in a busy
+time each report allows one or two that there are not, and slots would stay unused."""
+
+LIKELY_SHARE = 0.6
+"""A report speaks for a belief if it would show as many runs at more than this share of
+the moments that it may be of. Measured with three silent runs beside five requests a
+second, a hundred plays: they are taken for ended for 0.26 slot-seconds a play in place
+of 0.77, and slots stay unused after their end for 0.62 in place of 0.58. From a half
+on, some stay unused for over 0.6 s at a time."""
 
 
 def believed_runs(before: int, *, reported: int, known: Sequence[int]) -> int:
@@ -33,4 +40,6 @@
     """
     most = max(0, reported - min(known))
     proved = max(0, reported - max(known))
-    return min(most, max(proved, before - UNPROVED_FADE))
+    speaks = sum(reported - count >= before for count in known)
+    likely = speaks > LIKELY_SHARE * len(known)
+    return min(most, max(proved, before if likely else before - UNPROVED_FADE))
