--- a/src/coppercleat/quarantine/__init__.py
+++ b/src/coppercleat/quarantine/__init__.py
@@ -2,16 +2,14 @@
 
 from coppercleat.quarantine._end_keeper import EndKeeper, KeptEnds
 from coppercleat.quarantine._end_watch import Asking, EndWatch, Finding, Watched
+from coppercleat.quarantine._ends import End, EndsSeen, ToldEnd
 from coppercleat.quarantine._fingerprint import Fingerprint, fingerprint_of, shown
 from coppercleat.quarantine._ledger import (
     FREE,
     HELD_RETRY_S,
     ITEM_PAUSES_S,
-    End,
     EndLedger,
-    EndsSeen,
     Standing,
-    ToldEnd,
     Verdict,
 )
 from coppercleat.quarantine._page import PAGE, serve_page
--- a/src/coppercleat/quarantine/_end_keeper.py
+++ b/src/coppercleat/quarantine/_end_keeper.py
@@ -15,8 +15,9 @@
 import trio
 
 from coppercleat.ids import UpstreamId
+from coppercleat.quarantine._ends import End
 from coppercleat.quarantine._fingerprint import Fingerprint
-from coppercleat.quarantine._ledger import MOST_ENDS, End, EndLedger
+from coppercleat.quarantine._ledger import MOST_ENDS, EndLedger
 
 MOST_KEPT = 8
 """Requests in one row, those with the most ends: 2 kB with six ends each."""
--- a/src/coppercleat/quarantine/_end_watch.py
+++ b/src/coppercleat/quarantine/_end_watch.py
@@ -17,16 +17,15 @@
 
 from coppercleat.ids import UpstreamId
 from coppercleat.observability import part_logger
+from coppercleat.quarantine._ends import End, ToldEnd
 from coppercleat.quarantine._fingerprint import Fingerprint, shown
 from coppercleat.quarantine._ledger import (
     FREE,
     HELD_RETRY_S,
     ITEM_PAUSES_S,
     PAUSES_S,
-    End,
     EndLedger,
     Standing,
-    ToldEnd,
     Verdict,
 )
 
