--- a/tests/features/quarantine.feature
+++ b/tests/features/quarantine.feature
@@ -161,6 +161,8 @@
   # makes it later; from 0.5 s on it passed for another end of the same upstream.
   # Proof: 'A request is quarantined.' of four at two instances, and a refusal '7 upstreams
   # ended while they ran this request' at the third, after its 'This process stood still.'
+  # Seen again where upstreams tell no birth, as links between instances were cut: ten items
+  # with one end each were quarantined by 'upstreams: [x, x, x]', and left lying.
   Scenario Outline: A proper request, and <what>
     When of a request it is learnt, by the second: <learnt>
     Then at <at> s it is <standing>, for <retry> s
@@ -171,6 +173,9 @@
       | word of all ends, read late, twice  | 0 end a1, 1 end b1, 2 late a1 0.6, 2 late b1 1.6, 4 late a1 2, 4 late b1 3 | 4 | free | 0 |
       | an end that was seen late           | 0 late a1 0, 1 late b1 1, 2 end a1         | 2  | free        | 0     |
       | word of an end of no known life     | 0 end a1, 1 end b1, 1.2 late a 0.2         | 2  | free        | 0     |
+      | word, read late, where no birth is told | 0 end a, 1 end b, 3 late a 2           | 3  | free        | 0     |
+      | word, ever later, of what it did not see | 0 late a 0, 2 late a 1.8, 4 late a 3.6 | 4 | free        | 0     |
+      | late word of two ends, ever later   | 0 end a, 1 end a, 3 late a 2, 5 late a 4 | 5 | free       | 0     |
       | the end of a later life             | 0 end a1, 1 end b1, 2 end a2               | 2  | quarantined | 60    |
       | the end of a later life, soon after | 0 end a1, 0.1 end b1, 0.3 end a2           | 0.3 | quarantined | 60   |
       | word, read late, of a life that lives | 0 end a1, 1 end b1, 2 end c1, 4 lives c1 3.5 | 4 | free     | 0     |
