Quarantine: an end that is told is known by its number, not by its time

Cause: where upstreams tell no birth, words of one end were told apart by their time, which each late word moves; retold, it was an end more each time. Change: who sees an end numbers it among those of that upstream under that request, and it is told with its number. Births go before numbers. What an instance sees itself is compared by birth or time as before; so is what another, deadlier request explains. Ruled out: time of day in place of age, since clocks differ between machines by more; a wider time, since links are cut for longer than an upstream takes to start. Bounded: two instances that cannot hear each other and see different ends of one upstream that tells no birth give both the number 1, so that one more upstream may end.

--- a/src/coppercleat/quarantine/_end_watch.py
+++ b/src/coppercleat/quarantine/_end_watch.py
@@ -322,7 +322,7 @@
 
     def _note_end(self, inquiry: _Inquiry[_W], fingerprint: Fingerprint) -> None:
         self.ledger.settled(fingerprint, inquiry.state.id)
-        end = inquiry.end_under(fingerprint)
+        end = self.ledger.identified(fingerprint, inquiry.end_under(fingerprint))
         if self.ledger.ended(fingerprint, end):
             self._log_verdict(fingerprint, teller="")
         self._untold.append((fingerprint, end, False))
@@ -332,7 +332,7 @@
         """Takes an end back: the link to the upstream had refused for a moment."""
         _log.warning("An upstream lives after all.", upstream=inquiry.state.id)
         for fingerprint in inquiry.suspects:
-            end = inquiry.end_under(fingerprint)
+            end = self.ledger.identified(fingerprint, inquiry.end_under(fingerprint))
             self.ledger.withdraw(fingerprint, end)
             self._untold.append((fingerprint, end, True))
         self._wake.set()
@@ -369,10 +369,12 @@
 
     def _note_left(self, end: End) -> None:
         """Takes an end that another found as one of the runs that were left there."""
+        seen = attrs.evolve(end, number=0)
         for fingerprint, _ in self._left_at(end.upstream, end.at):
-            if self.ledger.ended(fingerprint, end):
+            left = self.ledger.identified(fingerprint, seen)
+            if self.ledger.ended(fingerprint, left):
                 self._log_verdict(fingerprint, teller="")
-                self._untold.append((fingerprint, end, False))
+                self._untold.append((fingerprint, left, False))
                 self._wake.set()
 
     def _log_verdict(self, fingerprint: Fingerprint, *, teller: str) -> None:
--- a/src/coppercleat/quarantine/_ledger.py
+++ b/src/coppercleat/quarantine/_ledger.py
@@ -101,9 +101,17 @@
     def last_at(self) -> float:
         return max((end.at for end in self.ends), default=float("-inf"))
 
-    def known(self, end: End) -> End | None:
+    def find(self, end: End) -> End | None:
         """Returns the end already known that this one is; None if it is new."""
-        return next((known for known in self.ends if known.is_same(end)), None)
+        is_known = end.was_told_as if end.number else end.was_seen_as
+        return next((known for known in self.ends if is_known(known)), None)
+
+    def numbered(self, end: End) -> End:
+        """Returns a new end with its number."""
+        if end.number:
+            return end
+        before = sum(known.upstream == end.upstream for known in self.ends)
+        return attrs.evolve(end, number=before + 1)
 
 
 class EndLedger:
@@ -130,15 +138,20 @@
         record.pending.remove(upstream)
         self._drop_if_empty(fingerprint, record)
 
+    def identified(self, fingerprint: Fingerprint, end: End) -> End:
+        """Returns an end that was seen here as it is to be told: known, or numbered."""
+        record = self._records.get(fingerprint, _Record())
+        return record.find(end) or record.numbered(end)
+
     def ended(self, fingerprint: Fingerprint, end: End) -> bool:
         """Notes that an upstream ended under a request; returns whether that is new."""
         record = self._record(fingerprint)
-        if record.known(end) is not None:
+        if record.find(end) is not None:
             return False
         if self._is_void(fingerprint, end):
             self._drop_if_empty(fingerprint, record)
             return False
-        record.ends.append(end)
+        record.ends.append(record.numbered(end))
         return True
 
     def adopt(self, fingerprint: Fingerprint, ends: list[End]) -> None:
@@ -146,7 +159,9 @@
         counted = [end for end in ends if not self._is_void(fingerprint, end)]
         record = self._record(fingerprint)
         if len(counted) > len(record.ends):
-            record.ends = counted
+            record.ends = []
+            for end in counted:
+                record.ends.append(record.numbered(end))
         self._drop_if_empty(fingerprint, record)
 
     def withdraw(self, fingerprint: Fingerprint, end: End) -> bool:
@@ -159,7 +174,7 @@
         record = self._records.get(fingerprint)
         if record is None:
             return False
-        known = record.known(end)
+        known = record.find(end)
         if known is not None:
             record.ends.remove(known)
         self._drop_if_empty(fingerprint, record)
@@ -224,9 +239,8 @@
             for name, other in self._records.items()
             if name != fingerprint and len(other.ends) > most
         ]
-        return sum(
-            all(other.known(end) is None for other in deadlier) for end in record.ends
-        )
+        explained = [end for other in deadlier for end in other.ends]
+        return sum(not any(map(end.was_seen_as, explained)) for end in record.ends)
 
     def begin_trial(self, fingerprint: Fingerprint, *, now: float) -> None:
         """Notes that one run is let through; the next waits for a pause again."""
--- a/tests/features/quarantine.feature
+++ b/tests/features/quarantine.feature
@@ -176,6 +176,7 @@
       | word, read late, where no birth is told | 0 end a, 1 end b, 3 late a 2           | 3  | free        | 0     |
       | word, ever later, of what it did not see | 0 late a 0, 2 late a 1.8, 4 late a 3.6 | 4 | free        | 0     |
       | late word of two ends, ever later   | 0 end a, 1 end a, 3 late a 2, 5 late a 4 | 5 | free       | 0     |
+      | word of a second end, no births     | 0 end a, 1 end b, 3 late a 2 2         | 3  | quarantined | 59    |
       | the end of a later life             | 0 end a1, 1 end b1, 2 end a2               | 2  | quarantined | 60    |
       | the end of a later life, soon after | 0 end a1, 0.1 end b1, 0.3 end a2           | 0.3 | quarantined | 60   |
       | word, read late, of a life that lives | 0 end a1, 1 end b1, 2 end c1, 4 lives c1 3.5 | 4 | free     | 0     |
--- a/tests/features/steps/quarantine_decision_steps.py
+++ b/tests/features/steps/quarantine_decision_steps.py
@@ -3,6 +3,7 @@
 import random
 import time
 
+import attrs
 import trio
 import trio.testing
 from behave import then, when
@@ -70,9 +71,10 @@
 
 def learn(ledger, at, what, args):
     told_at = float(args[1]) if len(args) > 1 else at
+    number = int(args[2]) if len(args) > 2 else 1
     learnt = {
         "end": lambda: ledger.ended(FINGERPRINT, end_of(args[0], at)),
-        "late": lambda: tell(ledger, args[0], at, told_at, withdrawn=False),
+        "late": lambda: tell(ledger, args[0], at, told_at, number=number),
         "lives": lambda: tell(ledger, args[0], at, told_at, withdrawn=True),
         "broke": lambda: ledger.broke_off(FINGERPRINT, args[0]),
         "settled": lambda: ledger.settled(FINGERPRINT, args[0]),
@@ -83,8 +85,9 @@
     learnt[what]()
 
 
-def tell(ledger, name, now, at, *, withdrawn):
-    told = ToldEnd.of(FINGERPRINT, end_of(name, at), now=now, withdrawn=withdrawn)
+def tell(ledger, name, now, at, *, number=1, withdrawn=False):
+    end = attrs.evolve(end_of(name, at), number=number)
+    told = ToldEnd.of(FINGERPRINT, end, now=now, withdrawn=withdrawn)
     ledger.take_told([told], (), now=now)
 
 
@@ -344,7 +347,7 @@
     # Word of the same ends comes late from others, and changes nothing.
     for at, name in enumerate("abcdef"):
         if name in met[FINGERPRINT]:
-            tell(ledger, name, 9.0, float(at), withdrawn=False)
+            tell(ledger, name, 9.0, float(at))
 
 
 @then("{held:d} ends are held against the other; as an item it may run after {s:d} s")
