--- a/tools/behave_shards.py
+++ b/tools/behave_shards.py
@@ -99,10 +99,12 @@
             passed, output = run_batch([at for at, _ in batch], environment)
             self.took.append((time.monotonic() - began, batch[0][0]))
             for location, name in batch:
+                # Rows of examples without a name end in a blank.
                 if location in passed:
-                    self.passed.append(name)
+                    self.passed.append(name.strip())
                 else:
-                    self.failed.append((location, name, part_of(output, name)))
+                    part = part_of(output, name)
+                    self.failed.append((location, name.strip(), part))
                     print(f"FAILED {location} {name}", flush=True)
 
 
