Quarantine: an end that is seen is told apart by its run, not by a birth that lags

Cause, by its lines: the store was away from 45.73 to 46.92 s and the instance that had found three ends was killed at 47.43. Change: births tell ends apart, they do not make two ends one. What an instance sees itself is known if it is near in time, or if its run began before the end that is known, so that an own standstill does not count twice either. What is told goes by its number. The row 'an end that was seen late' tells when its run began now.

--- a/src/coppercleat/jobs/_items.py
+++ b/src/coppercleat/jobs/_items.py
@@ -67,6 +67,7 @@
 
     Attributes:
       stall: Cancelled when the upstream is silent.
+      began_at: When the run began, in trio's time.
       heard_at: When the run began or its last event came, in trio's time.
       silent_since: When it was last heard of, if it was given up as silent; in trio's
         time.
@@ -79,6 +80,7 @@
     state: UpstreamState
     scope: trio.CancelScope
     stall: trio.CancelScope = attrs.field(factory=trio.CancelScope)
+    began_at: float = 0.0
     heard_at: float = 0.0
     silent_since: float | None = None
     disconnected: bool = False
@@ -261,7 +263,9 @@
             silent or running.disconnected
         ):
             fingerprint = running.request.fingerprint
-            self.end_watch.broke_off(fingerprint, running.state, silent=silent)
+            self.end_watch.broke_off(
+                fingerprint, running.state, began=running.began_at, silent=silent
+            )
 
     @contextlib.contextmanager
     def _counted(self, running: Running) -> Iterator[None]:
@@ -276,7 +280,7 @@
     async def _attempt(self, running: Running, attempt: Attempt) -> ItemEnd:
         item, state = running.item, running.state
         request = running.request
-        running.heard_at = trio.current_time()
+        running.began_at = running.heard_at = trio.current_time()
         end = ItemEnd.BROKEN
         with self._watched(running, attempt), running.stall:
             try:
--- a/src/coppercleat/quarantine/_end_watch.py
+++ b/src/coppercleat/quarantine/_end_watch.py
@@ -109,24 +109,32 @@
 """Nothing listens also where a link refuses for a moment: it is asked again."""
 
 
+@attrs.frozen
+class _BrokenRun:
+    """A run that broke off, or was left.
+
+    Attributes:
+      began: When it was sent to the upstream.
+      at: When it broke off.
+    """
+
+    began: float
+    at: float
+
+
 @attrs.define(eq=False)
 class _Inquiry(Generic[_W]):
     """What is asked of one life of an upstream.
 
     Attributes:
-      suspects: When whose run broke off there.
+      suspects: Whose run broke off there.
       found_ended: Whether it is taken to have ended.
     """
 
     state: _W
-    suspects: dict[Fingerprint, float] = attrs.field(factory=dict)
+    suspects: dict[Fingerprint, _BrokenRun] = attrs.field(factory=dict)
     found_ended: bool = False
 
-    def end_under(self, fingerprint: Fingerprint) -> End:
-        """Returns the upstream's end, if it has ended, under one of the suspects."""
-        state = self.state
-        return End(state.id, self.suspects[fingerprint], state.born_ms)
-
 
 class EndWatch(Generic[_W]):
     """Keeps the ledger of ends up to date, and tells others of what is found.
@@ -174,17 +182,30 @@
     # What the serving path tells.
 
     def broke_off(
-        self, fingerprint: Fingerprint, state: _W, *, silent: bool = False
+        self,
+        fingerprint: Fingerprint,
+        state: _W,
+        *,
+        began: float | None = None,
+        silent: bool = False,
     ) -> None:
         """Notes a run that broke off, or fell silent, at an upstream.
 
         One that was leaving ends as planned. Silence is less than a broken connection:
         it holds no request up before the end is proved.
+
+        Args:
+          fingerprint: The request.
+          state: The upstream.
+          began: When the run began, in trio's time; None if unknown.
+          silent: Whether it fell silent.
         """
-        self._suspect(fingerprint, state, trio.current_time(), silent=silent)
+        now = trio.current_time()
+        run = _BrokenRun(now if began is None else began, now)
+        self._suspect(fingerprint, state, run, silent=silent)
 
     def _suspect(
-        self, fingerprint: Fingerprint, state: _W, at: float, *, silent: bool
+        self, fingerprint: Fingerprint, state: _W, run: _BrokenRun, *, silent: bool
     ) -> None:
         if state.stopping:
             return
@@ -195,7 +216,7 @@
             self._wake.set()
         if fingerprint in inquiry.suspects:
             return
-        inquiry.suspects[fingerprint] = at
+        inquiry.suspects[fingerprint] = run
         if inquiry.found_ended:
             self._note_end(inquiry, fingerprint)
         elif not silent:
@@ -208,7 +229,7 @@
     def unreachable(self, state: _W) -> None:
         """Notes that no connection to an upstream could be made."""
         for fingerprint, left_at in self._left_at(state.id, trio.current_time()):
-            self._suspect(fingerprint, state, left_at, silent=True)
+            self._suspect(fingerprint, state, _left_run(left_at), silent=True)
 
     def _left_at(
         self, upstream: UpstreamId, end_at: float
@@ -307,10 +328,9 @@
         if inquiry.found_ended:
             return
         inquiry.found_ended = True
-        for fingerprint, left_at in self._left_at(
-            inquiry.state.id, min(inquiry.suspects.values())
-        ):
-            inquiry.suspects.setdefault(fingerprint, left_at)
+        first_at = min(run.at for run in inquiry.suspects.values())
+        for fingerprint, left_at in self._left_at(inquiry.state.id, first_at):
+            inquiry.suspects.setdefault(fingerprint, _left_run(left_at))
         _log.warning(
             "An upstream ended under requests.",
             upstream=inquiry.state.id,
@@ -322,17 +342,23 @@
 
     def _note_end(self, inquiry: _Inquiry[_W], fingerprint: Fingerprint) -> None:
         self.ledger.settled(fingerprint, inquiry.state.id)
-        end = self.ledger.identified(fingerprint, inquiry.end_under(fingerprint))
+        end = self._end_under(inquiry, fingerprint)
         if self.ledger.ended(fingerprint, end):
             self._log_verdict(fingerprint, teller="")
         self._untold.append((fingerprint, end, False))
         self._wake.set()
 
+    def _end_under(self, inquiry: _Inquiry[_W], fingerprint: Fingerprint) -> End:
+        """Returns the upstream's end, if it has ended, under one of the suspects."""
+        state, run = inquiry.state, inquiry.suspects[fingerprint]
+        end = End(state.id, run.at, state.born_ms)
+        return self.ledger.identified(fingerprint, end, run_began=run.began)
+
     def _withdraw(self, inquiry: _Inquiry[_W]) -> None:
         """Takes an end back: the link to the upstream had refused for a moment."""
         _log.warning("An upstream lives after all.", upstream=inquiry.state.id)
         for fingerprint in inquiry.suspects:
-            end = self.ledger.identified(fingerprint, inquiry.end_under(fingerprint))
+            end = self._end_under(inquiry, fingerprint)
             self.ledger.withdraw(fingerprint, end)
             self._untold.append((fingerprint, end, True))
         self._wake.set()
@@ -371,7 +397,7 @@
         """Takes an end that another found as one of the runs that were left there."""
         seen = attrs.evolve(end, number=0)
         for fingerprint, _ in self._left_at(end.upstream, end.at):
-            left = self.ledger.identified(fingerprint, seen)
+            left = self.ledger.identified(fingerprint, seen, run_began=seen.at)
             if self.ledger.ended(fingerprint, left):
                 self._log_verdict(fingerprint, teller="")
                 self._untold.append((fingerprint, left, False))
@@ -389,3 +415,8 @@
             teller=teller,
             retry_after_s=round(verdict.retry_after_s, 1),
         )
+
+
+def _left_run(left_at: float) -> _BrokenRun:
+    """Returns a run that was left, of whose beginning nothing is kept."""
+    return _BrokenRun(left_at, left_at)
--- a/src/coppercleat/quarantine/_ends.py
+++ b/src/coppercleat/quarantine/_ends.py
@@ -18,8 +18,9 @@
     """One end of an upstream under a request.
 
     Attributes:
-      at: When, in seconds of the ledger's clock.
-      born_ms: See ``Upstream.born_ms``; 0 if unknown.
+      at: When, in seconds of the ledger's clock; late where word of it came late.
+      born_ms: See ``Upstream.born_ms``; 0 if unknown. The list may lag behind a new
+        start, so that two lives may bear one birth here.
       number: Which end of this upstream under this request it is, from 1, as far as
         was known to the instance that saw it; 0 before that is worked out.
     """
@@ -29,9 +30,20 @@
     born_ms: int = 0
     number: int = 0
 
-    def was_seen_as(self, known: End) -> bool:
-        """Returns whether this end, seen here, is one that is known already."""
-        return self._by_birth(known, unknown=abs(self.at - known.at) < SAME_END_S)
+    def was_seen_as(self, known: End, *, run_began: float) -> bool:
+        """Returns whether this end, seen here, is one that is known already.
+
+        Args:
+          known: The one that is known.
+          run_began: When the run that met it began: what began before an end ends by
+            it, however late that is noticed.
+        """
+        began_before = self._may_be(known) and run_began <= known.at
+        return began_before or self.coincides(known)
+
+    def coincides(self, other: End) -> bool:
+        """Returns whether both ends came about at one time, to one upstream."""
+        return self._may_be(other) and abs(self.at - other.at) < SAME_END_S
 
     def was_told_as(self, known: End) -> bool:
         """Returns whether this end, told by another instance, is known already.
@@ -39,15 +51,12 @@
         Its time tells nothing: an end is told by its age, and each word of it that lies
         unread, or waits for a link, places it later.
         """
-        return self._by_birth(known, unknown=self.number == known.number)
-
-    def _by_birth(self, known: End, *, unknown: bool) -> bool:
-        """A life ends once; where no birth is told, ``unknown`` decides."""
-        if self.upstream != known.upstream:
-            return False
-        if 0 in (self.born_ms, known.born_ms):
-            return unknown
-        return self.born_ms == known.born_ms
+        return self._may_be(known) and self.number == known.number
+
+    def _may_be(self, known: End) -> bool:
+        """Returns whether it is of this upstream, and not of another of its lives."""
+        births = {self.born_ms, known.born_ms} - {0}
+        return self.upstream == known.upstream and len(births) < 2
 
 
 class ToldEnd(msgspec.Struct, frozen=True, array_like=True):
--- a/src/coppercleat/quarantine/_ledger.py
+++ b/src/coppercleat/quarantine/_ledger.py
@@ -101,10 +101,14 @@
     def last_at(self) -> float:
         return max((end.at for end in self.ends), default=float("-inf"))
 
-    def find(self, end: End) -> End | None:
-        """Returns the end already known that this one is; None if it is new."""
-        is_known = end.was_told_as if end.number else end.was_seen_as
-        return next((known for known in self.ends if is_known(known)), None)
+    def find_told(self, end: End) -> End | None:
+        """Returns the end already known that a told one is; None if it is new."""
+        return next((known for known in self.ends if end.was_told_as(known)), None)
+
+    def find_seen(self, end: End, *, run_began: float) -> End | None:
+        """Returns the end already known that a seen one is; None if it is new."""
+        same = (e for e in self.ends if end.was_seen_as(e, run_began=run_began))
+        return next(same, None)
 
     def numbered(self, end: End) -> End:
         """Returns a new end with its number."""
@@ -138,20 +142,27 @@
         record.pending.remove(upstream)
         self._drop_if_empty(fingerprint, record)
 
-    def identified(self, fingerprint: Fingerprint, end: End) -> End:
+    def identified(
+        self, fingerprint: Fingerprint, end: End, *, run_began: float
+    ) -> End:
         """Returns an end that was seen here as it is to be told: known, or numbered."""
         record = self._records.get(fingerprint, _Record())
-        return record.find(end) or record.numbered(end)
+        return record.find_seen(end, run_began=run_began) or record.numbered(end)
 
     def ended(self, fingerprint: Fingerprint, end: End) -> bool:
-        """Notes that an upstream ended under a request; returns whether that is new."""
+        """Notes that an upstream ended under a request; returns whether that is new.
+
+        Args:
+          fingerprint: The request.
+          end: Told, or identified here.
+        """
         record = self._record(fingerprint)
-        if record.find(end) is not None:
+        if record.find_told(end) is not None:
             return False
         if self._is_void(fingerprint, end):
             self._drop_if_empty(fingerprint, record)
             return False
-        record.ends.append(record.numbered(end))
+        record.ends.append(end)
         return True
 
     def adopt(self, fingerprint: Fingerprint, ends: list[End]) -> None:
@@ -174,7 +185,7 @@
         record = self._records.get(fingerprint)
         if record is None:
             return False
-        known = record.find(end)
+        known = record.find_told(end)
         if known is not None:
             record.ends.remove(known)
         self._drop_if_empty(fingerprint, record)
@@ -240,7 +251,7 @@
             if name != fingerprint and len(other.ends) > most
         ]
         explained = [end for other in deadlier for end in other.ends]
-        return sum(not any(map(end.was_seen_as, explained)) for end in record.ends)
+        return sum(not any(map(end.coincides, explained)) for end in record.ends)
 
     def begin_trial(self, fingerprint: Fingerprint, *, now: float) -> None:
         """Notes that one run is let through; the next waits for a pause again."""
--- a/src/coppercleat/serving/_forwarding.py
+++ b/src/coppercleat/serving/_forwarding.py
@@ -296,7 +296,9 @@
             exchange.silent or exchange.disconnected
         ):
             fingerprint = exchange.request.fingerprint
-            self.end_watch.broke_off(fingerprint, state, silent=exchange.silent)
+            self.end_watch.broke_off(
+                fingerprint, state, began=exchange.sent_at, silent=exchange.silent
+            )
         if attempt.state is AttemptState.QUEUED:
             state.failed(now, reached=False)
             self.end_watch.unreachable(state)
--- a/tests/features/quarantine.feature
+++ b/tests/features/quarantine.feature
@@ -167,11 +167,13 @@
     When of a request it is learnt, by the second: <learnt>
     Then at <at> s it is <standing>, for <retry> s
 
-    Examples: "a1" is the first life of upstream a; "late a1 2" tells of an end at 2 s
+    Examples: "a1": first life of a; "late a1 2": told as of 2 s; "end a1 1": run since 1 s
       | what                                | learnt                                     | at | standing    | retry |
       | word of an end, read late           | 0 end a1, 1 end b1, 3 late a1 2            | 3  | free        | 0     |
       | word of all ends, read late, twice  | 0 end a1, 1 end b1, 2 late a1 0.6, 2 late b1 1.6, 4 late a1 2, 4 late b1 3 | 4 | free | 0 |
-      | an end that was seen late           | 0 late a1 0, 1 late b1 1, 2 end a1         | 2  | free        | 0     |
+      | an end that was seen late           | 0 late a1 0, 1 late b1 1, 2 end a1 -1      | 2  | free        | 0     |
+      | an end of a life not listed yet     | 0 late a1 0, 1 late b1 1, 2 end a1 1.9     | 2  | quarantined | 60    |
+      | the same, told by another           | 0 end a1, 1 end b1, 2 late a1 2 2          | 2  | quarantined | 60    |
       | word of an end of no known life     | 0 end a1, 1 end b1, 1.2 late a 0.2         | 2  | free        | 0     |
       | word, read late, where no birth is told | 0 end a, 1 end b, 3 late a 2           | 3  | free        | 0     |
       | word, ever later, of what it did not see | 0 late a 0, 2 late a 1.8, 4 late a 3.6 | 4 | free        | 0     |
--- a/tests/features/steps/quarantine_decision_steps.py
+++ b/tests/features/steps/quarantine_decision_steps.py
@@ -73,7 +73,7 @@
     told_at = float(args[1]) if len(args) > 1 else at
     number = int(args[2]) if len(args) > 2 else 1
     learnt = {
-        "end": lambda: ledger.ended(FINGERPRINT, end_of(args[0], at)),
+        "end": lambda: see(ledger, args[0], at, told_at),
         "late": lambda: tell(ledger, args[0], at, told_at, number=number),
         "lives": lambda: tell(ledger, args[0], at, told_at, withdrawn=True),
         "broke": lambda: ledger.broke_off(FINGERPRINT, args[0]),
@@ -85,6 +85,11 @@
     learnt[what]()
 
 
+def see(ledger, name, at, run_began):
+    end = ledger.identified(FINGERPRINT, end_of(name, at), run_began=run_began)
+    ledger.ended(FINGERPRINT, end)
+
+
 def tell(ledger, name, now, at, *, number=1, withdrawn=False):
     end = attrs.evolve(end_of(name, at), number=number)
     told = ToldEnd.of(FINGERPRINT, end, now=now, withdrawn=withdrawn)
@@ -292,7 +297,7 @@
     def learn(self, ends):
         now = trio.current_time()
         for number in range(ends):
-            end = End(UpstreamId(f"u{number}"), now - 10 + number)
+            end = End(UpstreamId(f"u{number}"), now - 10 + number, number=1)
             self.ledger.ended(FINGERPRINT, end)
 
 
@@ -343,7 +348,7 @@
     for at, name in enumerate("abcdef"):
         for fingerprint, names in met.items():
             if name in names:
-                ledger.ended(fingerprint, End(UpstreamId(name), float(at)))
+                ledger.ended(fingerprint, End(UpstreamId(name), float(at), number=1))
     # Word of the same ends comes late from others, and changes nothing.
     for at, name in enumerate("abcdef"):
         if name in met[FINGERPRINT]:
