--- a/tests/features/quarantine.feature
+++ b/tests/features/quarantine.feature
@@ -226,6 +226,7 @@
       | is left     | ends under others                   | refused               | 1    | 1  |
       | is left     | ends under others, elsewhere told   | refused               | 1    | 1  |
       | is left     | is found gone by the next request   | refused               | 1    | 1  |
+      | is left     | ends under others, told again late  | refused               | 1    | 1  |
       | is left 2 s before | is found gone by the next request | refused          | 0    | 10 |
       | breaks off  | is leaving                          | refused               | 0    | 10 |
       | breaks off  | is no longer listed                 | refused               | 0    | 10 |
--- a/tests/features/steps/quarantine_decision_steps.py
+++ b/tests/features/steps/quarantine_decision_steps.py
@@ -136,6 +136,7 @@
     ),
     "ends under others": lambda watch, state, placement: watch.broke_off(OTHER, state),
     "ends under others, elsewhere told": tell_of_end,
+    "ends under others, told again late": tell_of_end,
     "is found gone by the next request": lambda watch, state, placement: (
         watch.unreachable(state)
     ),
@@ -191,6 +192,9 @@
                 watch.broke_off(FINGERPRINT, state, silent=breaks == "falls silent")
             if does in AFTERWARDS:
                 AFTERWARDS[does](watch, state, placement)
+            if does.endswith("told again late"):
+                await trio.sleep(0.7)
+                tell_of_end(watch, state, placement)
             await trio.sleep(s)
             nursery.cancel_scope.cancel()
 
