Quarantine: runs that were left are held against one end, however often it is told

Cause: for a run that its client had left, each word of an end was compared by its own time. Change: by the moment at which the run was left.

--- a/src/coppercleat/quarantine/_end_watch.py
+++ b/src/coppercleat/quarantine/_end_watch.py
@@ -396,8 +396,8 @@
     def _note_left(self, end: End) -> None:
         """Takes an end that another found as one of the runs that were left there."""
         seen = attrs.evolve(end, number=0)
-        for fingerprint, _ in self._left_at(end.upstream, end.at):
-            left = self.ledger.identified(fingerprint, seen, run_began=seen.at)
+        for fingerprint, left_at in self._left_at(end.upstream, end.at):
+            left = self.ledger.identified(fingerprint, seen, run_began=left_at)
             if self.ledger.ended(fingerprint, left):
                 self._log_verdict(fingerprint, teller="")
                 self._untold.append((fingerprint, left, False))
