An empty message on the peers' port no longer ends the instance

Cause: pynng's recv(block=False) unpacks a buffer that an empty message does not have. Only a message that waits already is taken so; the first of a batch comes by arecv(), which is whole. Whoever reaches the port could end an instance with two empty messages in a row. Ruled out: catching the RuntimeError, which would hide others. Change: the message is taken as such, and its bytes after that. Elsewhere: no other call of recv(block=False).

--- a/src/coppercleat/membership/_links.py
+++ b/src/coppercleat/membership/_links.py
@@ -65,7 +65,8 @@
             await self._take(await self._pull.arecv(), handle)
             for _ in range(_TAKEN_AT_ONCE):
                 try:
-                    data = self._pull.recv(block=False)
+                    # recv() itself fails for an empty message.
+                    data = self._pull.recv_msg(block=False).bytes
                 except pynng.TryAgain:
                     break
                 await self._take(data, handle)
