--- a/src/coppercleat/gateway/_metrics.py
+++ b/src/coppercleat/gateway/_metrics.py
@@ -85,6 +85,14 @@
         )
         self.route_version = self._gauge("route_version", "Version of the routes")
         self.peers = self._gauge("peers_heard", "Other instances that are heard of")
+        self.barred_items = self._gauge(
+            "items_kept_from_running",
+            "Items kept back, since upstreams ended under them",
+        )
+        self.barred_item_seconds = self._gauge(
+            "items_kept_from_running_seconds",
+            "Longest time that one has been kept back",
+        )
         self.owned_jobs = self._gauge("owned_jobs", "Jobs that this instance runs")
         self.late_jobs = self._gauge("late_jobs", "Owned jobs past their due time")
 
--- a/src/coppercleat/jobs/_items.py
+++ b/src/coppercleat/jobs/_items.py
@@ -165,10 +165,15 @@
         if verdict.may_run:
             return False
         self.end_watch.on_barred(verdict.standing.value)
-        item.not_before = trio.current_time() + verdict.retry_after_s
+        now = trio.current_time()
+        item.not_before = item.barred_until = now + verdict.retry_after_s
+        if item.barred_since is None:
+            item.barred_since = now
         _log.info(
             "An item is kept from running.",
+            job=run.held.row.job,
             item=item.spec.id,
+            fingerprint=shown(_request_of(run, item).fingerprint),
             standing=verdict.standing.value,
             ends=verdict.ends,
             retry_after_s=round(verdict.retry_after_s, 1),
--- a/src/coppercleat/jobs/_run.py
+++ b/src/coppercleat/jobs/_run.py
@@ -37,6 +37,9 @@
       kept_failures: How many failures it knows.
       upstream: Where it runs now; empty if it does not.
       not_before: When it may run again, in trio's time.
+      barred_since: Since when it has been kept from running, as its upstreams ended,
+        in trio's time; None if it is not.
+      barred_until: Until when, as far as is known.
     """
 
     index: int
@@ -49,6 +52,8 @@
     kept_failures: int = 0
     upstream: UpstreamId = UpstreamId("")
     not_before: float = 0.0
+    barred_since: float | None = None
+    barred_until: float = 0.0
 
     def finished(self, state: ItemState) -> Finished:
         """Returns the item as it is to be listed."""
@@ -125,9 +130,14 @@
         """
         return [item for item in self.pending if item.not_before <= now]
 
+    def barred(self) -> list[ItemRun]:
+        """Returns the items that are kept from running, as their upstreams ended."""
+        return [item for item in self.pending if item.barred_since is not None]
+
     def start(self, item: ItemRun, upstream: UpstreamId) -> None:
         """Moves an item from pending to running."""
         self.pending.remove(item)
+        item.barred_since = None
         item.upstream = upstream
         self.running[item.index] = item
 
--- a/src/coppercleat/jobs/_worker.py
+++ b/src/coppercleat/jobs/_worker.py
@@ -44,6 +44,9 @@
 _TAKE_STAGGER_S = 0.6
 """The next in line takes an orphaned job so much later than the one before."""
 
+_MOST_NAMED = 3
+"""Items that a line names; each has lines of its own."""
+
 _log = part_logger("jobs")
 
 
@@ -135,6 +138,16 @@
         """Returns how many waiting items cannot be done by their job's due time."""
         return self._starter.late_items()
 
+    def barred_items_s(self) -> list[float]:
+        """Returns for how long each item has been kept from running, in seconds."""
+        now = trio.current_time()
+        return [
+            now - item.barred_since
+            for run in self.runs.values()
+            for item in run.barred()
+            if item.barred_since is not None
+        ]
+
     def waiting(self) -> tuple[Waiting, ...]:
         """Returns what waits here for a slot, to be told to others."""
         return self._starter.waiting() if self._may_start() else ()
@@ -245,6 +258,8 @@
         for held, still_s in still:
             job, owner = held.row.job, held.row.owner
             run = self.runs.get(job)
+            barred = run.barred() if run is not None else []
+            until = min((item.barred_until for item in barred), default=now)
             _log.warning(
                 "Job stands still.",
                 job=job,
@@ -255,6 +270,9 @@
                 held=run is not None,
                 begun=job in self._taking,
                 pending=len(run.pending) if run is not None else None,
+                kept_from_running=len(barred),
+                kept_items=[item.spec.id for item in barred[:_MOST_NAMED]],
+                kept_for_s=round(until - now, 1),
                 may_start=self._may_start(),
                 jobs_age_s=round(now - self.job_index.fresh_at, 1),
             )
--- a/src/coppercleat/quarantine/_end_keeper.py
+++ b/src/coppercleat/quarantine/_end_keeper.py
@@ -41,7 +41,7 @@
         births = itertools.chain(self.births, itertools.repeat(0))
         # A clock that is ahead must not make an end of the future.
         return [
-            End(upstream, min(now, wall - wall_at_zero), born_ms)
+            End(upstream, min(now, wall - wall_at_zero), born_ms, source="a row")
             for (upstream, wall), born_ms in zip(self.ends, births, strict=False)
         ]
 
--- a/src/coppercleat/quarantine/_end_watch.py
+++ b/src/coppercleat/quarantine/_end_watch.py
@@ -43,6 +43,9 @@
 """Ends are told again so often, since a link may be silent; a silent one is opened anew
 within a second. Who could not be reached for longer gets all when it is heard again."""
 
+_MOST_LOGGED = 6
+"""Ends that one line tells, the last ones: as many as a request is let meet."""
+
 _MOST_LEFT = 256
 """Runs that were left and are remembered for a second."""
 
@@ -129,11 +132,13 @@
     Attributes:
       suspects: Whose run broke off there.
       found_ended: Whether it is taken to have ended.
+      proof: What has shown that.
     """
 
     state: _W
     suspects: dict[Fingerprint, _BrokenRun] = attrs.field(factory=dict)
     found_ended: bool = False
+    proof: str = ""
 
 
 class EndWatch(Generic[_W]):
@@ -328,6 +333,7 @@
         if inquiry.found_ended:
             return
         inquiry.found_ended = True
+        inquiry.proof = proof
         first_at = min(run.at for run in inquiry.suspects.values())
         for fingerprint, left_at in self._left_at(inquiry.state.id, first_at):
             inquiry.suspects.setdefault(fingerprint, _left_run(left_at))
@@ -351,7 +357,7 @@
     def _end_under(self, inquiry: _Inquiry[_W], fingerprint: Fingerprint) -> End:
         """Returns the upstream's end, if it has ended, under one of the suspects."""
         state, run = inquiry.state, inquiry.suspects[fingerprint]
-        end = End(state.id, run.at, state.born_ms)
+        end = End(state.id, run.at, state.born_ms, source=inquiry.proof)
         return self.ledger.identified(fingerprint, end, run_began=run.began)
 
     def _withdraw(self, inquiry: _Inquiry[_W]) -> None:
@@ -385,7 +391,7 @@
         """Takes what another instance has found; returns whether it is news."""
         now = trio.current_time()
         before = self.ledger.quarantined(now=now)
-        news = self.ledger.take_told(ends, cleared, now=now)
+        news = self.ledger.take_told(ends, cleared, now=now, teller=teller)
         for told in ends:
             if not told.withdrawn:
                 self._note_left(told.heard(now=now))
@@ -404,19 +410,33 @@
                 self._wake.set()
 
     def _log_verdict(self, fingerprint: Fingerprint, *, teller: str) -> None:
-        verdict = self.ledger.verdict(fingerprint, now=trio.current_time())
+        now = trio.current_time()
+        verdict = self.ledger.verdict(fingerprint, now=now)
         if verdict.standing is not Standing.QUARANTINED:
             return
+        ends = self.ledger.ends_of(fingerprint)[-_MOST_LOGGED:]
         _log.warning(
             "A request is quarantined.",
             fingerprint=shown(fingerprint),
             ends=verdict.ends,
-            upstreams=self.ledger.upstreams_of(fingerprint),
+            upstreams=self.ledger.upstreams_of(fingerprint)[-_MOST_LOGGED:],
+            met=[_logged(end, now=now) for end in ends],
             teller=teller,
             retry_after_s=round(verdict.retry_after_s, 1),
         )
 
 
+def _logged(end: End, *, now: float) -> dict[str, object]:
+    """Returns an end as a line tells it, so that one told twice can be seen."""
+    return {
+        "upstream": end.upstream,
+        "number": end.number,
+        "born_ms": end.born_ms,
+        "age_s": round(now - end.at, 2),
+        "source": end.source,
+    }
+
+
 def _left_run(left_at: float) -> _BrokenRun:
     """Returns a run that was left, of whose beginning nothing is kept."""
     return _BrokenRun(left_at, left_at)
--- a/src/coppercleat/quarantine/_ends.py
+++ b/src/coppercleat/quarantine/_ends.py
@@ -23,12 +23,14 @@
         start, so that two lives may bear one birth here.
       number: Which end of this upstream under this request it is, from 1, as far as
         was known to the instance that saw it; 0 before that is worked out.
+      source: From whom it is known here, for the log: by which proof, or who told.
     """
 
     upstream: UpstreamId
     at: float
     born_ms: int = 0
     number: int = 0
+    source: str = attrs.field(default="", eq=False)
 
     def was_seen_as(self, known: End, *, run_began: float) -> bool:
         """Returns whether this end, seen here, is one that is known already.
@@ -84,9 +86,10 @@
         age_s = now - end.at
         return cls(fingerprint, end.upstream, age_s, withdrawn, end.born_ms, end.number)
 
-    def heard(self, *, now: float) -> End:
+    def heard(self, *, now: float, teller: str = "") -> End:
         """Returns the end by the clock of who hears of it now."""
-        return End(self.upstream, now - self.age_s, self.born_ms, self.number)
+        at = now - self.age_s
+        return End(self.upstream, at, self.born_ms, self.number, f"told by {teller}")
 
 
 class EndsSeen(msgspec.Struct, frozen=True, tag="ends", array_like=True):
--- a/src/coppercleat/quarantine/_ledger.py
+++ b/src/coppercleat/quarantine/_ledger.py
@@ -203,13 +203,18 @@
         return True
 
     def take_told(
-        self, ends: Iterable[ToldEnd], cleared: Iterable[Fingerprint], *, now: float
+        self,
+        ends: Iterable[ToldEnd],
+        cleared: Iterable[Fingerprint],
+        *,
+        now: float,
+        teller: str = "",
     ) -> bool:
         """Takes what another instance tells; returns whether any of it is new."""
         news = [self.clear(fingerprint, now=now) for fingerprint in cleared]
         for told in ends:
             note = self.withdraw if told.withdrawn else self.ended
-            news.append(note(told.fingerprint, told.heard(now=now)))
+            news.append(note(told.fingerprint, told.heard(now=now, teller=teller)))
         self.forget_old(now)
         return any(news)
 
