--- a/tests/harness/_gateways.py
+++ b/tests/harness/_gateways.py
@@ -280,6 +280,26 @@
             return False
         return True
 
+    async def end_again_and_again(
+        self, names: list[str], *, lives_s: float, for_s: float
+    ) -> None:
+        """Kills runners, and again so long after each start, while they are revived."""
+        ends_at = time.monotonic() + for_s
+
+        async def end_one(name: str) -> None:
+            while time.monotonic() < ends_at:
+                self.processes[name].kill()
+                process = self.processes[name]
+                while self.processes[name] is process:
+                    await trio.sleep(0.005)
+                port = self.ports[name]["http"]
+                await until(f"{name} starts", lambda p=port: _answers(p))
+                await trio.sleep(lives_s)
+
+        async with trio.open_nursery() as nursery:
+            for name in names:
+                nursery.start_soon(end_one, name)
+
     async def unlist_runner(self, name: str) -> None:
         """Removes a runner's entry."""
         async with _store(self.store_port) as store:
