--- a/src/coppercleat/gateway/_gateway.py
+++ b/src/coppercleat/gateway/_gateway.py
@@ -191,6 +191,7 @@
         self.peers.ends = self._ends
         self.peers.on_ends = self._hear_of_ends
         self.end_watch.on_news = self.peers.ends_found
+        self.end_watch.on_ended = self.placement.note_end
         self.end_watch.may_try = self._tries
         self.end_watch.on_barred = self.metrics.request_barred
         self.survey.on_change = self._unknown_changed
--- a/src/coppercleat/quarantine/__init__.py
+++ b/src/coppercleat/quarantine/__init__.py
@@ -2,12 +2,13 @@
 
 from coppercleat.quarantine._end_keeper import EndKeeper, KeptEnds
 from coppercleat.quarantine._end_watch import Asking, EndWatch, Finding, Watched
-from coppercleat.quarantine._ends import End, EndsSeen, ToldEnd
+from coppercleat.quarantine._ends import SAME_END_S, End, EndsSeen, ToldEnd
 from coppercleat.quarantine._fingerprint import Fingerprint, fingerprint_of, shown
 from coppercleat.quarantine._ledger import (
     FREE,
     HELD_RETRY_S,
     ITEM_PAUSES_S,
+    WARY_ENDS,
     EndLedger,
     Standing,
     Verdict,
@@ -28,9 +29,11 @@
     "KeptEnds",
     "Fingerprint",
     "PAGE",
+    "SAME_END_S",
     "Standing",
     "ToldEnd",
     "Verdict",
+    "WARY_ENDS",
     "Watched",
     "fingerprint_of",
     "serve_page",
--- a/src/coppercleat/quarantine/_end_keeper.py
+++ b/src/coppercleat/quarantine/_end_keeper.py
@@ -30,19 +30,35 @@
       ends: Which upstream ended when, in Unix seconds.
       births: For each end, see ``End.born_ms``; fewer where an instance of an
         earlier version wrote the row.
+      numbers: The same, see ``End.number``.
+      weak: The same, see ``End.weak``.
     """
 
     fingerprint: Fingerprint
     ends: tuple[tuple[UpstreamId, float], ...]
     births: tuple[int, ...] = ()
+    numbers: tuple[int, ...] = ()
+    weak: tuple[bool, ...] = ()
 
     def by_clock(self, *, wall_at_zero: float, now: float) -> list[End]:
         """Returns the ends by a clock that showed 0 at that Unix time."""
-        births = itertools.chain(self.births, itertools.repeat(0))
+        details = itertools.zip_longest(
+            self.births, self.numbers, self.weak, fillvalue=0
+        )
+        untold = itertools.repeat((0, 0, 0))
         # A clock that is ahead must not make an end of the future.
         return [
-            End(upstream, min(now, wall - wall_at_zero), born_ms, source="a row")
-            for (upstream, wall), born_ms in zip(self.ends, births, strict=False)
+            End(
+                upstream,
+                min(now, wall - wall_at_zero),
+                born_ms,
+                number,
+                bool(weak),
+                source="a row",
+            )
+            for (upstream, wall), (born_ms, number, weak) in zip(
+                self.ends, itertools.chain(details, untold), strict=False
+            )
         ]
 
 
@@ -80,6 +96,8 @@
                 fingerprint,
                 tuple((end.upstream, wall_at_zero + end.at) for end in ends),
                 tuple(end.born_ms for end in ends),
+                tuple(end.number for end in ends),
+                tuple(end.weak for end in ends),
             )
             for fingerprint in mine[:MOST_KEPT]
             for ends in [self.ledger.ends_of(fingerprint)]
--- a/src/coppercleat/quarantine/_end_watch.py
+++ b/src/coppercleat/quarantine/_end_watch.py
@@ -34,6 +34,10 @@
 refuses for a moment from an upstream that has ended. A question takes 2 ms of network
 and 1 ms of processor time, and comes with a broken connection only."""
 
+MOVED_ON_S = 0.3
+"""A run that made something for so long speaks for the request: most that end their
+upstreams do so at once, and what it made is kept."""
+
 LEFT_S = 1.0
 """A run that its client left is as suspect if its upstream ends within this time: most
 upstreams end such a run at once, and what it had begun may end them all the same."""
@@ -90,6 +94,10 @@
         """Whether it is known to have started again, which is another life."""
         ...
 
+    def steady_at(self, at: float) -> bool:
+        """Returns whether it had lived for a while then, in trio's time."""
+        ...
+
 
 class Asking(Protocol):
     """A request that wants to be sent to an upstream."""
@@ -119,10 +127,12 @@
     Attributes:
       began: When it was sent to the upstream.
       at: When it broke off.
+      moved_on: Whether it made something that is kept, for a while.
     """
 
     began: float
     at: float
+    moved_on: bool = False
 
 
 @attrs.define(eq=False)
@@ -149,6 +159,7 @@
       on_news: Told of ends, and of requests that were cleared, for other instances.
       may_try: Returns whether this instance is the one to let a trial through.
       on_barred: Told the standing of each request that was not let through.
+      on_ended: Told of each end of an upstream that is found or heard of.
     """
 
     def __init__(self, ask: Callable[[_W], Awaitable[Finding]]) -> None:
@@ -164,6 +175,7 @@
         )
         self.may_try: Callable[[Fingerprint], bool] = lambda fingerprint: True
         self.on_barred: Callable[[str], None] = lambda standing: None
+        self.on_ended: Callable[[End], None] = lambda end: None
         self._inquiries: dict[_W, _Inquiry[_W]] = {}
         self._opened: list[_Inquiry[_W]] = []
         self._untold: list[tuple[Fingerprint, End, bool]] = []
@@ -193,6 +205,7 @@
         *,
         began: float | None = None,
         silent: bool = False,
+        made_some: bool = False,
     ) -> None:
         """Notes a run that broke off, or fell silent, at an upstream.
 
@@ -204,9 +217,11 @@
           state: The upstream.
           began: When the run began, in trio's time; None if unknown.
           silent: Whether it fell silent.
+          made_some: Whether it made something that the next run goes on from.
         """
         now = trio.current_time()
-        run = _BrokenRun(now if began is None else began, now)
+        began = now if began is None else began
+        run = _BrokenRun(began, now, made_some and now - began >= MOVED_ON_S)
         self._suspect(fingerprint, state, run, silent=silent)
 
     def _suspect(
@@ -289,15 +304,19 @@
         """Does the same for one that is sent at once if it may be; counts a trial."""
         verdict = self.verdict(request, item=item)
         if verdict.standing is Standing.TRIAL:
-            self.ledger.begin_trial(request.fingerprint, now=trio.current_time())
-            _log.warning(
-                "A trial of a quarantined request.",
-                request=request.request_id,
-                fingerprint=shown(request.fingerprint),
-                ends=verdict.ends,
-            )
+            self.begin_trial(request)
         return verdict
 
+    def begin_trial(self, request: Asking) -> None:
+        """Notes that a request whose pause is over is sent to an upstream."""
+        self.ledger.begin_trial(request.fingerprint, now=trio.current_time())
+        _log.warning(
+            "A trial of a quarantined request.",
+            request=request.request_id,
+            fingerprint=shown(request.fingerprint),
+            ends=len(self.ledger.ends_of(request.fingerprint)),
+        )
+
     # Asking.
 
     async def _inquire(self, inquiry: _Inquiry[_W]) -> None:
@@ -343,6 +362,7 @@
             proof=proof,
             requests=len(inquiry.suspects),
         )
+        self.on_ended(End(inquiry.state.id, first_at, inquiry.state.born_ms))
         for fingerprint in inquiry.suspects:
             self._note_end(inquiry, fingerprint)
 
@@ -357,7 +377,8 @@
     def _end_under(self, inquiry: _Inquiry[_W], fingerprint: Fingerprint) -> End:
         """Returns the upstream's end, if it has ended, under one of the suspects."""
         state, run = inquiry.state, inquiry.suspects[fingerprint]
-        end = End(state.id, run.at, state.born_ms, source=inquiry.proof)
+        weak = run.moved_on or not state.steady_at(run.at)
+        end = End(state.id, run.at, state.born_ms, weak=weak, source=inquiry.proof)
         return self.ledger.identified(fingerprint, end, run_began=run.began)
 
     def _withdraw(self, inquiry: _Inquiry[_W]) -> None:
@@ -391,7 +412,9 @@
         """Takes what another instance has found; returns whether it is news."""
         now = trio.current_time()
         before = self.ledger.quarantined(now=now)
-        news = self.ledger.take_told(ends, cleared, now=now, teller=teller)
+        news = self.ledger.take_told(
+            ends, cleared, now=now, teller=teller, on_new=self.on_ended
+        )
         for told in ends:
             if not told.withdrawn:
                 self._note_left(told.heard(now=now))
@@ -433,6 +456,7 @@
         "number": end.number,
         "born_ms": end.born_ms,
         "age_s": round(now - end.at, 2),
+        "weak": end.weak,
         "source": end.source,
     }
 
--- a/src/coppercleat/quarantine/_ends.py
+++ b/src/coppercleat/quarantine/_ends.py
@@ -23,6 +23,8 @@
         start, so that two lives may bear one birth here.
       number: Which end of this upstream under this request it is, from 1, as far as
         was known to the instance that saw it; 0 before that is worked out.
+      weak: Whether it says little of the request: the upstream was not steady, or the
+        run had moved the request on.
       source: From whom it is known here, for the log: by which proof, or who told.
     """
 
@@ -30,6 +32,7 @@
     at: float
     born_ms: int = 0
     number: int = 0
+    weak: bool = False
     source: str = attrs.field(default="", eq=False)
 
     def was_seen_as(self, known: End, *, run_began: float) -> bool:
@@ -69,6 +72,7 @@
       withdrawn: Whether it was found alive after all.
       born_ms: See ``End``.
       number: See ``End``; instances of an earlier version tell none.
+      weak: See ``End``.
     """
 
     fingerprint: Fingerprint
@@ -77,19 +81,33 @@
     withdrawn: bool = False
     born_ms: int = 0
     number: int = 1
+    weak: bool = False
 
     @classmethod
     def of(
         cls, fingerprint: Fingerprint, end: End, *, now: float, withdrawn: bool = False
     ) -> ToldEnd:
         """Returns what to tell others of an end that this instance knows."""
-        age_s = now - end.at
-        return cls(fingerprint, end.upstream, age_s, withdrawn, end.born_ms, end.number)
+        return cls(
+            fingerprint,
+            end.upstream,
+            now - end.at,
+            withdrawn,
+            end.born_ms,
+            end.number,
+            end.weak,
+        )
 
     def heard(self, *, now: float, teller: str = "") -> End:
         """Returns the end by the clock of who hears of it now."""
-        at = now - self.age_s
-        return End(self.upstream, at, self.born_ms, self.number, f"told by {teller}")
+        return End(
+            self.upstream,
+            now - self.age_s,
+            self.born_ms,
+            self.number,
+            self.weak,
+            source=f"told by {teller}",
+        )
 
 
 class EndsSeen(msgspec.Struct, frozen=True, tag="ends", array_like=True):
--- a/src/coppercleat/quarantine/_ledger.py
+++ b/src/coppercleat/quarantine/_ledger.py
@@ -9,7 +9,7 @@
 from __future__ import annotations
 
 import enum
-from collections.abc import Iterable, Sequence
+from collections.abc import Callable, Iterable, Sequence
 
 import attrs
 
@@ -22,14 +22,24 @@
 whose upstream ends under another's is sent again, and may meet the other again. Among
 nine upstreams that is one request of 80 that were cut with it."""
 
+WARY_ENDS = 2
+"""Ends after which a request is sent to steady upstreams only: what has just started
+may end by itself, and a proper request would be held to account for that."""
+
+_WEIGHT, _WEAK_WEIGHT = 2, 1
+_MOST_WEIGHT = MOST_ENDS * _WEIGHT
+"""A weak end counts half, not nothing: the request may be the cause all the same, and
+ends six upstreams then, no more."""
+
 PAUSES_S = (60.0, 600.0, 3600.0)
 """How long it is kept from running after the third end, the fourth and the fifth. Then
 one trial is let through, so that a proper request is not refused for ever; a deadly one
 costs three upstreams more within two hours."""
 
-ITEM_PAUSES_S = (5.0, 60.0, 600.0)
+ITEM_PAUSES_S = (5.0, 15.0, 60.0)
 """The same for items. They are run again without anybody asking, so that a proper one
-meets the ends of others more often, and they are due in seconds."""
+meets the ends of others more often, and they are due in seconds: two trials fit into
+some 20 s. A job may be kept for hours, so that there is a third."""
 
 REMEMBERED_S = 24 * 3600.0
 """A request that is quarantined is forgotten so long after its last end."""
@@ -97,6 +107,11 @@
     pending: list[UpstreamId] = attrs.field(factory=list)
     trial_at: float = float("-inf")
 
+    @property
+    def weight(self) -> int:
+        """How much the ends say against the request."""
+        return sum(_WEAK_WEIGHT if end.weak else _WEIGHT for end in self.ends)
+
     @property
     def last_at(self) -> float:
         return max((end.at for end in self.ends), default=float("-inf"))
@@ -209,12 +224,24 @@
         *,
         now: float,
         teller: str = "",
+        on_new: Callable[[End], None] = lambda end: None,
     ) -> bool:
-        """Takes what another instance tells; returns whether any of it is new."""
+        """Takes what another instance tells; returns whether any of it is new.
+
+        Args:
+          ends: What it has seen or heard of.
+          cleared: Requests that were answered.
+          now: Seconds on this instance's clock.
+          teller: Who tells, for the log.
+          on_new: Told of each end that is new.
+        """
         news = [self.clear(fingerprint, now=now) for fingerprint in cleared]
         for told in ends:
+            end = told.heard(now=now, teller=teller)
             note = self.withdraw if told.withdrawn else self.ended
-            news.append(note(told.fingerprint, told.heard(now=now, teller=teller)))
+            news.append(note(told.fingerprint, end))
+            if news[-1] and not told.withdrawn:
+                on_new(end)
         self.forget_old(now)
         return any(news)
 
@@ -231,33 +258,20 @@
         record = self._records.get(fingerprint)
         if record is None:
             return FREE
-        ends = self._own_ends(fingerprint, record)
-        if ends < MOST_ENDS:
-            if ends + len(set(record.pending)) < MOST_ENDS:
+        ends = len(record.ends)
+        beyond = record.weight - _MOST_WEIGHT
+        if beyond < 0:
+            if beyond + len(set(record.pending)) * _WEIGHT < 0:
                 return Verdict(Standing.FREE, ends=ends)
             return Verdict(Standing.HELD, HELD_RETRY_S, ends)
-        if ends - MOST_ENDS < len(pauses_s):
+        trial = beyond // _WEIGHT
+        if trial < len(pauses_s):
             begins_at = max(record.last_at, record.trial_at)
-            pause_left_s = begins_at + pauses_s[ends - MOST_ENDS] - now
+            pause_left_s = begins_at + pauses_s[trial] - now
         else:
             pause_left_s = max(0.1, record.last_at + REMEMBERED_S - now)
         return Verdict(Standing.QUARANTINED, max(0.0, pause_left_s), ends)
 
-    def _own_ends(self, fingerprint: Fingerprint, record: _Record) -> int:
-        """Counts the ends that no request with more ends explains.
-
-        What ran beside a deadly request meets some of its ends and lacks others. With
-        the same ends both are kept from running: either may be the deadly one.
-        """
-        most = max(MOST_ENDS - 1, len(record.ends))
-        deadlier = [
-            other
-            for name, other in self._records.items()
-            if name != fingerprint and len(other.ends) > most
-        ]
-        explained = [end for other in deadlier for end in other.ends]
-        return sum(not any(map(end.coincides, explained)) for end in record.ends)
-
     def begin_trial(self, fingerprint: Fingerprint, *, now: float) -> None:
         """Notes that one run is let through; the next waits for a pause again."""
         self._records[fingerprint].trial_at = now
@@ -282,12 +296,11 @@
 
     def quarantined(self, *, now: float) -> dict[Fingerprint, int]:
         """Returns requests that are kept from running, with the ends under each."""
-        counts = {
-            fingerprint: self._own_ends(fingerprint, record)
+        return {
+            fingerprint: len(record.ends)
             for fingerprint, record in self._records.items()
-            if len(record.ends) >= MOST_ENDS and now - record.last_at <= REMEMBERED_S
+            if record.weight >= _MOST_WEIGHT and now - record.last_at <= REMEMBERED_S
         }
-        return {name: ends for name, ends in counts.items() if ends >= MOST_ENDS}
 
     # Bounds.
 
@@ -318,7 +331,9 @@
     def forget_old(self, now: float) -> None:
         """Drops what is too old to count."""
         for fingerprint, record in list(self._records.items()):
-            lasts_s = REMEMBERED_S if len(record.ends) >= MOST_ENDS else SUSPECT_S
+            lasts_s = SUSPECT_S
+            if record.weight >= _MOST_WEIGHT:
+                lasts_s = REMEMBERED_S
             if record.ends and now - record.last_at > lasts_s:
                 del self._records[fingerprint]
         while len(self._void) > MOST_REQUESTS:
--- a/src/coppercleat/routing/_table.py
+++ b/src/coppercleat/routing/_table.py
@@ -73,6 +73,10 @@
         """Whether it is another life than before: the list does not tell."""
         return False
 
+    def steady_at(self, at: float) -> bool:
+        """Whether it had lived for a while: it counts as steady, always."""
+        return True
+
     @property
     def upstream(self) -> UpstreamId:
         """The upstream's id."""
--- a/src/coppercleat/serving/_forwarding.py
+++ b/src/coppercleat/serving/_forwarding.py
@@ -8,7 +8,7 @@
 import trio
 
 from coppercleat.observability import part_logger
-from coppercleat.quarantine import EndWatch, Standing, Verdict, shown
+from coppercleat.quarantine import WARY_ENDS, EndWatch, Standing, Verdict, shown
 from coppercleat.serving._admission import Admission
 from coppercleat.serving._admission_queue import TooLate, Waiter
 from coppercleat.serving._answer_use import Unfit, use_of
@@ -124,11 +124,14 @@
     async def _attempts(self, exchange: Exchange) -> NextStep:
         while True:
             # At once, since it would wait for a slot only to be refused.
-            barred = self.end_watch.verdict(exchange.request)
-            if not barred.may_run:
-                return self._bar(exchange, barred)
+            verdict = self.end_watch.verdict(exchange.request)
+            if not verdict.may_run:
+                return self._bar(exchange, verdict)
+            waiter = self._waiter(exchange, ends=verdict.ends)
+            if self._waits_for_steady(exchange, waiter, verdict):
+                return self._bar(exchange, self._held(waiter, verdict))
             began = trio.current_time()
-            async with self.admission.slot(self._waiter(exchange)) as slot:
+            async with self.admission.slot(waiter) as slot:
                 exchange.waited_s += trio.current_time() - began
                 if not isinstance(slot, UpstreamState):
                     exchange.reason = slot.reason
@@ -151,19 +154,39 @@
                 last_event=exchange.progress.last_event,
             )
 
+    def _waits_for_steady(
+        self, exchange: Exchange, waiter: Waiter, verdict: Verdict
+    ) -> bool:
+        """Returns whether only upstreams are left that have just started."""
+        if verdict.ends < WARY_ENDS:
+            return False
+        serves = self.placement.serves
+        return serves(waiter.service, avoid=exchange.tried) and not serves(
+            waiter.service, avoid=waiter.avoid
+        )
+
+    def _held(self, waiter: Waiter, verdict: Verdict) -> Verdict:
+        wait_s = self.placement.steady_in_s(waiter.service, now=trio.current_time())
+        return Verdict(Standing.HELD, max(NOWHERE_RETRY_S, wait_s), verdict.ends)
+
     def _bar(self, exchange: Exchange, verdict: Verdict) -> NextStep:
         """Ends a request that has ended its upstreams, or may have."""
         exchange.reason = (
             f"{verdict.ends} upstreams ended while they ran this request"
             if verdict.standing is Standing.QUARANTINED
-            else "upstreams may have ended while they ran this request"
+            else "upstreams may have ended while they ran this request, or just started"
         )
         exchange.retry_after_s = verdict.retry_after_s
         self.end_watch.on_barred(verdict.standing.value)
         return exchange.progress.give_up()
 
-    def _waiter(self, exchange: Exchange) -> Waiter:
-        """Returns the request as the queue for slots sees it."""
+    def _waiter(self, exchange: Exchange, *, ends: int) -> Waiter:
+        """Returns the request as the queue for slots sees it.
+
+        Args:
+          exchange: The request.
+          ends: Upstreams that have ended under it.
+        """
         route = exchange.route
         service = self.placement.draw_service(route.targets)
         if not exchange.progress.tries:
@@ -180,7 +203,8 @@
             on_time_by=due_at - (times.lead_s if streams else times.service_s),
             serve_by=exchange.ends_at - times.service_s,
             begun=exchange.progress.started,
-            avoid=exchange.tried,
+            avoid=exchange.tried
+            | self.placement.to_avoid(ends, service, now=trio.current_time()),
         )
 
     async def _attempt(self, exchange: Exchange, state: UpstreamState) -> AttemptEnd:
--- a/src/coppercleat/serving/_placement.py
+++ b/src/coppercleat/serving/_placement.py
@@ -9,12 +9,14 @@
 import msgspec
 
 from coppercleat.ids import InstanceId, UpstreamId, ZoneId
+from coppercleat.quarantine import SAME_END_S, WARY_ENDS, End
 from coppercleat.routing import Health
 from coppercleat.serving._demand import Demand
 from coppercleat.serving._fleet_order import FleetOrder
 from coppercleat.serving._model import Route, Target, Upstream
 from coppercleat.serving._results import RecentResults
 from coppercleat.serving._silent_moments import SilentMoments
+from coppercleat.serving._steadiness import STEADY_S, Steadiness
 from coppercleat.serving._work_counts import InFlight, WorkCounts
 
 OTHER_ZONE_LOAD = 1.5
@@ -98,6 +100,9 @@
       full_until: Until when it is taken as full, since it has said so.
       unproved_until: Until when it may run requests of before this instance's start;
         never, once it has told how many it runs.
+      ended_at: When it was last found to have ended under this id.
+      steady_from: From when on it counts as steady: see ``Steadiness``.
+      was_steady: Whether it was when it last ended.
     """
 
     upstream: Upstream
@@ -112,6 +117,9 @@
     unheard: int = 0
     full_until: float = float("-inf")
     unproved_until: float = float("-inf")
+    ended_at: float = float("-inf")
+    steady_from: float = float("-inf")
+    was_steady: bool = True
 
     @property
     def id(self) -> UpstreamId:
@@ -133,6 +141,12 @@
         """Whether it leaves, or has left, as planned."""
         return self.upstream.draining or (self.gone and not self.restarted)
 
+    def steady_at(self, at: float) -> bool:
+        """Returns whether it was steady then; for its end, whether it had been."""
+        if abs(at - self.ended_at) < SAME_END_S:
+            return self.was_steady
+        return at >= self.steady_from
+
     @property
     def held(self) -> int:
         """Own runs that were left and may still hold their slots."""
@@ -160,6 +174,7 @@
       zones: Work in flight of whole other availability zones, in a large fleet.
       order: What waits for a slot at other instances.
       demand: How fast online requests come.
+      steadiness: Which upstreams end again and again.
     """
 
     def __init__(self, zone: ZoneId, *, rng: random.Random) -> None:
@@ -170,11 +185,23 @@
         self.zones: WorkCounts[ZoneId] = WorkCounts()
         self.order = FleetOrder()
         self.demand = Demand()
+        self.steadiness = Steadiness()
+        self._listed = False
 
     # What is known.
 
-    def replace(self, upstreams: Iterable[Upstream]) -> list[UpstreamId]:
-        """Takes the list of upstreams; returns the ids that are gone."""
+    def replace(
+        self, upstreams: Iterable[Upstream], *, now: float | None = None
+    ) -> list[UpstreamId]:
+        """Takes the list of upstreams; returns the ids that are gone.
+
+        Args:
+          upstreams: All of them.
+          now: Seconds on this instance's clock: what is listed anew starts now. None,
+            and the first list, tell of no start.
+        """
+        started_at = now if self._listed else None
+        self._listed = True
         listed = {upstream.id: upstream for upstream in upstreams}
         gone = [known for known in self.states if known not in listed]
         for upstream_id in gone:
@@ -182,7 +209,7 @@
         for upstream in listed.values():
             state = self.states.get(upstream.id)
             if state is None or state.upstream.is_same_life(upstream.born_ms) is False:
-                self.states[upstream.id] = UpstreamState(upstream)
+                self.states[upstream.id] = self._listed_anew(upstream, started_at)
                 if state is not None:
                     # What was in flight there ended with it; its failures were its own.
                     state.gone = state.restarted = True
@@ -190,6 +217,28 @@
                 state.upstream = upstream
         return gone
 
+    def _listed_anew(self, upstream: Upstream, at: float | None) -> UpstreamState:
+        state = UpstreamState(upstream)
+        if at is not None:
+            state.steady_from = self.steadiness.steady_from(upstream.address, at)
+        return state
+
+    def note_end(self, end: End) -> None:
+        """Notes that an upstream has ended, as found here or told by others."""
+        state, at = self.states.get(end.upstream), end.at
+        if state is None or abs(at - state.ended_at) < SAME_END_S:
+            return
+        address = state.upstream.address
+        self.steadiness.note_end(address, at)
+        if state.upstream.is_same_life(end.born_ms) is False:
+            return
+        state.was_steady = state.steady_at(at)
+        state.ended_at = at
+        # The list may lag, or tell of no other life.
+        state.steady_from = max(
+            state.steady_from, self.steadiness.steady_from(address, at)
+        )
+
     def observe_results(self, results: Iterable[AttemptResults], *, now: float) -> None:
         """Takes how a peer's attempts ended."""
         for of_upstream in results:
@@ -269,6 +318,29 @@
         """Returns whether a service has any upstream that is not leaving."""
         return any(state.id not in avoid for state in self._usable(service))
 
+    def to_avoid(self, ends: int, service: str, *, now: float) -> set[UpstreamId]:
+        """Returns upstreams to which a request is not to be sent after ends under it.
+
+        They have just started, or end again and again: if they end under it as well,
+        nobody knows for what. After one end it goes there if nothing else is left.
+
+        Args:
+          ends: Upstreams that have ended under the request.
+          service: The service that takes it.
+          now: Seconds on this instance's clock.
+        """
+        if not ends:
+            return set()
+        unsteady = {s.id for s in self.states.values() if now < s.steady_from}
+        if ends >= WARY_ENDS or self.serves(service, avoid=unsteady):
+            return unsteady
+        return set()
+
+    def steady_in_s(self, service: str, *, now: float) -> float:
+        """Returns in how many seconds a service has a steady upstream, if none ends."""
+        waits = (max(0.0, s.steady_from - now) for s in self._usable(service))
+        return min(waits, default=STEADY_S)
+
     def open_slots(
         self, service: str, *, avoid: Collection[UpstreamId], now: float
     ) -> int:
--- a/src/coppercleat/serving/_watch.py
+++ b/src/coppercleat/serving/_watch.py
@@ -344,7 +344,7 @@
         now = trio.current_time()
         used = self._list.observe(listed, after_outage=after_outage, now=now)
         before = set(self.placement.states)
-        gone = self.placement.replace(used)
+        gone = self.placement.replace(used, now=now)
         for upstream in used:
             if upstream.id not in before:
                 _log.info(
--- /dev/null
+++ b/tests/features/steps/steadiness_steps.py
@@ -0,0 +1,160 @@
+"""Steps that ask which upstreams are steady, and what an end there says."""
+
+import random
+
+import msgspec
+import trio
+import trio.testing
+from behave import then, when
+
+from coppercleat.ids import UpstreamId, ZoneId
+from coppercleat.quarantine import End, EndLedger, EndWatch, Fingerprint, ToldEnd
+from coppercleat.serving import NothingListensError, Placement, Upstream, life_question
+
+FINGERPRINT, OTHER = Fingerprint(b"f" * 16), Fingerprint(b"o" * 16)
+MENUS = "menus"
+
+
+def upstream(name="a", born_ms=1):
+    return Upstream(
+        id=UpstreamId(name),
+        service=MENUS,
+        address=f"127.0.0.1:{ord(name)}",
+        zone=ZoneId("z"),
+        born_ms=born_ms,
+    )
+
+
+class Lives:
+    """One upstream as a placement learns of it.
+
+    Attributes:
+      placement: Knows it; another was listed before, so that it can be new.
+    """
+
+    def __init__(self):
+        self.placement = Placement(ZoneId("z"), rng=random.Random(1))
+        self.upstream = upstream()
+
+    def learn(self, what):
+        if what == "is in the first list":
+            self.placement.replace([self.upstream], now=0.0)
+            return
+        what, at = what.rsplit(" at ", 1)
+        now = float(at)
+        if what == "ends":
+            end = End(self.upstream.id, now, self.upstream.born_ms)
+            self.placement.note_end(end)
+            return
+        if not self.placement.states:
+            self.placement.replace([], now=0.0)
+        if what == "is listed anew":
+            born_ms = self.upstream.born_ms + 1
+            self.upstream = msgspec.structs.replace(self.upstream, born_ms=born_ms)
+        self.placement.replace([self.upstream], now=now)
+
+    @property
+    def state(self):
+        return self.placement.states[self.upstream.id]
+
+
+@when("an upstream {has}")
+def upstream_has(context, has):
+    context.lives = Lives()
+    for what in has.split(" and "):
+        context.lives.learn(what)
+
+
+@then("it is steady from {s:g} s on")
+def is_steady_from(context, s):
+    state = context.lives.state
+    assert state.steady_at(s) and not (s and state.steady_at(s - 0.01)), state
+
+
+LIVED = {
+    "is in the first list": ["is in the first list"],
+    "started 1 s ago": ["is listed at 99"],
+    "started 3 s ago": ["is listed at 97"],
+    "started 3 s ago, as before": [
+        "is listed at 80",
+        "ends at 90",
+        "is listed anew at 91",
+        "ends at 96",
+        "is listed anew at 97",
+    ],
+    "started 1 s ago, as another tells": ["is listed at 80"],
+}
+RUNS = {
+    "had just begun": (0.0, False),
+    "made nothing for 2 s": (2.0, False),
+    "made some for 0.1 s": (0.1, True),
+    "made some for 2 s": (2.0, True),
+}
+
+
+class Gone:
+    """An upstream at whose address nothing listens."""
+
+    async def report(self, asked):
+        raise NothingListensError("no report")
+
+
+@when("a run that {run} meets the end of an upstream that {lived}")
+def run_meets_end(context, run, lived):
+    lives = Lives()
+    for what in LIVED[lived]:
+        lives.learn(what)
+    watch, other = EndWatch(life_question(Gone())), EndLedger()
+    watch.on_ended = lives.placement.note_end
+    watch.on_news = lambda ends, cleared: other.take_told(
+        ends, cleared, now=trio.current_time()
+    )
+
+    async def play():
+        await trio.sleep(100.0 - trio.current_time())
+        if lived.endswith("another tells"):
+            told = ToldEnd(OTHER, lives.upstream.id, 1.0, born_ms=1)
+            watch.take_news("peer", (told,), ())
+        began_s, made_some = RUNS[run]
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(watch.run)
+            await trio.testing.wait_all_tasks_blocked()
+            watch.broke_off(
+                FINGERPRINT,
+                lives.state,
+                began=trio.current_time() - began_s,
+                made_some=made_some,
+            )
+            await trio.sleep(1.0)
+            nursery.cancel_scope.cancel()
+
+    trio.run(play, clock=trio.testing.MockClock(autojump_threshold=0))
+    context.ledgers = [watch.ledger, other]
+
+
+@then("the end counts {counts}, here and where it is told")
+def counts_so(context, counts):
+    for ledger in context.ledgers:
+        [end] = ledger.ends_of(FINGERPRINT)
+        assert end.weak == (counts == "half"), end
+
+
+@when(
+    "of three upstreams {unsteady:d} have just started, "
+    "and {ends:d} have ended under a request"
+)
+def just_started(context, unsteady, ends):
+    context.placement = Placement(ZoneId("z"), rng=random.Random(1))
+    names = "abc"
+    context.placement.replace([upstream(n) for n in names[unsteady:]], now=0.0)
+    context.placement.replace([upstream(n) for n in names], now=100.0)
+    context.ends = ends
+
+
+@then("it may go to {count:d}, and comes back in {s:g} s if to none")
+def may_go(context, count, s):
+    placement = context.placement
+    avoid = placement.to_avoid(context.ends, MENUS, now=100.0)
+    assert len(placement.states.keys() - avoid) == count, avoid
+    assert placement.serves(MENUS, avoid=avoid) == (count > 0)
+    assert placement.steady_in_s(MENUS, now=100.0) == s
--- a/tests/features/upstreams_that_end.feature
+++ b/tests/features/upstreams_that_end.feature
@@ -16,3 +16,48 @@
       | all   | 0.4   | 16  |
       | all   | 1.5   | 16  |
       | one   | 0.4   | 16  |
+
+  Scenario Outline: An upstream that <has> is steady from <s> s on
+    When an upstream <has>
+    Then it is steady from <s> s on
+
+    Examples: one that comes back again and again must have lived for longer
+      | has                                                                | s  |
+      | is in the first list                                               | 0  |
+      | is listed at 10                                                    | 12 |
+      | is listed at 10 and ends at 20                                     | 22 |
+      | is listed at 10 and ends at 20 and is listed anew at 21            | 23 |
+      | is listed at 10 and ends at 20 and ends at 20.1                    | 22 |
+      | is listed at 10 and ends at 20 and ends at 22                      | 26 |
+      | is listed at 10 and ends at 20 and ends at 22 and is listed anew at 23 | 27 |
+      | is listed at 10 and ends at 20 and ends at 60                      | 62 |
+      | is in the first list and ends at 20 and ends at 22 and ends at 24  | 28 |
+
+  Scenario Outline: A run that <run> meets the end of an upstream that <lived>
+    When a run that <run> meets the end of an upstream that <lived>
+    Then the end counts <counts>, here and where it is told
+
+    Examples: what had just started may end by itself; what moves on comes to its end
+      | run                       | lived                   | counts |
+      | had just begun            | is in the first list    | whole  |
+      | made nothing for 2 s      | is in the first list    | whole  |
+      | made some for 0.1 s       | is in the first list    | whole  |
+      | made some for 2 s         | is in the first list    | half   |
+      | had just begun            | started 1 s ago         | half   |
+      | had just begun            | started 3 s ago         | whole  |
+      | had just begun            | started 3 s ago, as before | half |
+      | had just begun            | started 1 s ago, as another tells | half |
+
+  Scenario Outline: Where a request goes under which <ends> upstreams have ended
+    When of three upstreams <unsteady> have just started, and <ends> have ended under a request
+    Then it may go to <open>, and comes back in <s> s if to none
+
+    Examples:
+      | ends | unsteady | open | s |
+      | 0    | 0        | 3    | 0 |
+      | 0    | 3        | 3    | 2 |
+      | 1    | 1        | 2    | 0 |
+      | 1    | 3        | 3    | 2 |
+      | 2    | 2        | 1    | 0 |
+      | 2    | 3        | 0    | 2 |
+      | 3    | 3        | 0    | 2 |
