--- a/src/coppercleat/jobs/_items.py
+++ b/src/coppercleat/jobs/_items.py
@@ -10,9 +10,9 @@
 
 from coppercleat.ids import InstanceId, RequestId, UpstreamId
 from coppercleat.jobs._pace import ItemPace
-from coppercleat.jobs._run import ItemEnd, ItemRun, JobRun
+from coppercleat.jobs._run import Barred, ItemEnd, ItemRun, JobRun
 from coppercleat.observability import part_logger
-from coppercleat.quarantine import EndWatch, shown
+from coppercleat.quarantine import FREE, EndWatch, Standing, Verdict, shown
 from coppercleat.serving import (
     EventSequence,
     EventSplitter,
@@ -52,6 +52,12 @@
 _AVOID_S = 0.3
 """For how long an upstream that refused an item as full gets none."""
 
+_SLOT_RETRY_S = 0.1
+"""When an item that may go to few upstreams looks again for a slot there."""
+
+LOOK_AGAIN_S = 0.5
+"""How often it is asked whether an item that is kept back may run."""
+
 _UNPROCESSABLE = 422
 _FAILED = 500
 """By which an upstream says that it ran the item and failed. Other errors tell of the
@@ -72,6 +78,8 @@
       silent_since: When it was last heard of, if it was given up as silent; in trio's
         time.
       disconnected: Whether its connection broke.
+      suspect: Whether upstreams have ended under it before.
+      events_before: How many events it had as the run began.
     """
 
     run: JobRun
@@ -84,6 +92,13 @@
     heard_at: float = 0.0
     silent_since: float | None = None
     disconnected: bool = False
+    suspect: bool = False
+    events_before: int = 0
+
+    @property
+    def made_some(self) -> bool:
+        """Whether it has made events that the item had not."""
+        return len(self.item.events) > self.events_before
 
 
 class ItemRunner:
@@ -124,18 +139,27 @@
         self._patience = Patience(placement.rng)
 
     def find_slot(
-        self, route: Route, item: ItemRun, *, late: bool, due_in_s: float
+        self,
+        route: Route,
+        item: ItemRun,
+        *,
+        late: bool,
+        due_in_s: float,
+        ends: int = 0,
     ) -> UpstreamState | None:
         """Returns an upstream with a slot for an item, None if there is none.
 
         An item that has failed gets no upstream that seems to fail: its next
-        failures may be its last. Slots are left to what waits before it elsewhere.
+        failures may be its last. One under which upstreams have ended gets one with
+        no other such, if it can, so that an end there tells of one of them. Slots are
+        left to what waits before it elsewhere.
 
         Args:
           route: The job's route.
           item: The item.
           late: Whether it cannot be done in time.
           due_in_s: Seconds until its job is due.
+          ends: Upstreams that have ended under the item.
         """
         now = trio.current_time()
         avoid = {u for u, until in self._avoided.items() if now < until}
@@ -143,33 +167,62 @@
             avoid.update(self.placement.suspects(now))
         own = Place(Rank.BATCH_LATE if late else Rank.BATCH, now + due_in_s)
         service = route.targets[0].service
+        avoid.update(self.placement.to_avoid(ends, service, now=now))
+        apart = {r.state.id for r in self._running if r.suspect} if ends else set()
         ahead = self.placement.order.ahead(own, service=service, now=now)
         while True:
             state = self.placement.choose_batch(
-                route, reserve=RESERVED_SLOTS, avoid=avoid, now=now, ahead=ahead
+                route, reserve=RESERVED_SLOTS, avoid=avoid | apart, now=now, ahead=ahead
             )
             if not isinstance(state, Nowhere):
                 self._patience.reset()
                 return state
+            if apart:
+                apart = set()
+                continue
             if not state.waits or not self._patience.overdue(now):
                 return None
             ahead = 0
 
-    def barred(self, run: JobRun, item: ItemRun) -> bool:
-        """Returns whether an item must not run now; it waits then.
+    def verdict(self, run: JobRun, item: ItemRun) -> Verdict:
+        """Returns whether an item may run, as far as upstreams ended under it."""
+        return self.end_watch.verdict(_request_of(run, item), item=True)
+
+    def until_steady(self, route: Route, verdict: Verdict) -> Verdict:
+        """Returns the verdict on an item for which no steady upstream has a slot."""
+        now, service = trio.current_time(), route.targets[0].service
+        wait_s = self.placement.steady_in_s(service, now=now)
+        return Verdict(Standing.HELD, max(_SLOT_RETRY_S, wait_s), verdict.ends)
+
+    def bar(
+        self, run: JobRun, item: ItemRun, verdict: Verdict, *, due_in_s: float
+    ) -> None:
+        """Keeps an item from running for now.
 
         It may not be listed as failed for what its upstreams do, so it stays open until
-        its time is up.
+        its time is up. It is looked at again soon, since an answer, an operator or
+        another instance may clear it, and its upstreams may come back.
+
+        Args:
+          run: Its job.
+          item: The item.
+          verdict: Why.
+          due_in_s: Seconds until its job is due.
         """
-        verdict = self.end_watch.admit(_request_of(run, item), item=True)
-        if verdict.may_run:
-            return False
-        self.end_watch.on_barred(verdict.standing.value)
         now = trio.current_time()
-        item.not_before = item.barred_until = now + verdict.retry_after_s
-        if item.barred_since is None:
-            item.barred_since = now
-        _log.info(
+        item.not_before = now + min(verdict.retry_after_s, LOOK_AGAIN_S)
+        until = now + verdict.retry_after_s
+        before, since = item.barred, now
+        if before is not None:
+            since = before.since
+        item.barred = Barred(verdict=verdict, since=since, until=until)
+        if before is not None and not before.is_news(verdict):
+            return
+        self.end_watch.on_barred(verdict.standing.value)
+        done_in_s = verdict.retry_after_s + self.seconds_left(item)
+        # It is the only word of an item that nothing may work on until its time is up.
+        write = _log.warning if done_in_s > due_in_s else _log.info
+        write(
             "An item is kept from running.",
             job=run.held.row.job,
             item=item.spec.id,
@@ -177,8 +230,9 @@
             standing=verdict.standing.value,
             ends=verdict.ends,
             retry_after_s=round(verdict.retry_after_s, 1),
+            due_in_s=round(due_in_s, 1),
+            late=done_in_s > due_in_s,
         )
-        return True
 
     def seconds_left(self, item: ItemRun) -> float:
         """Returns how long an item takes from now, if it starts at once."""
@@ -209,10 +263,15 @@
         for running in self._running:
             running.scope.cancel()
 
-    def claim_slot(self, run: JobRun, item: ItemRun, state: UpstreamState) -> Running:
+    def claim_slot(
+        self, run: JobRun, item: ItemRun, state: UpstreamState, verdict: Verdict = FREE
+    ) -> Running:
         """Counts a run before anything else can be placed."""
         request = _request_of(run, item)
+        if verdict.standing is Standing.TRIAL:
+            self.end_watch.begin_trial(request)
         running = Running(run, item, request, state, trio.CancelScope())
+        running.suspect = verdict.ends > 0
         run.start(item, state.id)
         self._running.append(running)
         state.batch += 1
@@ -269,7 +328,11 @@
         ):
             fingerprint = running.request.fingerprint
             self.end_watch.broke_off(
-                fingerprint, running.state, began=running.began_at, silent=silent
+                fingerprint,
+                running.state,
+                began=running.began_at,
+                silent=silent,
+                made_some=running.made_some,
             )
 
     @contextlib.contextmanager
@@ -286,6 +349,7 @@
         item, state = running.item, running.state
         request = running.request
         running.began_at = running.heard_at = trio.current_time()
+        running.events_before = len(item.events)
         end = ItemEnd.BROKEN
         with self._watched(running, attempt), running.stall:
             try:
@@ -363,16 +427,21 @@
 
 
 def _request_of(run: JobRun, item: ItemRun) -> OnlineRequest:
-    """Returns an item as the request that an upstream gets."""
-    return OnlineRequest(
-        request_id=RequestId(item.spec.id),
-        method="POST",
-        host=run.held.row.host,
-        target=item.spec.target.encode(),
-        headers=item.spec.headers,
-        body=item.spec.body,
-        allowed_s=0.0,
-    )
+    """Returns an item as the request that an upstream gets.
+
+    It is kept with the item, since its fingerprint is asked for at each look.
+    """
+    if item.request is None:
+        item.request = OnlineRequest(
+            request_id=RequestId(item.spec.id),
+            method="POST",
+            host=run.held.row.host,
+            target=item.spec.target.encode(),
+            headers=item.spec.headers,
+            body=item.spec.body,
+            allowed_s=0.0,
+        )
+    return item.request
 
 
 async def _collect(running: Running, answer: UpstreamAnswer) -> ItemEnd:
--- a/src/coppercleat/jobs/_run.py
+++ b/src/coppercleat/jobs/_run.py
@@ -9,7 +9,8 @@
 from coppercleat.ids import UpstreamId
 from coppercleat.jobs._records import ItemSpec, ItemState, PartialRow
 from coppercleat.jobs._repository import Finished, Held
-from coppercleat.serving import EVENT_STREAM, ItemEvents
+from coppercleat.quarantine import Verdict
+from coppercleat.serving import EVENT_STREAM, ItemEvents, OnlineRequest
 
 
 class ItemEnd(enum.Enum):
@@ -23,6 +24,25 @@
     IMPOSSIBLE = "impossible"
 
 
+@attrs.define(kw_only=True)
+class Barred:
+    """Why an item is kept from running, since upstreams ended under it.
+
+    Attributes:
+      since: In trio's time.
+      until: When it may run as things are, in trio's time.
+    """
+
+    verdict: Verdict
+    since: float
+    until: float
+
+    def is_news(self, verdict: Verdict) -> bool:
+        """Returns whether a later verdict differs by more than the time left."""
+        before = (self.verdict.standing, self.verdict.ends)
+        return (verdict.standing, verdict.ends) != before
+
+
 @attrs.define(eq=False, kw_only=True)
 class ItemRun:
     """One item and what it has made so far.
@@ -37,9 +57,8 @@
       kept_failures: How many failures it knows.
       upstream: Where it runs now; empty if it does not.
       not_before: When it may run again, in trio's time.
-      barred_since: Since when it has been kept from running, as its upstreams ended,
-        in trio's time; None if it is not.
-      barred_until: Until when, as far as is known.
+      request: What its upstreams get, once that was worked out.
+      barred: Why it is kept from running, since its upstreams ended; None if it is not.
     """
 
     index: int
@@ -52,8 +71,8 @@
     kept_failures: int = 0
     upstream: UpstreamId = UpstreamId("")
     not_before: float = 0.0
-    barred_since: float | None = None
-    barred_until: float = 0.0
+    request: OnlineRequest | None = None
+    barred: Barred | None = None
 
     def finished(self, state: ItemState) -> Finished:
         """Returns the item as it is to be listed."""
@@ -128,16 +147,18 @@
         Args:
           now: In trio's time.
         """
-        return [item for item in self.pending if item.not_before <= now]
-
-    def barred(self) -> list[ItemRun]:
-        """Returns the items that are kept from running, as their upstreams ended."""
-        return [item for item in self.pending if item.barred_since is not None]
+        return [
+            item
+            for item in self.pending
+            if item.not_before <= now
+            # It is only looked at again and again.
+            and (item.barred is None or item.barred.until <= now)
+        ]
 
     def start(self, item: ItemRun, upstream: UpstreamId) -> None:
         """Moves an item from pending to running."""
         self.pending.remove(item)
-        item.barred_since = None
+        item.barred = None
         item.upstream = upstream
         self.running[item.index] = item
 
--- a/src/coppercleat/jobs/_starter.py
+++ b/src/coppercleat/jobs/_starter.py
@@ -144,7 +144,10 @@
             await self._wake.wait()
 
     def _start_next(self, nursery: trio.Nursery) -> bool:
-        """Starts the item whose turn it is; returns whether it found a slot."""
+        """Starts the item whose turn it is; returns whether the next may be looked for.
+
+        That is so if it has a slot, or is kept from running now.
+        """
         table = self.routes()
         if table is None or not self.may_start():
             return False
@@ -156,27 +159,39 @@
             wall=wall,
         )
         full: set[str] = set()
+        barred = False
         for turn in turns:
             if turn.route.name in full:
                 continue
+            due_in_s = turn.run.due_at - wall
+            verdict = self.items.verdict(turn.run, turn.item)
+            if not verdict.may_run:
+                self.items.bar(turn.run, turn.item, verdict, due_in_s=due_in_s)
+                barred = True
+                continue
             state = self.items.find_slot(
                 turn.route,
                 turn.item,
                 late=turn.late,
-                due_in_s=turn.run.due_at - wall,
+                due_in_s=due_in_s,
+                ends=verdict.ends,
             )
+            if state is None and verdict.ends:
+                # Few upstreams may take it: it must not hold up the others.
+                held = self.items.until_steady(turn.route, verdict)
+                self.items.bar(turn.run, turn.item, held, due_in_s=due_in_s)
+                barred = True
+                continue
             if state is None:
                 if not turn.late:
                     self.items.cut_late(wall)
                 if not turn.item.failures:
                     full.add(turn.route.name)
                 continue
-            if self.items.barred(turn.run, turn.item):
-                continue
-            running = self.items.claim_slot(turn.run, turn.item, state)
+            running = self.items.claim_slot(turn.run, turn.item, state, verdict)
             nursery.start_soon(self._run_item, running, turn.route)
             return True
-        return False
+        return barred
 
     def _runnable(
         self, table: RouteTable, wall: float
--- a/src/coppercleat/jobs/_worker.py
+++ b/src/coppercleat/jobs/_worker.py
@@ -142,10 +142,10 @@
         """Returns for how long each item has been kept from running, in seconds."""
         now = trio.current_time()
         return [
-            now - item.barred_since
+            now - item.barred.since
             for run in self.runs.values()
-            for item in run.barred()
-            if item.barred_since is not None
+            for item in run.pending
+            if item.barred is not None
         ]
 
     def waiting(self) -> tuple[Waiting, ...]:
@@ -258,8 +258,9 @@
         for held, still_s in still:
             job, owner = held.row.job, held.row.owner
             run = self.runs.get(job)
-            barred = run.barred() if run is not None else []
-            until = min((item.barred_until for item in barred), default=now)
+            pending = run.pending if run is not None else []
+            kept = {i.spec.id: i.barred for i in pending if i.barred is not None}
+            until = min((barred.until for barred in kept.values()), default=now)
             _log.warning(
                 "Job stands still.",
                 job=job,
@@ -269,9 +270,9 @@
                 owner_lives=self._owner_lives(owner, now),
                 held=run is not None,
                 begun=job in self._taking,
-                pending=len(run.pending) if run is not None else None,
-                kept_from_running=len(barred),
-                kept_items=[item.spec.id for item in barred[:_MOST_NAMED]],
+                pending=len(pending) if run is not None else None,
+                kept_from_running=len(kept),
+                kept_items=list(kept)[:_MOST_NAMED],
                 kept_for_s=round(until - now, 1),
                 may_start=self._may_start(),
                 jobs_age_s=round(now - self.job_index.fresh_at, 1),
--- a/tests/features/upstreams_that_end.feature
+++ b/tests/features/upstreams_that_end.feature
@@ -61,3 +61,20 @@
       | 2    | 2        | 1    | 0 |
       | 2    | 3        | 0    | 2 |
       | 3    | 3        | 0    | 2 |
+
+  # Nobody came back to an item that was kept from running before its pause was over, though
+  # what was held against it had been taken back meanwhile.
+  Scenario Outline: One of 3 items is kept from running, and <what>
+    When one of 3 items is kept from running by <ends> ends, and after 1 s <what>
+    Then <running> items run 1 s later, and <told> more are told to wait for a slot
+
+    Examples:
+      | ends | what                                | running | told |
+      | 3    | nothing happens                     | 2       | 0    |
+      | 6    | nothing happens                     | 2       | 0    |
+      | 6    | its answer clears it                | 3       | 0    |
+      | 6    | another tells that it was answered  | 3       | 0    |
+      | 3    | an end is taken back                | 3       | 0    |
+      | 3    | 4 s pass                            | 3       | 0    |
+      | 4    | 4 s pass                            | 2       | 0    |
+      | 4    | 14 s pass                           | 3       | 0    |
