--- a/tests/features/quarantine.feature
+++ b/tests/features/quarantine.feature
@@ -181,6 +181,8 @@
       | word of a second end, no births     | 0 end a, 1 end b, 3 late a 2 2         | 3  | quarantined | 59    |
       | the end of a later life             | 0 end a1, 1 end b1, 2 end a2               | 2  | quarantined | 60    |
       | the end of a later life, soon after | 0 end a1, 0.1 end b1, 0.3 end a2           | 0.3 | quarantined | 60   |
+      | word, read late, of ends before an answer | 0 end a, 1 end b, 2 answer, 5 late a 4, 5 late b 4.5, 6 late c 5.5 | 6 | free | 0 |
+      | the same, and three ends after it   | 0 end a, 1 end b, 2 answer, 4 end a, 5 late a 4.5, 5 end b, 6 end c | 6 | quarantined | 60 |
       | word, read late, of a life that lives | 0 end a1, 1 end b1, 2 end c1, 4 lives c1 3.5 | 4 | free     | 0     |
 
   # Seen in a soak: proper items that were run beside a deadly request, three times, were
