--- a/src/coppercleat/quarantine/_ledger.py
+++ b/src/coppercleat/quarantine/_ledger.py
@@ -56,6 +56,9 @@
 """Requests that are remembered, 0.7 MB with three ends each. When an upstream ends, up
 to as many as its slots are added; those with the fewest and oldest ends go first."""
 
+_MOST_ANSWERED = 8
+"""Ends of one request that are remembered as voided by an answer, the last ones."""
+
 MOST_TOLD = 24
 """Requests of which others are reminded in one message, 3 kB with three ends each, by
 the number of ends. What is found is told at once, and whole: 50 bytes an end."""
@@ -125,12 +128,18 @@
         same = (e for e in self.ends if end.was_seen_as(e, run_began=run_began))
         return next(same, None)
 
-    def numbered(self, end: End) -> End:
-        """Returns a new end with its number."""
+    def numbered(self, end: End, *, before: Sequence[End] = ()) -> End:
+        """Returns a new end with its number.
+
+        Args:
+          end: The end.
+          before: Ends that were known earlier and count no more.
+        """
         if end.number:
             return end
-        before = sum(known.upstream == end.upstream for known in self.ends)
-        return attrs.evolve(end, number=before + 1)
+        earlier = (*before, *self.ends)
+        same = [known.number for known in earlier if known.upstream == end.upstream]
+        return attrs.evolve(end, number=max(same, default=0) + 1)
 
 
 class EndLedger:
@@ -139,6 +148,7 @@
     def __init__(self) -> None:
         self._records: dict[Fingerprint, _Record] = {}
         self._void: dict[tuple[Fingerprint, UpstreamId | None], float] = {}
+        self._answered: dict[Fingerprint, list[End]] = {}
 
     def __len__(self) -> int:
         return len(self._records)
@@ -162,7 +172,9 @@
     ) -> End:
         """Returns an end that was seen here as it is to be told: known, or numbered."""
         record = self._records.get(fingerprint, _Record())
-        return record.find_seen(end, run_began=run_began) or record.numbered(end)
+        before = self._answered.get(fingerprint, ())
+        known = record.find_seen(end, run_began=run_began)
+        return known or record.numbered(end, before=before)
 
     def ended(self, fingerprint: Fingerprint, end: End) -> bool:
         """Notes that an upstream ended under a request; returns whether that is new.
@@ -174,7 +186,7 @@
         record = self._record(fingerprint)
         if record.find_told(end) is not None:
             return False
-        if self._is_void(fingerprint, end):
+        if self._is_void(fingerprint, end) or self._was_answered(fingerprint, end):
             self._drop_if_empty(fingerprint, record)
             return False
         record.ends.append(end)
@@ -212,9 +224,13 @@
         A request that ends its upstreams has none. Others may still tell of ends of
         before, which then count no more.
         """
-        if self._records.pop(fingerprint, None) is None:
+        record = self._records.pop(fingerprint, None)
+        if record is None:
             return False
         self._void[fingerprint, None] = now
+        # Word of them that is read late places them after the answer.
+        before = self._answered.pop(fingerprint, [])
+        self._answered[fingerprint] = [*before, *record.ends][-_MOST_ANSWERED:]
         return True
 
     def take_told(
@@ -317,6 +333,10 @@
         keys = (fingerprint, end.upstream), (fingerprint, None)
         return end.at <= max(self._void.get(key, float("-inf")) for key in keys)
 
+    def _was_answered(self, fingerprint: Fingerprint, end: End) -> bool:
+        """Returns whether an end is one that an answer has shown not to count."""
+        return any(map(end.was_told_as, self._answered.get(fingerprint, ())))
+
     def _drop_if_empty(self, fingerprint: Fingerprint, record: _Record) -> None:
         if not record.ends and not record.pending:
             self._records.pop(fingerprint, None)
@@ -338,3 +358,5 @@
                 del self._records[fingerprint]
         while len(self._void) > MOST_REQUESTS:
             del self._void[next(iter(self._void))]
+        while len(self._answered) > MOST_REQUESTS:
+            del self._answered[next(iter(self._answered))]
