--- a/src/coppercleat/serving/_placement.py
+++ b/src/coppercleat/serving/_placement.py
@@ -100,6 +100,7 @@
       full_until: Until when it is taken as full, since it has said so.
       unproved_until: Until when it may run requests of before this instance's start;
         never, once it has told how many it runs.
+      since: When this life of it began, as seen here; minus infinity if unknown.
       ended_at: When it was last found to have ended under this id.
       steady_from: From when on it counts as steady: see ``Steadiness``.
       was_steady: Whether it was when it last ended.
@@ -117,6 +118,7 @@
     unheard: int = 0
     full_until: float = float("-inf")
     unproved_until: float = float("-inf")
+    since: float = float("-inf")
     ended_at: float = float("-inf")
     steady_from: float = float("-inf")
     was_steady: bool = True
@@ -205,14 +207,17 @@
         listed = {upstream.id: upstream for upstream in upstreams}
         gone = [known for known in self.states if known not in listed]
         for upstream_id in gone:
-            self.states.pop(upstream_id).gone = True
+            left = self.states.pop(upstream_id)
+            left.gone = True
+            self._note_gone(left, now)
         for upstream in listed.values():
             state = self.states.get(upstream.id)
             if state is None or state.upstream.is_same_life(upstream.born_ms) is False:
-                self.states[upstream.id] = self._listed_anew(upstream, started_at)
                 if state is not None:
                     # What was in flight there ended with it; its failures were its own.
                     state.gone = state.restarted = True
+                    self._note_gone(state, now)
+                self.states[upstream.id] = self._listed_anew(upstream, started_at)
             else:
                 state.upstream = upstream
         return gone
@@ -220,20 +225,29 @@
     def _listed_anew(self, upstream: Upstream, at: float | None) -> UpstreamState:
         state = UpstreamState(upstream)
         if at is not None:
+            state.since = at
             state.steady_from = self.steadiness.steady_from(upstream.address, at)
         return state
 
+    def _note_gone(self, state: UpstreamState, now: float | None) -> None:
+        """Notes how long an upstream has lived that the list shows no longer."""
+        if now is None or state.upstream.draining or state.since <= state.ended_at:
+            return
+        self.steadiness.note_end(state.upstream.address, now, since=state.since)
+
     def note_end(self, end: End) -> None:
         """Notes that an upstream has ended, as found here or told by others."""
         state, at = self.states.get(end.upstream), end.at
         if state is None or abs(at - state.ended_at) < SAME_END_S:
             return
         address = state.upstream.address
-        self.steadiness.note_end(address, at)
         if state.upstream.is_same_life(end.born_ms) is False:
+            # Of which the start is no longer known: the next life is listed already.
+            self.steadiness.note_end(address, at, since=float("-inf"))
             return
+        self.steadiness.note_end(address, at, since=state.since)
         state.was_steady = state.steady_at(at)
-        state.ended_at = at
+        state.ended_at = state.since = at
         # The list may lag, or tell of no other life.
         state.steady_from = max(
             state.steady_from, self.steadiness.steady_from(address, at)
