--- a/src/coppercleat/serving/__init__.py
+++ b/src/coppercleat/serving/__init__.py
@@ -43,7 +43,7 @@
     upstreams_pause_s,
 )
 from coppercleat.serving._peers import ItemEvents, Peers, WorkInFlight, ZoneWork
-from coppercleat.serving._placement import Nowhere, Placement, UpstreamState
+from coppercleat.serving._placement import Nowhere, Placement
 from coppercleat.serving._progress import (
     AttemptEnd,
     NextStep,
@@ -64,6 +64,7 @@
     UpstreamCaller,
     UpstreamReport,
 )
+from coppercleat.serving._upstream_state import UpstreamState
 from coppercleat.serving._watch import Catalogue, UpstreamList, Watch
 from coppercleat.serving._work_counts import InFlight, WorkCounts
 
--- a/src/coppercleat/serving/_admission.py
+++ b/src/coppercleat/serving/_admission.py
@@ -8,7 +8,8 @@
 import trio
 
 from coppercleat.serving._admission_queue import AdmissionQueue, TooLate, Waiter
-from coppercleat.serving._placement import Nowhere, UpstreamState
+from coppercleat.serving._placement import Nowhere
+from coppercleat.serving._upstream_state import UpstreamState
 
 _LOOK_EVERY_S = 0.01
 """Pause between looks while requests wait: what changes is told at once, but patience
--- a/src/coppercleat/serving/_admission_queue.py
+++ b/src/coppercleat/serving/_admission_queue.py
@@ -18,7 +18,8 @@
 
 from coppercleat.ids import UpstreamId
 from coppercleat.serving._fleet_order import Patience, Place, Rank, Waiting
-from coppercleat.serving._placement import Nowhere, Placement, UpstreamState
+from coppercleat.serving._placement import Nowhere, Placement
+from coppercleat.serving._upstream_state import UpstreamState
 
 MAX_WAITING = 512
 """Requests that wait at one instance at most. It bounds memory; beyond it the wait
--- a/src/coppercleat/serving/_forwarding.py
+++ b/src/coppercleat/serving/_forwarding.py
@@ -23,7 +23,7 @@
     Route,
     RouteKind,
 )
-from coppercleat.serving._placement import FULL_S, Nowhere, UpstreamState
+from coppercleat.serving._placement import FULL_S, Nowhere
 from coppercleat.serving._progress import AttemptEnd, NextStep, RequestProgress
 from coppercleat.serving._silence import (
     SilenceWatch,
@@ -37,6 +37,7 @@
     UpstreamBrokeError,
     UpstreamCaller,
 )
+from coppercleat.serving._upstream_state import UpstreamState
 from coppercleat.upstreams import Attempt, AttemptState
 
 NOWHERE_RETRY_S = 0.5
--- a/src/coppercleat/serving/_life_question.py
+++ b/src/coppercleat/serving/_life_question.py
@@ -6,12 +6,12 @@
 
 from coppercleat.observability import part_logger
 from coppercleat.quarantine import Finding
-from coppercleat.serving._placement import UpstreamState
 from coppercleat.serving._upstream_call import (
     NothingListensError,
     UpstreamBrokeError,
     UpstreamCaller,
 )
+from coppercleat.serving._upstream_state import UpstreamState
 
 _FINDINGS = {
     None: Finding.SOMETHING_LISTENS,
--- a/src/coppercleat/serving/_placement.py
+++ b/src/coppercleat/serving/_placement.py
@@ -5,18 +5,15 @@
 import random
 from collections.abc import Collection, Iterable, Iterator
 
-import attrs
 import msgspec
 
 from coppercleat.ids import InstanceId, UpstreamId, ZoneId
-from coppercleat.quarantine import SAME_END_S, WARY_ENDS, End
-from coppercleat.routing import Health
+from coppercleat.quarantine import WARY_ENDS, End
 from coppercleat.serving._demand import Demand
 from coppercleat.serving._fleet_order import FleetOrder
 from coppercleat.serving._model import Route, Target, Upstream
-from coppercleat.serving._results import RecentResults
-from coppercleat.serving._silent_moments import SilentMoments
 from coppercleat.serving._steadiness import STEADY_S, Steadiness
+from coppercleat.serving._upstream_state import UpstreamState
 from coppercleat.serving._work_counts import InFlight, WorkCounts
 
 OTHER_ZONE_LOAD = 1.5
@@ -33,12 +30,6 @@
 """Random load added when upstreams are compared, so that instances which see
 the same counts do not all choose the same one."""
 
-
-LONGEST_EJECTION_S = 2.0
-"""Longest time without a trial of an upstream that failed. A trial costs one request
-the 0.1 s of a connection that is not made; after a zone was cut off for some seconds,
-longer pauses would leave its upstreams idle for as long again."""
-
 FULL_S = 0.1
 """An upstream that refused as full gets no online request for so long: a slot of a
 full one frees in about this time, and asking again before costs a connection."""
@@ -82,90 +73,6 @@
     waits: bool = False
 
 
-@attrs.define(eq=False)
-class UpstreamState:
-    """One upstream as this instance sees it.
-
-    Attributes:
-      online: Online requests of this instance in flight there.
-      batch: Batch items of this instance in flight there.
-      gone: Whether it has been found to have left, before the list shows it.
-      restarted: Whether it has started again under its id, which is another state.
-      health: Ejects it while it fails throughout.
-      results: Tells whether it fails a part of its requests.
-      silences: When it fell silent, as far as that is held against it.
-      unknown: Requests that it runs and nobody has told of, by its own report.
-      unheard: Own runs that were left unheard since there was an unknown run last;
-        peers are told of as many unknown ones, and hold their slots for taken too.
-      full_until: Until when it is taken as full, since it has said so.
-      unproved_until: Until when it may run requests of before this instance's start;
-        never, once it has told how many it runs.
-      since: When this life of it began, as seen here; minus infinity if unknown.
-      ended_at: When it was last found to have ended under this id.
-      steady_from: From when on it counts as steady: see ``Steadiness``.
-      was_steady: Whether it was when it last ended.
-    """
-
-    upstream: Upstream
-    health: Health = attrs.field(factory=lambda: Health(longest_s=LONGEST_EJECTION_S))
-    results: RecentResults = attrs.field(factory=RecentResults)
-    silences: SilentMoments = attrs.field(factory=SilentMoments)
-    online: int = 0
-    batch: int = 0
-    gone: bool = False
-    restarted: bool = False
-    unknown: int = 0
-    unheard: int = 0
-    full_until: float = float("-inf")
-    unproved_until: float = float("-inf")
-    since: float = float("-inf")
-    ended_at: float = float("-inf")
-    steady_from: float = float("-inf")
-    was_steady: bool = True
-
-    @property
-    def id(self) -> UpstreamId:
-        """The upstream's id."""
-        return self.upstream.id
-
-    @property
-    def born_ms(self) -> int:
-        """See ``Upstream.born_ms``."""
-        return self.upstream.born_ms
-
-    @property
-    def unlisted(self) -> bool:
-        """Whether it is no longer listed, and has not said that it leaves."""
-        return self.gone and not self.restarted and not self.upstream.draining
-
-    @property
-    def stopping(self) -> bool:
-        """Whether it leaves, or has left, as planned."""
-        return self.upstream.draining or (self.gone and not self.restarted)
-
-    def steady_at(self, at: float) -> bool:
-        """Returns whether it was steady then; for its end, whether it had been."""
-        if abs(at - self.ended_at) < SAME_END_S:
-            return self.was_steady
-        return at >= self.steady_from
-
-    @property
-    def held(self) -> int:
-        """Own runs that were left and may still hold their slots."""
-        return min(self.unheard, self.unknown)
-
-    def succeeded(self, now: float) -> None:
-        """Notes an attempt that ended well."""
-        self.health.succeeded()
-        self.results.observe(failed=False, now=now)
-
-    def failed(self, now: float, *, reached: bool = True) -> None:
-        """Notes an attempt that failed, or a connection that could not be made."""
-        note = self.health.failed if reached else self.health.unreachable
-        note(now)
-        self.results.observe(failed=True, now=now)
-
-
 class Placement:
     """Counts requests in flight and chooses upstreams by them.
 
@@ -209,49 +116,26 @@
         for upstream_id in gone:
             left = self.states.pop(upstream_id)
             left.gone = True
-            self._note_gone(left, now)
+            self.steadiness.note_gone(left, now)
         for upstream in listed.values():
             state = self.states.get(upstream.id)
             if state is None or state.upstream.is_same_life(upstream.born_ms) is False:
                 if state is not None:
                     # What was in flight there ended with it; its failures were its own.
                     state.gone = state.restarted = True
-                    self._note_gone(state, now)
-                self.states[upstream.id] = self._listed_anew(upstream, started_at)
+                    self.steadiness.note_gone(state, now)
+                self.states[upstream.id] = UpstreamState(upstream)
+                if started_at is not None:
+                    self.steadiness.begin(self.states[upstream.id], started_at)
             else:
                 state.upstream = upstream
         return gone
 
-    def _listed_anew(self, upstream: Upstream, at: float | None) -> UpstreamState:
-        state = UpstreamState(upstream)
-        if at is not None:
-            state.since = at
-            state.steady_from = self.steadiness.steady_from(upstream.address, at)
-        return state
-
-    def _note_gone(self, state: UpstreamState, now: float | None) -> None:
-        """Notes how long an upstream has lived that the list shows no longer."""
-        if now is None or state.upstream.draining or state.since <= state.ended_at:
-            return
-        self.steadiness.note_end(state.upstream.address, now, since=state.since)
-
     def note_end(self, end: End) -> None:
         """Notes that an upstream has ended, as found here or told by others."""
-        state, at = self.states.get(end.upstream), end.at
-        if state is None or abs(at - state.ended_at) < SAME_END_S:
-            return
-        address = state.upstream.address
-        if state.upstream.is_same_life(end.born_ms) is False:
-            # Of which the start is no longer known: the next life is listed already.
-            self.steadiness.note_end(address, at, since=float("-inf"))
-            return
-        self.steadiness.note_end(address, at, since=state.since)
-        state.was_steady = state.steady_at(at)
-        state.ended_at = state.since = at
-        # The list may lag, or tell of no other life.
-        state.steady_from = max(
-            state.steady_from, self.steadiness.steady_from(address, at)
-        )
+        state = self.states.get(end.upstream)
+        if state is not None:
+            self.steadiness.note_end(state, end)
 
     def observe_results(self, results: Iterable[AttemptResults], *, now: float) -> None:
         """Takes how a peer's attempts ended."""
--- a/src/coppercleat/serving/_silence.py
+++ b/src/coppercleat/serving/_silence.py
@@ -9,7 +9,8 @@
 
 from coppercleat.serving._exchange import Exchange
 from coppercleat.serving._model import Route, RouteKind
-from coppercleat.serving._placement import Placement, UpstreamState
+from coppercleat.serving._placement import Placement
+from coppercleat.serving._upstream_state import UpstreamState
 
 FIRST_EVENT_STALL_S = 0.8
 FIRST_EVENT_STALL_TARGETS = 2.5
--- a/src/coppercleat/serving/_silent_runs.py
+++ b/src/coppercleat/serving/_silent_runs.py
@@ -9,8 +9,8 @@
 import trio
 
 from coppercleat.observability import part_logger
-from coppercleat.serving._placement import UpstreamState
 from coppercleat.serving._unknown_runs import UNHEARD_S
+from coppercleat.serving._upstream_state import UpstreamState
 
 _log = part_logger("silence")
 
--- a/src/coppercleat/serving/_steadiness.py
+++ b/src/coppercleat/serving/_steadiness.py
@@ -9,7 +9,8 @@
 
 import attrs
 
-from coppercleat.quarantine import SAME_END_S
+from coppercleat.quarantine import SAME_END_S, End
+from coppercleat.serving._upstream_state import UpstreamState
 
 STEADY_S = 2.0
 """After its start an upstream is taken to be steady so much later. One that ends by
@@ -49,33 +50,56 @@
     def __init__(self) -> None:
         self._lives: dict[str, list[_Life]] = {}
 
-    def note_end(self, address: str, at: float, *, since: float) -> None:
-        """Notes an end, which several may tell of.
+    def begin(self, state: UpstreamState, at: float) -> None:
+        """Notes that a life has begun.
 
         Args:
-          address: The upstream's.
-          at: When it ended, in seconds of this instance's clock.
-          since: When it started; minus infinity if unknown.
+          state: The upstream.
+          at: When, in seconds of this instance's clock.
         """
-        known = self._lives.setdefault(address, [])
-        if any(abs(at - life.ended_at) < SAME_END_S for life in known):
+        state.since = at
+        state.steady_from = self._steady_from(state)
+
+    def note_end(self, state: UpstreamState, end: End) -> None:
+        """Notes an end, which several may tell of."""
+        at = end.at
+        if abs(at - state.ended_at) < SAME_END_S:
             return
-        known.append(_Life(at, at - since))
-        del known[:-_MOST_KEPT]
-        while len(self._lives) > _MOST_ADDRESSES:
-            del self._lives[next(iter(self._lives))]
+        if state.upstream.is_same_life(end.born_ms) is False:
+            # Of which the start is no longer known: the next life is listed already.
+            self._keep(state, _Life(at, float("inf")))
+            return
+        self._keep(state, _Life(at, at - state.since))
+        state.was_steady = state.steady_at(at)
+        # The list may lag, or tell of no other life.
+        state.ended_at = state.since = at
+        state.steady_from = max(state.steady_from, self._steady_from(state))
 
-    def steady_from(self, address: str, since: float) -> float:
-        """Returns from when on an upstream counts as steady.
+    def note_gone(self, state: UpstreamState, now: float | None) -> None:
+        """Notes the end of one that the list shows no longer, if nobody found it.
 
         Args:
-          address: The upstream's.
-          since: When it started, or was seen to end.
+          state: The upstream.
+          now: Seconds on this instance's clock; None if unknown.
         """
+        planned = state.upstream.draining
+        if now is not None and not planned and state.since > state.ended_at:
+            self._keep(state, _Life(now, now - state.since))
+
+    def _keep(self, state: UpstreamState, life: _Life) -> None:
+        known = self._lives.setdefault(state.upstream.address, [])
+        if any(abs(life.ended_at - other.ended_at) < SAME_END_S for other in known):
+            return
+        known.append(life)
+        del known[:-_MOST_KEPT]
+        while len(self._lives) > _MOST_ADDRESSES:
+            del self._lives[next(iter(self._lives))]
+
+    def _steady_from(self, state: UpstreamState) -> float:
         short = [
             life.lasted_s
-            for life in self._lives.get(address, ())
-            if since - life.ended_at < RECENT_S and life.lasted_s <= SHORT_LIFE_S
+            for life in self._lives.get(state.upstream.address, ())
+            if state.since - life.ended_at < RECENT_S and life.lasted_s <= SHORT_LIFE_S
         ]
         longest_s = OUTLIVED * max(short, default=0.0)
-        return since + min(MOST_STEADY_S, max(STEADY_S, longest_s))
+        return state.since + min(MOST_STEADY_S, max(STEADY_S, longest_s))
--- a/src/coppercleat/serving/_survey.py
+++ b/src/coppercleat/serving/_survey.py
@@ -16,13 +16,14 @@
 
 from coppercleat.ids import UpstreamId
 from coppercleat.observability import part_logger
-from coppercleat.serving._placement import Placement, UpstreamState
+from coppercleat.serving._placement import Placement
 from coppercleat.serving._unknown_runs import HELD_S, believed_runs
 from coppercleat.serving._upstream_call import (
     UpstreamBrokeError,
     UpstreamCaller,
     UpstreamReport,
 )
+from coppercleat.serving._upstream_state import UpstreamState
 
 AFTER_START_S = 1.5
 """For so long after its start an instance asks every upstream: the first report may
--- /dev/null
+++ b/src/coppercleat/serving/_upstream_state.py
@@ -0,0 +1,101 @@
+"""What one instance knows of one life of an upstream."""
+
+from __future__ import annotations
+
+import attrs
+
+from coppercleat.ids import UpstreamId
+from coppercleat.quarantine import SAME_END_S
+from coppercleat.routing import Health
+from coppercleat.serving._model import Upstream
+from coppercleat.serving._results import RecentResults
+from coppercleat.serving._silent_moments import SilentMoments
+
+LONGEST_EJECTION_S = 2.0
+"""Longest time without a trial of an upstream that failed. A trial costs one request
+the 0.1 s of a connection that is not made; after a zone was cut off for some seconds,
+longer pauses would leave its upstreams idle for as long again."""
+
+
+@attrs.define(eq=False)
+class UpstreamState:
+    """One upstream as this instance sees it.
+
+    Attributes:
+      online: Online requests of this instance in flight there.
+      batch: Batch items of this instance in flight there.
+      gone: Whether it has been found to have left, before the list shows it.
+      restarted: Whether it has started again under its id, which is another state.
+      health: Ejects it while it fails throughout.
+      results: Tells whether it fails a part of its requests.
+      silences: When it fell silent, as far as that is held against it.
+      unknown: Requests that it runs and nobody has told of, by its own report.
+      unheard: Own runs that were left unheard since there was an unknown run last;
+        peers are told of as many unknown ones, and hold their slots for taken too.
+      full_until: Until when it is taken as full, since it has said so.
+      unproved_until: Until when it may run requests of before this instance's start;
+        never, once it has told how many it runs.
+      since: When this life of it began, as seen here; minus infinity if unknown.
+      ended_at: When it was last found to have ended under this id.
+      steady_from: From when on it counts as steady: see ``Steadiness``.
+      was_steady: Whether it was when it last ended.
+    """
+
+    upstream: Upstream
+    health: Health = attrs.field(factory=lambda: Health(longest_s=LONGEST_EJECTION_S))
+    results: RecentResults = attrs.field(factory=RecentResults)
+    silences: SilentMoments = attrs.field(factory=SilentMoments)
+    online: int = 0
+    batch: int = 0
+    gone: bool = False
+    restarted: bool = False
+    unknown: int = 0
+    unheard: int = 0
+    full_until: float = float("-inf")
+    unproved_until: float = float("-inf")
+    since: float = float("-inf")
+    ended_at: float = float("-inf")
+    steady_from: float = float("-inf")
+    was_steady: bool = True
+
+    @property
+    def id(self) -> UpstreamId:
+        """The upstream's id."""
+        return self.upstream.id
+
+    @property
+    def born_ms(self) -> int:
+        """See ``Upstream.born_ms``."""
+        return self.upstream.born_ms
+
+    @property
+    def unlisted(self) -> bool:
+        """Whether it is no longer listed, and has not said that it leaves."""
+        return self.gone and not self.restarted and not self.upstream.draining
+
+    @property
+    def stopping(self) -> bool:
+        """Whether it leaves, or has left, as planned."""
+        return self.upstream.draining or (self.gone and not self.restarted)
+
+    def steady_at(self, at: float) -> bool:
+        """Returns whether it was steady then; for its end, whether it had been."""
+        if abs(at - self.ended_at) < SAME_END_S:
+            return self.was_steady
+        return at >= self.steady_from
+
+    @property
+    def held(self) -> int:
+        """Own runs that were left and may still hold their slots."""
+        return min(self.unheard, self.unknown)
+
+    def succeeded(self, now: float) -> None:
+        """Notes an attempt that ended well."""
+        self.health.succeeded()
+        self.results.observe(failed=False, now=now)
+
+    def failed(self, now: float, *, reached: bool = True) -> None:
+        """Notes an attempt that failed, or a connection that could not be made."""
+        note = self.health.failed if reached else self.health.unreachable
+        note(now)
+        self.results.observe(failed=True, now=now)
