--- a/src/coppercleat/jobs/_items.py
+++ b/src/coppercleat/jobs/_items.py
@@ -8,9 +8,10 @@
 import attrs
 import trio
 
-from coppercleat.ids import InstanceId, RequestId, UpstreamId
+from coppercleat.ids import InstanceId, UpstreamId
+from coppercleat.jobs._item_bar import ItemBar
 from coppercleat.jobs._pace import ItemPace
-from coppercleat.jobs._run import Barred, ItemEnd, ItemRun, JobRun
+from coppercleat.jobs._run import ItemEnd, ItemRun, JobRun
 from coppercleat.observability import part_logger
 from coppercleat.quarantine import FREE, EndWatch, Standing, Verdict, shown
 from coppercleat.serving import (
@@ -52,12 +53,6 @@
 _AVOID_S = 0.3
 """For how long an upstream that refused an item as full gets none."""
 
-_SLOT_RETRY_S = 0.1
-"""When an item that may go to few upstreams looks again for a slot there."""
-
-LOOK_AGAIN_S = 0.5
-"""How often it is asked whether an item that is kept back may run."""
-
 _UNPROCESSABLE = 422
 _FAILED = 500
 """By which an upstream says that it ran the item and failed. Other errors tell of the
@@ -131,6 +126,7 @@
         self.instance = instance
         self.silent_runs = silent_runs or SilentRuns()
         self.end_watch = end_watch or EndWatch(life_question(caller))
+        self.bar = ItemBar(self.end_watch, placement)
         self.on_change = on_change
         self.on_end = on_end
         self._running: list[Running] = []
@@ -184,56 +180,6 @@
                 return None
             ahead = 0
 
-    def verdict(self, run: JobRun, item: ItemRun) -> Verdict:
-        """Returns whether an item may run, as far as upstreams ended under it."""
-        return self.end_watch.verdict(_request_of(run, item), item=True)
-
-    def until_steady(self, route: Route, verdict: Verdict) -> Verdict:
-        """Returns the verdict on an item for which no steady upstream has a slot."""
-        now, service = trio.current_time(), route.targets[0].service
-        wait_s = self.placement.steady_in_s(service, now=now)
-        return Verdict(Standing.HELD, max(_SLOT_RETRY_S, wait_s), verdict.ends)
-
-    def bar(
-        self, run: JobRun, item: ItemRun, verdict: Verdict, *, due_in_s: float
-    ) -> None:
-        """Keeps an item from running for now.
-
-        It may not be listed as failed for what its upstreams do, so it stays open until
-        its time is up. It is looked at again soon, since an answer, an operator or
-        another instance may clear it, and its upstreams may come back.
-
-        Args:
-          run: Its job.
-          item: The item.
-          verdict: Why.
-          due_in_s: Seconds until its job is due.
-        """
-        now = trio.current_time()
-        item.not_before = now + min(verdict.retry_after_s, LOOK_AGAIN_S)
-        until = now + verdict.retry_after_s
-        before, since = item.barred, now
-        if before is not None:
-            since = before.since
-        item.barred = Barred(verdict=verdict, since=since, until=until)
-        if before is not None and not before.is_news(verdict):
-            return
-        self.end_watch.on_barred(verdict.standing.value)
-        done_in_s = verdict.retry_after_s + self.seconds_left(item)
-        # It is the only word of an item that nothing may work on until its time is up.
-        write = _log.warning if done_in_s > due_in_s else _log.info
-        write(
-            "An item is kept from running.",
-            job=run.held.row.job,
-            item=item.spec.id,
-            fingerprint=shown(_request_of(run, item).fingerprint),
-            standing=verdict.standing.value,
-            ends=verdict.ends,
-            retry_after_s=round(verdict.retry_after_s, 1),
-            due_in_s=round(due_in_s, 1),
-            late=done_in_s > due_in_s,
-        )
-
     def seconds_left(self, item: ItemRun) -> float:
         """Returns how long an item takes from now, if it starts at once."""
         return self._pace.seconds_left(len(item.events))
@@ -267,7 +213,7 @@
         self, run: JobRun, item: ItemRun, state: UpstreamState, verdict: Verdict = FREE
     ) -> Running:
         """Counts a run before anything else can be placed."""
-        request = _request_of(run, item)
+        request = run.request_of(item)
         if verdict.standing is Standing.TRIAL:
             self.end_watch.begin_trial(request)
         running = Running(run, item, request, state, trio.CancelScope())
@@ -426,24 +372,6 @@
             running.scope.cancel()
 
 
-def _request_of(run: JobRun, item: ItemRun) -> OnlineRequest:
-    """Returns an item as the request that an upstream gets.
-
-    It is kept with the item, since its fingerprint is asked for at each look.
-    """
-    if item.request is None:
-        item.request = OnlineRequest(
-            request_id=RequestId(item.spec.id),
-            method="POST",
-            host=run.held.row.host,
-            target=item.spec.target.encode(),
-            headers=item.spec.headers,
-            body=item.spec.body,
-            allowed_s=0.0,
-        )
-    return item.request
-
-
 async def _collect(running: Running, answer: UpstreamAnswer) -> ItemEnd:
     """Takes an item's events and returns how the run ended.
 
--- a/src/coppercleat/jobs/_run.py
+++ b/src/coppercleat/jobs/_run.py
@@ -6,7 +6,7 @@
 
 import attrs
 
-from coppercleat.ids import UpstreamId
+from coppercleat.ids import RequestId, UpstreamId
 from coppercleat.jobs._records import ItemSpec, ItemState, PartialRow
 from coppercleat.jobs._repository import Finished, Held
 from coppercleat.quarantine import Verdict
@@ -141,6 +141,23 @@
         """Whether nothing is left to do."""
         return not (self.pending or self.running or self.finished)
 
+    def request_of(self, item: ItemRun) -> OnlineRequest:
+        """Returns an item as the request that an upstream gets.
+
+        It is kept with the item, since its fingerprint is asked for at each look.
+        """
+        if item.request is None:
+            item.request = OnlineRequest(
+                request_id=RequestId(item.spec.id),
+                method="POST",
+                host=self.held.row.host,
+                target=item.spec.target.encode(),
+                headers=item.spec.headers,
+                body=item.spec.body,
+                allowed_s=0.0,
+            )
+        return item.request
+
     def startable(self, now: float) -> list[ItemRun]:
         """Returns the items that wait for nothing but a slot.
 
--- a/src/coppercleat/jobs/_starter.py
+++ b/src/coppercleat/jobs/_starter.py
@@ -9,8 +9,9 @@
 from coppercleat.ids import JobId
 from coppercleat.jobs._items import ItemRunner, Running
 from coppercleat.jobs._run import ItemRun, JobRun
-from coppercleat.jobs._schedule import next_turns
+from coppercleat.jobs._schedule import Turn, next_turns
 from coppercleat.observability import part_logger
+from coppercleat.quarantine import Verdict
 from coppercleat.serving import Rank, Route, RouteTable, Waiting
 
 JOBS_STALE_S = 2.0
@@ -164,9 +165,9 @@
             if turn.route.name in full:
                 continue
             due_in_s = turn.run.due_at - wall
-            verdict = self.items.verdict(turn.run, turn.item)
+            verdict = self.items.bar.verdict(turn.run, turn.item)
             if not verdict.may_run:
-                self.items.bar(turn.run, turn.item, verdict, due_in_s=due_in_s)
+                self._bar(turn, verdict, due_in_s)
                 barred = True
                 continue
             state = self.items.find_slot(
@@ -178,8 +179,8 @@
             )
             if state is None and verdict.ends:
                 # Few upstreams may take it: it must not hold up the others.
-                held = self.items.until_steady(turn.route, verdict)
-                self.items.bar(turn.run, turn.item, held, due_in_s=due_in_s)
+                held = self.items.bar.until_steady(turn.route, verdict)
+                self._bar(turn, held, due_in_s)
                 barred = True
                 continue
             if state is None:
@@ -193,6 +194,12 @@
             return True
         return barred
 
+    def _bar(self, turn: Turn, verdict: Verdict, due_in_s: float) -> None:
+        takes_s = self.items.seconds_left(turn.item)
+        self.items.bar.keep(
+            turn.run, turn.item, verdict, takes_s=takes_s, due_in_s=due_in_s
+        )
+
     def _runnable(
         self, table: RouteTable, wall: float
     ) -> Iterator[tuple[JobRun, Route]]:
