--- a/src/coppercleat/gateway/_gateway.py
+++ b/src/coppercleat/gateway/_gateway.py
@@ -15,6 +15,7 @@
 from coppercleat.jobs import ItemRunner, JobIndex, JobRepository, JobWorker, Sweeper
 from coppercleat.observability import part_logger
 from coppercleat.quarantine import (
+    TRIAL_STAGGER_S,
     EndKeeper,
     EndsSeen,
     EndWatch,
@@ -192,6 +193,7 @@
         self.peers.on_ends = self._hear_of_ends
         self.end_watch.on_news = self.peers.ends_found
         self.end_watch.on_ended = self.placement.note_end
+        self.end_watch.on_withdrawn = self.placement.take_back_end
         self.end_watch.may_try = self._tries
         self.end_watch.on_barred = self.metrics.request_barred
         self.survey.on_change = self._unknown_changed
@@ -209,9 +211,13 @@
         living = [self.settings.instance, *self.peers.others()]
         return ranked(shown(fingerprint), living)
 
-    def _tries(self, fingerprint: Fingerprint) -> bool:
-        """Returns whether a trial of a request falls to this instance."""
-        return self._ranked(fingerprint)[0] == self.settings.instance
+    def _tries(self, fingerprint: Fingerprint, overdue_s: float) -> bool:
+        """Returns whether a trial of a request falls to this instance.
+
+        The first in line may not be asked for it, so the next ones step in.
+        """
+        place = self._ranked(fingerprint).index(self.settings.instance)
+        return overdue_s >= place * TRIAL_STAGGER_S
 
     def _keeps(self, fingerprint: Fingerprint) -> bool:
         """Returns whether this instance is one of those that keep a request's ends."""
--- a/src/coppercleat/instance/_instance.py
+++ b/src/coppercleat/instance/_instance.py
@@ -20,8 +20,14 @@
 from coppercleat.online import AnswerStore, OnlineServices, Pipeline, pick_version
 from coppercleat.orders import OrderKeeper
 from coppercleat.platform import StoreClient
-from coppercleat.quarantine import EndWatch, Finding, Fingerprint, shown
-from coppercleat.routing import UpstreamRecord, owner
+from coppercleat.quarantine import (
+    TRIAL_STAGGER_S,
+    EndWatch,
+    Finding,
+    Fingerprint,
+    shown,
+)
+from coppercleat.routing import UpstreamRecord, ranked
 from coppercleat.settings import Settings
 from coppercleat.storage import Platform
 
@@ -165,10 +171,14 @@
             return Finding.NO_ANSWER  # No longer followed.
         return await client.look()
 
-    def _tries(self, fingerprint: Fingerprint) -> bool:
-        """Returns whether a trial falls to this instance: to one of all that live."""
+    def _tries(self, fingerprint: Fingerprint, overdue_s: float) -> bool:
+        """Returns whether a trial falls to this instance: to one of all that live.
+
+        The first in line may not be asked for it, so the next ones step in.
+        """
         own = self.settings.instance.instance_id
-        return owner(shown(fingerprint), self.fleet.alive()) == own
+        place = ranked(shown(fingerprint), self.fleet.alive()).index(own)
+        return overdue_s >= place * TRIAL_STAGGER_S
 
     def _spread_changes(self, changes: list[Change]) -> None:
         self.peers.spread_changes(changes)
--- a/src/coppercleat/jobs/_item_bar.py
+++ b/src/coppercleat/jobs/_item_bar.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
+
 import trio
 
 from coppercleat.jobs._run import Barred, ItemRun, JobRun
@@ -9,7 +11,7 @@
 from coppercleat.quarantine import EndWatch, Standing, Verdict, shown
 from coppercleat.serving import Placement, Route, UpstreamState
 
-_SLOT_RETRY_S = 0.1
+_SLOT_RETRY_S = 0.25
 """When an item that may go to few upstreams looks again for a slot there."""
 
 LOOK_AGAIN_S = 0.5
@@ -37,11 +39,52 @@
         """Returns whether an item may run, as far as upstreams ended under it."""
         return self.end_watch.verdict(run.request_of(item), item=True)
 
-    def until_steady(self, route: Route, verdict: Verdict) -> Verdict:
-        """Returns the verdict on an item for which no steady upstream has a slot."""
+    def holds(self, route: Route, verdict: Verdict) -> bool:
+        """Returns whether an item that has found no slot waits for more than a slot."""
+        return not verdict.may_run or self.until_steady(route, verdict) is not None
+
+    def until_steady(self, route: Route, verdict: Verdict) -> Verdict | None:
+        """Returns the verdict on an item that has found no slot.
+
+        Returns:
+          None if it may go to all upstreams, and waits for a slot like any other.
+        """
         now, service = trio.current_time(), route.targets[0].service
-        wait_s = self.placement.steady_in_s(service, now=now)
-        return Verdict(Standing.HELD, max(_SLOT_RETRY_S, wait_s), verdict.ends)
+        avoid = self.placement.to_avoid(verdict, service, now=now)
+        if not avoid:
+            return None
+        wait_s = _SLOT_RETRY_S
+        if not self.placement.serves(service, avoid=avoid):
+            wait_s = max(wait_s, self.placement.steady_in_s(service, now=now))
+        return Verdict(Standing.UNSTEADY, wait_s, verdict.ends)
+
+    def pass_over(
+        self,
+        run: JobRun,
+        route: Route,
+        *,
+        takes_s: Callable[[ItemRun], float],
+        due_in_s: float,
+    ) -> None:
+        """Has all items of a job wait that may not run, or only where no slot is free.
+
+        All at once: in their order they would hold up the others.
+
+        Args:
+          run: The job.
+          route: Its route.
+          takes_s: Returns the seconds that an item takes once it runs.
+          due_in_s: Seconds until the job is due.
+        """
+        now = trio.current_time()
+        for item in [item for item in run.pending if item.not_before <= now]:
+            verdict = self.verdict(run, item)
+            if verdict.may_run:
+                held = self.until_steady(route, verdict)
+                verdict = held or verdict
+            if not verdict.may_run:
+                takes = takes_s(item)
+                self.keep(run, item, verdict, takes_s=takes, due_in_s=due_in_s)
 
     def keep(
         self,
@@ -71,6 +114,8 @@
         before, since = item.barred, now
         if before is not None:
             since = before.since
+        elif verdict.retry_after_s <= _SLOT_RETRY_S:
+            return  # It waits for a slot, if not for any.
         item.barred = Barred(verdict=verdict, since=since, until=until)
         if before is not None and not before.is_news(verdict):
             return
--- a/src/coppercleat/jobs/_items.py
+++ b/src/coppercleat/jobs/_items.py
@@ -74,7 +74,6 @@
         time.
       disconnected: Whether its connection broke.
       suspect: Whether upstreams have ended under it before.
-      events_before: How many events it had as the run began.
     """
 
     run: JobRun
@@ -88,12 +87,6 @@
     silent_since: float | None = None
     disconnected: bool = False
     suspect: bool = False
-    events_before: int = 0
-
-    @property
-    def made_some(self) -> bool:
-        """Whether it has made events that the item had not."""
-        return len(self.item.events) > self.events_before
 
 
 class ItemRunner:
@@ -141,7 +134,7 @@
         *,
         late: bool,
         due_in_s: float,
-        ends: int = 0,
+        verdict: Verdict = FREE,
     ) -> UpstreamState | None:
         """Returns an upstream with a slot for an item, None if there is none.
 
@@ -155,7 +148,7 @@
           item: The item.
           late: Whether it cannot be done in time.
           due_in_s: Seconds until its job is due.
-          ends: Upstreams that have ended under the item.
+          verdict: On the item, as far as upstreams ended under it.
         """
         now = trio.current_time()
         avoid = {u for u, until in self._avoided.items() if now < until}
@@ -163,19 +156,22 @@
             avoid.update(self.placement.suspects(now))
         own = Place(Rank.BATCH_LATE if late else Rank.BATCH, now + due_in_s)
         service = route.targets[0].service
-        avoid.update(self.placement.to_avoid(ends, service, now=now))
-        apart = {r.state.id for r in self._running if r.suspect} if ends else set()
+        shun = self.placement.to_avoid(verdict, service, now=now)
+        suspects = [r.state.id for r in self._running if r.suspect]
         ahead = self.placement.order.ahead(own, service=service, now=now)
         while True:
             state = self.placement.choose_batch(
-                route, reserve=RESERVED_SLOTS, avoid=avoid | apart, now=now, ahead=ahead
+                route,
+                reserve=RESERVED_SLOTS,
+                avoid=avoid,
+                now=now,
+                ahead=ahead,
+                shun=shun,
+                apart=suspects if verdict.ends else (),
             )
             if not isinstance(state, Nowhere):
                 self._patience.reset()
                 return state
-            if apart:
-                apart = set()
-                continue
             if not state.waits or not self._patience.overdue(now):
                 return None
             ahead = 0
@@ -230,11 +226,13 @@
         run, item, state = running.run, running.item, running.state
         attempt = Attempt()
         end = ItemEnd.YIELDED
-        began, before = trio.current_time(), len(item.events)
+        running.began_at = running.heard_at = trio.current_time()
+        before = len(item.events)
         with self._counted(running), running.scope:
             end = await self._attempt(running, attempt)
         self._pace.observe_run(
-            events=len(item.events) - before, seconds=trio.current_time() - began
+            events=len(item.events) - before,
+            seconds=trio.current_time() - running.began_at,
         )
         self._note_end(running, attempt, end)
         if end in (ItemEnd.BROKEN, ItemEnd.FAILED):
@@ -269,6 +267,8 @@
         silent = running.silent_since is not None
         if end in (ItemEnd.COMPLETE, ItemEnd.FAILED, ItemEnd.IMPOSSIBLE):
             self.end_watch.note_answer(running.request)
+        elif end in (ItemEnd.NOT_RUN, ItemEnd.YIELDED):
+            self.end_watch.not_run(running.request)
         elif attempt.state is not AttemptState.QUEUED and (
             silent or running.disconnected
         ):
@@ -278,7 +278,7 @@
                 running.state,
                 began=running.began_at,
                 silent=silent,
-                made_some=running.made_some,
+                moved_on_s=running.heard_at - running.began_at,
             )
 
     @contextlib.contextmanager
@@ -294,8 +294,6 @@
     async def _attempt(self, running: Running, attempt: Attempt) -> ItemEnd:
         item, state = running.item, running.state
         request = running.request
-        running.began_at = running.heard_at = trio.current_time()
-        running.events_before = len(item.events)
         end = ItemEnd.BROKEN
         with self._watched(running, attempt), running.stall:
             try:
--- a/src/coppercleat/jobs/_starter.py
+++ b/src/coppercleat/jobs/_starter.py
@@ -11,7 +11,6 @@
 from coppercleat.jobs._run import ItemRun, JobRun
 from coppercleat.jobs._schedule import Turn, next_turns
 from coppercleat.observability import part_logger
-from coppercleat.quarantine import Verdict
 from coppercleat.serving import Rank, Route, RouteTable, Waiting
 
 JOBS_STALE_S = 2.0
@@ -166,23 +165,20 @@
                 continue
             due_in_s = turn.run.due_at - wall
             verdict = self.items.bar.verdict(turn.run, turn.item)
-            if not verdict.may_run:
-                self._bar(turn, verdict, due_in_s)
-                barred = True
-                continue
-            state = self.items.find_slot(
-                turn.route,
-                turn.item,
-                late=turn.late,
-                due_in_s=due_in_s,
-                ends=verdict.ends,
-            )
-            if state is None and verdict.ends:
-                # Few upstreams may take it: it must not hold up the others.
-                held = self.items.bar.until_steady(turn.route, verdict)
-                self._bar(turn, held, due_in_s)
+            state = None
+            if verdict.may_run:
+                state = self.items.find_slot(
+                    turn.route,
+                    turn.item,
+                    late=turn.late,
+                    due_in_s=due_in_s,
+                    verdict=verdict,
+                )
+            if state is None and self.items.bar.holds(turn.route, verdict):
+                self._pass_over(turn, due_in_s)
                 barred = True
                 continue
+            turn.item.barred = None
             if state is None:
                 if not turn.late:
                     self.items.cut_late(wall)
@@ -194,10 +190,10 @@
             return True
         return barred
 
-    def _bar(self, turn: Turn, verdict: Verdict, due_in_s: float) -> None:
-        takes_s = self.items.seconds_left(turn.item)
-        self.items.bar.keep(
-            turn.run, turn.item, verdict, takes_s=takes_s, due_in_s=due_in_s
+    def _pass_over(self, turn: Turn, due_in_s: float) -> None:
+        takes_s = self.items.seconds_left
+        self.items.bar.pass_over(
+            turn.run, turn.route, takes_s=takes_s, due_in_s=due_in_s
         )
 
     def _runnable(
--- a/src/coppercleat/quarantine/_end_keeper.py
+++ b/src/coppercleat/quarantine/_end_keeper.py
@@ -17,7 +17,7 @@
 from coppercleat.ids import UpstreamId
 from coppercleat.quarantine._ends import End
 from coppercleat.quarantine._fingerprint import Fingerprint
-from coppercleat.quarantine._ledger import MOST_ENDS, EndLedger
+from coppercleat.quarantine._ledger import EndLedger
 
 MOST_KEPT = 8
 """Requests in one row, those with the most ends: 2 kB with six ends each."""
@@ -31,7 +31,7 @@
       births: For each end, see ``End.born_ms``; fewer where an instance of an
         earlier version wrote the row.
       numbers: The same, see ``End.number``.
-      weak: The same, see ``End.weak``.
+      weak: The same, see ``End.weak``; who does not tell may have counted too much.
     """
 
     fingerprint: Fingerprint
@@ -42,10 +42,9 @@
 
     def by_clock(self, *, wall_at_zero: float, now: float) -> list[End]:
         """Returns the ends by a clock that showed 0 at that Unix time."""
-        details = itertools.zip_longest(
-            self.births, self.numbers, self.weak, fillvalue=0
-        )
-        untold = itertools.repeat((0, 0, 0))
+        births = itertools.chain(self.births, itertools.repeat(0))
+        numbers = itertools.chain(self.numbers, itertools.repeat(0))
+        weak = itertools.chain(self.weak, itertools.repeat(True))
         # A clock that is ahead must not make an end of the future.
         return [
             End(
@@ -53,11 +52,11 @@
                 min(now, wall - wall_at_zero),
                 born_ms,
                 number,
-                bool(weak),
+                is_weak,
                 source="a row",
             )
-            for (upstream, wall), (born_ms, number, weak) in zip(
-                self.ends, itertools.chain(details, untold), strict=False
+            for (upstream, wall), born_ms, number, is_weak in zip(
+                self.ends, births, numbers, weak, strict=False
             )
         ]
 
@@ -108,7 +107,7 @@
         now = trio.current_time()
         wall_at_zero = self.clock() - now
         for request in kept:
-            if len(self.ledger.ends_of(request.fingerprint)) >= MOST_ENDS:
+            if self.ledger.is_quarantined(request.fingerprint):
                 continue
             ends = request.by_clock(wall_at_zero=wall_at_zero, now=now)
             self.ledger.adopt(request.fingerprint, ends)
--- a/src/coppercleat/quarantine/_end_watch.py
+++ b/src/coppercleat/quarantine/_end_watch.py
@@ -36,7 +36,7 @@
 
 MOVED_ON_S = 0.3
 """A run that made something for so long speaks for the request: most that end their
-upstreams do so at once, and what it made is kept."""
+upstreams do so at once."""
 
 LEFT_S = 1.0
 """A run that its client left is as suspect if its upstream ends within this time: most
@@ -94,8 +94,13 @@
         """Whether it is known to have started again, which is another life."""
         ...
 
-    def steady_at(self, at: float) -> bool:
-        """Returns whether it had lived for a while then, in trio's time."""
+    def was_steady(self, *, began: float, at: float) -> bool:
+        """Returns whether it had lived for a while when it ended under a run.
+
+        Args:
+          began: When the run began, in trio's time.
+          at: When it broke off.
+        """
         ...
 
 
@@ -127,7 +132,7 @@
     Attributes:
       began: When it was sent to the upstream.
       at: When it broke off.
-      moved_on: Whether it made something that is kept, for a while.
+      moved_on: Whether it made something for a while.
     """
 
     began: float
@@ -157,9 +162,12 @@
     Attributes:
       ledger: Ends by request.
       on_news: Told of ends, and of requests that were cleared, for other instances.
-      may_try: Returns whether this instance is the one to let a trial through.
+      may_try: Returns whether this instance is the one to let a trial through, given
+        for how many seconds it has been due.
       on_barred: Told the standing of each request that was not let through.
-      on_ended: Told of each end of an upstream that is found or heard of.
+      on_ended: Told of each end of an upstream that is found or heard of, and when the
+        run began that met it, as far as is known.
+      on_withdrawn: Told of each that is taken back.
     """
 
     def __init__(self, ask: Callable[[_W], Awaitable[Finding]]) -> None:
@@ -173,9 +181,12 @@
         self.on_news: Callable[[tuple[ToldEnd, ...], tuple[Fingerprint, ...]], None] = (
             lambda ends, cleared: None
         )
-        self.may_try: Callable[[Fingerprint], bool] = lambda fingerprint: True
+        self.may_try: Callable[[Fingerprint, float], bool] = (
+            lambda fingerprint, overdue_s: True
+        )
         self.on_barred: Callable[[str], None] = lambda standing: None
-        self.on_ended: Callable[[End], None] = lambda end: None
+        self.on_ended: Callable[[End, float], None] = lambda end, run_began: None
+        self.on_withdrawn: Callable[[End], None] = lambda end: None
         self._inquiries: dict[_W, _Inquiry[_W]] = {}
         self._opened: list[_Inquiry[_W]] = []
         self._untold: list[tuple[Fingerprint, End, bool]] = []
@@ -205,7 +216,7 @@
         *,
         began: float | None = None,
         silent: bool = False,
-        made_some: bool = False,
+        moved_on_s: float = 0.0,
     ) -> None:
         """Notes a run that broke off, or fell silent, at an upstream.
 
@@ -217,11 +228,11 @@
           state: The upstream.
           began: When the run began, in trio's time; None if unknown.
           silent: Whether it fell silent.
-          made_some: Whether it made something that the next run goes on from.
+          moved_on_s: From its beginning to the last that it made, in seconds.
         """
         now = trio.current_time()
         began = now if began is None else began
-        run = _BrokenRun(began, now, made_some and now - began >= MOVED_ON_S)
+        run = _BrokenRun(began, now, moved_on_s >= MOVED_ON_S)
         self._suspect(fingerprint, state, run, silent=silent)
 
     def _suspect(
@@ -295,14 +306,14 @@
             pauses_s=ITEM_PAUSES_S if item else PAUSES_S,
         )
         if verdict.standing is Standing.QUARANTINED and not verdict.retry_after_s:
-            if item or self.may_try(fingerprint):
-                return Verdict(Standing.TRIAL, ends=verdict.ends)
+            if item or self.may_try(fingerprint, verdict.overdue_s):
+                return attrs.evolve(verdict, standing=Standing.TRIAL)
             return Verdict(Standing.QUARANTINED, HELD_RETRY_S, verdict.ends)
         return verdict
 
-    def admit(self, request: Asking, *, item: bool = False) -> Verdict:
+    def admit(self, request: Asking) -> Verdict:
         """Does the same for one that is sent at once if it may be; counts a trial."""
-        verdict = self.verdict(request, item=item)
+        verdict = self.verdict(request)
         if verdict.standing is Standing.TRIAL:
             self.begin_trial(request)
         return verdict
@@ -317,6 +328,11 @@
             ends=len(self.ledger.ends_of(request.fingerprint)),
         )
 
+    def not_run(self, request: Asking) -> None:
+        """Notes that a request was sent and not run, so that it had no trial."""
+        if len(self.ledger):
+            self.ledger.give_back_trial(request.fingerprint)
+
     # Asking.
 
     async def _inquire(self, inquiry: _Inquiry[_W]) -> None:
@@ -362,7 +378,9 @@
             proof=proof,
             requests=len(inquiry.suspects),
         )
-        self.on_ended(End(inquiry.state.id, first_at, inquiry.state.born_ms))
+        first_began = min(run.began for run in inquiry.suspects.values())
+        end = End(inquiry.state.id, first_at, inquiry.state.born_ms)
+        self.on_ended(end, first_began)
         for fingerprint in inquiry.suspects:
             self._note_end(inquiry, fingerprint)
 
@@ -377,7 +395,8 @@
     def _end_under(self, inquiry: _Inquiry[_W], fingerprint: Fingerprint) -> End:
         """Returns the upstream's end, if it has ended, under one of the suspects."""
         state, run = inquiry.state, inquiry.suspects[fingerprint]
-        weak = run.moved_on or not state.steady_at(run.at)
+        steady = state.was_steady(began=run.began, at=run.at)
+        weak = run.moved_on or not steady
         end = End(state.id, run.at, state.born_ms, weak=weak, source=inquiry.proof)
         return self.ledger.identified(fingerprint, end, run_began=run.began)
 
@@ -387,6 +406,7 @@
         for fingerprint in inquiry.suspects:
             end = self._end_under(inquiry, fingerprint)
             self.ledger.withdraw(fingerprint, end)
+            self.on_withdrawn(end)
             self._untold.append((fingerprint, end, True))
         self._wake.set()
 
@@ -413,10 +433,16 @@
         now = trio.current_time()
         before = self.ledger.quarantined(now=now)
         news = self.ledger.take_told(
-            ends, cleared, now=now, teller=teller, on_new=self.on_ended
+            ends,
+            cleared,
+            now=now,
+            teller=teller,
+            on_new=lambda end: self.on_ended(end, end.at),
         )
         for told in ends:
-            if not told.withdrawn:
+            if told.withdrawn:
+                self.on_withdrawn(told.heard(now=now))
+            else:
                 self._note_left(told.heard(now=now))
         for fingerprint in self.ledger.quarantined(now=now).keys() - before.keys():
             self._log_verdict(fingerprint, teller=teller)
--- a/src/coppercleat/quarantine/_ends.py
+++ b/src/coppercleat/quarantine/_ends.py
@@ -72,7 +72,8 @@
       withdrawn: Whether it was found alive after all.
       born_ms: See ``End``.
       number: See ``End``; instances of an earlier version tell none.
-      weak: See ``End``.
+      weak: See ``End``; instances of an earlier version tell and pass on none, and
+        may have counted whole what says little.
     """
 
     fingerprint: Fingerprint
@@ -81,7 +82,7 @@
     withdrawn: bool = False
     born_ms: int = 0
     number: int = 1
-    weak: bool = False
+    weak: bool = True
 
     @classmethod
     def of(
--- a/src/coppercleat/quarantine/_ledger.py
+++ b/src/coppercleat/quarantine/_ledger.py
@@ -9,6 +9,7 @@
 from __future__ import annotations
 
 import enum
+import itertools
 from collections.abc import Callable, Iterable, Sequence
 
 import attrs
@@ -22,24 +23,32 @@
 whose upstream ends under another's is sent again, and may meet the other again. Among
 nine upstreams that is one request of 80 that were cut with it."""
 
-WARY_ENDS = 2
-"""Ends after which a request is sent to steady upstreams only: what has just started
-may end by itself, and a proper request would be held to account for that."""
+_WARY_ENDS = 2
+WARY_S = 8.0
+"""After so many ends a request is sent to steady upstreams only, for so long after the
+last: what has just started may end by itself, and a proper request would be held to
+account for that. No longer, since upstreams may end again and again for hours, and
+serve others in between; a further end there counts half.
+"""
 
 _WEIGHT, _WEAK_WEIGHT = 2, 1
 _MOST_WEIGHT = MOST_ENDS * _WEIGHT
 """A weak end counts half, not nothing: the request may be the cause all the same, and
-ends six upstreams then, no more."""
+meets six before it is kept from running."""
 
 PAUSES_S = (60.0, 600.0, 3600.0)
 """How long it is kept from running after the third end, the fourth and the fifth. Then
 one trial is let through, so that a proper request is not refused for ever; a deadly one
 costs three upstreams more within two hours."""
 
-ITEM_PAUSES_S = (5.0, 15.0, 60.0)
+ITEM_PAUSES_S = (5.0, 15.0, 60.0, 600.0, 3600.0)
 """The same for items. They are run again without anybody asking, so that a proper one
 meets the ends of others more often, and they are due in seconds: two trials fit into
-some 20 s. A job may be kept for hours, so that there is a third."""
+some 20 s. A job may be kept for hours, so that there are more."""
+
+TRIAL_STAGGER_S = 2.0
+"""The next in line lets a trial through so much later than the one before, as not every
+instance is asked for each request. A trial that ends its upstream is told by then."""
 
 REMEMBERED_S = 24 * 3600.0
 """A request that is quarantined is forgotten so long after its last end."""
@@ -70,6 +79,7 @@
     FREE = "free"
     TRIAL = "trial"
     HELD = "held"
+    UNSTEADY = "unsteady"
     QUARANTINED = "quarantined"
 
 
@@ -80,11 +90,15 @@
     Attributes:
       retry_after_s: When it may, from now; 0 if it may.
       ends: Upstreams that have ended under it.
+      wary: Whether it may go to steady upstreams only.
+      overdue_s: For how long a trial of it has been due.
     """
 
     standing: Standing
     retry_after_s: float = 0.0
     ends: int = 0
+    wary: bool = False
+    overdue_s: float = 0.0
 
     @property
     def may_run(self) -> bool:
@@ -115,6 +129,18 @@
         """How much the ends say against the request."""
         return sum(_WEAK_WEIGHT if end.weak else _WEIGHT for end in self.ends)
 
+    @property
+    def quarantined(self) -> bool:
+        """Whether they say enough to keep it from running."""
+        return self.weight >= _MOST_WEIGHT
+
+    @property
+    def trials_failed(self) -> int:
+        """How many ends it met after it was kept from running for the first time."""
+        weights = [_WEAK_WEIGHT if end.weak else _WEIGHT for end in self.ends]
+        reached = itertools.accumulate(weights)
+        return sum(weight >= _MOST_WEIGHT for weight in reached) - 1
+
     @property
     def last_at(self) -> float:
         return max((end.at for end in self.ends), default=float("-inf"))
@@ -193,10 +219,10 @@
         return True
 
     def adopt(self, fingerprint: Fingerprint, ends: list[End]) -> None:
-        """Takes all ends that another knows in place of the own, if they are more."""
+        """Takes all ends that another knows in place of the own, if they say more."""
         counted = [end for end in ends if not self._is_void(fingerprint, end)]
         record = self._record(fingerprint)
-        if len(counted) > len(record.ends):
+        if _Record(ends=counted).weight > record.weight:
             record.ends = []
             for end in counted:
                 record.ends.append(record.numbered(end))
@@ -275,27 +301,42 @@
         if record is None:
             return FREE
         ends = len(record.ends)
-        beyond = record.weight - _MOST_WEIGHT
-        if beyond < 0:
-            if beyond + len(set(record.pending)) * _WEIGHT < 0:
-                return Verdict(Standing.FREE, ends=ends)
+        if record.quarantined:
+            return self._verdict_after_pause(record, now, pauses_s)
+        if record.weight + len(set(record.pending)) * _WEIGHT >= _MOST_WEIGHT:
             return Verdict(Standing.HELD, HELD_RETRY_S, ends)
-        trial = beyond // _WEIGHT
+        wary = ends >= _WARY_ENDS and now - record.last_at < WARY_S
+        return Verdict(Standing.FREE, ends=ends, wary=wary)
+
+    def _verdict_after_pause(
+        self, record: _Record, now: float, pauses_s: Sequence[float]
+    ) -> Verdict:
+        ends, trial = len(record.ends), record.trials_failed
         if trial < len(pauses_s):
-            begins_at = max(record.last_at, record.trial_at)
-            pause_left_s = begins_at + pauses_s[trial] - now
+            left_s = max(record.last_at, record.trial_at) + pauses_s[trial] - now
         else:
-            pause_left_s = max(0.1, record.last_at + REMEMBERED_S - now)
-        return Verdict(Standing.QUARANTINED, max(0.0, pause_left_s), ends)
+            left_s = max(0.1, record.last_at + REMEMBERED_S - now)
+        return Verdict(
+            Standing.QUARANTINED,
+            max(0.0, left_s),
+            ends,
+            wary=-left_s < WARY_S,
+            overdue_s=max(0.0, -left_s),
+        )
 
     def begin_trial(self, fingerprint: Fingerprint, *, now: float) -> None:
         """Notes that one run is let through; the next waits for a pause again."""
         self._records[fingerprint].trial_at = now
 
+    def give_back_trial(self, fingerprint: Fingerprint) -> None:
+        """Notes that the run that was let through has not come about, or was cut."""
+        if fingerprint in self._records:
+            self._records[fingerprint].trial_at = float("-inf")
+
     def told(self, *, now: float) -> tuple[ToldEnd, ...]:
         """Returns what to tell an instance that may know nothing of it."""
         self.forget_old(now)
-        records = sorted(self._records.items(), key=lambda item: -len(item[1].ends))
+        records = sorted(self._records.items(), key=lambda item: -item[1].weight)
         return tuple(
             ToldEnd.of(fingerprint, end, now=now)
             for fingerprint, record in records[:MOST_TOLD]
@@ -306,6 +347,11 @@
         """Returns the ends of upstreams under a request."""
         return list(self._records.get(fingerprint, _Record()).ends)
 
+    def is_quarantined(self, fingerprint: Fingerprint) -> bool:
+        """Returns whether the ends under a request keep it from running."""
+        record = self._records.get(fingerprint)
+        return record is not None and record.quarantined
+
     def upstreams_of(self, fingerprint: Fingerprint) -> list[UpstreamId]:
         """Returns the upstreams that have ended under a request, in order."""
         return [end.upstream for end in self.ends_of(fingerprint)]
@@ -315,7 +361,7 @@
         return {
             fingerprint: len(record.ends)
             for fingerprint, record in self._records.items()
-            if record.weight >= _MOST_WEIGHT and now - record.last_at <= REMEMBERED_S
+            if record.quarantined and now - record.last_at <= REMEMBERED_S
         }
 
     # Bounds.
@@ -344,16 +390,14 @@
     def _drop_least(self) -> None:
         def weight(fingerprint: Fingerprint) -> tuple[int, float]:
             record = self._records[fingerprint]
-            return len(record.ends), record.last_at
+            return record.weight, record.last_at
 
         del self._records[min(self._records, key=weight)]
 
     def forget_old(self, now: float) -> None:
         """Drops what is too old to count."""
         for fingerprint, record in list(self._records.items()):
-            lasts_s = SUSPECT_S
-            if record.weight >= _MOST_WEIGHT:
-                lasts_s = REMEMBERED_S
+            lasts_s = REMEMBERED_S if record.quarantined else SUSPECT_S
             if record.ends and now - record.last_at > lasts_s:
                 del self._records[fingerprint]
         while len(self._void) > MOST_REQUESTS:
--- a/src/coppercleat/routing/_table.py
+++ b/src/coppercleat/routing/_table.py
@@ -73,7 +73,7 @@
         """Whether it is another life than before: the list does not tell."""
         return False
 
-    def steady_at(self, at: float) -> bool:
+    def was_steady(self, *, began: float, at: float) -> bool:
         """Whether it had lived for a while: it counts as steady, always."""
         return True
 
--- a/src/coppercleat/serving/_admission_queue.py
+++ b/src/coppercleat/serving/_admission_queue.py
@@ -17,6 +17,7 @@
 import attrs
 
 from coppercleat.ids import UpstreamId
+from coppercleat.quarantine import FREE, Verdict
 from coppercleat.serving._fleet_order import Patience, Place, Rank, Waiting
 from coppercleat.serving._placement import Nowhere, Placement
 from coppercleat.serving._upstream_state import UpstreamState
@@ -64,6 +65,7 @@
       serve_by: When it must be sent at the latest to be answered at all.
       begun: Whether a part of its answer has been sent: it is not refused any more.
       avoid: Upstreams that it must not be sent to.
+      verdict: Tells which others it should not be sent to, as things are.
       outcome: The upstream whose slot it got, or why there is none; None while it
         waits.
     """
@@ -74,6 +76,7 @@
     serve_by: float
     begun: bool = False
     avoid: Collection[UpstreamId] = ()
+    verdict: Verdict = FREE
     outcome: UpstreamState | Nowhere | TooLate | None = None
 
     def place(self, now: float) -> Place:
@@ -143,7 +146,7 @@
         open_slots: dict[tuple[str, frozenset[UpstreamId]], int] = {}
         left_open = False
         for waiter in sorted(self._waiting, key=lambda waiter: waiter.turn(now)):
-            service, asked = waiter.service, (waiter.service, frozenset(waiter.avoid))
+            service, asked = waiter.service, self._asked(waiter, now)
             if asked not in open_slots:
                 open_slots[asked] = self._open(waiter, now)
             ahead = elsewhere[service].ahead(waiter.place(now))
@@ -191,7 +194,7 @@
         if before < slots and self._patience.overdue(now):
             self._patience.reset()
             return self._slot(waiter, self._rng.randrange(slots), now)
-        if not self.placement.serves(waiter.service, avoid=waiter.avoid):
+        if not self.placement.serves(waiter.service, avoid=self._avoid(waiter, now)):
             return Nowhere(f"no upstream serves {waiter.service}")
         if now > self._serve_by(waiter):
             return TooLate("no slot came free in time", RETRY_AFTER_S)
@@ -202,7 +205,7 @@
     def _queue_upstream(self, waiter: Waiter, now: float) -> UpstreamState | None:
         """Returns an upstream at which a late request may wait, if there is one."""
         chosen = self.placement.choose_online(
-            waiter.service, tried=waiter.avoid, now=now
+            waiter.service, tried=self._avoid(waiter, now), now=now
         )
         if isinstance(chosen, Nowhere) or not self._may_queue(chosen, now):
             return None
@@ -216,16 +219,32 @@
     def _slot(self, waiter: Waiter, number: int, now: float) -> UpstreamState:
         if number == 0:
             chosen = self.placement.choose_online(
-                waiter.service, tried=waiter.avoid, now=now
+                waiter.service, tried=self._avoid(waiter, now), now=now
             )
             if isinstance(chosen, UpstreamState) and now >= chosen.full_until:
                 return chosen
         return self.placement.choose_open_slot(
-            waiter.service, number, avoid=waiter.avoid, now=now
+            waiter.service, number, avoid=self._avoid(waiter, now), now=now
         )
 
+    def _asked(self, waiter: Waiter, now: float) -> tuple[str, frozenset[UpstreamId]]:
+        """Returns what decides which slots are open to a request."""
+        return waiter.service, frozenset(self._avoid(waiter, now))
+
+    def _avoid(self, waiter: Waiter, now: float) -> Collection[UpstreamId]:
+        """Returns where a request must not be sent now.
+
+        What was unsteady may be so no more, and what was steady may be gone.
+        """
+        if not waiter.verdict.ends:
+            return waiter.avoid
+        unsteady = self.placement.to_avoid(waiter.verdict, waiter.service, now=now)
+        return unsteady | set(waiter.avoid)
+
     def _open(self, waiter: Waiter, now: float) -> int:
-        return self.placement.open_slots(waiter.service, avoid=waiter.avoid, now=now)
+        return self.placement.open_slots(
+            waiter.service, avoid=self._avoid(waiter, now), now=now
+        )
 
     # Who is refused.
 
--- a/src/coppercleat/serving/_forwarding.py
+++ b/src/coppercleat/serving/_forwarding.py
@@ -8,7 +8,7 @@
 import trio
 
 from coppercleat.observability import part_logger
-from coppercleat.quarantine import WARY_ENDS, EndWatch, Standing, Verdict, shown
+from coppercleat.quarantine import EndWatch, Standing, Verdict, shown
 from coppercleat.serving._admission import Admission
 from coppercleat.serving._admission_queue import TooLate, Waiter
 from coppercleat.serving._answer_use import Unfit, use_of
@@ -49,6 +49,13 @@
 
 _REFUSALS = frozenset({NextStep.REFUSE_AS_NOT_RUN})
 
+_BARRED = {
+    Standing.HELD: "upstreams may have ended while they ran this request",
+    Standing.UNSTEADY: "{ends} upstreams ended while they ran this request, and those "
+    "that are left have just started",
+    Standing.QUARANTINED: "{ends} upstreams ended while they ran this request",
+}
+
 _log = part_logger("forward")
 
 
@@ -128,9 +135,12 @@
             verdict = self.end_watch.verdict(exchange.request)
             if not verdict.may_run:
                 return self._bar(exchange, verdict)
-            waiter = self._waiter(exchange, ends=verdict.ends)
+            if exchange.progress.started:
+                # Its client waits in the middle of the answer.
+                verdict = attrs.evolve(verdict, wary=False)
+            waiter = self._waiter(exchange, verdict)
             if self._waits_for_steady(exchange, waiter, verdict):
-                return self._bar(exchange, self._held(waiter, verdict))
+                return self._bar(exchange, self._until_steady(waiter, verdict))
             began = trio.current_time()
             async with self.admission.slot(waiter) as slot:
                 exchange.waited_s += trio.current_time() - began
@@ -159,35 +169,26 @@
         self, exchange: Exchange, waiter: Waiter, verdict: Verdict
     ) -> bool:
         """Returns whether only upstreams are left that have just started."""
-        if verdict.ends < WARY_ENDS:
+        if not verdict.wary:
             return False
-        serves = self.placement.serves
-        return serves(waiter.service, avoid=exchange.tried) and not serves(
-            waiter.service, avoid=waiter.avoid
-        )
+        serves, now = self.placement.serves, trio.current_time()
+        service, tried = waiter.service, exchange.tried
+        avoid = tried | self.placement.to_avoid(verdict, service, now=now)
+        return serves(service, avoid=tried) and not serves(service, avoid=avoid)
 
-    def _held(self, waiter: Waiter, verdict: Verdict) -> Verdict:
+    def _until_steady(self, waiter: Waiter, verdict: Verdict) -> Verdict:
         wait_s = self.placement.steady_in_s(waiter.service, now=trio.current_time())
-        return Verdict(Standing.HELD, max(NOWHERE_RETRY_S, wait_s), verdict.ends)
+        return Verdict(Standing.UNSTEADY, max(NOWHERE_RETRY_S, wait_s), verdict.ends)
 
     def _bar(self, exchange: Exchange, verdict: Verdict) -> NextStep:
         """Ends a request that has ended its upstreams, or may have."""
-        exchange.reason = (
-            f"{verdict.ends} upstreams ended while they ran this request"
-            if verdict.standing is Standing.QUARANTINED
-            else "upstreams may have ended while they ran this request, or just started"
-        )
+        exchange.reason = _BARRED[verdict.standing].format(ends=verdict.ends)
         exchange.retry_after_s = verdict.retry_after_s
         self.end_watch.on_barred(verdict.standing.value)
         return exchange.progress.give_up()
 
-    def _waiter(self, exchange: Exchange, *, ends: int) -> Waiter:
-        """Returns the request as the queue for slots sees it.
-
-        Args:
-          exchange: The request.
-          ends: Upstreams that have ended under it.
-        """
+    def _waiter(self, exchange: Exchange, verdict: Verdict) -> Waiter:
+        """Returns the request as the queue for slots sees it."""
         route = exchange.route
         service = self.placement.draw_service(route.targets)
         if not exchange.progress.tries:
@@ -204,8 +205,8 @@
             on_time_by=due_at - (times.lead_s if streams else times.service_s),
             serve_by=exchange.ends_at - times.service_s,
             begun=exchange.progress.started,
-            avoid=exchange.tried
-            | self.placement.to_avoid(ends, service, now=trio.current_time()),
+            avoid=exchange.tried,
+            verdict=verdict,
         )
 
     async def _attempt(self, exchange: Exchange, state: UpstreamState) -> AttemptEnd:
@@ -322,8 +323,14 @@
         ):
             fingerprint = exchange.request.fingerprint
             self.end_watch.broke_off(
-                fingerprint, state, began=exchange.sent_at, silent=exchange.silent
+                fingerprint,
+                state,
+                began=exchange.sent_at,
+                silent=exchange.silent,
+                moved_on_s=exchange.heard_at - exchange.sent_at,
             )
+        if end is AttemptEnd.NOT_RUN:
+            self.end_watch.not_run(exchange.request)
         if attempt.state is AttemptState.QUEUED:
             state.failed(now, reached=False)
             self.end_watch.unreachable(state)
--- a/src/coppercleat/serving/_placement.py
+++ b/src/coppercleat/serving/_placement.py
@@ -8,7 +8,7 @@
 import msgspec
 
 from coppercleat.ids import InstanceId, UpstreamId, ZoneId
-from coppercleat.quarantine import WARY_ENDS, End
+from coppercleat.quarantine import End, Verdict
 from coppercleat.serving._demand import Demand
 from coppercleat.serving._fleet_order import FleetOrder
 from coppercleat.serving._model import Route, Target, Upstream
@@ -131,11 +131,22 @@
                 state.upstream = upstream
         return gone
 
-    def note_end(self, end: End) -> None:
-        """Notes that an upstream has ended, as found here or told by others."""
+    def note_end(self, end: End, run_began: float) -> None:
+        """Notes that an upstream has ended, as found here or told by others.
+
+        Args:
+          end: Its end.
+          run_began: When a run began that met it.
+        """
+        state = self.states.get(end.upstream)
+        if state is not None:
+            self.steadiness.note_end(state, end, run_began=run_began)
+
+    def take_back_end(self, end: End) -> None:
+        """Notes that an upstream that seemed to have ended lives on."""
         state = self.states.get(end.upstream)
         if state is not None:
-            self.steadiness.note_end(state, end)
+            self.steadiness.take_back_end(state)
 
     def observe_results(self, results: Iterable[AttemptResults], *, now: float) -> None:
         """Takes how a peer's attempts ended."""
@@ -216,21 +227,26 @@
         """Returns whether a service has any upstream that is not leaving."""
         return any(state.id not in avoid for state in self._usable(service))
 
-    def to_avoid(self, ends: int, service: str, *, now: float) -> set[UpstreamId]:
+    def to_avoid(
+        self, verdict: Verdict, service: str, *, now: float
+    ) -> set[UpstreamId]:
         """Returns upstreams to which a request is not to be sent after ends under it.
 
         They have just started, or end again and again: if they end under it as well,
-        nobody knows for what. After one end it goes there if nothing else is left.
+        nobody knows for what. If it need not be wary it goes there if nothing else is
+        left.
 
         Args:
-          ends: Upstreams that have ended under the request.
+          verdict: On the request.
           service: The service that takes it.
           now: Seconds on this instance's clock.
         """
-        if not ends:
+        if not verdict.ends:
             return set()
-        unsteady = {s.id for s in self.states.values() if now < s.steady_from}
-        if ends >= WARY_ENDS or self.serves(service, avoid=unsteady):
+        usable = list(self._usable(service))
+        unsteady = {state.id for state in usable if now < state.steady_from}
+        others = (state for state in usable if state.id not in unsteady)
+        if verdict.wary or any(state.health.may_try(now) for state in others):
             return unsteady
         return set()
 
@@ -281,6 +297,8 @@
         avoid: Collection[UpstreamId],
         now: float,
         ahead: int = 0,
+        shun: Collection[UpstreamId] = (),
+        apart: Collection[UpstreamId] = (),
     ) -> UpstreamState | Nowhere:
         """Chooses for a batch item: an upstream with more free slots than a reserve.
 
@@ -290,6 +308,8 @@
           avoid: Upstreams not to be used now.
           now: Seconds on this instance's clock.
           ahead: How many others wait for a slot before the item.
+          shun: Upstreams whose slots are free for others, and not for this item.
+          apart: Upstreams that it takes only if there is no other.
         """
         service = self.draw_service(route.targets)
         free = {
@@ -307,7 +327,10 @@
             return Nowhere(f"online requests will take what is free at {service}")
         if left <= ahead:
             return Nowhere(f"{ahead} wait before at {service}", waits=True)
-        states = [self.states[upstream] for upstream in free]
+        open_to = free.keys() - set(shun)
+        if not open_to:
+            return Nowhere(f"no steady upstream of {service} has a free slot")
+        states = [self.states[upstream] for upstream in open_to - set(apart) or open_to]
         return min(states, key=lambda state: self._batch_cost(state, now))
 
     def _online_headroom(self, service: str, now: float) -> int:
--- a/src/coppercleat/serving/_steadiness.py
+++ b/src/coppercleat/serving/_steadiness.py
@@ -27,8 +27,8 @@
 RECENT_S = 30.0
 """Ends that are older tell nothing of an upstream."""
 
-_MOST_KEPT = 8
-_MOST_ADDRESSES = 2048
+_MOST_KEPT = 64
+"""Short lives of a service that are kept, the last ones."""
 
 
 @attrs.frozen
@@ -37,7 +37,7 @@
 
     Attributes:
       ended_at: In seconds of this instance's clock.
-      lasted_s: Infinite if its start is unknown.
+      lasted_s: How long it was, at most ``SHORT_LIFE_S``.
     """
 
     ended_at: float
@@ -45,7 +45,10 @@
 
 
 class Steadiness:
-    """Lives of upstreams by address, since most start again under another id."""
+    """Short lives by service.
+
+    Its upstreams run the same, and most are back under other ids and addresses.
+    """
 
     def __init__(self) -> None:
         self._lives: dict[str, list[_Life]] = {}
@@ -60,21 +63,35 @@
         state.since = at
         state.steady_from = self._steady_from(state)
 
-    def note_end(self, state: UpstreamState, end: End) -> None:
-        """Notes an end, which several may tell of."""
+    def note_end(self, state: UpstreamState, end: End, *, run_began: float) -> None:
+        """Notes an end, which several may tell of, and some notice late.
+
+        Args:
+          state: The upstream.
+          end: Its end.
+          run_began: When a run began that met it.
+        """
         at = end.at
-        if abs(at - state.ended_at) < SAME_END_S:
-            return
+        if run_began <= state.ended_at or at < state.ended_at + SAME_END_S:
+            return  # It is known, or older than what is.
         if state.upstream.is_same_life(end.born_ms) is False:
             # Of which the start is no longer known: the next life is listed already.
-            self._keep(state, _Life(at, float("inf")))
             return
         self._keep(state, _Life(at, at - state.since))
-        state.was_steady = state.steady_at(at)
+        state.ended_steady = at >= state.steady_from
         # The list may lag, or tell of no other life.
+        state.before_end = (state.since, state.steady_from)
         state.ended_at = state.since = at
         state.steady_from = max(state.steady_from, self._steady_from(state))
 
+    def take_back_end(self, state: UpstreamState) -> None:
+        """Notes that an upstream that seemed to have ended last lives on."""
+        if state.since == state.ended_at > float("-inf"):
+            state.since, state.steady_from = state.before_end
+            lives = self._lives.get(state.upstream.service, [])
+            lives[:] = [life for life in lives if life.ended_at != state.ended_at]
+            state.ended_at = float("-inf")
+
     def note_gone(self, state: UpstreamState, now: float | None) -> None:
         """Notes the end of one that the list shows no longer, if nobody found it.
 
@@ -87,19 +104,17 @@
             self._keep(state, _Life(now, now - state.since))
 
     def _keep(self, state: UpstreamState, life: _Life) -> None:
-        known = self._lives.setdefault(state.upstream.address, [])
-        if any(abs(life.ended_at - other.ended_at) < SAME_END_S for other in known):
+        if life.lasted_s > SHORT_LIFE_S:
             return
+        known = self._lives.setdefault(state.upstream.service, [])
         known.append(life)
         del known[:-_MOST_KEPT]
-        while len(self._lives) > _MOST_ADDRESSES:
-            del self._lives[next(iter(self._lives))]
 
     def _steady_from(self, state: UpstreamState) -> float:
         short = [
             life.lasted_s
-            for life in self._lives.get(state.upstream.address, ())
-            if state.since - life.ended_at < RECENT_S and life.lasted_s <= SHORT_LIFE_S
+            for life in self._lives.get(state.upstream.service, ())
+            if state.since - life.ended_at < RECENT_S
         ]
         longest_s = OUTLIVED * max(short, default=0.0)
         return state.since + min(MOST_STEADY_S, max(STEADY_S, longest_s))
--- a/src/coppercleat/serving/_upstream_state.py
+++ b/src/coppercleat/serving/_upstream_state.py
@@ -38,7 +38,8 @@
       since: When this life of it began, as seen here; minus infinity if unknown.
       ended_at: When it was last found to have ended under this id.
       steady_from: From when on it counts as steady: see ``Steadiness``.
-      was_steady: Whether it was when it last ended.
+      ended_steady: Whether it was when it last ended.
+      before_end: ``since`` and ``steady_from`` as they were before that.
     """
 
     upstream: Upstream
@@ -56,7 +57,8 @@
     since: float = float("-inf")
     ended_at: float = float("-inf")
     steady_from: float = float("-inf")
-    was_steady: bool = True
+    ended_steady: bool = True
+    before_end: tuple[float, float] = (float("-inf"), float("-inf"))
 
     @property
     def id(self) -> UpstreamId:
@@ -78,10 +80,17 @@
         """Whether it leaves, or has left, as planned."""
         return self.upstream.draining or (self.gone and not self.restarted)
 
-    def steady_at(self, at: float) -> bool:
-        """Returns whether it was steady then; for its end, whether it had been."""
-        if abs(at - self.ended_at) < SAME_END_S:
-            return self.was_steady
+    def was_steady(self, *, began: float, at: float) -> bool:
+        """Returns whether it was steady when it ended under a run.
+
+        The end may be known already, of another run, or noticed late.
+
+        Args:
+          began: When the run began, in trio's time.
+          at: When it broke off.
+        """
+        if began <= self.ended_at or at - self.ended_at < SAME_END_S:
+            return self.ended_steady
         return at >= self.steady_from
 
     @property
