--- /dev/null
+++ b/tests/features/steps/kept_at_door_steps.py
@@ -0,0 +1,96 @@
+"""Courses in which the product's own door may keep online requests from running."""
+
+import random
+
+from coppercleat.limits import (
+    Admission,
+    Admitted,
+    Request,
+    RetryBudget,
+    TenantLimiter,
+    TenantLimits,
+)
+from coppercleat.routing import Choice, UpstreamRecord, Wanted, choose
+from coppercleat.storage import Node, NodeRole
+from coppercleat.upstreams import LoadReport
+from tests.harness import course, first_time
+
+ONLINE = "an online request"
+
+
+def make_record():
+    node = Node(
+        id="x",
+        role=NodeRole.ENGINE,
+        zone="a",
+        region="r",
+        address="10.0.0.1:1",
+        service="menus",
+    )
+    return UpstreamRecord(node=node, first_seen=-100.0)
+
+
+def chosen(record, now):
+    wanted = Wanted(service="menus")
+    rng = random.Random(1)
+    found = choose(wanted, [record], zone="a", now=now, rng=rng)
+    return isinstance(found, Choice)
+
+
+@course("3 failures in a row of an engine", ONLINE)
+def engine_failures():
+    record = make_record()
+    for _ in range(3):
+        record.health.failed(0.0)
+    return first_time(lambda now: chosen(record, now))
+
+
+@course("no report of an engine for 10 s that reports again", ONLINE)
+def engine_unheard():
+    record = make_record()
+    for number in range(40):
+        at = -10 + number / 4
+        # Requests come all the while, each a trial that may be due.
+        chosen(record, at)
+        record.health.failed(at)
+    return first_time(
+        lambda now: chosen(record, now),
+        meanwhile=lambda now: record.observe_report(LoadReport(versions=["v1"]), now),
+    )
+
+
+@course("20 retries at once", "an online request's retry")
+def retries_spent():
+    budget = RetryBudget(ratio=0.1, now=0.0)
+    while budget.grant(0.0):
+        pass
+    return first_time(budget.grant)
+
+
+@course("one request a second before at 1 of 63 instances", "one of an account of 5/s")
+def account_share():
+    limiter, limits = TenantLimiter(), TenantLimits(rate=5.0)
+
+    def let_in(now):
+        found = limiter.enter("account", limits, instances=63, now=now)
+        return isinstance(found, Admitted)
+
+    while let_in(-1.0):
+        pass
+    return first_time(let_in)
+
+
+@course("answers of 0.15 s a token that were the last", "one of 50 tokens")
+def slow_tokens():
+    record, door = make_record(), Admission(max_in_flight=10)
+    record.first_token_s, record.token_s = 0.2, 0.15
+    request = Request(tokens=50, allowed_s=5.0)
+
+    def let_in(now):
+        # Only answers change these, and none comes while all are refused.
+        found = door.decide(
+            request, first_token_s=record.first_token_s, token_s=record.token_s
+        )
+        return isinstance(found, Admitted)
+
+    return first_time(let_in)
--- a/tests/harness/__init__.py
+++ b/tests/harness/__init__.py
@@ -21,6 +21,18 @@
     make_worker,
     submission,
 )
+from tests.harness._kept_jobs import JOB_ROUTE, LONGEST_S, RUN_S, job_course
+from tests.harness._kept_work import (
+    COURSES,
+    NEVER,
+    Door,
+    course,
+    first_moment,
+    first_time,
+    in_no_time,
+    item_may_go,
+    make_placement,
+)
 from tests.harness._links import (
     Relay,
     RelayedFleet,
@@ -32,16 +44,22 @@
 from tests.harness._processes import Process, free_port, until
 
 __all__ = [
+    "COURSES",
     "HOST",
     "JOBS",
+    "JOB_ROUTE",
+    "LONGEST_S",
     "LOOK_S",
+    "NEVER",
     "ONCE",
     "PLAIN",
     "PREFIX",
     "RESUMABLE",
+    "RUN_S",
     "STREAM",
     "Answer",
     "Deployment",
+    "Door",
     "Fleet",
     "Gateways",
     "JobPlay",
@@ -50,9 +68,16 @@
     "RelayedFleet",
     "SimulatedLinks",
     "accept_job",
+    "course",
     "draw_plan",
+    "first_moment",
+    "first_time",
     "free_port",
+    "in_no_time",
+    "item_may_go",
+    "job_course",
     "make_peers",
+    "make_placement",
     "make_repository",
     "make_route",
     "make_worker",
--- a/tests/harness/_job_play.py
+++ b/tests/harness/_job_play.py
@@ -21,6 +21,7 @@
 from coppercleat.jobs import ItemRunner, ItemState, JobIndex, JobRepository, JobWorker
 from coppercleat.serving import (
     Placement,
+    Route,
     RouteConfig,
     RouteTable,
     UpstreamAnswer,
@@ -97,15 +98,20 @@
 
 
 class View:
-    """The store as one instance reaches it."""
+    """The store as one instance reaches it.
+
+    Attributes:
+      takes_s: Seconds that each call takes.
+    """
 
     def __init__(self, memory: MemoryPlatform, nursery: trio.Nursery) -> None:
+        self.takes_s = 0.002
         self.memory = memory
         self.nursery = nursery
         self.trouble: list[str] = []
 
     async def _reach(self) -> None:
-        await trio.sleep(0.002)
+        await trio.sleep(self.takes_s)
         if "away" in self.trouble:
             raise PlatformUnavailableError("away")
         if "silent" in self.trouble:
@@ -184,7 +190,15 @@
       calls: Clients' calls that it has not answered.
     """
 
-    def __init__(self, number: int, start: int, view: View) -> None:
+    def __init__(
+        self,
+        number: int,
+        start: int,
+        view: View,
+        *,
+        caller: Any = None,
+        route: Route | None = None,
+    ) -> None:
         rng = random.Random(f"{number} {start}")
         placement = Placement(ZoneId("a"), rng=rng)
         settings = node_settings(f"i-{number}", "a")
@@ -198,12 +212,14 @@
         repository = JobRepository(view, clock=clock, rng=rng)
         items = ItemRunner(
             placement,
-            FiveEvents(),
+            caller or FiveEvents(),
             instance=settings.instance,
             on_change=lambda state, started: None,
             on_end=lambda outcome: None,
         )
-        config = RouteConfig(version=1, routes=(make_route(retention_s=600.0),))
+        self.route = route or make_route(retention_s=600.0)
+        self.placement = placement
+        config = RouteConfig(version=1, routes=(self.route,))
         self.worker = JobWorker(
             repository,
             self.index,
