--- a/tests/features/kept_from_running.feature
+++ b/tests/features/kept_from_running.feature
@@ -9,28 +9,30 @@
     Then after <evidence>: <work> may go at <most> s at the latest
 
     Examples: the upstream is well from the last sign against it on
-      | evidence                                                         | work              | most |
-      | 3 failures in a row at the only upstream                         | an item           | 13   |
-      | 3 failures in a row at the only upstream                         | an online request | 4    |
-      | a connection that the only upstream refused 5 times              | an item           | 13   |
-      | a connection that the only upstream refused 5 times              | an online request | 4    |
-      | failures of an hour ago and one of now                           | an item           | 13   |
-      | failures of an hour ago and one of now                           | an online request | 4    |
-      | ends of 8 runs, one by one, at the only upstream                 | an item           | 13   |
-      | ends of 8 runs, one by one, at the only upstream                 | an online request | 4    |
-      | a trial at the only upstream that goes on for 5 s                | an item           | 13   |
-      | a trial at the only upstream that goes on for 5 s                | an online request | 4    |
-      | silences that began at 3 moments                                 | an item           | 13   |
-      | silences that began at 3 moments                                 | an online request | 4    |
-      | a share of failures at all upstreams                             | an item           | 13   |
-      | a share of failures at all upstreams                             | an online request | 4    |
-      | an answer that the only upstream is full                         | an item           | 13   |
-      | an answer that the only upstream is full                         | an online request | 4    |
-      | a start of this instance, before any upstream was asked          | an item           | 13   |
-      | a start of this instance, before any upstream was asked          | an online request | 4    |
-      | an answer that the upstream is full                              | an item's run     | 13   |
-      | a run that broke off                                             | an item           | 13   |
-      | answers with an error status to a request that comes every 0.5 s | an item           | 13   |
+      | evidence                                                                | work                 | most |
+      | 3 failures in a row at the only upstream                                | an item              | 13   |
+      | 3 failures in a row at the only upstream                                | an online request    | 4    |
+      | a connection that the only upstream refused 5 times                     | an item              | 13   |
+      | a connection that the only upstream refused 5 times                     | an online request    | 4    |
+      | failures of an hour ago and one of now                                  | an item              | 13   |
+      | failures of an hour ago and one of now                                  | an online request    | 4    |
+      | ends of 8 runs, one by one, at the only upstream                        | an item              | 13   |
+      | ends of 8 runs, one by one, at the only upstream                        | an online request    | 4    |
+      | a trial at the only upstream that goes on for 5 s                       | an item              | 13   |
+      | a trial at the only upstream that goes on for 5 s                       | an online request    | 4    |
+      | silences that began at 3 moments                                        | an item              | 13   |
+      | silences that began at 3 moments                                        | an online request    | 4    |
+      | a share of failures at all upstreams                                    | an item              | 13   |
+      | a share of failures at all upstreams                                    | an online request    | 4    |
+      | an answer that the only upstream is full                                | an item              | 13   |
+      | an answer that the only upstream is full                                | an online request    | 4    |
+      | a start of this instance, before any upstream was asked                 | an item              | 13   |
+      | a start of this instance, before any upstream was asked                 | an online request    | 4    |
+      | an answer that the upstream is full                                     | an item's run        | 13   |
+      | a run that broke off                                                    | an item              | 13   |
+      | answers with an error status to a request that comes every 0.5 s        | an item              | 13   |
+      | a failure of its own while a fifth of all requests fail                 | an item              | 13   |
+      | a failure of another item of its job while a fifth of all requests fail | the last of 10 items | 13   |
 
   Scenario Outline: Slots that seem taken: <evidence>, <work>
     Then after <evidence>: <work> may go at <most> s at the latest
