--- a/tests/features/kept_from_running.feature
+++ b/tests/features/kept_from_running.feature
@@ -35,6 +35,8 @@
       | a failure of another item of its job while a fifth of all requests fail | the last of 10 items | 13   |
       | a 421 of the only upstream that is listed elsewhere 0.5 s later         | an item              | 13   |
       | a 421 of the only upstream that is listed elsewhere 0.5 s later         | an online request    | 4    |
+      | a 421 of the only upstream that stays listed                            | an item              | 13   |
+      | a 421 of the only upstream that stays listed                            | an online request    | 4    |
 
   Scenario Outline: Slots that seem taken: <evidence>, <work>
     Then after <evidence>: <work> may go at <most> s at the latest
