--- a/tests/features/kept_from_running.feature
+++ b/tests/features/kept_from_running.feature
@@ -37,6 +37,8 @@
       | a 421 of the only upstream that is listed elsewhere 0.5 s later         | an online request    | 4    |
       | a 421 of the only upstream that stays listed                            | an item              | 13   |
       | a 421 of the only upstream that stays listed                            | an online request    | 4    |
+      | a connection refused for 0.3 s while all else is full                   | an online request    | 4    |
+      | a connection that broke while all else is full                          | an online request    | 4    |
 
   Scenario Outline: Slots that seem taken: <evidence>, <work>
     Then after <evidence>: <work> may go at <most> s at the latest
