--- a/tests/features/kept_from_running.feature
+++ b/tests/features/kept_from_running.feature
@@ -73,6 +73,7 @@
       | word of 100 that wait elsewhere for a second                     | an online request      | 4    |
       | a second in which 200 requests come that never come again        | an online request      | 4    |
       | one answer of its route that took 4.9 s while other routes' wait | an online request      | 4    |
+      | word of 400 online requests a second that take 5 ms each         | an item                | 13   |
 
   Scenario Outline: Owners and leases: <evidence>, <work>
     Then after <evidence>: <work> may go at <most> s at the latest
