--- a/tests/features/kept_from_running.feature
+++ b/tests/features/kept_from_running.feature
@@ -87,8 +87,9 @@
       | a loss of power of its owner and 4 of 5 others       | an item                        | 13   |
       | a loss of power of its owner among 66                | an item                        | 13   |
       | an acceptance by an instance without a lease         | an item                        | 13   |
-      | an acceptance where the last of 6 in line may start    | an item                       | 13   |
+      | an acceptance where the last of 6 in line may start  | an item                        | 13   |
       | tokens of a job that was done at another instance    | a job                          | 13   |
+      | a loss of power of its owner and calls of 1 s        | an item                        | 13   |
 
   Scenario Outline: Several together: <evidence>, <work>
     Then after <evidence>: <work> may go at <most> s at the latest
