--- a/tests/features/kept_from_running.feature
+++ b/tests/features/kept_from_running.feature
@@ -90,6 +90,7 @@
       | an acceptance where the last of 6 in line may start  | an item                        | 13   |
       | tokens of a job that was done at another instance    | a job                          | 13   |
       | a loss of power of its owner and calls of 1 s        | an item                        | 13   |
+      | a loss of power of its owner among 720               | an item                        | 13   |
 
   Scenario Outline: Several together: <evidence>, <work>
     Then after <evidence>: <work> may go at <most> s at the latest
