--- a/tests/features/kept_from_running.feature
+++ b/tests/features/kept_from_running.feature
@@ -104,6 +104,7 @@
     Then after <evidence>: <work> may go at <most> s at the latest
 
     Examples:
-      | evidence                         | work                      | most |
-      | 3 failures in a row of an engine | an online request         | 4    |
-      | 20 retries at once               | an online request's retry | 4    |
+      | evidence                                           | work                      | most |
+      | 3 failures in a row of an engine                   | an online request         | 4    |
+      | 20 retries at once                                 | an online request's retry | 4    |
+      | no report of an engine for 10 s that reports again | an online request         | 4    |
