--- a/tests/features/kept_from_running.feature
+++ b/tests/features/kept_from_running.feature
@@ -109,3 +109,4 @@
       | 20 retries at once                                 | an online request's retry | 4    |
       | no report of an engine for 10 s that reports again | an online request         | 4    |
       | one request a second before at 1 of 63 instances   | one of an account of 5/s  | 4    |
+      | answers of 0.15 s a token that were the last       | one of 50 tokens          | 4    |
