--- a/src/coppercleat/serving/_placement.py
+++ b/src/coppercleat/serving/_placement.py
@@ -187,6 +187,9 @@
                     # What was in flight there ended with it; its failures were its own.
                     state.gone = state.restarted = True
             else:
+                if state.upstream.address != upstream.address:
+                    # What was found to be gone was gone from the address of before.
+                    state.gone = False
                 state.upstream = upstream
         return gone
 
