--- a/src/coppercleat/serving/_placement.py
+++ b/src/coppercleat/serving/_placement.py
@@ -128,6 +128,9 @@
                 if started_at is not None:
                     self.steadiness.begin(self.states[upstream.id], started_at)
             else:
+                if state.upstream.address != upstream.address:
+                    # What was found to be gone was gone from the address of before.
+                    state.gone = False
                 state.upstream = upstream
         return gone
 
