--- a/bench/soak.py
+++ b/bench/soak.py
@@ -31,6 +31,7 @@
 import httpcore
 import trio
 
+from bench._soak_flaps import FLAPS, Flaps
 from coppercleat.errors import CoppercleatError
 from tests.harness import JOBS, ONCE, PLAIN, RESUMABLE, STREAM, Answer, Gateways
 
@@ -92,20 +93,27 @@
     """One seed's play.
 
     Attributes:
-      ends: Whether runners end, some of them under a request that comes again.
+      ends: Whether runners end.
+      flaps: What is played if they end again and again; None if they do not.
+      deadly: Whether some end under a request that comes again.
       killed: Runners that were killed.
       problems: Broken promises, in words.
       told: Clients' calls about jobs and the faults, with their times.
     """
 
-    def __init__(self, seed: int, *, length_s: float, ends: bool = False) -> None:
+    def __init__(
+        self, seed: int, *, length_s: float, ends: bool = False, flaps: bool = False
+    ) -> None:
         self.seed = seed
-        self.ends = ends
-        self.faults = FAULTS | (ENDS if ends else {})
+        self.ends = ends or flaps
+        self.faults = FAULTS | (ENDS if self.ends else {}) | (FLAPS if flaps else {})
         self.killed = 0
         self.length_s = length_s
         self.rng = random.Random(seed)
-        self.fleet = Gateways(gateways=4, runners=3, proxied=True)
+        self.flaps = Flaps(self) if flaps else None
+        self.deadly = self.flaps.deadly if self.flaps else ends
+        runners = self.flaps.runners if self.flaps else 3
+        self.fleet = Gateways(gateways=4, runners=runners, proxied=True)
         self.answers: dict[str, tuple[str, Answer | None]] = {}
         self.jobs: list[Job] = []
         self.done: list[str] = []
@@ -130,12 +138,19 @@
 
     async def _play(self) -> None:
         knobs = {"events": EVENTS, "event_s": 0.02}
-        if self.ends:
+        after_s = 1.0
+        if self.flaps:
+            knobs["event_s"] = self.flaps.event_s
+            after_s = self.flaps.revived_after_s
+        if self.deadly:
             knobs["deadly"] = "deadly"
         for name in self.fleet.runners:
             await self.fleet.control(name, **knobs)
         async with trio.open_nursery() as nursery:
-            nursery.start_soon(partial(self.fleet.revive_forever, after_s=1.0, **knobs))
+            revive = partial(self.fleet.revive_forever, after_s=after_s, **knobs)
+            nursery.start_soon(revive)
+            if self.flaps:
+                nursery.start_soon(self.flaps.ask_forever)
             await self._play_and_check()
             nursery.cancel_scope.cancel()
 
@@ -147,9 +162,13 @@
             nursery.start_soon(self._submitter)
             nursery.start_soon(self._reader)
             nursery.start_soon(self._harm)
-            if self.ends:
+            if self.deadly:
                 nursery.start_soon(self._deadly_client)
+            if self.flaps:
+                nursery.start_soon(self.flaps.flap_once)
         await self._heal()
+        if self.flaps:
+            await self.flaps.watch_calm()
         for job in self.jobs:
             if job.accepted and not job.ended_at:
                 await self._whole(job)
@@ -602,12 +621,17 @@
     parser.add_argument("--seeds", default="", help="for example 1-50; else fresh ones")
     parser.add_argument("--length_s", type=float, default=15.0)
     parser.add_argument("--ends", action="store_true", help="runners end, too")
+    parser.add_argument(
+        "--flaps", action="store_true", help="they end again and again, too"
+    )
     options = parser.parse_args()
     fresh = random.SystemRandom().randrange(10_000, 1_000_000)
     first, _, last = (options.seeds or f"{fresh}-{fresh + 4}").partition("-")
     failed = 0
     for seed in range(int(first), int(last or first) + 1):
-        soak = Soak(seed, length_s=options.length_s, ends=options.ends)
+        soak = Soak(
+            seed, length_s=options.length_s, ends=options.ends, flaps=options.flaps
+        )
         soak.play()
         failed += bool(soak.problems)
         line = {
@@ -617,6 +641,8 @@
             "faults": collections.Counter(soak.done),
             "problems": soak.problems[:10],
         }
+        if soak.flaps:
+            line["seen"] = soak.flaps.seen
         print(json.dumps(line), flush=True)
     return 1 if failed else 0
 
--- a/tests/harness/_gateways.py
+++ b/tests/harness/_gateways.py
@@ -82,6 +82,7 @@
         self.linking = trio.Lock()
         self.silences = 0
         self.ended: list[tuple[float, str]] = []
+        self.exit_codes: list[int] = []
         self.reviving: set[str] = set()
         self.names = [f"gateway-{n + 1}" for n in range(gateways)]
         self.pauses: Pauses | None = None
@@ -255,6 +256,7 @@
                 for name in self.runners:
                     if not self.processes[name].running and name not in self.reviving:
                         self.ended.append((time.monotonic(), name))
+                        self.exit_codes.append(self.processes[name].wait())
                         self.reviving.add(name)
                         nursery.start_soon(self._revive, name, after_s, knobs)
                 await trio.sleep(0.005)
