--- a/tests/harness/__init__.py
+++ b/tests/harness/__init__.py
@@ -42,6 +42,7 @@
     roomy_upstream,
 )
 from tests.harness._processes import Process, free_port, until
+from tests.harness._word_play import WordPlay, draw_course
 
 __all__ = [
     "COURSES",
@@ -67,8 +68,10 @@
     "Relay",
     "RelayedFleet",
     "SimulatedLinks",
+    "WordPlay",
     "accept_job",
     "course",
+    "draw_course",
     "draw_plan",
     "first_moment",
     "first_time",
