--- /dev/null
+++ b/tests/features/ends_plays.feature
@@ -0,0 +1,27 @@
+Feature: Items of jobs are run to their end, whatever ends the upstreams
+
+  # A play is drawn whole from its seed: upstreams that flap or crash, hosts that refuse
+  # for a moment, words of ends that come late, twice or never, instances that stand
+  # still, are killed or cannot read rows, upstreams with births and without, jobs.
+  # In time is 12 s after the last upstream is back, at the latest.
+  Scenario Outline: Plays <first> to <last> without a deadly item, <instances> instances
+    When plays <first> to <last> are played by <instances> instances, <deadly> items deadly
+    Then every proper item is completed in time
+
+    Examples: on the code of before, 4 of the plays of the first row fail
+      | first | last | instances | deadly |
+      | 66    | 77   | 4         | 0      |
+      | 78    | 81   | 6         | 0      |
+      | 16    | 16   | 26        | 0      |
+
+  Scenario Outline: Plays <first> to <last>, <deadly> items end each upstream they run at
+    When plays <first> to <last> are played by <instances> instances, <deadly> items deadly
+    Then every proper item is completed in time
+    And each deadly item is listed as failed when its time is up
+    And none has ended more than 6 upstreams
+    And none has ended more than 3 before its first pause
+
+    Examples:
+      | first | last | instances | deadly |
+      | 0     | 3    | 4         | 1      |
+      | 5     | 8    | 5         | 1      |
--- /dev/null
+++ b/tests/features/steps/ends_play_steps.py
@@ -0,0 +1,35 @@
+"""Steps for plays of upstreams that end, each drawn whole from its seed."""
+
+from behave import then, when
+
+from tests.harness import PROMISES, EndsPlay, draw_ends_plan
+
+
+@when(
+    "plays {first:d} to {last:d} are played by {instances:d} instances, "
+    "{deadly:d} items deadly"
+)
+def play_all(context, first, last, instances, deadly):
+    context.broken = {}
+    for seed in range(first, last + 1):
+        play = EndsPlay(draw_ends_plan(seed, instances=instances, deadly=deadly))
+        play.play()
+        assert len(play.ended) == deadly, (seed, play.ended)
+        if play.problems:
+            context.broken[seed] = play.problems
+
+
+def promise_kept(kind):
+    def check(context):
+        broken = {
+            seed: [what for of_kind, what in problems if of_kind == kind]
+            for seed, problems in context.broken.items()
+        }
+        broken = {seed: words for seed, words in broken.items() if words}
+        assert not broken, broken
+
+    return check
+
+
+for kind, promise in PROMISES.items():
+    then(promise)(promise_kept(kind))
--- a/tests/harness/__init__.py
+++ b/tests/harness/__init__.py
@@ -1,5 +1,7 @@
 """Starts stand-ins and instances as processes, and looks at them."""
 
+from tests.harness._ends_plan import draw_ends_plan
+from tests.harness._ends_play import PROMISES, EndsPlay
 from tests.harness._fleet import Deployment, Fleet
 from tests.harness._gateways import (
     JOBS,
@@ -55,12 +57,14 @@
     "ONCE",
     "PLAIN",
     "PREFIX",
+    "PROMISES",
     "RESUMABLE",
     "RUN_S",
     "STREAM",
     "Answer",
     "Deployment",
     "Door",
+    "EndsPlay",
     "Fleet",
     "Gateways",
     "JobPlay",
@@ -72,6 +76,7 @@
     "accept_job",
     "course",
     "draw_course",
+    "draw_ends_plan",
     "draw_plan",
     "first_moment",
     "first_time",
--- /dev/null
+++ b/tests/harness/_ends_play.py
@@ -0,0 +1,362 @@
+"""Jobs while upstreams end, at several instances in one process, on a test's clock.
+
+A play is drawn whole from its seed before it begins: upstreams that flap or crash, one
+by one or a third of all at once, hosts that refuse for a moment, words of ends that
+come late, twice or never, instances that stand still, are killed or cannot read rows,
+jobs, and items that end each upstream that runs them. Instances are the real watch and
+keeper of ends, worker, starter and runner of items; store and upstreams are in memory.
+"""
+
+from __future__ import annotations
+
+import random
+from collections.abc import Iterable
+
+import trio
+
+from coppercleat.gateway import JobAnswer, JobService
+from coppercleat.ids import InstanceId, JobId, ZoneId
+from coppercleat.jobs import (
+    ItemRunner,
+    ItemSpec,
+    ItemState,
+    JobIndex,
+    JobRepository,
+    JobWorker,
+    Submission,
+)
+from coppercleat.quarantine import EndKeeper, EndWatch, KeptEnds
+from coppercleat.serving import Placement, RouteConfig, RouteTable, life_question
+from coppercleat.storage import MemoryPlatform
+from tests.harness._ends_plan import (
+    CALM_S,
+    Crash,
+    EndsPlan,
+    Flap,
+    Job,
+    Refusal,
+    Trouble,
+)
+from tests.harness._ends_upstreams import (
+    DEADLY_AFTER_S,
+    MemoryCaller,
+    MemoryUpstream,
+)
+from tests.harness._jobs import HOST, PREFIX, make_route
+from tests.harness._ordered import run_in_order
+from tests.harness._words import WAY_S, Words, awake
+
+DONE_S = 12.0
+"""So long after all is calm each proper item is completed."""
+
+DUE_S, RETENTION_S = 18.0, 60.0
+GIVEN_UP_S = RETENTION_S + 10.0 + 5.0
+"""A deadly item is listed as failed so long after its job was accepted: when its time
+is up, with a margin for clocks that differ."""
+
+MOST_ENDED, MOST_AT_FIRST, FIRST_PAUSE_S = 6, 3, 5.0
+"""Upstreams that a deadly item ends in all, and within its first pause."""
+
+PROMISES = {
+    "proper": "every proper item is completed in time",
+    "listed": "each deadly item is listed as failed when its time is up",
+    "all": "none has ended more than 6 upstreams",
+    "first": "none has ended more than 3 before its first pause",
+}
+DEAD_AFTER_S = 2.0
+LIST_EVERY_S, ROWS_EVERY_S, COUNTS_EVERY_S = 0.5, 1.0, 0.1
+ROUTE = make_route("R", retention_s=RETENTION_S, completion_target_s=DUE_S)
+
+
+class Instance:
+    """One start of an instance.
+
+    Attributes:
+      wakes_at: Until when words lie unread here and leave late.
+      reads_rows_at: From when on it can read rows.
+      kept: Its row, as far as it tells of ends.
+    """
+
+    def __init__(self, number: int, start: int, play: EndsPlay) -> None:
+        self.name, self.owner = f"i-{number}", f"i-{number}/{start}"
+        self.play = play
+        self.scope = trio.CancelScope()
+        self.wakes_at = self.reads_rows_at = 0.0
+        self.kept: tuple[KeptEnds, ...] = ()
+        rng = random.Random(f"{play.plan.seed} {number} {start}")
+        self.placement = Placement(ZoneId("a"), rng=rng)
+        self.watch = EndWatch(life_question(play.caller))
+        self.watch.on_ended = self.placement.note_end
+        self.keeper = EndKeeper(
+            self.watch.ledger,
+            clock=trio.current_time,
+            keeps=lambda fingerprint: number < 3,
+        )
+        self.index = JobIndex(play.memory)
+        self.items = ItemRunner(
+            self.placement,
+            play.caller,
+            instance=InstanceId(self.name),
+            on_change=lambda state, started: None,
+            on_end=lambda outcome: None,
+            end_watch=self.watch,
+        )
+        repository = JobRepository(play.memory, clock=trio.current_time, rng=rng)
+        table = RouteTable(RouteConfig(version=1, routes=(ROUTE,)))
+        self.worker = JobWorker(
+            repository,
+            self.index,
+            self.items,
+            owner=self.owner,
+            clock=trio.current_time,
+            routes=lambda: table,
+            owner_lives=lambda owner, since: owner in play.living(),
+            living=play.living,
+            holds_lease=lambda: True,
+            isolated=lambda: False,
+            pause_s=lambda: 0.4,
+            on_taken=lambda job: None,
+            on_commit=lambda outcome: None,
+        )
+        self.service = JobService(
+            repository,
+            self.index,
+            self.worker,
+            quota_tolerance=0.0,
+            on_submit=lambda outcome: None,
+        )
+
+    async def run(self) -> None:
+        """Works until it is killed."""
+        with self.scope:
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(self.watch.run)
+                nursery.start_soon(self.play.words.beat, self)
+                nursery.start_soon(self._read_list)
+                nursery.start_soon(self._read_rows)
+                nursery.start_soon(self._read_counts)
+                nursery.start_soon(self.items.end_silent)
+                nursery.start_soon(self.worker.run)
+
+    async def _read_list(self) -> None:
+        while True:
+            listed = [upstream.listed() for upstream in self.play.upstreams]
+            self.placement.replace(filter(None, listed), now=trio.current_time())
+            await trio.sleep(LIST_EVERY_S)
+
+    async def _read_rows(self) -> None:
+        while True:
+            await awake(self)
+            if trio.current_time() >= self.reads_rows_at:
+                self.kept = self.keeper.to_keep()
+                for other in self.play.up:
+                    self.keeper.take_kept(other.kept)
+            await trio.sleep(ROWS_EVERY_S)
+
+    async def _read_counts(self) -> None:
+        while True:
+            for other in self.play.up:
+                if other is not self:
+                    peer = InstanceId(other.name)
+                    self.placement.peers.observe(peer, other.placement.own())
+            self.worker.look()
+            # All are told of by all: as seldom as they are many.
+            await trio.sleep(COUNTS_EVERY_S * max(1.0, self.play.plan.instances / 6))
+
+
+class EndsPlay:
+    """Plays a plan.
+
+    Attributes:
+      up: The instances that are up.
+      ended: For each deadly item, when it ended an upstream.
+      begun: For each item, when a run of it began.
+      problems: Broken promises in words, each by its kind: see ``PROMISES``.
+    """
+
+    def __init__(self, plan: EndsPlan) -> None:
+        self.plan = plan
+        self.rng = random.Random(f"ways {plan.seed}")
+        self.works = plan.item_works()
+        self.up: list[Instance] = []
+        self.ended: dict[str, list[float]] = {}
+        self.begun: dict[str, list[float]] = {}
+        self.problems: list[tuple[str, str]] = []
+        self._starts = 0
+        self._dead: dict[str, float] = {}
+
+    def play(self) -> None:
+        """Plays it, in no time."""
+        run_in_order(self._play, seed=self.plan.seed)
+
+    async def _play(self) -> None:
+        plan = self.plan
+        self.memory = MemoryPlatform()
+        self.upstreams = [
+            MemoryUpstream(
+                n, births=plan.births, renamed=plan.renamed, lag_s=plan.lag_s
+            )
+            for n in range(plan.upstreams)
+        ]
+        self.caller = MemoryCaller(
+            self.upstreams, self.works, on_begun=self._begun, on_deadly=self._deadly
+        )
+        async with trio.open_nursery() as nursery:
+            self.nursery = nursery
+            self.words = Words(
+                lambda: self.up,
+                nursery=nursery,
+                rng=self.rng,
+                draw_ways=self._draw_ways,
+            )
+            for number in range(plan.instances):
+                self._start(number)
+            for part in (*plan.flaps, *plan.crashes, *plan.refusals, *plan.troubles):
+                nursery.start_soon(self._harm, part)
+            for job in plan.jobs:
+                nursery.start_soon(self._submit, job)
+            await self._check()
+            nursery.cancel_scope.cancel()
+
+    # What happens.
+
+    def living(self) -> list[str]:
+        """Returns the instances that others take for alive."""
+        now = trio.current_time()
+        fresh = [who for who, at in self._dead.items() if now - at < DEAD_AFTER_S]
+        return [instance.owner for instance in self.up] + fresh
+
+    def _start(self, number: int) -> None:
+        self._starts += 1
+        instance = Instance(number, self._starts, self)
+        self.words.join(instance)
+        self.up.append(instance)
+        self.nursery.start_soon(instance.run)
+
+    def _draw_ways(self) -> Iterable[float]:
+        lossy_from, lossy_until = self.plan.lossy
+        if lossy_from <= trio.current_time() < lossy_until and self.rng.random() < 0.5:
+            return ()
+        ways = [WAY_S + self.rng.uniform(0, self.plan.late_s)]
+        if self.rng.random() < 0.1:
+            ways.append(WAY_S + self.rng.uniform(0, 2 * self.plan.late_s))
+        return ways
+
+    def _begun(self, item: str, upstream: MemoryUpstream) -> None:
+        self.begun.setdefault(item, []).append(trio.current_time())
+
+    def _deadly(self, item: str, upstream: MemoryUpstream) -> None:
+        if upstream.end():
+            self.ended.setdefault(item, []).append(trio.current_time())
+            self.nursery.start_soon(self._start_again, upstream, self.plan.back_s)
+
+    async def _start_again(self, upstream: MemoryUpstream, after_s: float) -> None:
+        await trio.sleep(after_s)
+        upstream.start()
+
+    async def _harm(self, part: Flap | Crash | Refusal | Trouble) -> None:
+        await trio.sleep(part.at)
+        if isinstance(part, Flap):
+            await self._flap(part)
+        elif isinstance(part, Crash):
+            for number in part.upstreams:
+                self.upstreams[number].end()
+            await trio.sleep(part.down_s)
+            for number in part.upstreams:
+                self.upstreams[number].start()
+        elif isinstance(part, Refusal):
+            self.upstreams[part.upstream].refuse(part.for_s)
+        else:
+            await self._trouble(part)
+
+    async def _flap(self, flap: Flap) -> None:
+        upstream = self.upstreams[flap.upstream]
+        while trio.current_time() < flap.until:
+            upstream.end()
+            await trio.sleep(flap.down_s)
+            upstream.start()
+            await trio.sleep(flap.up_s)
+
+    async def _trouble(self, trouble: Trouble) -> None:
+        name = f"i-{trouble.instance}"
+        instance = next((one for one in self.up if one.name == name), None)
+        if instance is None:
+            return
+        until = trio.current_time() + trouble.for_s
+        if trouble.kind == "still":
+            instance.wakes_at = max(instance.wakes_at, until)
+        elif trouble.kind == "away":
+            instance.reads_rows_at = max(instance.reads_rows_at, until)
+        elif len(self.up) > 1:
+            self.up.remove(instance)
+            self._dead[instance.owner] = trio.current_time()
+            instance.scope.cancel()
+            await trio.sleep(trouble.for_s)
+            self._start(trouble.instance)
+
+    async def _submit(self, job: Job) -> None:
+        await trio.sleep(job.at)
+        items = [
+            ItemSpec(f"{job.name}-{k}", PREFIX, [], f"{job.name}-{k}".encode(), 10)
+            for k in range(len(job.works))
+        ]
+        submission = Submission(
+            job=JobId(job.name), host=HOST, path=PREFIX, items=items
+        )
+        instance = self.up[job.instance % len(self.up)]
+        reply = await instance.service.submit(submission, ROUTE)
+        assert reply.answer is JobAnswer.ACCEPTED, reply
+
+    # What is promised.
+
+    async def _check(self) -> None:
+        await trio.sleep(CALM_S + DONE_S)
+        while (left_s := self._last_deadly() + DONE_S - trio.current_time()) > 0:
+            await trio.sleep(left_s)
+        for job in self.plan.jobs:
+            await self._check_proper(job)
+        if any(work.deadly for work in self.works.values()):
+            last_at = max(job.at for job in self.plan.jobs)
+            await trio.sleep(last_at + GIVEN_UP_S - trio.current_time())
+            for job in self.plan.jobs:
+                await self._check_given_up(job)
+        for item, ends in self.ended.items():
+            self._check_bounds(item, ends)
+
+    def _last_deadly(self) -> float:
+        return max((ends[-1] for ends in self.ended.values()), default=0.0)
+
+    async def _listed(self, job: Job) -> dict[str, ItemState]:
+        instance = self.up[0]
+        reply = await instance.service.results(HOST, JobId(job.name), after=0)
+        results = reply.page.results if reply.page else []
+        return {result.item: result.state for result in results}
+
+    async def _check_proper(self, job: Job) -> None:
+        listed = await self._listed(job)
+        for index, work in enumerate(job.works):
+            item = f"{job.name}-{index}"
+            state = listed.get(item)
+            if not work.deadly and state is not ItemState.COMPLETED:
+                said = f"is listed as {state.value}" if state else "is not listed"
+                begun = [round(at, 2) for at in self.begun.get(item, ())]
+                self._broken("proper", f"{item} {said}, its runs began at {begun}")
+
+    async def _check_given_up(self, job: Job) -> None:
+        listed = await self._listed(job)
+        for index, work in enumerate(job.works):
+            item = f"{job.name}-{index}"
+            if work.deadly and listed.get(item) is not ItemState.FAILED:
+                self._broken("listed", f"{item} is {listed.get(item)}")
+
+    def _check_bounds(self, item: str, ends: list[float]) -> None:
+        shown = [round(at, 2) for at in ends]
+        if len(ends) > MOST_ENDED:
+            self._broken("all", f"{item} ended {len(ends)}: {shown}")
+        for at in ends[MOST_AT_FIRST:]:
+            third = ends[MOST_AT_FIRST - 1]
+            if third + WAY_S < at - DEADLY_AFTER_S < third + FIRST_PAUSE_S:
+                self._broken("first", f"{item} ended one more at {at:.2f}: {shown}")
+
+    def _broken(self, kind: str, what: str) -> None:
+        self.problems.append((kind, what))
