--- a/src/coppercleat/routing/_health.py
+++ b/src/coppercleat/routing/_health.py
@@ -73,8 +73,14 @@
         self._trial_running = False
 
     def failed(self, now: float) -> None:
-        """Notes a failure; several in a row, or a failed trial, eject."""
+        """Notes a failure; several in a row, or a failed trial, eject.
+
+        One that was sent although it is ejected, since no other was left, tells nothing
+        new: the time of the next trial stands.
+        """
         self.failures += 1
+        if self.state is HealthState.OPEN and now < self._until:
+            return
         trial = self.state is HealthState.HALF_OPEN
         if trial or self.failures >= _FAILURES_TO_EJECT:
             self._eject(now)
