--- a/src/coppercleat/routing/_health.py
+++ b/src/coppercleat/routing/_health.py
@@ -73,10 +73,14 @@
         self._trial_running = False
 
     def failed(self, now: float) -> None:
-        """Notes a failure; several in a row, or a failed trial, eject."""
+        """Notes a failure; several in a row, or a failed trial, eject.
+
+        What was sent before an ejection, or past it, begins no new pause.
+        """
         self.failures += 1
         trial = self.state is HealthState.HALF_OPEN
-        if trial or self.failures >= _FAILURES_TO_EJECT:
+        closed = self.state is HealthState.CLOSED
+        if trial or (closed and self.failures >= _FAILURES_TO_EJECT):
             self._eject(now)
 
     def unreachable(self, now: float) -> None:
