--- a/tests/features/kept_from_running.feature
+++ b/tests/features/kept_from_running.feature
@@ -79,18 +79,19 @@
     Then after <evidence>: <work> may go at <most> s at the latest
 
     Examples:
-      | evidence                                             | work                           | most |
-      | an outage of the store of 8 s                        | an item that waited for a slot | 13   |
-      | an outage of the store of 8 s                        | an item that was just accepted | 13   |
-      | 3 s in which neither the store nor others were heard | an item                        | 13   |
-      | a loss of power of its owner                         | an item                        | 13   |
-      | a loss of power of its owner and 4 of 5 others       | an item                        | 13   |
-      | a loss of power of its owner among 66                | an item                        | 13   |
-      | an acceptance by an instance without a lease         | an item                        | 13   |
-      | an acceptance where the last of 6 in line may start  | an item                        | 13   |
-      | tokens of a job that was done at another instance    | a job                          | 13   |
-      | a loss of power of its owner and calls of 1 s        | an item                        | 13   |
-      | a loss of power of its owner among 720               | an item                        | 13   |
+      | evidence                                                    | work                           | most |
+      | an outage of the store of 8 s                               | an item that waited for a slot | 13   |
+      | an outage of the store of 8 s                               | an item that was just accepted | 13   |
+      | 3 s in which neither the store nor others were heard        | an item                        | 13   |
+      | a loss of power of its owner                                | an item                        | 13   |
+      | a loss of power of its owner and 4 of 5 others              | an item                        | 13   |
+      | a loss of power of its owner among 66                       | an item                        | 13   |
+      | an acceptance by an instance without a lease                | an item                        | 13   |
+      | an acceptance where the last of 6 in line may start         | an item                        | 13   |
+      | tokens of a job that was done at another instance           | a job                          | 13   |
+      | a loss of power of its owner and calls of 1 s               | an item                        | 13   |
+      | a loss of power of its owner among 720                      | an item                        | 13   |
+      | an acceptance by an instance of which nothing else is known | an item                        | 13   |
 
   Scenario Outline: Several together: <evidence>, <work>
     Then after <evidence>: <work> may go at <most> s at the latest
--- a/tests/features/steps/kept_jobs_steps.py
+++ b/tests/features/steps/kept_jobs_steps.py
@@ -192,6 +192,19 @@
     return await play.until_run("job-0", began)
 
 
+@job_course("an acceptance by an instance of which nothing else is known", ITEM)
+async def unknown_owner(play, nursery):
+    began = trio.current_time()
+    one = play.instances[0]
+    await one.service.repository.accept(
+        submission("job", 1),
+        one.route,
+        owner="unknown/b0",
+        finished_tokens=lambda host, prefix: 0,
+    )
+    return await play.until_run("job-0", began)
+
+
 def owner_lost_among(count):
     """Returns the lease and a poll of it, as they are stretched by a fleet's size."""
     settings = node_settings("i-0", "a")
