--- a/src/coppercleat/routing/_health.py
+++ b/src/coppercleat/routing/_health.py
@@ -75,14 +75,12 @@
     def failed(self, now: float) -> None:
         """Notes a failure; several in a row, or a failed trial, eject.
 
-        One that was sent although it is ejected, since no other was left, tells nothing
-        new: the time of the next trial stands.
+        What was sent before an ejection, or past it, begins no new pause.
         """
         self.failures += 1
-        if self.state is HealthState.OPEN and now < self._until:
-            return
         trial = self.state is HealthState.HALF_OPEN
-        if trial or self.failures >= _FAILURES_TO_EJECT:
+        closed = self.state is HealthState.CLOSED
+        if trial or (closed and self.failures >= _FAILURES_TO_EJECT):
             self._eject(now)
 
     def unreachable(self, now: float) -> None:
