--- a/src/coppercleat/serving/_placement.py
+++ b/src/coppercleat/serving/_placement.py
@@ -128,10 +128,7 @@
                 if started_at is not None:
                     self.steadiness.begin(self.states[upstream.id], started_at)
             else:
-                if state.upstream.address != upstream.address:
-                    # What was found to be gone was gone from the address of before.
-                    state.gone = False
-                state.upstream = upstream
+                state.listed(upstream)
         return gone
 
     def note_end(self, end: End, run_began: float) -> None:
--- a/src/coppercleat/serving/_upstream_state.py
+++ b/src/coppercleat/serving/_upstream_state.py
@@ -16,6 +16,10 @@
 the 0.1 s of a connection that is not made; after a zone was cut off for some seconds,
 longer pauses would leave its upstreams idle for as long again."""
 
+_LISTS_WITH_GONE = 8
+"""Lists that may still show an upstream that has left, some 4 s. One that goes on to be
+shown was not gone: what answered in its place was wrong."""
+
 
 @attrs.define(eq=False)
 class UpstreamState:
@@ -25,6 +29,7 @@
       online: Online requests of this instance in flight there.
       batch: Batch items of this instance in flight there.
       gone: Whether it has been found to have left, before the list shows it.
+      lists_since: How many lists have shown it since.
       restarted: Whether it has started again under its id, which is another state.
       health: Ejects it while it fails throughout.
       results: Tells whether it fails a part of its requests.
@@ -49,6 +54,7 @@
     online: int = 0
     batch: int = 0
     gone: bool = False
+    lists_since: int = 0
     restarted: bool = False
     unknown: int = 0
     unheard: int = 0
@@ -80,6 +86,14 @@
         """Whether it leaves, or has left, as planned."""
         return self.upstream.draining or (self.gone and not self.restarted)
 
+    def listed(self, upstream: Upstream) -> None:
+        """Takes its line of a list that shows this life."""
+        moved = upstream.address != self.upstream.address
+        self.upstream = upstream
+        self.lists_since = self.lists_since + 1 if self.gone else 0
+        if moved or self.lists_since > _LISTS_WITH_GONE:
+            self.gone = False
+
     def was_steady(self, *, began: float, at: float) -> bool:
         """Returns whether it was steady when it ended under a run.
 
