--- a/src/coppercleat/jobs/_items.py
+++ b/src/coppercleat/jobs/_items.py
@@ -153,7 +153,7 @@
         now = trio.current_time()
         avoid = {u for u, until in self._avoided.items() if now < until}
         if item.failures:
-            avoid.update(self.placement.suspects(now))
+            avoid.update(self._suspects(route, now))
         own = Place(Rank.BATCH_LATE if late else Rank.BATCH, now + due_in_s)
         service = route.targets[0].service
         shun = self.placement.to_avoid(verdict, service, now=now)
@@ -176,6 +176,12 @@
                 return None
             ahead = 0
 
+    def _suspects(self, route: Route, now: float) -> list[UpstreamId]:
+        """Returns upstreams that seem to fail, unless all do: one may answer it yet."""
+        suspects = self.placement.suspects(now)
+        others = self.placement.serves(route.targets[0].service, avoid=suspects)
+        return suspects if others else []
+
     def seconds_left(self, item: ItemRun) -> float:
         """Returns how long an item takes from now, if it starts at once."""
         return self._pace.seconds_left(len(item.events))
--- a/src/coppercleat/jobs/_starter.py
+++ b/src/coppercleat/jobs/_starter.py
@@ -27,6 +27,9 @@
 
 _IDLE_TICK_S = 0.2
 
+_FAILED_RETRY_S = 0.1
+"""When an item that has failed looks again for a slot at an upstream that does not."""
+
 _GATHER_EVERY_S = 0.03
 """How often what waits is gathered: all items are looked at, and counts are told up to
 some hundred times a second."""
@@ -159,7 +162,7 @@
             wall=wall,
         )
         full: set[str] = set()
-        barred = False
+        passed_over = False
         for turn in turns:
             if turn.route.name in full:
                 continue
@@ -176,7 +179,7 @@
                 )
             if state is None and self.items.bar.holds(turn.route, verdict):
                 self._pass_over(turn, due_in_s)
-                barred = True
+                passed_over = True
                 continue
             turn.item.barred = None
             if state is None:
@@ -184,11 +187,15 @@
                     self.items.cut_late(wall)
                 if not turn.item.failures:
                     full.add(turn.route.name)
+                    continue
+                # It may go to few upstreams: the others of its job need not wait.
+                turn.item.not_before = trio.current_time() + _FAILED_RETRY_S
+                passed_over = True
                 continue
             running = self.items.claim_slot(turn.run, turn.item, state, verdict)
             nursery.start_soon(self._run_item, running, turn.route)
             return True
-        return barred
+        return passed_over
 
     def _pass_over(self, turn: Turn, due_in_s: float) -> None:
         takes_s = self.items.seconds_left
