--- a/src/coppercleat/jobs/_item_bar.py
+++ b/src/coppercleat/jobs/_item_bar.py
@@ -51,7 +51,7 @@
         """
         now, service = trio.current_time(), route.targets[0].service
         avoid = self.placement.to_avoid(verdict, service, now=now)
-        if not avoid:
+        if not avoid and verdict.standing is not Standing.TRIAL:
             return None
         wait_s = _SLOT_RETRY_S
         if not self.placement.serves(service, avoid=avoid):
--- a/src/coppercleat/jobs/_items.py
+++ b/src/coppercleat/jobs/_items.py
@@ -157,7 +157,10 @@
         own = Place(Rank.BATCH_LATE if late else Rank.BATCH, now + due_in_s)
         service = route.targets[0].service
         shun = self.placement.to_avoid(verdict, service, now=now)
-        suspects = [r.state.id for r in self._running if r.suspect]
+        suspects = {r.state.id for r in self._running if r.suspect}
+        if verdict.standing is Standing.TRIAL:
+            # An end would count against both, and keep a proper one for longer.
+            shun |= suspects
         ahead = self.placement.order.ahead(own, service=service, now=now)
         while True:
             state = self.placement.choose_batch(
--- a/src/coppercleat/serving/_steadiness.py
+++ b/src/coppercleat/serving/_steadiness.py
@@ -61,6 +61,7 @@
           at: When, in seconds of this instance's clock.
         """
         state.since = at
+        state.among_short = bool(self._recent(state))
         state.steady_from = self._steady_from(state)
 
     def note_end(self, state: UpstreamState, end: End, *, run_began: float) -> None:
@@ -77,8 +78,10 @@
         if state.upstream.is_same_life(end.born_ms) is False:
             # Of which the start is no longer known: the next life is listed already.
             return
+        # Judged by the lives before: a request may be the cause of this one's end.
+        state.among_short = bool(self._recent(state))
+        state.ended_steady = at >= state.steady_from or not state.among_short
         self._keep(state, _Life(at, at - state.since))
-        state.ended_steady = at >= state.steady_from
         # The list may lag, or tell of no other life.
         state.before_end = (state.since, state.steady_from)
         state.ended_at = state.since = at
@@ -110,11 +113,14 @@
         known.append(life)
         del known[:-_MOST_KEPT]
 
-    def _steady_from(self, state: UpstreamState) -> float:
-        short = [
+    def _recent(self, state: UpstreamState) -> list[float]:
+        """Returns how long short lives lasted of late, by when this one began."""
+        return [
             life.lasted_s
             for life in self._lives.get(state.upstream.service, ())
             if state.since - life.ended_at < RECENT_S
         ]
-        longest_s = OUTLIVED * max(short, default=0.0)
+
+    def _steady_from(self, state: UpstreamState) -> float:
+        longest_s = OUTLIVED * max(self._recent(state), default=0.0)
         return state.since + min(MOST_STEADY_S, max(STEADY_S, longest_s))
--- a/src/coppercleat/serving/_upstream_state.py
+++ b/src/coppercleat/serving/_upstream_state.py
@@ -43,7 +43,9 @@
       since: When this life of it began, as seen here; minus infinity if unknown.
       ended_at: When it was last found to have ended under this id.
       steady_from: From when on it counts as steady: see ``Steadiness``.
-      ended_steady: Whether it was when it last ended.
+      among_short: Whether lives of its service were short of late: only then does it
+        say something that it has just started.
+      ended_steady: Whether it was steady, or no life short, when it last ended.
       before_end: ``since`` and ``steady_from`` as they were before that.
     """
 
@@ -63,6 +65,7 @@
     since: float = float("-inf")
     ended_at: float = float("-inf")
     steady_from: float = float("-inf")
+    among_short: bool = False
     ended_steady: bool = True
     before_end: tuple[float, float] = (float("-inf"), float("-inf"))
 
@@ -105,7 +108,7 @@
         """
         if began <= self.ended_at or at - self.ended_at < SAME_END_S:
             return self.ended_steady
-        return at >= self.steady_from
+        return at >= self.steady_from or not self.among_short
 
     @property
     def held(self) -> int:
--- a/tests/features/steps/steadiness_steps.py
+++ b/tests/features/steps/steadiness_steps.py
@@ -90,6 +90,11 @@
 LIVED = {
     "is in the first list": ["is in the first list"],
     "started 1 s ago": ["is listed at 99"],
+    "started 1 s ago, as before": [
+        "is listed at 97",
+        "ends at 97.5",
+        "is listed anew at 99",
+    ],
     "started 3 s ago": ["is listed at 97"],
     "started 3 s ago, as before": [
         "is listed at 80",
