--- a/src/coppercleat/quarantine/_ledger.py
+++ b/src/coppercleat/quarantine/_ledger.py
@@ -41,10 +41,10 @@
 one trial is let through, so that a proper request is not refused for ever; a deadly one
 costs three upstreams more within two hours."""
 
-ITEM_PAUSES_S = (5.0, 15.0, 60.0, 600.0, 3600.0)
+ITEM_PAUSES_S = (5.0, 10.0, 60.0, 600.0, 3600.0)
 """The same for items. They are run again without anybody asking, so that a proper one
 meets the ends of others more often, and they are due in seconds: two trials fit into
-some 20 s. A job may be kept for hours, so that there are more."""
+15 s. A job may be kept for hours, so that there are more."""
 
 TRIAL_STAGGER_S = 2.0
 """The next in line lets a trial through so much later than the one before, as not every
--- a/src/coppercleat/serving/_placement.py
+++ b/src/coppercleat/serving/_placement.py
@@ -327,10 +327,10 @@
             return Nowhere(f"online requests will take what is free at {service}")
         if left <= ahead:
             return Nowhere(f"{ahead} wait before at {service}", waits=True)
-        open_to = free.keys() - set(shun)
-        if not open_to:
+        states = [self.states[upstream] for upstream in free if upstream not in shun]
+        if not states:
             return Nowhere(f"no steady upstream of {service} has a free slot")
-        states = [self.states[upstream] for upstream in open_to - set(apart) or open_to]
+        states = [state for state in states if state.id not in apart] or states
         return min(states, key=lambda state: self._batch_cost(state, now))
 
     def _online_headroom(self, service: str, now: float) -> int:
