--- a/tests/features/words_of_ends.feature
+++ b/tests/features/words_of_ends.feature
@@ -30,3 +30,4 @@
     Examples: "row a 4": a row that places the end of a at 4 s
       | what                                | learnt                                           | at | standing | retry |
       | a row, read late, of ends before an answer | 0 end a, 1 end b, 1.5 end c, 2 answer, 6 row a 4 b 4.5 c 5.5 | 6 | free | 0 |
+      | late word of what was taken back    | 0 end a, 1 end b, 2 end c, 3 lives c 2, 5 late c 4 | 5 | free   | 0     |
