--- a/tests/features/words_of_ends.feature
+++ b/tests/features/words_of_ends.feature
@@ -31,3 +31,4 @@
       | what                                | learnt                                           | at | standing | retry |
       | a row, read late, of ends before an answer | 0 end a, 1 end b, 1.5 end c, 2 answer, 6 row a 4 b 4.5 c 5.5 | 6 | free | 0 |
       | late word of what was taken back    | 0 end a, 1 end b, 2 end c, 3 lives c 2, 5 late c 4 | 5 | free   | 0     |
+      | an end of which two births are told | 0 end a1, 0.01 late a2 0.01, 1 end b1            | 1  | free     | 0     |
