--- a/src/coppercleat/quarantine/_ledger.py
+++ b/src/coppercleat/quarantine/_ledger.py
@@ -65,8 +65,9 @@
 """Requests that are remembered, 0.7 MB with three ends each. When an upstream ends, up
 to as many as its slots are added; those with the fewest and oldest ends go first."""
 
-_MOST_ANSWERED = 8
-"""Ends of one request that are remembered as voided by an answer, the last ones."""
+_MOST_DISCOUNTED = 8
+"""Ends of one request that are remembered as taken back, or voided by an answer: the
+last ones."""
 
 MOST_TOLD = 24
 """Requests of which others are reminded in one message, 3 kB with three ends each, by
@@ -174,7 +175,7 @@
     def __init__(self) -> None:
         self._records: dict[Fingerprint, _Record] = {}
         self._void: dict[tuple[Fingerprint, UpstreamId | None], float] = {}
-        self._answered: dict[Fingerprint, list[End]] = {}
+        self._discounted: dict[Fingerprint, list[End]] = {}
 
     def __len__(self) -> int:
         return len(self._records)
@@ -198,7 +199,7 @@
     ) -> End:
         """Returns an end that was seen here as it is to be told: known, or numbered."""
         record = self._records.get(fingerprint, _Record())
-        before = self._answered.get(fingerprint, ())
+        before = self._discounted.get(fingerprint, ())
         known = record.find_seen(end, run_began=run_began)
         return known or record.numbered(end, before=before)
 
@@ -212,7 +213,7 @@
         record = self._record(fingerprint)
         if record.find_told(end) is not None:
             return False
-        if self._is_void(fingerprint, end) or self._was_answered(fingerprint, end):
+        if not self._counts(fingerprint, end):
             self._drop_if_empty(fingerprint, record)
             return False
         record.ends.append(end)
@@ -220,7 +221,7 @@
 
     def adopt(self, fingerprint: Fingerprint, ends: list[End]) -> None:
         """Takes all ends that another knows in place of the own, if they say more."""
-        counted = [end for end in ends if not self._is_void(fingerprint, end)]
+        counted = [end for end in ends if self._counts(fingerprint, end)]
         record = self._record(fingerprint)
         if _Record(ends=counted).weight > record.weight:
             record.ends = []
@@ -235,6 +236,7 @@
           Whether its end was held against the request.
         """
         self._void[fingerprint, end.upstream] = end.at + SAME_END_S
+        self._discount(fingerprint, [end])
         record = self._records.get(fingerprint)
         if record is None:
             return False
@@ -254,9 +256,7 @@
         if record is None:
             return False
         self._void[fingerprint, None] = now
-        # Word of them that is read late places them after the answer.
-        before = self._answered.pop(fingerprint, [])
-        self._answered[fingerprint] = [*before, *record.ends][-_MOST_ANSWERED:]
+        self._discount(fingerprint, record.ends)
         return True
 
     def take_told(
@@ -379,9 +379,17 @@
         keys = (fingerprint, end.upstream), (fingerprint, None)
         return end.at <= max(self._void.get(key, float("-inf")) for key in keys)
 
-    def _was_answered(self, fingerprint: Fingerprint, end: End) -> bool:
-        """Returns whether an end is one that an answer has shown not to count."""
-        return any(map(end.was_told_as, self._answered.get(fingerprint, ())))
+    def _discount(self, fingerprint: Fingerprint, ends: list[End]) -> None:
+        """Remembers ends that count no more, as word of them may be read late."""
+        before = self._discounted.pop(fingerprint, [])
+        self._discounted[fingerprint] = [*before, *ends][-_MOST_DISCOUNTED:]
+
+    def _counts(self, fingerprint: Fingerprint, end: End) -> bool:
+        """Returns whether nothing has shown that an end does not count."""
+        discounted = self._discounted.get(fingerprint, ())
+        if self._is_void(fingerprint, end):
+            return False
+        return not (end.number and any(map(end.was_told_as, discounted)))
 
     def _drop_if_empty(self, fingerprint: Fingerprint, record: _Record) -> None:
         if not record.ends and not record.pending:
@@ -402,5 +410,5 @@
                 del self._records[fingerprint]
         while len(self._void) > MOST_REQUESTS:
             del self._void[next(iter(self._void))]
-        while len(self._answered) > MOST_REQUESTS:
-            del self._answered[next(iter(self._answered))]
+        while len(self._discounted) > MOST_REQUESTS:
+            del self._discounted[next(iter(self._discounted))]
