--- a/src/coppercleat/quarantine/_ends.py
+++ b/src/coppercleat/quarantine/_ends.py
@@ -13,6 +13,10 @@
 connections break within milliseconds, and a start takes longer."""
 
 
+SHORTEST_LIFE_S = 0.1
+"""No upstream starts and ends within this time."""
+
+
 @attrs.frozen
 class End:
     """One end of an upstream under a request.
@@ -44,7 +48,7 @@
             it, however late that is noticed.
         """
         began_before = self._may_be(known) and run_began <= known.at
-        return began_before or self.coincides(known)
+        return began_before or self.coincides(known) or self._is_near(known)
 
     def coincides(self, other: End) -> bool:
         """Returns whether both ends came about at one time, to one upstream."""
@@ -56,7 +60,17 @@
         Its time tells nothing: an end is told by its age, and each word of it that lies
         unread, or waits for a link, places it later.
         """
-        return self._may_be(known) and self.number == known.number
+        return (self._may_be(known) and self.number == known.number) or self._is_near(
+            known
+        )
+
+    def _is_near(self, known: End) -> bool:
+        """Returns whether it is of this upstream, and too near for another life.
+
+        The list may lag at one of two instances, so that they tell two births.
+        """
+        near = abs(self.at - known.at) < SHORTEST_LIFE_S
+        return near and self.upstream == known.upstream
 
     def _may_be(self, known: End) -> bool:
         """Returns whether it is of this upstream, and not of another of its lives."""
