--- a/tests/features/steps/steadiness_steps.py
+++ b/tests/features/steps/steadiness_steps.py
@@ -8,7 +8,14 @@
 from behave import then, when
 
 from coppercleat.ids import UpstreamId, ZoneId
-from coppercleat.quarantine import End, EndLedger, EndWatch, Fingerprint, ToldEnd
+from coppercleat.quarantine import (
+    End,
+    EndLedger,
+    EndWatch,
+    Finding,
+    Fingerprint,
+    ToldEnd,
+)
 from coppercleat.serving import (
     AdmissionQueue,
     NothingListensError,
@@ -246,3 +253,58 @@
 def gets_steady(context):
     assert isinstance(context.chosen, UpstreamState), context.chosen
     assert context.chosen.id == "a", context.chosen
+
+
+class AcceptsAndCloses:
+    """What stands before an upstream that has ended, until it has started again."""
+
+    def __init__(self):
+        self.finding = Finding.NO_ANSWER
+
+    async def ask(self, state):
+        return self.finding
+
+
+def play_ends(context, runs, *, proved):
+    """Plays runs at three upstreams: who, when each began and how long it lasted."""
+    way = AcceptsAndCloses()
+    watch = EndWatch(way.ask)
+    placement = Placement(ZoneId("z"), rng=random.Random(1))
+    placement.replace([upstream(name) for name in "abc"], now=0.0)
+
+    async def play():
+        await trio.sleep(100.0 - trio.current_time())
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(watch.run)
+            if proved == "at once":
+                way.finding = Finding.NOTHING_LISTENS
+            for who, began, lasted in runs:
+                await trio.sleep_until(100.0 + began + lasted)
+                for state in placement.states.values():
+                    watch.broke_off(who, state, began=100.0 + began)
+            await trio.sleep(2.0)
+            way.finding = Finding.OTHER_LIFE
+            await trio.sleep(4.0)
+            nursery.cancel_scope.cancel()
+
+    trio.run(play, clock=trio.testing.MockClock(autojump_threshold=0))
+    context.verdict = watch.ledger.verdict(FINGERPRINT, now=106.0)
+
+
+@when(
+    "three upstreams end under others, and runs of a request begin there {began:g} s "
+    "later and break off after {lasted:g} s, proved {proved}"
+)
+def end_under_others(context, began, lasted, proved):
+    runs = [(OTHER, -1.0, 1.0), (FINGERPRINT, began, lasted)]
+    play_ends(context, runs, proved=proved)
+
+
+@when("three upstreams end under a request after runs of {lasted:g} s, proved {proved}")
+def end_under(context, lasted, proved):
+    play_ends(context, [(FINGERPRINT, -lasted, lasted)], proved=proved)
+
+
+@then("the request is {standing}")
+def request_is(context, standing):
+    assert context.verdict.standing.value == standing, context.verdict
--- a/tests/features/upstreams_that_end.feature
+++ b/tests/features/upstreams_that_end.feature
@@ -125,3 +125,28 @@
   Scenario: Slots that online requests may take are not only those at steady upstreams
     When an item with 1 end looks for a slot, 8 are left for online requests, 8 are steady and 16 not
     Then it gets a steady one
+
+  # Seen in a soak: a proper request was refused for a minute by three ends, of upstreams that
+  # had ended half a second before it was sent. What stood before them took connections and
+  # closed them, so that nobody knew until they had started again.
+  Scenario Outline: A run that began <began> s after upstreams broke off, and lasted <lasted> s
+    When three upstreams end under others, and runs of a request begin there <began> s later and break off after <lasted> s, proved <proved>
+    Then the request is <standing>
+
+    Examples:
+      | began | lasted | proved  | standing    |
+      | 0.5   | 0.01   | late    | free        |
+      | 0.5   | 0.5    | late    | free        |
+      | -0.1  | 0.1    | late    | quarantined |
+      | -0.1  | 0.1    | at once | quarantined |
+
+  # At an instance that had no run there as they ended, its own are the first to break off.
+  Scenario Outline: A run that nobody's end came before, and lasted <lasted> s
+    When three upstreams end under a request after runs of <lasted> s, proved <proved>
+    Then the request is <standing>
+
+    Examples: what takes a connection and closes it answers in milliseconds
+      | lasted | proved  | standing    |
+      | 0.01   | late    | free        |
+      | 0.06   | late    | quarantined |
+      | 0.01   | at once | quarantined |
