--- a/src/coppercleat/online/_dispatch.py
+++ b/src/coppercleat/online/_dispatch.py
@@ -227,11 +227,11 @@
         self, exchange: Exchange, record: UpstreamRecord, attempt: Attempt
     ) -> None:
         """Has the upstream asked whether it ended under the request."""
-        watch = self.services.end_watch
+        watch, began = self.services.end_watch, exchange.sent_at
         if attempt.state is AttemptState.LOST:
-            watch.broke_off(exchange.fingerprint, record)
+            watch.broke_off(exchange.fingerprint, record, began=began)
         elif attempt.state is AttemptState.SENT:
-            watch.broke_off(exchange.fingerprint, record, silent=True)
+            watch.broke_off(exchange.fingerprint, record, began=began, silent=True)
 
     def _require_retry(
         self, exchange: Exchange, attempt: Attempt, error: CoppercleatError
--- a/src/coppercleat/quarantine/_end_watch.py
+++ b/src/coppercleat/quarantine/_end_watch.py
@@ -17,7 +17,7 @@
 
 from coppercleat.ids import UpstreamId
 from coppercleat.observability import part_logger
-from coppercleat.quarantine._ends import End, ToldEnd
+from coppercleat.quarantine._ends import SAME_END_S, End, ToldEnd
 from coppercleat.quarantine._fingerprint import Fingerprint, shown
 from coppercleat.quarantine._ledger import (
     FREE,
@@ -38,6 +38,9 @@
 """A run that made something for so long speaks for the request: most that end their
 upstreams do so at once."""
 
+AT_ONCE_S = 0.05
+"""A run that broke off so soon was hardly begun by its upstream."""
+
 LEFT_S = 1.0
 """A run that its client left is as suspect if its upstream ends within this time: most
 upstreams end such a run at once, and what it had begun may end them all the same."""
@@ -148,12 +151,33 @@
       suspects: Whose run broke off there.
       found_ended: Whether it is taken to have ended.
       proof: What has shown that.
+      proved_at: When that was, in trio's time.
     """
 
     state: _W
     suspects: dict[Fingerprint, _BrokenRun] = attrs.field(factory=dict)
     found_ended: bool = False
     proof: str = ""
+    proved_at: float = 0.0
+
+    def broke_before(self, run: _BrokenRun) -> bool:
+        """Returns whether a run began after others had broken off, unexplained so far.
+
+        Whatever ended the upstream began before. Once it is known to have ended, what
+        runs there may be at its next life.
+        """
+        if self.found_ended or not self.suspects:
+            return False
+        return run.began > min(other.at for other in self.suspects.values())
+
+    def tells_little(self, run: _BrokenRun) -> bool:
+        """Returns whether a run may have met nothing but what stands before it.
+
+        Something that takes connections for an upstream and closes them, since there is
+        none, does so in milliseconds, and hides its end until it is back.
+        """
+        late = self.proved_at - run.at >= SAME_END_S
+        return late and run.at - run.began < AT_ONCE_S
 
 
 class EndWatch(Generic[_W]):
@@ -241,6 +265,8 @@
         if state.stopping:
             return
         inquiry = self._inquiries.get(state)
+        if inquiry is not None and inquiry.broke_before(run):
+            return
         if inquiry is None:
             inquiry = self._inquiries[state] = _Inquiry(state)
             self._opened.append(inquiry)
@@ -369,6 +395,7 @@
             return
         inquiry.found_ended = True
         inquiry.proof = proof
+        inquiry.proved_at = trio.current_time()
         first_at = min(run.at for run in inquiry.suspects.values())
         for fingerprint, left_at in self._left_at(inquiry.state.id, first_at):
             inquiry.suspects.setdefault(fingerprint, _left_run(left_at))
@@ -396,7 +423,7 @@
         """Returns the upstream's end, if it has ended, under one of the suspects."""
         state, run = inquiry.state, inquiry.suspects[fingerprint]
         steady = state.was_steady(began=run.began, at=run.at)
-        weak = run.moved_on or not steady
+        weak = run.moved_on or not steady or inquiry.tells_little(run)
         end = End(state.id, run.at, state.born_ms, weak=weak, source=inquiry.proof)
         return self.ledger.identified(fingerprint, end, run_began=run.began)
 
