--- a/src/coppercleat/quarantine/_end_watch.py
+++ b/src/coppercleat/quarantine/_end_watch.py
@@ -467,14 +467,23 @@
             on_new=lambda end: self.on_ended(end, end.at),
         )
         for told in ends:
+            end = told.heard(now=now)
             if told.withdrawn:
-                self.on_withdrawn(told.heard(now=now))
+                self.on_withdrawn(end)
+            elif self.ledger.was_answered(told.fingerprint, end):
+                # The teller has missed that.
+                self._clear_again(told.fingerprint)
             else:
-                self._note_left(told.heard(now=now))
+                self._note_left(end)
         for fingerprint in self.ledger.quarantined(now=now).keys() - before.keys():
             self._log_verdict(fingerprint, teller=teller)
         return news
 
+    def _clear_again(self, fingerprint: Fingerprint) -> None:
+        if fingerprint not in self._cleared:
+            self._cleared.append(fingerprint)
+            self._wake.set()
+
     def _note_left(self, end: End) -> None:
         """Takes an end that another found as one of the runs that were left there."""
         seen = attrs.evolve(end, number=0)
--- a/src/coppercleat/quarantine/_ledger.py
+++ b/src/coppercleat/quarantine/_ledger.py
@@ -259,6 +259,12 @@
         self._discount(fingerprint, record.ends)
         return True
 
+    def was_answered(self, fingerprint: Fingerprint, end: End) -> bool:
+        """Returns whether an answer has voided an end, and nothing came after it."""
+        if fingerprint in self._records or (fingerprint, None) not in self._void:
+            return False
+        return not self._counts(fingerprint, end)
+
     def take_told(
         self,
         ends: Iterable[ToldEnd],
--- a/tests/features/steps/steadiness_steps.py
+++ b/tests/features/steps/steadiness_steps.py
@@ -308,3 +308,35 @@
 @then("the request is {standing}")
 def request_is(context, standing):
     assert context.verdict.standing.value == standing, context.verdict
+
+
+@when(
+    "one instance misses that a request with {ends:d} ends was answered, "
+    "and tells another of these"
+)
+def misses_answer(context, ends):
+    one, other = EndWatch(Gone().report), EndWatch(Gone().report)
+    other.on_news = lambda ends, cleared: one.take_news("other", ends, cleared)
+
+    async def play():
+        for number in range(ends):
+            end = End(UpstreamId(f"u{number}"), trio.current_time(), number=1)
+            for watch in (one, other):
+                watch.ledger.ended(FINGERPRINT, end)
+        async with trio.open_nursery() as nursery:
+            other.answered(FINGERPRINT)
+            other._cleared.clear()
+            nursery.start_soon(other.run)
+            await trio.sleep(2.0)
+            other.take_news("one", one.ledger.told(now=trio.current_time()), ())
+            await trio.sleep(1.0)
+            now = trio.current_time()
+            context.verdict = one.ledger.verdict(FINGERPRINT, now=now)
+            nursery.cancel_scope.cancel()
+
+    trio.run(play, clock=trio.testing.MockClock(autojump_threshold=0))
+
+
+@then("it lets the request run within 1 s")
+def lets_run(context):
+    assert context.verdict.may_run, context.verdict
--- a/tests/features/upstreams_that_end.feature
+++ b/tests/features/upstreams_that_end.feature
@@ -150,3 +150,9 @@
       | 0.01   | late    | free        |
       | 0.06   | late    | quarantined |
       | 0.01   | at once | quarantined |
+
+  # One instance alone refused a proper request for a minute, as the word that it had been
+  # answered elsewhere had not reached it: that is told once.
+  Scenario: The word that a request was answered is lost
+    When one instance misses that a request with 3 ends was answered, and tells another of these
+    Then it lets the request run within 1 s
