--- a/src/coppercleat/quarantine/_end_watch.py
+++ b/src/coppercleat/quarantine/_end_watch.py
@@ -51,7 +51,7 @@
 within a second. Who could not be reached for longer gets all when it is heard again."""
 
 _MOST_LOGGED = 6
-"""Ends that one line tells, the last ones: as many as a request is let meet."""
+"""Ends that one line tells, the last ones."""
 
 _MOST_LEFT = 256
 """Runs that were left and are remembered for a second."""
--- a/src/coppercleat/quarantine/_ledger.py
+++ b/src/coppercleat/quarantine/_ledger.py
@@ -28,8 +28,7 @@
 """After so many ends a request is sent to steady upstreams only, for so long after the
 last: what has just started may end by itself, and a proper request would be held to
 account for that. No longer, since upstreams may end again and again for hours, and
-serve others in between; a further end there counts half.
-"""
+serve others in between; a further end there counts half."""
 
 _WEIGHT, _WEAK_WEIGHT = 2, 1
 _MOST_WEIGHT = MOST_ENDS * _WEIGHT
@@ -37,9 +36,9 @@
 meets six before it is kept from running."""
 
 PAUSES_S = (60.0, 600.0, 3600.0)
-"""How long it is kept from running after the third end, the fourth and the fifth. Then
-one trial is let through, so that a proper request is not refused for ever; a deadly one
-costs three upstreams more within two hours."""
+"""How long it is kept from running after the ends that say enough, and after each that
+follows. Then one trial is let through, so that a proper request is not refused for ever;
+a deadly one costs three upstreams more within two hours."""
 
 ITEM_PAUSES_S = (5.0, 10.0, 60.0, 600.0, 3600.0)
 """The same for items. They are run again without anybody asking, so that a proper one
@@ -75,7 +74,15 @@
 
 
 class Standing(enum.Enum):
-    """What may be done with a request."""
+    """What may be done with a request.
+
+    Attributes:
+      FREE: It may run.
+      TRIAL: It may run once, after a pause.
+      HELD: It waits until it is known whether upstreams have ended under it.
+      UNSTEADY: It waits for an upstream that is steady, and open to it.
+      QUARANTINED: It waits its pause out.
+    """
 
     FREE = "free"
     TRIAL = "trial"
