--- a/src/coppercleat/quarantine/_ledger.py
+++ b/src/coppercleat/quarantine/_ledger.py
@@ -37,8 +37,8 @@
 
 PAUSES_S = (60.0, 600.0, 3600.0)
 """How long it is kept from running after the ends that say enough, and after each that
-follows. Then one trial is let through, so that a proper request is not refused for ever;
-a deadly one costs three upstreams more within two hours."""
+follows. Then one trial is let through, so that a proper request is not refused for
+ever; a deadly one costs three upstreams more within two hours."""
 
 ITEM_PAUSES_S = (5.0, 10.0, 60.0, 600.0, 3600.0)
 """The same for items. They are run again without anybody asking, so that a proper one
