--- a/src/coppercleat/quarantine/_end_watch.py
+++ b/src/coppercleat/quarantine/_end_watch.py
@@ -149,6 +149,7 @@
 
     Attributes:
       suspects: Whose run broke off there.
+      later: Whose run began after those had broken off, and broke off, too.
       found_ended: Whether it is taken to have ended.
       proof: What has shown that.
       proved_at: When that was, in trio's time.
@@ -156,6 +157,7 @@
 
     state: _W
     suspects: dict[Fingerprint, _BrokenRun] = attrs.field(factory=dict)
+    later: set[Fingerprint] = attrs.field(factory=set)
     found_ended: bool = False
     proof: str = ""
     proved_at: float = 0.0
@@ -266,6 +268,7 @@
             return
         inquiry = self._inquiries.get(state)
         if inquiry is not None and inquiry.broke_before(run):
+            self._hold_later(inquiry, fingerprint, silent=silent)
             return
         if inquiry is None:
             inquiry = self._inquiries[state] = _Inquiry(state)
@@ -279,6 +282,14 @@
         elif not silent:
             self.ledger.broke_off(fingerprint, state.id)
 
+    def _hold_later(
+        self, inquiry: _Inquiry[_W], fingerprint: Fingerprint, *, silent: bool
+    ) -> None:
+        """Holds a request up that broke off after others: it may be one more cause."""
+        if not silent and fingerprint not in inquiry.later:
+            inquiry.later.add(fingerprint)
+            self.ledger.broke_off(fingerprint, inquiry.state.id)
+
     def left(self, fingerprint: Fingerprint, state: _W) -> None:
         """Notes a run that was left before its upstream had answered it."""
         self._left.append((fingerprint, state, trio.current_time()))
@@ -372,7 +383,7 @@
                 self._found_ended(inquiry, "it answers nothing and is unlisted")
         finally:
             self._inquiries.pop(state, None)
-            for fingerprint in inquiry.suspects:
+            for fingerprint in (*inquiry.suspects, *inquiry.later):
                 self.ledger.settled(fingerprint, state.id)
             self.ledger.forget_old(trio.current_time())
 
--- a/tests/features/steps/steadiness_steps.py
+++ b/tests/features/steps/steadiness_steps.py
@@ -265,7 +265,7 @@
         return self.finding
 
 
-def play_ends(context, runs, *, proved):
+def play_ends(context, runs, *, proved, asked_at=106.0):
     """Plays runs at three upstreams: who, when each began and how long it lasted."""
     way = AcceptsAndCloses()
     watch = EndWatch(way.ask)
@@ -282,13 +282,14 @@
                 await trio.sleep_until(100.0 + began + lasted)
                 for state in placement.states.values():
                     watch.broke_off(who, state, began=100.0 + began)
-            await trio.sleep(2.0)
-            way.finding = Finding.OTHER_LIFE
-            await trio.sleep(4.0)
+            if proved != "not yet":
+                await trio.sleep(2.0)
+                way.finding = Finding.OTHER_LIFE
+            await trio.sleep_until(asked_at)
+            context.verdict = watch.ledger.verdict(FINGERPRINT, now=asked_at)
             nursery.cancel_scope.cancel()
 
     trio.run(play, clock=trio.testing.MockClock(autojump_threshold=0))
-    context.verdict = watch.ledger.verdict(FINGERPRINT, now=106.0)
 
 
 @when(
@@ -300,6 +301,15 @@
     play_ends(context, runs, proved=proved)
 
 
+@when(
+    "three upstreams end under others, and runs of a request begin there {began:g} s "
+    "later and break off after {lasted:g} s, and 1 s passes"
+)
+def end_under_others_so_far(context, began, lasted):
+    runs = [(OTHER, -1.0, 1.0), (FINGERPRINT, began, lasted)]
+    play_ends(context, runs, proved="not yet", asked_at=101.5)
+
+
 @when("three upstreams end under a request after runs of {lasted:g} s, proved {proved}")
 def end_under(context, lasted, proved):
     play_ends(context, [(FINGERPRINT, -lasted, lasted)], proved=proved)
--- a/tests/features/upstreams_that_end.feature
+++ b/tests/features/upstreams_that_end.feature
@@ -140,6 +140,10 @@
       | -0.1  | 0.1    | late    | quarantined |
       | -0.1  | 0.1    | at once | quarantined |
 
+  Scenario: A request whose runs broke off at three upstreams is held until it is known why
+    When three upstreams end under others, and runs of a request begin there 0.5 s later and break off after 0.01 s, and 1 s passes
+    Then the request is held
+
   # At an instance that had no run there as they ended, its own are the first to break off.
   Scenario Outline: A run that nobody's end came before, and lasted <lasted> s
     When three upstreams end under a request after runs of <lasted> s, proved <proved>
