--- a/tests/harness/_ends_plan.py
+++ b/tests/harness/_ends_plan.py
@@ -53,8 +53,9 @@
     """Something that one instance goes through.
 
     Attributes:
-      kind: "still": words lie unread there and leave late; "killed": it starts anew
-        after that time; "away": it cannot read rows.
+      kind: "still": words of ends lie unread there and leave late, while it reads rows
+        and runs items; "killed": it starts anew after that time; "away": it cannot read
+        rows.
     """
 
     kind: str
--- a/tests/harness/_ends_play.py
+++ b/tests/harness/_ends_play.py
@@ -44,7 +44,7 @@
 )
 from tests.harness._jobs import HOST, PREFIX, make_route
 from tests.harness._ordered import run_in_order
-from tests.harness._words import WAY_S, Words, awake
+from tests.harness._words import WAY_S, Words
 
 DONE_S = 12.0
 """So long after all is calm each proper item is completed."""
@@ -74,7 +74,6 @@
     Attributes:
       wakes_at: Until when words lie unread here and leave late.
       reads_rows_at: From when on it can read rows.
-      kept: Its row, as far as it tells of ends.
     """
 
     def __init__(self, number: int, start: int, play: EndsPlay) -> None:
@@ -82,7 +81,6 @@
         self.play = play
         self.scope = trio.CancelScope()
         self.wakes_at = self.reads_rows_at = 0.0
-        self.kept: tuple[KeptEnds, ...] = ()
         rng = random.Random(f"{play.plan.seed} {number} {start}")
         self.placement = Placement(ZoneId("a"), rng=rng)
         self.watch = EndWatch(life_question(play.caller))
@@ -146,11 +144,10 @@
 
     async def _read_rows(self) -> None:
         while True:
-            await awake(self)
             if trio.current_time() >= self.reads_rows_at:
-                self.kept = self.keeper.to_keep()
-                for other in self.play.up:
-                    self.keeper.take_kept(other.kept)
+                self.play.rows[self.name] = self.keeper.to_keep()
+                for kept in self.play.rows.values():
+                    self.keeper.take_kept(kept)
             await trio.sleep(ROWS_EVERY_S)
 
     async def _read_counts(self) -> None:
@@ -169,6 +166,7 @@
 
     Attributes:
       up: The instances that are up.
+      rows: What the row of each instance tells of ends, also of one that is not up.
       ended: For each deadly item, when it ended an upstream.
       begun: For each item, when a run of it began.
       problems: Broken promises in words, each by its kind: see ``PROMISES``.
@@ -179,6 +177,7 @@
         self.rng = random.Random(f"ways {plan.seed}")
         self.works = plan.item_works()
         self.up: list[Instance] = []
+        self.rows: dict[str, tuple[KeptEnds, ...]] = {}
         self.ended: dict[str, list[float]] = {}
         self.begun: dict[str, list[float]] = {}
         self.problems: list[tuple[str, str]] = []
