--- a/tests/features/quarantine.feature
+++ b/tests/features/quarantine.feature
@@ -187,6 +187,7 @@
       | late word of two ends, ever later   | 0 end a, 1 end a, 3 late a 2, 5 late a 4 | 5 | free       | 0     |
       | word of a second end, no births     | 0 end a, 1 end b, 3 late a 2 2         | 3  | quarantined | 59    |
       | the end of a later life             | 0 end a1, 1 end b1, 2 end a2               | 2  | quarantined | 60    |
+      | an end of what was back within 0.3 s | 0 end a, 0.3 end a 0.1, 1 end b            | 1  | quarantined | 60    |
       | the end of a later life, soon after | 0 end a1, 0.1 end b1, 0.3 end a2           | 0.3 | quarantined | 60   |
       | word, read late, of ends before an answer | 0 end a, 1 end b, 2 answer, 5 late a 4, 5 late b 4.5, 6 late c 5.5 | 6 | free | 0 |
       | the same, and three ends after it   | 0 end a, 1 end b, 2 answer, 4 end a, 5 late a 4.5, 5 end b, 6 end c | 6 | quarantined | 60 |
