--- a/src/coppercleat/quarantine/_end_watch.py
+++ b/src/coppercleat/quarantine/_end_watch.py
@@ -142,6 +142,11 @@
     at: float
     moved_on: bool = False
 
+    @property
+    def at_once(self) -> bool:
+        """Whether it was hardly begun by its upstream."""
+        return self.at - self.began < AT_ONCE_S
+
 
 @attrs.define(eq=False)
 class _Inquiry(Generic[_W]):
@@ -163,12 +168,12 @@
     proved_at: float = 0.0
 
     def broke_before(self, run: _BrokenRun) -> bool:
-        """Returns whether a run began after others had broken off, unexplained so far.
+        """Returns whether a run began after others had broken off, and ended at once.
 
-        Whatever ended the upstream began before. Once it is known to have ended, what
-        runs there may be at its next life.
+        Whatever ended the upstream began before. One that lasted may have met its next
+        life, and all may once it is known to have ended.
         """
-        if self.found_ended or not self.suspects:
+        if self.found_ended or not self.suspects or not run.at_once:
             return False
         return run.began > min(other.at for other in self.suspects.values())
 
@@ -179,7 +184,7 @@
         none, does so in milliseconds, and hides its end until it is back.
         """
         late = self.proved_at - run.at >= SAME_END_S
-        return late and run.at - run.began < AT_ONCE_S
+        return late and run.at_once
 
 
 class EndWatch(Generic[_W]):
--- a/tests/features/upstreams_that_end.feature
+++ b/tests/features/upstreams_that_end.feature
@@ -136,7 +136,7 @@
     Examples:
       | began | lasted | proved  | standing    |
       | 0.5   | 0.01   | late    | free        |
-      | 0.5   | 0.5    | late    | free        |
+      | 0.5   | 0.5    | late    | quarantined |
       | -0.1  | 0.1    | late    | quarantined |
       | -0.1  | 0.1    | at once | quarantined |
 
