--- a/src/coppercleat/quarantine/_ledger.py
+++ b/src/coppercleat/quarantine/_ledger.py
@@ -45,6 +45,9 @@
 meets the ends of others more often, and they are due in seconds: two trials fit into
 15 s. A job may be kept for hours, so that there are more."""
 
+DOUBTFUL_PAUSE_S = 5.0
+"""The first pause at most if any end was weak: the request may well be a proper one."""
+
 TRIAL_STAGGER_S = 2.0
 """The next in line lets a trial through so much later than the one before, as not every
 instance is asked for each request. A trial that ends its upstream is told by then."""
@@ -326,7 +329,10 @@
     ) -> Verdict:
         ends, trial = len(record.ends), record.trials_failed
         if trial < len(pauses_s):
-            left_s = max(record.last_at, record.trial_at) + pauses_s[trial] - now
+            pause_s = pauses_s[trial]
+            if not trial and any(end.weak for end in record.ends):
+                pause_s = min(pause_s, DOUBTFUL_PAUSE_S)
+            left_s = max(record.last_at, record.trial_at) + pause_s - now
         else:
             left_s = max(0.1, record.last_at + REMEMBERED_S - now)
         return Verdict(
