Leases: a slow read, or an outage that comes again, begins none anew

What callers saw: accepted items whose owner had lost its power never ran while calls to the store took 0.8 s and more, or while the store was away every few seconds.

Cause: reads of the instances' rows that began more than half a lease apart counted as an outage, after which every row's lease began anew. A read of 0.8 s and the interval add up to that, so each read began one.

Why the change works: the time in which nothing could be read is that between the return of one read and the begin of the next; a slow read shows which rows have changed. An outage excuses a row wholly once since its last change, later ones for their own time. Live instances are not taken for dead beside calls of 0.5 to 1.9 s and repeated outages (eight rows of serving_decisions.feature).

--- a/src/coppercleat/serving/_watch.py
+++ b/src/coppercleat/serving/_watch.py
@@ -145,12 +145,28 @@
       row: The row.
       version: Version of the row.
       changed_at: Time of the read that showed the change, in seconds of this
-        instance's clock.
+        instance's clock; later by the outages since that are excused.
+      excused: Whether an outage has been excused since that change.
     """
 
     row: InstanceRow
     version: int
     changed_at: float
+    excused: bool = False
+
+    def excuse_outage(self, outage_s: float, now: float) -> None:
+        """Excuses an outage, during which the instance could not renew either.
+
+        After the first one since the row's last change, the instance has a whole lease
+        to renew. Later ones excuse their own time only: a row that stands still between
+        outages is that of a dead instance.
+
+        Args:
+          outage_s: Seconds between the reads before and after the outage.
+          now: Seconds on this instance's clock.
+        """
+        self.changed_at = self.changed_at + outage_s if self.excused else now
+        self.excused = True
 
 
 class Watch:
@@ -202,6 +218,7 @@
         self._routes_read_at = float("-inf")
         self._renewed_at = float("-inf")
         self._instances_read_at = float("-inf")
+        self._instances_read_until = float("-inf")
         self._own_version = ABSENT
         self._instances: dict[InstanceId, _SeenRow] = {}
         self._undecodable: dict[InstanceId, int] = {}
@@ -463,12 +480,14 @@
         began = trio.current_time()
         rows = await self.platform.scan(_INSTANCE_PREFIX)
         now = trio.current_time()
-        if began - self._instances_read_at > lease_s(self.settings, self.instances) / 2:
+        # Only the time between two reads: a slow read shows whether rows have changed.
+        unread_s = began - self._instances_read_until
+        if unread_s > lease_s(self.settings, self.instances) / 2:
             # After an outage, of the store or of this instance only, rows that have
             # not changed meanwhile prove nothing.
             for known in self._instances.values():
-                known.changed_at = now
-        self._instances_read_at = began
+                known.excuse_outage(unread_s, now)
+        self._instances_read_at, self._instances_read_until = began, now
         listed: set[InstanceId] = set()
         for key, row in rows:
             instance = InstanceId(key.removeprefix(_INSTANCE_PREFIX))
--- a/tests/features/kept_from_running.feature
+++ b/tests/features/kept_from_running.feature
@@ -92,14 +92,20 @@
       | a loss of power of its owner and calls of 1 s               | an item                        | 13   |
       | a loss of power of its owner among 720                      | an item                        | 13   |
       | an acceptance by an instance of which nothing else is known | an item                        | 13   |
+      | a loss of power of its owner and calls of 0.5 s             | an item                        | 13   |
+      | a loss of power of its owner and calls of 0.8 s             | an item                        | 13   |
+      | a loss of power of its owner and calls of 1.2 s             | an item                        | 13   |
 
   Scenario Outline: Several together: <evidence>, <work>
     Then after <evidence>: <work> may go at <most> s at the latest
 
     Examples:
-      | evidence                                            | work    | most |
-      | a loss of power of one owner after the other        | an item | 55   |
-      | runs left unheard by a peer that is not heard since | an item | 55   |
+      | evidence                                                     | work    | most |
+      | a loss of power of one owner after the other                 | an item | 55   |
+      | runs left unheard by a peer that is not heard since          | an item | 55   |
+      | a loss of power of its owner and outages of 2 s, 2 s apart   | an item | 55   |
+      | a loss of power of its owner and outages of 3 s, 2 s apart   | an item | 55   |
+      | a loss of power of its owner and outages of 5 s, 2 s apart   | an item | 55   |
 
   Scenario Outline: The product's own door: <evidence>, <work>
     Then after <evidence>: <work> may go at <most> s at the latest
--- a/tests/features/serving_decisions.feature
+++ b/tests/features/serving_decisions.feature
@@ -246,6 +246,22 @@
       | 2    | dies  | dead within 6 s     |
       | 8    | dies  | dead within 6 s     |
 
+  # Guards against takeovers from live owners, where reads and renewals are slow or fail.
+  Scenario Outline: Calls of <takes> s, the store away for <away> s every <well> s
+    When two instances watch for 60 s, and calls take <takes> s, <away> s away every <well> s
+    Then one that lives is taken for dead at most <dead> s, and never while it holds its lease
+
+    Examples:
+      | takes | away | well | dead |
+      | 0.5   | 0    | 60   | 0    |
+      | 1     | 0    | 60   | 0    |
+      | 1.2   | 0    | 60   | 0    |
+      | 1.9   | 0    | 60   | 0    |
+      | 0.002 | 2    | 2    | 0    |
+      | 0.002 | 3    | 2    | 0    |
+      | 0.002 | 5    | 2    | 0    |
+      | 0.002 | 8    | 4    | 0    |
+
   Scenario: A job that the changes leave out is found all the same
     When a job is accepted while the changes show nothing
     Then an index that has been read before knows it within 10 s
--- a/tests/features/steps/kept_jobs_steps.py
+++ b/tests/features/steps/kept_jobs_steps.py
@@ -1,5 +1,7 @@
 """Courses in which items of jobs may be kept from running."""
 
+from functools import partial
+
 import trio
 
 from coppercleat.gateway import JobAnswer
@@ -21,6 +23,7 @@
     RUN_S,
     accept_job,
     course,
+    fail_by_turns,
     first_moment,
     in_no_time,
     job_course,
@@ -162,17 +165,38 @@
     return found + await play.until_run("job-0", began)
 
 
-@job_course("a loss of power of its owner and calls of 1 s", ITEM, instances=2)
-async def owner_dies_slow_store(play, nursery):
+async def owner_dies_slow_store(play, takes_s):
     await play.submit(1)
     for view in play.views:
-        view.takes_s = 1.0
+        view.takes_s = takes_s
     await trio.sleep(3)
     began = trio.current_time()
     play.scopes[0].cancel()
     return await play.until_run("job-0", began)
 
 
+for takes_s in (0.5, 0.8, 1.0, 1.2):
+
+    @job_course(
+        f"a loss of power of its owner and calls of {takes_s:g} s", ITEM, instances=2
+    )
+    async def owner_dies_calls_take(play, nursery, takes_s=takes_s):
+        return await owner_dies_slow_store(play, takes_s)
+
+
+for away_s in (2, 3, 5):
+
+    @job_course(
+        f"a loss of power of its owner and outages of {away_s} s, 2 s apart",
+        ITEM,
+        instances=2,
+    )
+    async def owner_dies_outages(play, nursery, away_s=away_s):
+        nursery.start_soon(fail_by_turns, play.views[1:], 2.0, away_s)
+        await trio.sleep(1)
+        return await owner_lost(play)
+
+
 @job_course("an acceptance by an instance without a lease", ITEM, instances=2)
 async def nobody_owns(play, nursery):
     began = trio.current_time()
@@ -211,8 +235,10 @@
     return lease_s(settings, count) + 1.1 * renewal_interval_s(settings, count)
 
 
-course("a loss of power of its owner among 66", ITEM)(lambda: owner_lost_among(66))
-course("a loss of power of its owner among 720", ITEM)(lambda: owner_lost_among(720))
+for count in (66, 720):
+    course(f"a loss of power of its owner among {count}", ITEM)(
+        partial(owner_lost_among, count)
+    )
 
 
 @course("3 s in which neither the store nor others were heard", ITEM)
--- a/tests/harness/__init__.py
+++ b/tests/harness/__init__.py
@@ -23,7 +23,14 @@
     make_worker,
     submission,
 )
-from tests.harness._kept_jobs import JOB_ROUTE, LONGEST_S, RUN_S, job_course
+from tests.harness._kept_jobs import (
+    JOB_ROUTE,
+    LONGEST_S,
+    RUN_S,
+    KeptJob,
+    fail_by_turns,
+    job_course,
+)
 from tests.harness._kept_work import (
     COURSES,
     NEVER,
@@ -68,6 +75,7 @@
     "Fleet",
     "Gateways",
     "JobPlay",
+    "KeptJob",
     "Process",
     "Relay",
     "RelayedFleet",
@@ -78,6 +86,7 @@
     "draw_course",
     "draw_ends_plan",
     "draw_plan",
+    "fail_by_turns",
     "first_moment",
     "first_time",
     "free_port",
--- a/tests/harness/_kept_jobs.py
+++ b/tests/harness/_kept_jobs.py
@@ -104,6 +104,17 @@
         return NEVER
 
 
+async def fail_by_turns(views, well_s, away_s):
+    """The store answers for a while and is away for a while, again and again."""
+    while True:
+        await trio.sleep(well_s)
+        for view in views:
+            view.trouble.append("away")
+        await trio.sleep(away_s)
+        for view in views:
+            view.trouble.clear()
+
+
 def job_course(evidence, work, **options):
     """Registers a course of a play that has started."""
 
