Leases: a lost owner among 720 instances is found within 13 s

What callers saw: items of an owner that lost its power begin after 20.7 s (computed) among 720 instances, 13.02 s among 453; bound 13 s.

Cause: a lease was 3.5 renewal intervals, and the interval is stretched by the fleet's size (4.5 s at 720). What a failed renewal needs to be tried again does not grow with it.

Change: a lease lasts the longest interval and 2.4 s, 3.5 s as before where the interval is 1 s. Failed polls are tried again after 1 s, doubling up to the interval. An instance stops relying on its lease 0.5 s before its end, as before at an interval of 1 s.

The row of serving_decisions.feature for 720 instances asked for the lease that is the fault (15.75 s) and asks for 7.35 s now, by the same equality; its bounds on reads and writes stay, and the interval stays 4.5 s.

--- a/src/coppercleat/serving/__init__.py
+++ b/src/coppercleat/serving/__init__.py
@@ -38,6 +38,7 @@
     jobs_poll_interval_s,
     lease_s,
     renewal_interval_s,
+    retry_interval_s,
     routes_poll_interval_s,
     upstreams_poll_interval_s,
 )
@@ -140,6 +141,7 @@
     "incarnation_probe",
     "stall_check_times",
     "renewal_interval_s",
+    "retry_interval_s",
     "routes_poll_interval_s",
     "upstreams_poll_interval_s",
     "incompleteness_reason",
--- a/src/coppercleat/serving/_pauses.py
+++ b/src/coppercleat/serving/_pauses.py
@@ -25,9 +25,16 @@
 RENEWAL_INTERVAL_S = 1.0
 """Interval between lease renewals, in seconds."""
 
-RENEWALS_PER_LEASE = 3.5
-"""Length of a lease in renewal intervals: three renewals may fail, and the store may be
-slow."""
+POLL_JITTER = (0.8, 1.1)
+"""Factors between which an interval is drawn, so that instances spread their calls."""
+
+RENEWAL_SLACK_S = 2.4
+"""Seconds by which a lease outlasts the longest renewal interval: a renewal may get no
+answer and is tried again, or the store may be slow."""
+
+OUTAGE_SLACK_S = 0.65
+"""Seconds beyond the longest interval without a successful read of the other instances'
+rows that count as an outage."""
 
 READ_SHARE = 0.2
 """Share of the store's reads that the fleet spends on each of four kinds of polls."""
@@ -79,9 +86,34 @@
     return paced(scale * RENEWAL_INTERVAL_S, instances, calls)
 
 
+def longest_renewal_interval_s(settings: GatewaySettings, instances: int) -> float:
+    """Returns the longest interval that jitter makes of the renewals', in seconds."""
+    return POLL_JITTER[1] * renewal_interval_s(settings, instances)
+
+
 def lease_s(settings: GatewaySettings, instances: int) -> float:
     """Returns how long a renewal keeps an instance's lease alive, in seconds."""
-    return RENEWALS_PER_LEASE * renewal_interval_s(settings, instances)
+    return longest_renewal_interval_s(settings, instances) + RENEWAL_SLACK_S
+
+
+def outage_s(settings: GatewaySettings, instances: int) -> float:
+    """Returns the seconds without a read of the rows that count as an outage."""
+    return longest_renewal_interval_s(settings, instances) + OUTAGE_SLACK_S
+
+
+def retry_interval_s(interval_s: float, failures: int) -> float:
+    """Returns the interval after failures in a row, in seconds.
+
+    A stretched interval is long for an instance whose lease runs out. Retries begin at
+    that of a small fleet, and double up to the stretched one.
+
+    Args:
+      interval_s: Interval after a success.
+      failures: Failures since the last success; 0 after a success.
+    """
+    if not failures:
+        return interval_s
+    return min(interval_s, RENEWAL_INTERVAL_S * 2 ** (failures - 1))
 
 
 def _reads(settings: GatewaySettings) -> float:
--- a/src/coppercleat/serving/_watch.py
+++ b/src/coppercleat/serving/_watch.py
@@ -17,8 +17,11 @@
 from coppercleat.quarantine import QuarantineRecord
 from coppercleat.serving._model import RouteConfig, RouteTable, Upstream
 from coppercleat.serving._pauses import (
+    POLL_JITTER,
     lease_s,
+    outage_s,
     renewal_interval_s,
+    retry_interval_s,
     routes_poll_interval_s,
     upstreams_poll_interval_s,
 )
@@ -44,6 +47,9 @@
 """Factor on the poll intervals meanwhile: after a restart of the whole fleet, jobs have
 no owner until the other instances' new rows are seen."""
 
+LEASE_MARGIN_S = 0.5
+"""Seconds before the end of its lease at which an instance stops relying on it."""
+
 LEAVE_TIMEOUT_S = 1.0
 """Time limit for announcing the shutdown, in seconds; without it the lease expires."""
 
@@ -241,8 +247,7 @@
 
     def holds_lease(self) -> bool:
         """Returns whether this instance's lease is valid, with a safety margin."""
-        interval_s = renewal_interval_s(self.settings, self.instances)
-        lasts_s = lease_s(self.settings, self.instances) - interval_s / 2
+        lasts_s = lease_s(self.settings, self.instances) - LEASE_MARGIN_S
         return trio.current_time() - self._renewed_at < lasts_s
 
     @property
@@ -334,17 +339,21 @@
         self, name: str, poll: Callable, interval_of: Callable[..., float]
     ) -> None:
         began = trio.current_time()
+        failures = 0
         while True:
             asked_at = trio.current_time()
             try:
                 await poll()
+                failures = 0
                 self._record_success(name)
             except CoppercleatError as error:
+                failures += 1
                 self._record_failure(name, asked_at=asked_at, reason=str(error))
             starting = trio.current_time() - began < STARTUP_S
             scale = STARTUP_INTERVAL_SCALE if starting else 1.0
             interval_s = interval_of(self.settings, self.instances, scale=scale)
-            await trio.sleep(interval_s * self.rng.uniform(0.8, 1.1))
+            interval_s = retry_interval_s(interval_s, failures)
+            await trio.sleep(interval_s * self.rng.uniform(*POLL_JITTER))
 
     def _record_success(self, poll: str) -> None:
         self._reached_at = trio.current_time()
@@ -482,7 +491,7 @@
         now = trio.current_time()
         # Only the time between two reads: a slow read shows whether rows have changed.
         unread_s = began - self._instances_read_until
-        if unread_s > lease_s(self.settings, self.instances) / 2:
+        if unread_s > outage_s(self.settings, self.instances):
             # After an outage, of the store or of this instance only, rows that have
             # not changed meanwhile prove nothing.
             for known in self._instances.values():
--- a/tests/features/kept_from_running.feature
+++ b/tests/features/kept_from_running.feature
@@ -95,6 +95,8 @@
       | a loss of power of its owner and calls of 0.5 s             | an item                        | 13   |
       | a loss of power of its owner and calls of 0.8 s             | an item                        | 13   |
       | a loss of power of its owner and calls of 1.2 s             | an item                        | 13   |
+      | a loss of power of its owner among 200                      | an item                        | 13   |
+      | a loss of power of its owner among 453                      | an item                        | 13   |
 
   Scenario Outline: Several together: <evidence>, <work>
     Then after <evidence>: <work> may go at <most> s at the latest
--- a/tests/features/serving_decisions.feature
+++ b/tests/features/serving_decisions.feature
@@ -307,7 +307,19 @@
       | 9         | 2     | 2     | 3      | 2000  | 800    | 0.5    | 0.5       | 0.4  | 1     | 3.5   |
       | 12        | 1     | 0.8   | 1.4    | 2000  | 800    | 0.25   | 0.2       | 0.2  | 1     | 3.5   |
       | 66        | 3     | 3     | 3      | 6000  | 1500   | 0.75   | 0.75      | 0.4  | 1     | 3.5   |
-      | 720       | 6     | 6     | 6      | 2000  | 800    | 1.8    | 1.8       | 1.8  | 4.5   | 15.75 |
+      | 720       | 6     | 6     | 6      | 2000  | 800    | 1.8    | 1.8       | 1.8  | 4.5   | 7.35  |
+
+  Scenario Outline: A renewal of one of <instances> instances fails <failures> times
+    Then of <instances> instances, one whose renewal failed <failures> times tries after <s> s
+
+    Examples:
+      | instances | failures | s   |
+      | 9         | 0        | 1   |
+      | 9         | 3        | 1   |
+      | 720       | 0        | 4.5 |
+      | 720       | 1        | 1   |
+      | 720       | 2        | 2   |
+      | 720       | 9        | 4.5 |
 
   Scenario Outline: Links between two instances fall silent <way>
     Given two instances that tell each other of work in flight, through relays
--- a/tests/features/steps/kept_jobs_steps.py
+++ b/tests/features/steps/kept_jobs_steps.py
@@ -235,7 +235,7 @@
     return lease_s(settings, count) + 1.1 * renewal_interval_s(settings, count)
 
 
-for count in (66, 720):
+for count in (66, 200, 453, 720):
     course(f"a loss of power of its owner among {count}", ITEM)(
         partial(owner_lost_among, count)
     )
--- a/tests/features/steps/lease_steps.py
+++ b/tests/features/steps/lease_steps.py
@@ -3,7 +3,8 @@
 import trio
 from behave import then, when
 
-from tests.harness import KeptJob, fail_by_turns, in_no_time
+from coppercleat.serving import renewal_interval_s, retry_interval_s
+from tests.harness import KeptJob, fail_by_turns, in_no_time, node_settings
 
 LOOK_S = 0.05
 
@@ -42,3 +43,12 @@
 def taken_for_dead(context, most):
     assert context.dead_s <= most, context.dead_s
     assert not context.dead_with_lease_s, context.dead_with_lease_s
+
+
+@then(
+    "of {instances:d} instances, one whose renewal failed {failures:d} times "
+    "tries after {s:g} s"
+)
+def tries_after(context, instances, failures, s):
+    interval_s = renewal_interval_s(node_settings("i", "a"), instances)
+    assert retry_interval_s(interval_s, failures) == s
