Headroom: batch leaves no more slots than online requests hold in the fleet

What callers saw: an instance without answers of its own, told of 400 requests a second of 5 ms elsewhere, started no item for ever beside 30 of 32 free slots.

Cause: headroom was the arrival rate times the own answers' time, at most 0.1 s; before the first answer that time is a guess of 1 s. Evidence: 400 x 0.1 s = 40 of 32 slots, and rows of 1,000 a second of 2 ms, 1,500 of 1 ms and 350 of 20 ms never place an item either (bound 13 s), while the peers' counts tell 1 to 7 requests in flight.

Change: at most the online requests in flight that all instances tell, which by Little's law are rate times time in a slot.

--- a/src/coppercleat/serving/_placement.py
+++ b/src/coppercleat/serving/_placement.py
@@ -208,10 +208,14 @@
         """Returns the unused slots of an upstream; negative if requests queue there."""
         return state.upstream.slots - self.load(state)
 
+    def online_load(self, state: UpstreamState) -> int:
+        """Returns the online requests that any instance has in flight there."""
+        reported = self.peers.online(state.id) + self.zones.online(state.id)
+        return state.online + reported
+
     def online_slots(self, state: UpstreamState) -> int:
         """Returns the slots that online requests do not hold; batch yields its own."""
-        reported = self.peers.online(state.id) + self.zones.online(state.id)
-        return state.upstream.slots - state.online - reported - state.untracked
+        return state.upstream.slots - self.online_load(state) - state.untracked
 
     # Decisions.
 
@@ -355,9 +359,13 @@
         """Returns the free slots that batch leaves to arriving online requests.
 
         Requests shorter than ``HEADROOM_S`` hold a slot for their service time only.
+        Where no answer has shown that time here, the slots that they hold in the whole
+        fleet do: by Little's law, these are the arrival rate times that time.
         """
         held_s = min(HEADROOM_S, self.demand.for_service(service).service_time_s)
-        return int(self.demand.fleet_rate(service, now=now) * held_s)
+        arriving = self.demand.fleet_rate(service, now=now) * held_s
+        in_use = sum(self.online_load(state) for state in self._usable(service))
+        return int(min(arriving, in_use))
 
     def should_preempt(self, state: UpstreamState, instance: InstanceId) -> bool:
         """Returns whether this instance is the one to preempt an item at an upstream.
--- a/tests/features/kept_from_running.feature
+++ b/tests/features/kept_from_running.feature
@@ -74,6 +74,9 @@
       | a second in which 200 requests come that never come again        | an online request      | 4    |
       | one answer of its route that took 4.9 s while other routes' wait | an online request      | 4    |
       | word of 400 online requests a second that take 5 ms each         | an item                | 13   |
+      | word of 1000 online requests a second that take 2 ms each        | an item                | 13   |
+      | word of 1500 online requests a second that take 1 ms each        | an item                | 13   |
+      | word of 350 online requests a second that take 20 ms each        | an item                | 13   |
 
   Scenario Outline: Owners and leases: <evidence>, <work>
     Then after <evidence>: <work> may go at <most> s at the latest
