Admission: a forecast that refuses every request is tried against

What callers saw at the product's own door: after some slow answers every request that would be too long by them was refused for ever, also once engines were fast again.

Cause: only answers change the forecast, and none came while all were refused. Evidence: rows of 0.15, 0.3, 2 and 0.12 s a token never let a request in (bound 4 s).

Change: after 2 s in which every request was refused by forecast, one is admitted against it, and one each 2 s from then on. An answer that is faster than the averages replaces them where none came for 1.5 s; by a tenth at a time, 2 s a token would need some 28 such answers. A stream without a token no longer enters the averages (its first token counted as sent at the clock's zero, a large negative time).

Retry-After and the rows of decisions.feature are as they were; decide() takes the time now.

--- a/src/coppercleat/online/_dispatch.py
+++ b/src/coppercleat/online/_dispatch.py
@@ -35,7 +35,6 @@
 from coppercleat.upstreams import Attempt, AttemptState, EngineRequest
 
 _MAX_ATTEMPTS = 4
-_SMOOTHING_FACTOR = 0.1
 _RETRY_AFTER_MS = 1_000
 
 _log = part_logger("dispatch")
@@ -219,12 +218,14 @@
                 token_count += len(texts)
                 yield self._record_tokens(exchange, texts)
         ended_at = trio.current_time()
-        record.first_token_s = _moving_average(
-            record.first_token_s, first_token_at - started_at
-        )
-        if token_count > 1:
-            record.inter_token_s = _moving_average(
-                record.inter_token_s, (ended_at - first_token_at) / (token_count - 1)
+        if token_count:
+            intervals = token_count - 1
+            record.observe_response(
+                ended_at,
+                first_token_s=first_token_at - started_at,
+                inter_token_s=(ended_at - first_token_at) / intervals
+                if intervals
+                else None,
             )
 
     def _record_tokens(self, exchange: Exchange, texts: list[str]) -> Chunk:
@@ -321,8 +322,3 @@
     if isinstance(error, DeadlineExceededError):
         return True
     return isinstance(error, UpstreamFailedError) and error.outcome is not Outcome.RUN
-
-
-def _moving_average(average: float, sample: float) -> float:
-    """Returns the exponential moving average; 0 stands for none so far."""
-    return sample if not average else average + _SMOOTHING_FACTOR * (sample - average)
--- a/src/coppercleat/online/_filters.py
+++ b/src/coppercleat/online/_filters.py
@@ -228,13 +228,14 @@
 async def admit(exchange: Exchange, services: OnlineServices) -> AsyncIterator[None]:
     """Refuses requests beyond capacity and those that would miss their deadline."""
     serving = [r for r in services.table if r.node.service == exchange.service]
+    now = trio.current_time()
     decision = services.admission.decide(
         AdmissionRequest(
-            tokens=exchange.max_tokens,
-            remaining_s=exchange.deadline - trio.current_time(),
+            tokens=exchange.max_tokens, remaining_s=exchange.deadline - now
         ),
         first_token_s=min((r.first_token_s for r in serving), default=0.0),
         inter_token_s=min((r.inter_token_s for r in serving), default=0.0),
+        now=now,
     )
     if isinstance(decision, Refusal):
         raise _overloaded_error(decision)
--- a/src/coppercleat/routing/_table.py
+++ b/src/coppercleat/routing/_table.py
@@ -13,6 +13,13 @@
 
 _REPORTED_DRAINING = "leaving"
 
+_SMOOTHING_FACTOR = 0.1
+"""Weight of the newest response in the averages of times."""
+
+_STALE_TIMES_S = 1.5
+"""Seconds without a response after which a faster one replaces the averages: while slow
+averages keep requests from being admitted, hardly any response corrects them."""
+
 
 @attrs.define(kw_only=True, eq=False)
 class UpstreamRecord:
@@ -35,6 +42,7 @@
         reset while the upstream stays listed at its address.
       inter_token_s: Smoothed time between tokens in seconds.
       first_token_s: Smoothed time to the first token in seconds.
+      responded_at: When the last response ended.
       breaker: Circuit breaker of the upstream.
     """
 
@@ -50,6 +58,7 @@
     draining: bool = False
     inter_token_s: float = 0.0
     first_token_s: float = 0.0
+    responded_at: float = float("-inf")
     breaker: CircuitBreaker = attrs.field(factory=CircuitBreaker)
 
     @property
@@ -99,6 +108,24 @@
         if report.state == _REPORTED_DRAINING:
             self.draining = True
 
+    def observe_response(
+        self, now: float, *, first_token_s: float, inter_token_s: float | None
+    ) -> None:
+        """Records the times of a complete response.
+
+        Args:
+          now: Monotonic time in seconds.
+          first_token_s: Time to the first token in seconds.
+          inter_token_s: Time between tokens in seconds; None for a single token.
+        """
+        stale = now - self.responded_at > _STALE_TIMES_S
+        self.responded_at = now
+        self.first_token_s = _smoothed(self.first_token_s, first_token_s, stale=stale)
+        if inter_token_s is not None:
+            self.inter_token_s = _smoothed(
+                self.inter_token_s, inter_token_s, stale=stale
+            )
+
     def serves(self, version: str) -> bool:
         """Returns whether a version is loaded; True before the first load report."""
         return self.report is None or version in self.report.versions
@@ -169,3 +196,10 @@
             return False
         record.draining = True
         return True
+
+
+def _smoothed(average: float, sample: float, *, stale: bool) -> float:
+    """Returns the new average; 0 stands for none so far."""
+    if not average or (stale and sample < average):
+        return sample
+    return average + _SMOOTHING_FACTOR * (sample - average)
--- a/tests/features/decisions.feature
+++ b/tests/features/decisions.feature
@@ -45,6 +45,15 @@
       | 10     | 0.0     | 0         | refused, retry 0.0 |
       | 10000  | 1.0     | 0         | refused, retry 30.0 |
 
+  Scenario Outline: The forecast refuses all requests, <rate> a second for <s> s
+    Then at most <let_in> of <rate> requests a second for <s> s are let in against the forecast
+
+    Examples: one each 2 s shows whether the forecast still holds
+      | rate | s  | let_in |
+      | 1    | 10 | 4      |
+      | 20   | 10 | 4      |
+      | 200  | 60 | 29     |
+
   Scenario Outline: A tenant's rate of <rate> over <instances> instances
     When <count> requests come at once and again after a second
     Then <first> are let in at first and <second> later
--- a/tests/features/steps/decision_steps.py
+++ b/tests/features/steps/decision_steps.py
@@ -127,7 +127,7 @@
     request = AdmissionRequest(
         tokens=int(row["tokens"]), remaining_s=float(row["allowed"])
     )
-    decision = door.decide(request, first_token_s=0.2, inter_token_s=0.05)
+    decision = door.decide(request, first_token_s=0.2, inter_token_s=0.05, now=0.0)
     said = (
         "admitted"
         if isinstance(decision, Admitted)
--- a/tests/features/steps/kept_at_door_steps.py
+++ b/tests/features/steps/kept_at_door_steps.py
@@ -1,6 +1,9 @@
 """Courses in which the product's own door may keep online requests from running."""
 
 import random
+from functools import partial
+
+from behave import then
 
 from coppercleat.limits import (
     AdmissionController,
@@ -85,11 +88,10 @@
     return first_time(let_in)
 
 
-@course("answers of 0.15 s a token that were the last", "one of 50 tokens")
-def slow_tokens():
+def slow_tokens(inter_token_s, tokens):
     record, door = make_record(), AdmissionController(max_in_flight=10)
-    record.first_token_s, record.inter_token_s = 0.2, 0.15
-    request = AdmissionRequest(tokens=50, remaining_s=5.0)
+    record.first_token_s, record.inter_token_s = 0.2, inter_token_s
+    request = AdmissionRequest(tokens=tokens, remaining_s=5.0)
 
     def let_in(now):
         # Only answers change these, and none comes while all are refused.
@@ -97,7 +99,59 @@
             request,
             first_token_s=record.first_token_s,
             inter_token_s=record.inter_token_s,
+            now=now,
         )
         return isinstance(found, Admitted)
 
     return first_time(let_in)
+
+
+for inter_token_s, tokens in ((0.15, 50), (0.3, 50), (2.0, 5), (0.12, 200)):
+    course(
+        f"answers of {inter_token_s:g} s a token that were the last",
+        f"one of {tokens} tokens",
+    )(partial(slow_tokens, inter_token_s, tokens))
+
+
+def fast_again(inter_token_s, tokens):
+    """Engines are fast again, which only the answers to admitted requests show."""
+    record, door = make_record(), AdmissionController(max_in_flight=10)
+    record.first_token_s, record.inter_token_s = 0.2, inter_token_s
+    record.responded_at = 0.0
+    request = AdmissionRequest(tokens=tokens, remaining_s=5.0)
+    in_a_row = []
+
+    def let_in(now):
+        found = door.decide(
+            request,
+            first_token_s=record.first_token_s,
+            inter_token_s=record.inter_token_s,
+            now=now,
+        )
+        in_a_row.append(isinstance(found, Admitted))
+        if in_a_row[-1]:
+            record.observe_response(now, first_token_s=0.2, inter_token_s=0.01)
+        return all(in_a_row[-5:]) and len(in_a_row) >= 5
+
+    return first_time(let_in)
+
+
+for inter_token_s, tokens in ((0.15, 50), (0.3, 50), (2.0, 5)):
+    course(
+        f"answers of {inter_token_s:g} s a token, and engines fast again",
+        f"all of {tokens} tokens",
+    )(partial(fast_again, inter_token_s, tokens))
+
+
+@then(
+    "at most {most:d} of {rate:d} requests a second for {length:d} s are let in "
+    "against the forecast"
+)
+def let_in_against_forecast(context, most, rate, length):
+    door = AdmissionController(max_in_flight=10_000)
+    request = AdmissionRequest(tokens=50, remaining_s=5.0)
+    found = [
+        door.decide(request, first_token_s=0.2, inter_token_s=0.3, now=number / rate)
+        for number in range(rate * length)
+    ]
+    assert sum(isinstance(one, Admitted) for one in found) <= most
