Quarantine: upstreams that go on flapping weaken the crashes they had under a request

Cause: a crash counts half where the service is known to flap, which is not known for the first crashes of three upstreams. What they did afterwards without the request changed nothing.

Why it works: an upstream that crashes twice again soon after its start, without the request, is no evidence of more than half against it.

A row with other figures (0.8 s) is added.

--- a/src/coppercleat/gateway/_gateway.py
+++ b/src/coppercleat/gateway/_gateway.py
@@ -192,8 +192,7 @@
         self.peers.crash_reports = self._ends
         self.peers.on_crash_update = self._hear_of_ends
         self.crash_detector.on_update = self.peers.announce_crashes
-        self.crash_detector.on_crash = self.placement.record_crash
-        self.crash_detector.on_crash_retracted = self.placement.retract_crash
+        self.placement.follow_crashes(self.crash_detector)
         self.crash_detector.may_run_trial = self._tries
         self.crash_detector.on_blocked = self.metrics.request_barred
         self.load_prober.on_change = self._unknown_changed
--- a/src/coppercleat/quarantine/__init__.py
+++ b/src/coppercleat/quarantine/__init__.py
@@ -24,6 +24,7 @@
     ITEM_QUARANTINE_PERIODS_S,
     TRIAL_STAGGER_S,
     CrashHistory,
+    Flap,
     Verdict,
     VerdictKind,
 )
@@ -43,6 +44,7 @@
     "CrashUpdate",
     "Fingerprint",
     "FingerprintedRequest",
+    "Flap",
     "ProbeResult",
     "QuarantineRecord",
     "QuarantineStore",
--- a/src/coppercleat/quarantine/_end_watch.py
+++ b/src/coppercleat/quarantine/_end_watch.py
@@ -217,6 +217,7 @@
         """
         self.probe = probe
         self.history = CrashHistory()
+        self.history.on_reweighed = self._log_reweighed
         self.on_update: Callable[
             [tuple[CrashReport, ...], tuple[Fingerprint, ...]], None
         ] = lambda reports, cleared: None
@@ -585,6 +586,13 @@
                 self._unsent_reports.append((fingerprint, own, False))
                 self._wake.set()
 
+    def _log_reweighed(self, fingerprint: Fingerprint) -> None:
+        _log.info(
+            "Upstreams that crash by themselves weaken the evidence against a request.",
+            fingerprint=format_fingerprint(fingerprint),
+            ends=len(self.history.crashes_of(fingerprint)),
+        )
+
     def _log_if_quarantined(self, fingerprint: Fingerprint, *, sender: str) -> None:
         now = trio.current_time()
         verdict = self.history.verdict(fingerprint, now=now)
--- a/src/coppercleat/quarantine/_ledger.py
+++ b/src/coppercleat/quarantine/_ledger.py
@@ -7,6 +7,7 @@
 
 from __future__ import annotations
 
+import collections
 import enum
 import itertools
 from collections.abc import Callable, Iterable, Sequence
@@ -60,6 +61,20 @@
 """Limit of remembered requests; those with the lightest and oldest evidence are evicted
 first."""
 
+FLAPS_TO_WEAKEN = 2
+"""Crashes of an upstream soon after its start, without a request, that make an earlier
+crash of it weak evidence against the request."""
+
+FLAP_SETTLE_S = 0.5
+"""Time after which all suspects of a flapping upstream's crash are known."""
+
+_SAME_FLAP_WINDOW_S = 3.0
+"""A crash this close to a recorded one of the same upstream may be that one: the list
+shows crashes late."""
+
+_MAX_FLAPS = 64
+"""Limit of remembered crashes of flapping upstreams."""
+
 _MAX_DISCOUNTED = 8
 """Limit of remembered crashes of one request that were retracted or voided."""
 
@@ -114,6 +129,24 @@
 """Verdict on a request without recorded crashes."""
 
 
+@attrs.frozen
+class Flap:
+    """A crash of an upstream soon after its start.
+
+    Attributes:
+      upstream: The upstream that crashed.
+      at: Time of the crash on the local clock, in seconds.
+    """
+
+    upstream: UpstreamId
+    at: float
+
+    def may_be(self, crash: Crash) -> bool:
+        """Returns whether it may be a recorded crash."""
+        near = abs(crash.at - self.at) < _SAME_FLAP_WINDOW_S
+        return near and crash.upstream == self.upstream
+
+
 @attrs.define
 class _Record:
     """Evidence against one request.
@@ -128,6 +161,24 @@
     pending: list[UpstreamId] = attrs.field(factory=list)
     trial_at: float = float("-inf")
 
+    def reweigh(self, flaps: Iterable[Flap]) -> bool:
+        """Weakens crashes of upstreams that have flapped since without the request.
+
+        Returns:
+          Whether any crash became weak evidence.
+        """
+        others = [f for f in flaps if not any(map(f.may_be, self.crashes))]
+        before = self.weight
+        self.crashes = [self._reweighed(crash, others) for crash in self.crashes]
+        return self.weight < before
+
+    @staticmethod
+    def _reweighed(crash: Crash, flaps: Iterable[Flap]) -> Crash:
+        since = [f for f in flaps if f.upstream == crash.upstream and f.at > crash.at]
+        if crash.weak or len(since) < FLAPS_TO_WEAKEN:
+            return crash
+        return attrs.evolve(crash, weak=True)
+
     @property
     def weight(self) -> int:
         """Sum of the weights of the crashes."""
@@ -164,6 +215,11 @@
         )
         return next(duplicates, None)
 
+    def with_known_weight(self, crash: Crash) -> Crash:
+        """Returns a reported crash, weak if it is known to be."""
+        known = self.find_reported(crash)
+        return attrs.evolve(crash, weak=True) if known and known.weak else crash
+
     def with_number(self, crash: Crash, *, before: Sequence[Crash] = ()) -> Crash:
         """Returns a new crash with its number assigned.
 
@@ -179,12 +235,18 @@
 
 
 class CrashHistory:
-    """Crashes by request; all times are in seconds on one clock of the caller."""
+    """Crashes by request; all times are in seconds on one clock of the caller.
+
+    Attributes:
+      on_reweighed: Called with each request whose crashes turn out to be weak evidence.
+    """
 
     def __init__(self) -> None:
         self._records: dict[Fingerprint, _Record] = {}
         self._voided_until: dict[tuple[Fingerprint, UpstreamId | None], float] = {}
         self._discounted: dict[Fingerprint, list[Crash]] = {}
+        self._flaps: collections.deque[Flap] = collections.deque(maxlen=_MAX_FLAPS)
+        self.on_reweighed: Callable[[Fingerprint], None] = lambda fingerprint: None
 
     def __len__(self) -> int:
         return len(self._records)
@@ -238,10 +300,23 @@
         record.crashes.append(crash)
         return True
 
+    def record_flap(self, flap: Flap) -> None:
+        """Records that an upstream crashed soon after its start.
+
+        The requests that it interrupted may be recorded later.
+        """
+        self._flaps.append(flap)
+
+    def _reweigh(self, fingerprint: Fingerprint, record: _Record, now: float) -> None:
+        settled = [flap for flap in self._flaps if now - flap.at >= FLAP_SETTLE_S]
+        if record.reweigh(settled):
+            self.on_reweighed(fingerprint)
+
     def adopt(self, fingerprint: Fingerprint, crashes: list[Crash]) -> None:
         """Replaces the recorded crashes of a request by those given, if heavier."""
         counted = [crash for crash in crashes if self._counts(fingerprint, crash)]
         record = self._record(fingerprint)
+        counted = [record.with_known_weight(crash) for crash in counted]
         if _Record(crashes=counted).weight > record.weight:
             record.crashes = []
             for crash in counted:
@@ -329,6 +404,8 @@
         record = self._records.get(fingerprint)
         if record is None:
             return FREE
+        if record.quarantined:
+            self._reweigh(fingerprint, record, now)
         crashes = len(record.crashes)
         if record.quarantined:
             return self._verdict_in_quarantine(record, now, periods_s)
--- a/src/coppercleat/serving/_placement.py
+++ b/src/coppercleat/serving/_placement.py
@@ -8,7 +8,7 @@
 import msgspec
 
 from coppercleat.ids import InstanceId, UpstreamId, ZoneId
-from coppercleat.quarantine import Crash, Verdict
+from coppercleat.quarantine import Crash, CrashDetector, Verdict
 from coppercleat.serving._demand import Demand
 from coppercleat.serving._fleet_order import PeerQueues
 from coppercleat.serving._model import Route, Target, Upstream
@@ -155,6 +155,12 @@
         if state is not None:
             self.flap_damping.retract_crash(state)
 
+    def follow_crashes(self, crash_detector: CrashDetector[UpstreamState]) -> None:
+        """Exchanges knowledge of crashes with the detector of this instance."""
+        crash_detector.on_crash = self.record_crash
+        crash_detector.on_crash_retracted = self.retract_crash
+        self.flap_damping.on_flap = crash_detector.history.record_flap
+
     def observe_results(self, results: Iterable[AttemptResults], *, now: float) -> None:
         """Adds the results of a peer's attempts."""
         for result in results:
--- a/src/coppercleat/serving/_steadiness.py
+++ b/src/coppercleat/serving/_steadiness.py
@@ -7,9 +7,11 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
+
 import attrs
 
-from coppercleat.quarantine import SAME_CRASH_WINDOW_S, Crash
+from coppercleat.quarantine import SAME_CRASH_WINDOW_S, Crash, Flap
 from coppercleat.serving._upstream_state import UpstreamState
 
 STEADY_S = 2.0
@@ -52,9 +54,13 @@
 
     They are kept per service, since its upstreams run the same software and most come
     back under other ids and addresses.
+
+    Attributes:
+      on_flap: Called with each crash after a short uptime.
     """
 
     def __init__(self) -> None:
+        self.on_flap: Callable[[Flap], None] = lambda flap: None
         self._short_uptimes: dict[str, list[_ShortUptime]] = {}
 
     def record_start(self, state: UpstreamState, at: float) -> None:
@@ -122,6 +128,7 @@
         known = self._short_uptimes.setdefault(state.upstream.service, [])
         known.append(uptime)
         del known[:-_MAX_CRASHES]
+        self.on_flap(Flap(state.id, uptime.ended_at))
 
     def _recent_uptimes(self, state: UpstreamState) -> list[float]:
         """Returns the service's short uptimes that were recent at this one's start."""
--- a/tests/features/steps/steadiness_steps.py
+++ b/tests/features/steps/steadiness_steps.py
@@ -1,6 +1,7 @@
 """Steps for flap damping: steady upstreams, and how their crashes count."""
 
 import random
+import re
 
 import msgspec
 import trio
@@ -173,6 +174,63 @@
         assert crash.weak == (counts == "half"), crash
 
 
+class FlappingService:
+    """Upstreams that crash under a request and by themselves."""
+
+    def __init__(self):
+        self.placement = Placement(ZoneId("z"), rng=random.Random(1))
+        self.watch = CrashDetector(incarnation_probe(NotListening()))
+        self.placement.follow_crashes(self.watch)
+        self.listed = {name: upstream(name) for name in "abcd"}
+        self.placement.replace(self.listed.values(), now=0.0)
+        self.crashes = 0
+
+    async def crash(self, name):
+        self.crashes += 1
+        told = CrashReport(
+            FINGERPRINT, UpstreamId(name), 0.0, number=self.crashes, weak=False
+        )
+        self.watch.apply_update("peer", (told,), ())
+
+    async def restart(self, names, at):
+        await trio.sleep(max(0.0, at - trio.current_time()))
+        for name in names:
+            known = self.listed[name]
+            started = msgspec.structs.replace(known, born_ms=known.born_ms + 1)
+            self.listed[name] = started
+        self.placement.replace(self.listed.values(), now=trio.current_time())
+
+
+@when("under a request {met}, and then {then}")
+def met_and_then(context, met, then):
+    async def play():
+        service = context.service = FlappingService()
+        await trio.sleep(100.0 - trio.current_time())
+        for event in met.split(", "):
+            await service.crash(event.split()[0])
+            await trio.sleep(0.2)
+        for names, at in re.findall(
+            r"([a-z](?:, [a-z])*) restarts? at ([0-9.]+)", then
+        ):
+            await service.restart(names.split(", "), float(at))
+        if then.endswith("d crashes twice under it"):
+            for _ in range(2):
+                await trio.sleep(3.0)
+                await service.crash("d")
+        context.verdicts = {
+            at: service.watch.history.verdict(FINGERPRINT, now=float(at))
+            for at in (context.active_outline["at"],)
+        }
+
+    trio.run(play, clock=trio.testing.MockClock(autojump_threshold=0))
+
+
+@then("at {at} s the request is {standing}, by {crashes:d} crashes")
+def standing_at(context, at, standing, crashes):
+    verdict = context.verdicts[at]
+    assert (verdict.kind.value, verdict.crashes) == (standing, crashes), verdict
+
+
 @when(
     "of three upstreams {unsteady:d} have just started, "
     "and {crashes:d} have crashed under a request {ago:g} s ago"
--- a/tests/features/upstreams_that_end.feature
+++ b/tests/features/upstreams_that_end.feature
@@ -16,6 +16,7 @@
       | all   | 0.4   | 16  |
       | all   | 1.5   | 16  |
       | one   | 0.4   | 16  |
+      | all   | 0.8   | 16  |
 
   Scenario Outline: An upstream that <events> is steady from <s> s on
     When an upstream <events>
@@ -64,6 +65,25 @@
       | made no progress for 2 s                   | crashed 1 s ago, as a peer reports | whole  |
       | made progress for 0.1 s, then none for 2 s | is in the first list               | whole  |
 
+  # Guards against long quarantines of proper requests that met the first crashes of
+  # upstreams that begin to flap.
+  Scenario Outline: A request met 3 crashes, and then <then>
+    When under a request <met>, and then <then>
+    Then at <at> s the request is <standing>, by <crashes> crashes
+
+    Examples: the list shows restarts; a restart within 3 s may be that of the crash itself
+      | met                             | then                                                                                             | at  | standing    | crashes |
+      | a crashes, b crashes, c crashes | nothing                                                                                          | 106 | quarantined | 3       |
+      | a crashes, b crashes, c crashes | a restarts at 101, a restarts at 104                                                             | 108 | quarantined | 3       |
+      | a crashes, b crashes, c crashes | a restarts at 101, a restarts at 104, a restarts at 106                                          | 108 | free        | 3       |
+      | a crashes, b crashes, c crashes | a, b, c restart at 101, a, b, c restart at 104, a, b, c restart at 106                           | 108 | free        | 3       |
+      | a crashes, b crashes, c crashes | a, b, c restart at 101, a, b, c restart at 104, a, b, c restart at 106                           | 170 | free        | 3       |
+      | a crashes, b crashes, c crashes | a restarts at 100.7, a restarts at 101.1, a restarts at 101.5                                    | 108 | quarantined | 3       |
+      | a crashes, b crashes, c crashes | a restarts at 101, a restarts at 108, a restarts at 115                                          | 120 | quarantined | 3       |
+      | a crashes, b crashes, c crashes | d restarts at 101, d restarts at 102, d restarts at 103, d restarts at 104                       | 108 | quarantined | 3       |
+      | a crashes, a crashes, a crashes | a restarts at 104, a restarts at 105, a restarts at 106, a restarts at 107                       | 109 | free        | 3       |
+      | a crashes, b crashes, c crashes | a, b, c restart at 101, a, b, c restart at 104, a, b, c restart at 106, d crashes twice under it | 113 | quarantined | 5       |
+
   Scenario Outline: Upstreams for a request under which <crashes> have crashed
     When of three upstreams <unsteady> have just started, and <crashes> have crashed under a request <ago> s ago
     Then it may go to <open>, and is retried after <s> s if to none
--- a/tests/harness/_ends_play.py
+++ b/tests/harness/_ends_play.py
@@ -84,7 +84,7 @@
         rng = random.Random(f"{play.plan.seed} {number} {start}")
         self.placement = Placement(ZoneId("a"), rng=rng)
         self.watch = CrashDetector(incarnation_probe(play.caller))
-        self.watch.on_crash = self.placement.record_crash
+        self.placement.follow_crashes(self.watch)
         self.keeper = QuarantineStore(
             self.watch.history,
             clock=trio.current_time,
