Quarantine: an instance stores in its row what it has seen itself

What callers saw: one deadly item ended nine upstreams (drawn play 201, listed; six allowed): two attempts after another instance had quarantined it, all began anew.

Cause: three instances, chosen by the fingerprint, store a quarantined request. The one that had seen all crashes was none of them, could send nothing for 12 s and was killed. Evidence: trace of the play, `weight=6` at i-3, `weight=1` at i-0 four seconds later.

Why it works: the row of the instance that saw the crashes outlives it, and others read it within a second. Play 201: nine before, passes after; its row is added.

--- a/src/coppercleat/quarantine/_end_keeper.py
+++ b/src/coppercleat/quarantine/_end_keeper.py
@@ -85,7 +85,8 @@
           history: The crash history of this instance.
           clock: Returns the Unix time in seconds.
           should_store: Returns whether this instance stores a request. A few instances
-            store each, so that rows stay small in a large fleet.
+            store each, so that rows stay small in a large fleet. Besides, an instance
+            stores those whose crashes it observed, since its messages may be lost.
         """
         self.history = history
         self.clock = clock
@@ -96,7 +97,10 @@
         now = trio.current_time()
         counts = self.history.quarantined(now=now)
         stored = [
-            fingerprint for fingerprint in counts if self.should_store(fingerprint)
+            fingerprint
+            for fingerprint in counts
+            if self.should_store(fingerprint)
+            or self.history.was_observed_here(fingerprint)
         ]
         stored.sort(key=lambda fingerprint: -counts[fingerprint])
         wall_at_zero = self.clock() - now
--- a/src/coppercleat/quarantine/_end_watch.py
+++ b/src/coppercleat/quarantine/_end_watch.py
@@ -473,7 +473,7 @@
     ) -> None:
         self.history.resolve_interruption(fingerprint, investigation.incarnation.id)
         crash = self._crash_evidence(investigation, fingerprint)
-        if self.history.record_crash(fingerprint, crash):
+        if self.history.record_crash(fingerprint, crash, observed=True):
             self._log_if_quarantined(fingerprint, sender="")
         self._unsent_reports.append((fingerprint, crash, False))
         self._wake.set()
--- a/src/coppercleat/quarantine/_ledger.py
+++ b/src/coppercleat/quarantine/_ledger.py
@@ -155,11 +155,13 @@
       crashes: In the order in which they were recorded.
       pending: Upstreams that may have crashed and are being probed.
       trial_at: When the last trial began.
+      observed_here: Whether this instance observed any of the crashes itself.
     """
 
     crashes: list[Crash] = attrs.field(factory=list)
     pending: list[UpstreamId] = attrs.field(factory=list)
     trial_at: float = float("-inf")
+    observed_here: bool = False
 
     def reweigh(self, flaps: Iterable[Flap]) -> bool:
         """Weakens crashes of upstreams that have flapped since without the request.
@@ -284,14 +286,18 @@
         known = record.find_observed(crash, attempt_began=attempt_began)
         return known or record.with_number(crash, before=before)
 
-    def record_crash(self, fingerprint: Fingerprint, crash: Crash) -> bool:
+    def record_crash(
+        self, fingerprint: Fingerprint, crash: Crash, *, observed: bool = False
+    ) -> bool:
         """Records a crash under a request; returns whether it is new.
 
         Args:
           fingerprint: The request.
           crash: The crash, with its number.
+          observed: Whether this instance observed it itself.
         """
         record = self._record(fingerprint)
+        record.observed_here = record.observed_here or observed
         if record.find_reported(crash) is not None:
             return False
         if not self._counts(fingerprint, crash):
@@ -463,6 +469,11 @@
         record = self._records.get(fingerprint)
         return record is not None and record.quarantined
 
+    def was_observed_here(self, fingerprint: Fingerprint) -> bool:
+        """Returns whether this instance observed any crash under a request itself."""
+        record = self._records.get(fingerprint)
+        return record is not None and record.observed_here
+
     def crashed_upstreams_of(self, fingerprint: Fingerprint) -> list[UpstreamId]:
         """Returns the upstreams of the recorded crashes, in the same order."""
         return [crash.upstream for crash in self.crashes_of(fingerprint)]
--- a/tests/features/ends_plays.feature
+++ b/tests/features/ends_plays.feature
@@ -25,3 +25,4 @@
       | first | last | instances | deadly |
       | 0     | 3    | 4         | 1      |
       | 5     | 8    | 5         | 1      |
+      | 201   | 201  | 4         | 1      |
