Quarantine: after six crashes the next trial is ten minutes away

Cause: four or five crashes quarantine such an item, and trials after 5, 10 and 60 s go on counting failed trials only.

Why it works: the sixth crash is the last within the time that most work has. Verdict rows of quarantine.feature pass unchanged.

--- a/src/coppercleat/quarantine/_ledger.py
+++ b/src/coppercleat/quarantine/_ledger.py
@@ -43,6 +43,11 @@
 WEAK_EVIDENCE_PERIOD_S = 5.0
 """Upper limit of the first quarantine period if any of the evidence is weak."""
 
+MAX_EARLY_CRASHES = 6
+LATE_PERIOD_S = 600.0
+"""After so many crashes, one of them a failed trial or not all of them weak evidence,
+the next trial is at least so many seconds away, beyond the time that most work has."""
+
 TRIAL_STAGGER_S = 2.0
 """Delay after which the next instance in line may run a trial, as the one before it may
 not receive the request. Long enough for a failed trial to be reported."""
@@ -428,7 +433,10 @@
         crashes, trial = len(record.crashes), record.trials_failed
         if trial < len(periods_s):
             period_s = periods_s[trial]
-            if not trial and any(crash.weak for crash in record.crashes):
+            all_weak = record.weight == crashes * _WEAK_WEIGHT
+            if crashes >= MAX_EARLY_CRASHES and (trial or not all_weak):
+                period_s = max(period_s, LATE_PERIOD_S)
+            elif not trial and any(crash.weak for crash in record.crashes):
                 period_s = min(period_s, WEAK_EVIDENCE_PERIOD_S)
             remaining_s = max(record.last_at, record.trial_at) + period_s - now
         else:
--- a/tests/features/ends_plays.feature
+++ b/tests/features/ends_plays.feature
@@ -26,3 +26,8 @@
       | 0     | 3    | 4         | 1      |
       | 5     | 8    | 5         | 1      |
       | 201   | 201  | 4         | 1      |
+      | 47    | 47   | 4         | 2      |
+      | 5075  | 5075 | 6         | 1      |
+      | 5131  | 5131 | 5         | 1      |
+      | 5008  | 5008 | 4         | 2      |
+      | 5076  | 5076 | 5         | 2      |
