Quarantine: items that met the same crash begin their trials apart

Cause: their trials are due at one moment, at different instances, and both choose the idlest upstream.

Why it works: a trial begins up to 1.35 s later, at one of ten places that the fingerprint draws, so that the later one sees the slot of the earlier.

--- a/src/coppercleat/jobs/_item_bar.py
+++ b/src/coppercleat/jobs/_item_bar.py
@@ -22,6 +22,9 @@
 RECHECK_INTERVAL_S = 0.5
 """Interval at which the verdict on a quarantined item is requested again."""
 
+_MIN_DEFER_S = 0.01
+"""Shortest deferral: the time may not advance between two passes of the starter."""
+
 _log = part_logger("jobs")
 
 
@@ -117,7 +120,8 @@
           due_in_s: Seconds until the job is due.
         """
         now = trio.current_time()
-        item.not_before = now + min(verdict.retry_after_s, RECHECK_INTERVAL_S)
+        wait_s = min(verdict.retry_after_s, RECHECK_INTERVAL_S)
+        item.not_before = now + max(wait_s, _MIN_DEFER_S)
         until = now + verdict.retry_after_s
         previous, since = item.quarantine, now
         if previous is not None:
--- a/src/coppercleat/quarantine/_end_watch.py
+++ b/src/coppercleat/quarantine/_end_watch.py
@@ -48,6 +48,11 @@
 """Interval and number of repetitions of an update, in case messages are lost until a
 silent link is reopened. Later, the periodic message repeats them."""
 
+ITEM_TRIAL_STAGGER_S = 0.15
+ITEM_TRIAL_PLACES = 10
+"""Items that met the same crash begin their trials this far apart, at places drawn by
+their fingerprints: each sees at which upstream the one before it runs."""
+
 _MAX_LOGGED_CRASHES = 6
 """Limit of crashes in one log line; the last ones are logged."""
 
@@ -376,11 +381,15 @@
             now=trio.current_time(),
             periods_s=ITEM_QUARANTINE_PERIODS_S if item else QUARANTINE_PERIODS_S,
         )
-        if verdict.kind is VerdictKind.QUARANTINED and not verdict.retry_after_s:
-            if item or self.may_run_trial(fingerprint, verdict.overdue_s):
-                return attrs.evolve(verdict, kind=VerdictKind.TRIAL)
+        if verdict.kind is not VerdictKind.QUARANTINED or verdict.retry_after_s:
+            return verdict
+        if item:
+            wait_s = item_trial_stagger_s(fingerprint) - verdict.overdue_s
+            if wait_s > 0:
+                return attrs.evolve(verdict, retry_after_s=wait_s)
+        elif not self.may_run_trial(fingerprint, verdict.overdue_s):
             return Verdict(VerdictKind.QUARANTINED, HELD_RETRY_S, verdict.crashes)
-        return verdict
+        return attrs.evolve(verdict, kind=VerdictKind.TRIAL)
 
     def admit(self, request: FingerprintedRequest) -> Verdict:
         """Returns the verdict on a request, and begins a trial if that is due."""
@@ -612,6 +621,11 @@
         )
 
 
+def item_trial_stagger_s(fingerprint: Fingerprint) -> float:
+    """Returns the delay of an item's trial after it became due, in seconds."""
+    return ITEM_TRIAL_STAGGER_S * (fingerprint[0] % ITEM_TRIAL_PLACES)
+
+
 def _crash_log_fields(crash: Crash, *, now: float) -> dict[str, object]:
     """Returns the log fields of a crash, by which duplicates can be recognised."""
     return {
--- a/tests/features/ends_plays.feature
+++ b/tests/features/ends_plays.feature
@@ -31,3 +31,7 @@
       | 5131  | 5131 | 5         | 1      |
       | 5008  | 5008 | 4         | 2      |
       | 5076  | 5076 | 5         | 2      |
+      | 55    | 55   | 5         | 1      |
+      | 5151  | 5151 | 5         | 2      |
+      | 7002  | 7002 | 6         | 2      |
+      | 7091  | 7091 | 6         | 2      |
