Quarantine: an attempt that began after a crash was ended by another one

Cause: two observations of one upstream within 0.5 s counted as one crash, whenever the attempt began.

Why it works: an attempt that began after the known crash and lasted 0.05 s was processed by an upstream that was back, so its interruption is another crash. One that ended sooner may have met a proxy only and still coincides; so does one that began before. Both have rows.

--- a/src/coppercleat/quarantine/_end_watch.py
+++ b/src/coppercleat/quarantine/_end_watch.py
@@ -17,7 +17,12 @@
 
 from coppercleat.ids import UpstreamId
 from coppercleat.observability import part_logger
-from coppercleat.quarantine._ends import SAME_CRASH_WINDOW_S, Crash, CrashReport
+from coppercleat.quarantine._ends import (
+    IMMEDIATE_S,
+    SAME_CRASH_WINDOW_S,
+    Crash,
+    CrashReport,
+)
 from coppercleat.quarantine._fingerprint import Fingerprint, format_fingerprint
 from coppercleat.quarantine._ledger import (
     FREE,
@@ -36,9 +41,6 @@
 """A crash is weak evidence if the attempt made progress for this long, since a request
 that crashes its upstream mostly does so at once."""
 
-IMMEDIATE_S = 0.05
-"""The upstream has hardly begun to process an attempt that is interrupted this soon."""
-
 ABANDONED_WINDOW_S = 1.0
 """An abandoned attempt is suspect if its upstream crashes within this time, since the
 upstream may not have stopped processing it at once."""
--- a/src/coppercleat/quarantine/_ends.py
+++ b/src/coppercleat/quarantine/_ends.py
@@ -15,6 +15,10 @@
 MIN_UPTIME_S = 0.1
 """No upstream starts and crashes again within this time."""
 
+IMMEDIATE_S = 0.05
+"""An attempt that is interrupted this soon may have reached only a proxy, which accepts
+connections and closes them."""
+
 
 @attrs.frozen
 class Crash:
@@ -49,10 +53,13 @@
             that began before a known crash was interrupted by it, however late that
             was noticed.
         """
-        began_before = (
-            self._may_be_same_incarnation(known) and attempt_began <= known.at
-        )
-        return began_before or self.coincides_with(known) or self._is_too_close(known)
+        if self._is_too_close(known):
+            return True
+        if attempt_began <= known.at:
+            return self._may_be_same_incarnation(known)
+        # Only an upstream that is back processes an attempt that began after its crash.
+        immediate = self.at - attempt_began < IMMEDIATE_S
+        return immediate and self.coincides_with(known)
 
     def coincides_with(self, other: Crash) -> bool:
         """Returns whether both are crashes of one upstream at the same time."""
--- a/tests/features/quarantine.feature
+++ b/tests/features/quarantine.feature
@@ -177,6 +177,11 @@
       | late reports of crashes before a response   | 0 crash a, 1 crash b, 2 response, 5 reported a 4, 5 reported b 4.5, 6 reported c 5.5           | 6   | free        | 0     |
       | the same, and three crashes after it        | 0 crash a, 1 crash b, 2 response, 4 crash a, 5 reported a 4.5, 5 crash b, 6 crash c            | 6   | quarantined | 60    |
       | a late retraction                           | 0 crash a1, 1 crash b1, 2 crash c1, 4 retracted c1 3.5                                         | 4   | free        | 0     |
+      | a second crash within 0.2 s                 | 0 crash a, 0.2 crash a 0.1, 1 crash b                                                          | 1   | quarantined | 60    |
+      | a second crash within 0.45 s                | 0 crash a, 0.45 crash a 0.3, 1 crash b                                                         | 1   | quarantined | 60    |
+      | three crashes of one upstream within 0.5 s  | 0 crash a, 0.2 crash a 0.1, 0.4 crash a 0.3                                                    | 0.4 | quarantined | 60    |
+      | a proxy that closes soon after a crash      | 0 crash a, 0.3 crash a 0.28, 1 crash b                                                         | 1   | free        | 0     |
+      | an attempt of before, noticed 0.3 s later   | 0 crash a, 0.3 crash a -1, 1 crash b                                                           | 1   | free        | 0     |
 
   # Guards against long quarantines of innocent items, and against two deadly requests
   # excusing each other.
