Quarantine: a failed trial counts also where its evidence is weakened since

Cause: crashes that later flapping weakens lower the weight below the quarantine's, so that the trials that had failed were no longer told from first crashes.

--- a/src/coppercleat/quarantine/_ledger.py
+++ b/src/coppercleat/quarantine/_ledger.py
@@ -161,12 +161,31 @@
       pending: Upstreams that may have crashed and are being probed.
       trial_at: When the last trial began.
       observed_here: Whether this instance observed any of the crashes itself.
+      quarantined_by: Number of crashes that quarantined it first; 0 if none have.
     """
 
     crashes: list[Crash] = attrs.field(factory=list)
     pending: list[UpstreamId] = attrs.field(factory=list)
     trial_at: float = float("-inf")
     observed_here: bool = False
+    quarantined_by: int = 0
+
+    def add(self, crash: Crash) -> None:
+        """Adds a crash."""
+        self.crashes.append(crash)
+        if self.quarantined and not self.quarantined_by:
+            self.quarantined_by = len(self.crashes)
+
+    @property
+    def exhausted(self) -> bool:
+        """Whether enough crashes are recorded to put off further trials.
+
+        Weak evidence alone is not enough before a trial has failed.
+        """
+        crashes = len(self.crashes)
+        trial_failed = 0 < self.quarantined_by < crashes
+        all_weak = self.weight == crashes * _WEAK_WEIGHT
+        return crashes >= MAX_EARLY_CRASHES and (trial_failed or not all_weak)
 
     def reweigh(self, flaps: Iterable[Flap]) -> bool:
         """Weakens crashes of upstreams that have flapped since without the request.
@@ -308,7 +327,7 @@
         if not self._counts(fingerprint, crash):
             self._drop_if_empty(fingerprint, record)
             return False
-        record.crashes.append(crash)
+        record.add(crash)
         return True
 
     def record_flap(self, flap: Flap) -> None:
@@ -331,7 +350,7 @@
         if _Record(crashes=counted).weight > record.weight:
             record.crashes = []
             for crash in counted:
-                record.crashes.append(record.with_number(crash))
+                record.add(record.with_number(crash))
         self._drop_if_empty(fingerprint, record)
 
     def retract(self, fingerprint: Fingerprint, crash: Crash) -> bool:
@@ -433,8 +452,7 @@
         crashes, trial = len(record.crashes), record.trials_failed
         if trial < len(periods_s):
             period_s = periods_s[trial]
-            all_weak = record.weight == crashes * _WEAK_WEIGHT
-            if crashes >= MAX_EARLY_CRASHES and (trial or not all_weak):
+            if record.exhausted:
                 period_s = max(period_s, LATE_PERIOD_S)
             elif not trial and any(crash.weak for crash in record.crashes):
                 period_s = min(period_s, WEAK_EVIDENCE_PERIOD_S)
--- a/tests/features/ends_plays.feature
+++ b/tests/features/ends_plays.feature
@@ -35,3 +35,4 @@
       | 5151  | 5151 | 5         | 2      |
       | 7002  | 7002 | 6         | 2      |
       | 7091  | 7091 | 6         | 2      |
+      | 9021  | 9021 | 4         | 2      |
