Counts that are no longer refreshed keep late online requests for 2.5 s only

What callers saw: the last of 8 online requests waits 7.75 s for 8 free slots which a peer held by its last counts; the peer lives and is not heard.

Cause: counts of a live peer stand for 10 s, and a late request may wait at an upstream that seems full one at a time, however old the counts. Evidence: rows of the last of 8 (7.75 s) and of 5 (4.60 s), of a peer and of a zone; bound 4 s.

Why it works: a peer tells at least each second. After 2.5 s without a refresh its counts do not keep late requests from waiting at the upstream: 3.05 s in all four rows.

--- a/src/coppercleat/serving/_admission_queue.py
+++ b/src/coppercleat/serving/_admission_queue.py
@@ -236,8 +236,12 @@
         return chosen
 
     def _may_queue_at(self, state: UpstreamState, now: float) -> bool:
-        """Returns whether a late request may wait at an upstream."""
+        """Returns whether a late request may wait at an upstream.
+
+        Requests that are known by outdated counts only may have ended.
+        """
         queued = -self.placement.online_slots(state)
+        queued -= self.placement.outdated_online(state)
         return queued < MAX_QUEUED_PER_UPSTREAM and now >= state.full_until
 
     def _take_slot(
--- a/src/coppercleat/serving/_peers.py
+++ b/src/coppercleat/serving/_peers.py
@@ -49,6 +49,10 @@
 """How long the counts of a live peer are kept without a refresh. Its work continues
 while a link to it is broken, and links are reopened within about a second."""
 
+OUTDATED_COUNTS_S = 2.5
+"""Age from which counts no longer keep late online requests from an upstream. Work goes
+on without a refresh, but a late request has little to lose."""
+
 QUEUED_WORK_EXPIRY_S = 1.5
 """How long a peer's queued work is kept without a refresh, longer than the refresh
 interval. Slots reserved for work that is gone would stay unused."""
@@ -360,6 +364,7 @@
             for z in self.placement.zones.reporters()
             if self._have_zone_counts_expired(z, now)
         ]
+        self._mark_outdated_counts(now)
         changed = self._expire_queued_work(now)
         for peer in peers:
             self._expire_peer_counts(peer)
@@ -397,6 +402,14 @@
         )
         return True
 
+    def _mark_outdated_counts(self, now: float) -> None:
+        for peer, heard_at in self._peer_counts_at.items():
+            if now - heard_at > OUTDATED_COUNTS_S:
+                self.placement.peers.mark_outdated(peer)
+        for zone, heard_at in self._zone_counts_at.items():
+            if now - heard_at > OUTDATED_COUNTS_S:
+                self.placement.zones.mark_outdated(zone)
+
     def _expire_queued_work(self, now: float) -> bool:
         """Drops peers' queued work that is too old; returns whether there was any."""
         expired = [
--- a/src/coppercleat/serving/_placement.py
+++ b/src/coppercleat/serving/_placement.py
@@ -223,6 +223,11 @@
         """Returns the slots that online requests do not hold; batch yields its own."""
         return state.upstream.slots - self.online_load(state) - state.untracked
 
+    def outdated_online(self, state: UpstreamState) -> int:
+        """Returns the online requests there that are known by outdated counts only."""
+        peers, zones = self.peers, self.zones
+        return peers.outdated_online(state.id) + zones.outdated_online(state.id)
+
     # Decisions.
 
     def choose_online(
--- a/src/coppercleat/serving/_work_counts.py
+++ b/src/coppercleat/serving/_work_counts.py
@@ -37,6 +37,7 @@
         self._reported: dict[_T, dict[UpstreamId, InFlight]] = {}
         self._online: dict[UpstreamId, int] = {}
         self._batch: dict[UpstreamId, int] = {}
+        self._outdated: set[_T] = set()
 
     def observe(self, reporter: _T, counts: Iterable[InFlight]) -> None:
         """Replaces a reporter's counts."""
@@ -48,9 +49,22 @@
 
     def forget(self, reporter: _T) -> None:
         """Drops a reporter's counts."""
+        self._outdated.discard(reporter)
         for count in self._reported.pop(reporter, {}).values():
             self._add(count, -1)
 
+    def mark_outdated(self, reporter: _T) -> None:
+        """Records that a reporter's counts have not been refreshed for a while."""
+        self._outdated.add(reporter)
+
+    def outdated_online(self, upstream: UpstreamId) -> int:
+        """Returns the online requests at an upstream by outdated counts."""
+        return sum(
+            self._reported[reporter][upstream].online
+            for reporter in self._outdated
+            if upstream in self._reported.get(reporter, {})
+        )
+
     def reporters(self) -> list[_T]:
         """Returns the reporters whose counts are held."""
         return list(self._reported)
--- a/tests/features/kept_from_running.feature
+++ b/tests/features/kept_from_running.feature
@@ -61,6 +61,8 @@
       | counts of a zone that lives and is not heard          | an online request      | 4    |
       | counts of a peer that lives and is not heard          | the last of 8 requests | 4    |
       | counts of a zone that lives and is not heard          | the last of 8 requests | 4    |
+      | counts of a zone that lives and is not heard          | the last of 5 requests | 4    |
+      | counts of a peer that lives and is not heard          | the last of 5 requests | 4    |
 
   Scenario Outline: Order and headroom: <evidence>, <work>
     Then after <evidence>: <work> may go at <most> s at the latest
--- a/tests/features/steps/kept_slots_steps.py
+++ b/tests/features/steps/kept_slots_steps.py
@@ -38,6 +38,7 @@
 )
 
 ITEM, ONLINE, EIGHTH = "an item", "an online request", "the last of 8 requests"
+FIFTH = "the last of 5 requests"
 X = UpstreamId("x")
 
 
@@ -61,6 +62,7 @@
 WORK = {
     ITEM: until_item,
     ONLINE: lambda placement: until_served(placement, 1),
+    FIFTH: lambda placement: until_served(placement, 5),
     EIGHTH: lambda placement: until_served(placement, 8),
 }
 
@@ -175,7 +177,7 @@
         return found
 
 
-ALL_WORK = (ITEM, ONLINE, EIGHTH)
+ALL_WORK = (ITEM, ONLINE, FIFTH, EIGHTH)
 told_course("counts of a peer that has died", *ALL_WORK, teller="peer", lives=False)
 told_course(
     "counts of a peer that lives and is not heard", *ALL_WORK, teller="peer", lives=True
