Product's own door: a report after a silence lets a trial through

What callers saw: an engine that had missed its reports for 10 s got no request until 5.5 s after it reported again (bound 4 s), up to 30 s after longer silences.

Cause: missed reports eject an engine, each ejection twice as long as the last, and only a request's success ended one.

Where requests fail while reports go on, nothing changes: 8 trials in 30 s (decisions.feature). The counting of missed reports moved from Fleet to the record.

--- a/src/coppercleat/instance/_fleet.py
+++ b/src/coppercleat/instance/_fleet.py
@@ -25,7 +25,6 @@
 from coppercleat.upstreams import UpstreamClient
 
 _OTHERS_POLL_FACTOR = 4
-_MISSING_REPORTS = 3
 _ASSIGN_EVERY_S = 0.1
 _LIST_READS_PER_S = 50.0
 
@@ -148,21 +147,17 @@
 
     async def _poll_load(self, record: UpstreamRecord, scope: trio.CancelScope) -> None:
         """Asks an upstream for its load, more often if this instance feeds it."""
-        missing = 0
         with scope:
             while True:
                 report = await self._online[record.upstream].load()
                 now = trio.current_time()
                 if report is not None:
-                    missing = 0
                     was_leaving = record.draining
                     record.observe_report(report, now)
                     if record.draining and not was_leaving:
                         self.on_leaving(record.upstream)
                 else:
-                    missing += 1
-                    if missing >= _MISSING_REPORTS:
-                        record.breaker.failed(now)
+                    record.record_missed_report(now)
                 pause = self.settings.online.load_poll_s
                 if not self._feeds(record):
                     pause *= _OTHERS_POLL_FACTOR
--- a/src/coppercleat/routing/_health.py
+++ b/src/coppercleat/routing/_health.py
@@ -96,6 +96,12 @@
         self.consecutive_failures += 1
         self._eject(now)
 
+    def recovered(self) -> None:
+        """Records a sign of life: an open circuit becomes half open at once."""
+        if self.state is CircuitState.OPEN:
+            self.state = CircuitState.HALF_OPEN
+            self._probe_in_flight = False
+
     def _eject(self, now: float) -> None:
         ejection_s = min(
             self.max_ejection_s, _MIN_EJECTION_S * 2**self._consecutive_ejections
--- a/src/coppercleat/routing/_table.py
+++ b/src/coppercleat/routing/_table.py
@@ -13,6 +13,9 @@
 
 _REPORTED_DRAINING = "leaving"
 
+_MISSED_REPORTS_TO_FAIL = 3
+"""Missed load reports in a row from which each counts as a failure."""
+
 _SMOOTHING_FACTOR = 0.1
 """Weight of the newest response in the averages of times."""
 
@@ -33,6 +36,7 @@
       first_seen: When the upstream was first listed; begins its slow start.
       report: Last load report of the upstream, None before the first.
       reported_at: When the last load report was received.
+      missed_reports: Load reports missed since then.
       online: Online requests in flight.
       batch: Batch items in flight.
       peer_online: Online requests of peers in flight, as reported by them.
@@ -50,6 +54,7 @@
     first_seen: float
     report: LoadReport | None = None
     reported_at: float = 0.0
+    missed_reports: int = 0
     online: int = 0
     batch: int = 0
     peer_online: int = 0
@@ -101,13 +106,26 @@
         return ZoneId(self.node.zone)
 
     def observe_report(self, report: LoadReport, now: float) -> None:
-        """Records a load report of the upstream."""
+        """Records a load report of the upstream.
+
+        One that ends a silence shows that the upstream is back, so that a request may
+        try it. A report while others arrive says nothing about failed requests.
+        """
+        if self.report is None or self.missed_reports >= _MISSED_REPORTS_TO_FAIL:
+            self.breaker.recovered()
         self.report = report
         self.reported_at = now
+        self.missed_reports = 0
         self.sent_since_report = 0
         if report.state == _REPORTED_DRAINING:
             self.draining = True
 
+    def record_missed_report(self, now: float) -> None:
+        """Records that the upstream did not answer when asked for its load."""
+        self.missed_reports += 1
+        if self.missed_reports >= _MISSED_REPORTS_TO_FAIL:
+            self.breaker.failed(now)
+
     def observe_response(
         self, now: float, *, first_token_s: float, inter_token_s: float | None
     ) -> None:
--- a/tests/features/decisions.feature
+++ b/tests/features/decisions.feature
@@ -54,6 +54,9 @@
       | 20   | 10 | 4      |
       | 200  | 60 | 29     |
 
+  Scenario: Reports alone do not end the ejection of an engine that fails its requests
+    Then of an engine that fails every request and reports, 8 are tried in 30 s
+
   Scenario Outline: A tenant's rate of <rate> over <instances> instances
     When <count> requests come at once and again after a second
     Then <first> are let in at first and <second> later
--- a/tests/features/kept_from_running.feature
+++ b/tests/features/kept_from_running.feature
@@ -118,15 +118,18 @@
     Then after <evidence>: <work> may go at <most> s at the latest
 
     Examples:
-      | evidence                                           | work                      | most |
-      | 3 failures in a row of an engine                   | an online request         | 4    |
-      | 20 retries at once                                 | an online request's retry | 4    |
-      | no report of an engine for 10 s that reports again | an online request         | 4    |
-      | one request a second before at 1 of 63 instances   | one of an account of 5/s  | 4    |
-      | answers of 0.15 s a token that were the last       | one of 50 tokens          | 4    |
-      | answers of 0.3 s a token that were the last        | one of 50 tokens          | 4    |
-      | answers of 2 s a token that were the last          | one of 5 tokens          | 4    |
-      | answers of 0.12 s a token that were the last       | one of 200 tokens          | 4    |
-      | answers of 0.15 s a token, and engines fast again  | all of 50 tokens           | 4    |
-      | answers of 0.3 s a token, and engines fast again   | all of 50 tokens           | 4    |
-      | answers of 2 s a token, and engines fast again     | all of 5 tokens            | 4    |
+      | evidence                                                 | work                      | most |
+      | 3 failures in a row of an engine                         | an online request         | 4    |
+      | 20 retries at once                                       | an online request's retry | 4    |
+      | no report of an engine for 10 s that reports again       | an online request         | 4    |
+      | one request a second before at 1 of 63 instances         | one of an account of 5/s  | 4    |
+      | answers of 0.15 s a token that were the last             | one of 50 tokens          | 4    |
+      | answers of 0.3 s a token that were the last              | one of 50 tokens          | 4    |
+      | answers of 2 s a token that were the last                | one of 5 tokens           | 4    |
+      | answers of 0.12 s a token that were the last             | one of 200 tokens         | 4    |
+      | answers of 0.15 s a token, and engines fast again        | all of 50 tokens          | 4    |
+      | answers of 0.3 s a token, and engines fast again         | all of 50 tokens          | 4    |
+      | answers of 2 s a token, and engines fast again           | all of 5 tokens           | 4    |
+      | reports missed for 5 s of an engine that reports again   | an online request         | 4    |
+      | reports missed for 30 s of an engine that reports again  | an online request         | 4    |
+      | reports missed for 100 s of an engine that reports again | an online request         | 4    |
--- a/tests/features/steps/kept_at_door_steps.py
+++ b/tests/features/steps/kept_at_door_steps.py
@@ -67,6 +67,26 @@
     )
 
 
+def engine_missed(silent_s):
+    """An engine misses its reports, and each trial that may be due fails."""
+    record = make_record()
+    record.observe_report(LoadReport(versions=["v1"]), -silent_s - 1.0)
+    for number in range(int(silent_s)):
+        at = number - silent_s
+        chosen(record, at)
+        record.record_missed_report(at)
+    return first_time(
+        lambda now: chosen(record, now),
+        meanwhile=lambda now: record.observe_report(LoadReport(versions=["v1"]), now),
+    )
+
+
+for silent_s in (5, 30, 100):
+    course(f"reports missed for {silent_s} s of an engine that reports again", ONLINE)(
+        partial(engine_missed, silent_s)
+    )
+
+
 @course("20 retries at once", "an online request's retry")
 def retries_spent():
     budget = RetryBudget(ratio=0.1, now=0.0)
@@ -155,3 +175,16 @@
         for number in range(rate * length)
     ]
     assert sum(isinstance(one, Admitted) for one in found) <= most
+
+
+@then("of an engine that fails every request and reports, {most:d} are tried in 30 s")
+def failing_with_reports(context, most):
+    record, tried = make_record(), 0
+    for number in range(600):
+        at = number / 20
+        record.observe_report(LoadReport(versions=["v1"]), at)
+        if chosen(record, at):
+            record.breaker.started()
+            record.breaker.failed(at)
+            tried += 1
+    assert tried <= most, tried
