A request may try an upstream again 1.2 s after its attempt failed there

What callers saw: an online request that met a refused connection, or one that broke, at one of two upstreams waited at the other, full one for all of its 5 s, though the first was well 0.3 s later (two listed rows, 5.0 s, bound 4 s).

Cause: what a request has tried was excluded until its end, and a late request waits at a full upstream as soon as nothing else is left.

Why it works: a failed attempt excludes its upstream for 1.2 s, longer than the ejection for one refused connection; the circuit breaker goes on judging whether it is well. Until then a late request does not wait at a full upstream. Runs are bounded as before, and a request for which no other upstream serves is refused at once, as before.

--- a/src/coppercleat/serving/_admission_queue.py
+++ b/src/coppercleat/serving/_admission_queue.py
@@ -64,7 +64,9 @@
       serve_by: Latest time of dispatch at which it is answered before its deadline.
       begun: Whether a part of its response has been sent; then it is queued whatever
         its estimated wait.
-      avoid: Upstreams that it must not be sent to.
+      avoid: Upstreams that it must not be sent to; may change while it is queued.
+      queue_at_upstream_from: When it may wait at an upstream without a free slot at the
+        earliest: before, one that it has tried may come back.
       verdict: The quarantine's verdict on it; may exclude further upstreams.
       outcome: The upstream whose slot it got, or why it got none; None while it is
         queued.
@@ -76,6 +78,7 @@
     serve_by: float
     begun: bool = False
     avoid: Collection[UpstreamId] = ()
+    queue_at_upstream_from: float = float("-inf")
     verdict: Verdict = FREE
     outcome: UpstreamState | NoUpstreamAvailable | Overloaded | None = None
 
@@ -218,7 +221,8 @@
             return NoUpstreamAvailable(f"no upstream serves {request.service}")
         if now > self._dispatch_deadline(request):
             return Overloaded("no slot came free in time", MIN_RETRY_AFTER_S)
-        if ahead == 0 and now > request.on_time_by:
+        may_queue_from = max(request.on_time_by, request.queue_at_upstream_from)
+        if ahead == 0 and now > may_queue_from:
             return self._queue_at_upstream(request, now)
         return None
 
--- a/src/coppercleat/serving/_exchange.py
+++ b/src/coppercleat/serving/_exchange.py
@@ -10,6 +10,7 @@
 from coppercleat.serving._answer_use import ResponseHead, response_head
 from coppercleat.serving._model import OnlineRequest, Reply, Route
 from coppercleat.serving._progress import AttemptOutcome, ForwardedPart, RequestProgress
+from coppercleat.serving._tried import TriedUpstreams
 from coppercleat.serving._upstream_call import UpstreamResponse
 
 
@@ -19,7 +20,7 @@
 
     Attributes:
       deadline: When the client or the route stops waiting.
-      tried: Upstreams that must not be tried again.
+      tried: Upstreams that must not be tried now.
       upstream: Upstream of the current attempt.
       retried_upstream: Upstream that has been granted one retry after it refused the
         request or did not accept a connection.
@@ -45,7 +46,9 @@
     reply: Reply
     progress: RequestProgress
     deadline: float
-    tried: set[UpstreamId] = attrs.field(factory=set)
+    tried: TriedUpstreams = attrs.field(
+        factory=lambda: TriedUpstreams(trio.current_time)
+    )
     upstream: str = ""
     retried_upstream: str = ""
     reason: str = ""
--- a/src/coppercleat/serving/_forwarding.py
+++ b/src/coppercleat/serving/_forwarding.py
@@ -186,7 +186,7 @@
         if not verdict.steady_only:
             return False
         serves, now = self.placement.serves, trio.current_time()
-        service, tried = waiter.service, exchange.tried
+        service, tried = waiter.service, set(exchange.tried)
         avoid = tried | self.placement.upstreams_to_avoid(verdict, service, now=now)
         return serves(service, avoid=tried) and not serves(service, avoid=avoid)
 
@@ -222,6 +222,7 @@
             serve_by=exchange.deadline - times.service_time_s,
             begun=exchange.progress.started,
             avoid=exchange.tried,
+            queue_at_upstream_from=exchange.tried.allowed_at,
             verdict=verdict,
         )
 
@@ -230,7 +231,7 @@
     ) -> AttemptOutcome:
         attempt = Attempt()
         exchange.upstream = state.id
-        exchange.tried.add(state.id)
+        exchange.tried.begin(state.id)
         exchange.last_received_at = exchange.attempt_started_at = trio.current_time()
         exchange.status = 0
         exchange.load = self.placement.load(state)
@@ -240,6 +241,7 @@
         except trio.Cancelled:
             self._record_cancellation(exchange, state, attempt)
             raise
+        exchange.tried.end(state.id)
         self._record_outcome(exchange, state, attempt, outcome)
         return outcome
 
--- a/tests/features/kept_from_running.feature
+++ b/tests/features/kept_from_running.feature
@@ -39,6 +39,12 @@
       | a 421 of the only upstream that stays listed                            | an online request    | 4    |
       | a connection refused for 0.3 s while all else is full                   | an online request    | 4    |
       | a connection that broke while all else is full                          | an online request    | 4    |
+      | a connection refused for 0.05 s while all else is full                  | an online request    | 4    |
+      | connections that broke for 0.05 s while all else is full                | an online request    | 4    |
+      | a connection refused for 0.8 s while all else is full                   | an online request    | 4    |
+      | connections that broke for 0.8 s while all else is full                 | an online request    | 4    |
+      | a connection refused for 1.1 s while all else is full                   | an online request    | 4    |
+      | connections that broke for 1.1 s while all else is full                 | an online request    | 4    |
 
   Scenario Outline: Slots that seem taken: <evidence>, <work>
     Then after <evidence>: <work> may go at <most> s at the latest
--- a/tests/features/steps/kept_slots_steps.py
+++ b/tests/features/steps/kept_slots_steps.py
@@ -267,13 +267,13 @@
         self.retry_after_s = refusal.retry_after_s
 
 
-def barred_course(evidence, *, breaks):
+def barred_course(evidence, *, breaks, for_s=0.3):
     @course(evidence, ONLINE)
     def play():
-        return in_no_time(answered_after, breaks)
+        return in_no_time(answered_after, breaks, for_s)
 
 
-async def answered_after(breaks):
+async def answered_after(breaks, for_s):
     """Returns when a request was answered whose client comes again as it is told."""
     placement = make_placement("x", "y")
     placement.states[UpstreamId("y")].online = 8
@@ -282,7 +282,7 @@
         on_change=lambda state, started: None,
         on_queue_change=lambda: None,
     )
-    caller = Recovering(trio.current_time() + 0.3, breaks)
+    caller = Recovering(trio.current_time() + for_s, breaks)
     forwarder = Forwarder(admission, caller, on_end=lambda end: None)
     route = msgspec.structs.replace(make_route("R"), prefix="/")
     began, step = trio.current_time(), None
@@ -310,3 +310,14 @@
 
 barred_course("a connection refused for 0.3 s while all else is full", breaks=False)
 barred_course("a connection that broke while all else is full", breaks=True)
+for for_s in (0.05, 0.8, 1.1):
+    barred_course(
+        f"a connection refused for {for_s:g} s while all else is full",
+        breaks=False,
+        for_s=for_s,
+    )
+    barred_course(
+        f"connections that broke for {for_s:g} s while all else is full",
+        breaks=True,
+        for_s=for_s,
+    )
