--- a/tests/features/kept_from_running.feature
+++ b/tests/features/kept_from_running.feature
@@ -85,6 +85,11 @@
       | word of 1000 online requests a second that take 2 ms each        | an item                | 13   |
       | word of 1500 online requests a second that take 1 ms each        | an item                | 13   |
       | word of 350 online requests a second that take 20 ms each        | an item                | 13   |
+      | word of 1000 that wait elsewhere for a second                    | an online request      | 4    |
+      | word of 100 that wait elsewhere for 2 s                          | an online request      | 4    |
+      | a second in which 60 requests come that never come again         | an online request      | 4    |
+      | a second in which 700 requests come that never come again        | an online request      | 4    |
+      | one answer of its route that took 4 s while other routes' wait   | an online request      | 4    |
 
   Scenario Outline: Owners and leases: <evidence>, <work>
     Then after <evidence>: <work> may go at <most> s at the latest
--- a/tests/features/steps/kept_from_running_steps.py
+++ b/tests/features/steps/kept_from_running_steps.py
@@ -149,24 +149,33 @@
     return last_of(8, placement)
 
 
-@course("word of 100 that wait elsewhere for a second", ONLINE)
-def others_waited():
+def others_waited(count, for_s):
     placement = make_placement("x")
-    tell_of_others(placement, 100)
+    tell_of_others(placement, count)
 
     def meanwhile(now):
-        if now >= 1.0:
+        if now >= for_s:
             placement.peer_queues.forget(InstanceId("peer"))
 
     return last_of(1, placement, meanwhile)
 
 
-@course("a second in which 200 requests come that never come again", ONLINE)
-def refused_wave():
+for count, for_s, words in (
+    (100, 1.0, "a second"),
+    (30, 1.0, "a second"),
+    (1000, 1.0, "a second"),
+    (100, 2.0, "2 s"),
+):
+    course(f"word of {count} that wait elsewhere for {words}", ONLINE)(
+        partial(others_waited, count, for_s)
+    )
+
+
+def refused_wave(count):
     placement = make_placement("x")
     door = Door(placement)
-    for number in range(200):
-        door.arrive(f"r{number}", number / 200)
+    for number in range(count):
+        door.arrive(f"r{number}", number / count)
     door.arrive("proper", 0.9)
 
     def meanwhile(now):
@@ -177,6 +186,12 @@
     return served_at - 0.9
 
 
+for count in (200, 60, 700):
+    course(f"a second in which {count} requests come that never come again", ONLINE)(
+        partial(refused_wave, count)
+    )
+
+
 def last_of(count, placement, meanwhile=lambda now: None):
     door = Door(placement)
     names = [f"r{number}" for number in range(count)]
@@ -248,11 +263,10 @@
     )
 
 
-@course("one answer of its route that took 4.9 s while other routes' wait", ONLINE)
-def slow_answer():
+def slow_answer(takes_s):
     placement = make_placement("x")
     door = Door(placement)
-    door.arrive("proper", 2.0, takes_s=4.9)
+    door.arrive("proper", 2.0, takes_s=takes_s)
     arrivals = [number / 10 for number in range(900)]
 
     def meanwhile(now):
@@ -262,3 +276,10 @@
 
     served_at = first_time(lambda now: door.serves("proper", now), meanwhile=meanwhile)
     return served_at - 2.0
+
+
+for takes_s in (4.9, 4.0):
+    course(
+        f"one answer of its route that took {takes_s:g} s while other routes' wait",
+        ONLINE,
+    )(partial(slow_answer, takes_s))
