--- a/tests/features/steps/kept_at_door_steps.py
+++ b/tests/features/steps/kept_at_door_steps.py
@@ -108,6 +108,16 @@
     return first_time(let_in)
 
 
+def is_let_in(door, request, record, now):
+    found = door.decide(
+        request,
+        first_token_s=record.first_token_s,
+        inter_token_s=record.inter_token_s,
+        now=now,
+    )
+    return isinstance(found, Admitted)
+
+
 def slow_tokens(inter_token_s, tokens):
     record, door = make_record(), AdmissionController(max_in_flight=10)
     record.first_token_s, record.inter_token_s = 0.2, inter_token_s
@@ -115,13 +125,7 @@
 
     def let_in(now):
         # Only answers change these, and none comes while all are refused.
-        found = door.decide(
-            request,
-            first_token_s=record.first_token_s,
-            inter_token_s=record.inter_token_s,
-            now=now,
-        )
-        return isinstance(found, Admitted)
+        return is_let_in(door, request, record, now)
 
     return first_time(let_in)
 
@@ -142,13 +146,7 @@
     in_a_row = []
 
     def let_in(now):
-        found = door.decide(
-            request,
-            first_token_s=record.first_token_s,
-            inter_token_s=record.inter_token_s,
-            now=now,
-        )
-        in_a_row.append(isinstance(found, Admitted))
+        in_a_row.append(is_let_in(door, request, record, now))
         if in_a_row[-1]:
             record.observe_response(now, first_token_s=0.2, inter_token_s=0.01)
         return all(in_a_row[-5:]) and len(in_a_row) >= 5
--- a/tools/behave_shards.py
+++ b/tools/behave_shards.py
@@ -32,8 +32,8 @@
 BATCH_TIMEOUT_S = 900
 LEAVING_RULE = (
     "An entry leaves KNOWN-RED.txt once its cause is shown by a run and its scenario, "
-    "unchanged, has passed 30 times on the final code (a soak's seed 40 times), half of "
-    "them quiet, half beside load."
+    "unchanged, has passed 30 times on the final code (a soak's seed 40 times), half "
+    "of them quiet, half beside load."
 )
 _FAILED_HEAD = 2000
 _FAILED_TAIL = 4000
