--- a/src/coppercleat/quarantine/__init__.py
+++ b/src/coppercleat/quarantine/__init__.py
@@ -1,30 +1,30 @@
 """Detects requests that crash upstreams ("queries of death") and quarantines them."""
 
 from coppercleat.quarantine._end_keeper import QuarantineRecord, QuarantineStore
-from coppercleat.quarantine._end_watch import (
-    CrashDetector,
-    FingerprintedRequest,
-    ProbeResult,
-    UpstreamIncarnation,
-)
+from coppercleat.quarantine._end_watch import CrashDetector
 from coppercleat.quarantine._ends import (
     SAME_CRASH_WINDOW_S,
     Crash,
     CrashReport,
     CrashUpdate,
 )
+from coppercleat.quarantine._evidence import Flap
 from coppercleat.quarantine._fingerprint import (
     Fingerprint,
     fingerprint_of,
     format_fingerprint,
 )
+from coppercleat.quarantine._investigation import (
+    FingerprintedRequest,
+    ProbeResult,
+    UpstreamIncarnation,
+)
 from coppercleat.quarantine._ledger import (
     FREE,
     HELD_RETRY_S,
     ITEM_QUARANTINE_PERIODS_S,
     TRIAL_STAGGER_S,
     CrashHistory,
-    Flap,
     Verdict,
     VerdictKind,
 )
--- a/src/coppercleat/quarantine/_end_watch.py
+++ b/src/coppercleat/quarantine/_end_watch.py
@@ -8,22 +8,25 @@
 from __future__ import annotations
 
 import collections
-import enum
 from collections.abc import Awaitable, Callable
-from typing import Generic, Protocol, TypeVar
+from typing import Generic
 
 import attrs
 import trio
 
 from coppercleat.ids import UpstreamId
 from coppercleat.observability import part_logger
-from coppercleat.quarantine._ends import (
-    IMMEDIATE_S,
-    SAME_CRASH_WINDOW_S,
-    Crash,
-    CrashReport,
-)
+from coppercleat.quarantine._ends import Crash, CrashReport
 from coppercleat.quarantine._fingerprint import Fingerprint, format_fingerprint
+from coppercleat.quarantine._investigation import (
+    CRASH_PROOFS,
+    FINAL_RESULTS,
+    FingerprintedRequest,
+    InterruptedAttempt,
+    Investigation,
+    ProbeResult,
+    UpstreamT,
+)
 from coppercleat.quarantine._ledger import (
     FREE,
     HELD_RETRY_S,
@@ -64,144 +67,7 @@
 _log = part_logger("quarantine")
 
 
-class ProbeResult(enum.Enum):
-    """Result of probing an upstream."""
-
-    NOTHING_LISTENS = "nothing listens at its address"
-    OTHER_INCARNATION = "it tells of another start"
-    SAME_INCARNATION = "it tells of the same start"
-    SOMETHING_LISTENS = "something answers at its address"
-    NO_ANSWER = "it does not answer"
-
-
-class UpstreamIncarnation(Protocol):
-    """One incarnation of an upstream: the time from one start to the next."""
-
-    @property
-    def id(self) -> UpstreamId:
-        """Id of the upstream."""
-        ...
-
-    @property
-    def born_ms(self) -> int:
-        """Start time, which tells it from other incarnations; 0 if unknown."""
-        ...
-
-    @property
-    def unlisted(self) -> bool:
-        """Whether it is no longer listed and did not announce that it would stop."""
-        ...
-
-    @property
-    def stopping(self) -> bool:
-        """Whether it is stopping or has stopped as planned."""
-        ...
-
-    @property
-    def restarted(self) -> bool:
-        """Whether a later incarnation is known."""
-        ...
-
-    def was_steady(self, *, began: float, at: float) -> bool:
-        """Returns whether it was steady when it crashed during an attempt.
-
-        Args:
-          began: Trio time, in seconds, at which the attempt began.
-          at: Trio time, in seconds, at which the attempt was interrupted.
-        """
-        ...
-
-
-class FingerprintedRequest(Protocol):
-    """A request that is to be sent to an upstream."""
-
-    @property
-    def request_id(self) -> str:
-        """Id of the request, for the log."""
-        ...
-
-    @property
-    def fingerprint(self) -> Fingerprint:
-        """Fingerprint of its content."""
-        ...
-
-
-_UpstreamT = TypeVar("_UpstreamT", bound=UpstreamIncarnation)
-
-_CRASH_PROOFS = frozenset({ProbeResult.NOTHING_LISTENS, ProbeResult.OTHER_INCARNATION})
-_FINAL_RESULTS = frozenset(
-    {
-        ProbeResult.OTHER_INCARNATION,
-        ProbeResult.SAME_INCARNATION,
-        ProbeResult.SOMETHING_LISTENS,
-    }
-)
-"""Results after which probing stops. A refused connection is not among them, since the
-refusal may be brief."""
-
-
-@attrs.frozen
-class _InterruptedAttempt:
-    """An attempt that was interrupted, or abandoned by its client.
-
-    Attributes:
-      began: Trio time, in seconds, at which it was sent to the upstream.
-      at: Trio time, in seconds, at which it was interrupted.
-      made_progress: Whether it made progress for ``PROGRESS_EVIDENCE_S``.
-    """
-
-    began: float
-    at: float
-    made_progress: bool = False
-
-    @property
-    def is_immediate(self) -> bool:
-        """Whether it was interrupted before the upstream had done much for it."""
-        return self.at - self.began < IMMEDIATE_S
-
-
-@attrs.define(eq=False)
-class _Investigation(Generic[_UpstreamT]):
-    """Probing of one incarnation of an upstream, and the requests it concerns.
-
-    Attributes:
-      incarnation: What is probed.
-      suspects: Interrupted attempt of each request that may be the cause.
-      late_suspects: Requests whose attempts began after the interruption of those, and
-        were interrupted as well.
-      crashed: Whether a crash is taken as proved.
-      proof: What proved it, for the log.
-      proved_at: Trio time of the proof, in seconds.
-    """
-
-    incarnation: _UpstreamT
-    suspects: dict[Fingerprint, _InterruptedAttempt] = attrs.field(factory=dict)
-    late_suspects: set[Fingerprint] = attrs.field(factory=set)
-    crashed: bool = False
-    proof: str = ""
-    proved_at: float = 0.0
-
-    def began_after_crash(self, attempt: _InterruptedAttempt) -> bool:
-        """Returns whether an attempt began after the crash and failed immediately.
-
-        Such an attempt is not the cause. One that lasted longer may have crashed the
-        next incarnation, and so may any once the crash is proved.
-        """
-        if self.crashed or not self.suspects or not attempt.is_immediate:
-            return False
-        return attempt.began > min(other.at for other in self.suspects.values())
-
-    def is_weak_evidence(self, attempt: _InterruptedAttempt) -> bool:
-        """Returns whether an attempt may have reached only a proxy of the upstream.
-
-        A proxy in front of a crashed upstream accepts connections and closes them in
-        milliseconds, which hides the crash until the upstream is back.
-        """
-        late = self.proved_at - attempt.at >= SAME_CRASH_WINDOW_S
-        return late and attempt.is_immediate
-
-
-class CrashDetector(Generic[_UpstreamT]):
+class CrashDetector(Generic[UpstreamT]):
     """Records crashes found by probes or reported by other instances; gives verdicts.
 
     Attributes:
@@ -216,7 +82,7 @@
       on_crash_retracted: Called with each crash that was a false positive.
     """
 
-    def __init__(self, probe: Callable[[_UpstreamT], Awaitable[ProbeResult]]) -> None:
+    def __init__(self, probe: Callable[[UpstreamT], Awaitable[ProbeResult]]) -> None:
         """Initialises the detector.
 
         Args:
@@ -236,11 +102,11 @@
             None
         )
         self.on_crash_retracted: Callable[[Crash], None] = lambda crash: None
-        self._investigations: dict[_UpstreamT, _Investigation[_UpstreamT]] = {}
-        self._new_investigations: list[_Investigation[_UpstreamT]] = []
+        self._investigations: dict[UpstreamT, Investigation[UpstreamT]] = {}
+        self._new_investigations: list[Investigation[UpstreamT]] = []
         self._unsent_reports: list[tuple[Fingerprint, Crash, bool]] = []
         self._unsent_clears: list[Fingerprint] = []
-        self._abandoned: collections.deque[tuple[Fingerprint, _UpstreamT, float]] = (
+        self._abandoned: collections.deque[tuple[Fingerprint, UpstreamT, float]] = (
             collections.deque(maxlen=_MAX_ABANDONED)
         )
         self._wake = trio.Event()
@@ -263,7 +129,7 @@
     def record_interruption(
         self,
         fingerprint: Fingerprint,
-        incarnation: _UpstreamT,
+        incarnation: UpstreamT,
         *,
         began: float | None = None,
         stalled: bool = False,
@@ -283,14 +149,14 @@
         """
         now = trio.current_time()
         began = now if began is None else began
-        attempt = _InterruptedAttempt(began, now, progress_s >= PROGRESS_EVIDENCE_S)
+        attempt = InterruptedAttempt(began, now, progress_s >= PROGRESS_EVIDENCE_S)
         self._add_suspect(fingerprint, incarnation, attempt, stalled=stalled)
 
     def _add_suspect(
         self,
         fingerprint: Fingerprint,
-        incarnation: _UpstreamT,
-        attempt: _InterruptedAttempt,
+        incarnation: UpstreamT,
+        attempt: InterruptedAttempt,
         *,
         stalled: bool,
     ) -> None:
@@ -301,7 +167,7 @@
             self._add_late_suspect(investigation, fingerprint, stalled=stalled)
             return
         if investigation is None:
-            investigation = self._investigations[incarnation] = _Investigation(
+            investigation = self._investigations[incarnation] = Investigation(
                 incarnation
             )
             self._new_investigations.append(investigation)
@@ -316,7 +182,7 @@
 
     def _add_late_suspect(
         self,
-        investigation: _Investigation[_UpstreamT],
+        investigation: Investigation[UpstreamT],
         fingerprint: Fingerprint,
         *,
         stalled: bool,
@@ -327,12 +193,12 @@
             self.history.record_interruption(fingerprint, investigation.incarnation.id)
 
     def record_abandonment(
-        self, fingerprint: Fingerprint, incarnation: _UpstreamT
+        self, fingerprint: Fingerprint, incarnation: UpstreamT
     ) -> None:
         """Records an attempt that its client abandoned before the response."""
         self._abandoned.append((fingerprint, incarnation, trio.current_time()))
 
-    def record_connect_failure(self, incarnation: _UpstreamT) -> None:
+    def record_connect_failure(self, incarnation: UpstreamT) -> None:
         """Records a failed connection: attempts abandoned there become suspect."""
         for fingerprint, abandoned_at in self._abandoned_before(
             incarnation.id, trio.current_time()
@@ -417,7 +283,7 @@
 
     # Probing.
 
-    async def _investigate(self, investigation: _Investigation[_UpstreamT]) -> None:
+    async def _investigate(self, investigation: Investigation[UpstreamT]) -> None:
         incarnation = investigation.incarnation
         try:
             for delay_s in PROBE_DELAYS_S:
@@ -434,23 +300,23 @@
                 self.history.resolve_interruption(fingerprint, incarnation.id)
             self.history.forget_old(trio.current_time())
 
-    async def _probe_once(self, investigation: _Investigation[_UpstreamT]) -> bool:
+    async def _probe_once(self, investigation: Investigation[UpstreamT]) -> bool:
         """Probes the upstream once; returns whether the result is final."""
         incarnation = investigation.incarnation
         if incarnation.restarted:
             self._record_proof(investigation, "it was restarted")
             return True
         result = await self.probe(incarnation)
-        if result in _CRASH_PROOFS:
+        if result in CRASH_PROOFS:
             self._record_proof(investigation, result.value)
         elif result is ProbeResult.SAME_INCARNATION and investigation.crashed:
             # Only the same start time disproves a crash: another process may have the
             # address by now.
             self._retract(investigation)
-        return result in _FINAL_RESULTS
+        return result in FINAL_RESULTS
 
     def _record_proof(
-        self, investigation: _Investigation[_UpstreamT], proof: str
+        self, investigation: Investigation[UpstreamT], proof: str
     ) -> None:
         """Marks the crash as proved and records it against all suspects."""
         if investigation.crashed:
@@ -480,7 +346,7 @@
             self._record_crash(investigation, fingerprint)
 
     def _record_crash(
-        self, investigation: _Investigation[_UpstreamT], fingerprint: Fingerprint
+        self, investigation: Investigation[UpstreamT], fingerprint: Fingerprint
     ) -> None:
         self.history.resolve_interruption(fingerprint, investigation.incarnation.id)
         crash = self._crash_evidence(investigation, fingerprint)
@@ -490,7 +356,7 @@
         self._wake.set()
 
     def _crash_evidence(
-        self, investigation: _Investigation[_UpstreamT], fingerprint: Fingerprint
+        self, investigation: Investigation[UpstreamT], fingerprint: Fingerprint
     ) -> Crash:
         """Returns the crash as evidence against one of the suspects."""
         incarnation, attempt = (
@@ -514,7 +380,7 @@
             fingerprint, crash, attempt_began=attempt.began
         )
 
-    def _retract(self, investigation: _Investigation[_UpstreamT]) -> None:
+    def _retract(self, investigation: Investigation[UpstreamT]) -> None:
         """Retracts the crash: the upstream had only refused connections briefly."""
         _log.warning(
             "An upstream crash was a false positive.",
@@ -640,6 +506,6 @@
     }
 
 
-def _abandoned_attempt(abandoned_at: float) -> _InterruptedAttempt:
+def _abandoned_attempt(abandoned_at: float) -> InterruptedAttempt:
     """Returns an abandoned attempt; the time at which it began is not known."""
-    return _InterruptedAttempt(abandoned_at, abandoned_at)
+    return InterruptedAttempt(abandoned_at, abandoned_at)
--- /dev/null
+++ b/src/coppercleat/quarantine/_evidence.py
@@ -0,0 +1,157 @@
+"""Evidence against one request: the crashes recorded against it, and their weight."""
+
+from __future__ import annotations
+
+import itertools
+from collections.abc import Iterable, Sequence
+
+import attrs
+
+from coppercleat.ids import UpstreamId
+from coppercleat.quarantine._ends import Crash
+
+QUARANTINE_CRASHES = 3
+"""Crashes after which a request is quarantined. An innocent request may meet a few:
+retries of it and of the culprit can reach the same upstream."""
+
+WEIGHT, WEAK_WEIGHT = 2, 1
+QUARANTINE_WEIGHT = QUARANTINE_CRASHES * WEIGHT
+"""Weight of a crash as evidence, and the sum from which a request is quarantined."""
+
+MAX_EARLY_CRASHES = 6
+"""Crashes after which further trials are put off, if one of them is a failed trial or
+not all of them are weak evidence."""
+
+FLAPS_TO_WEAKEN = 2
+"""Crashes of an upstream soon after its start, without a request, that make an earlier
+crash of it weak evidence against the request."""
+
+_SAME_FLAP_WINDOW_S = 3.0
+"""A crash this close to a recorded one of the same upstream may be that one: the list
+shows crashes late."""
+
+
+@attrs.frozen
+class Flap:
+    """A crash of an upstream soon after its start.
+
+    Attributes:
+      upstream: The upstream that crashed.
+      at: Time of the crash on the local clock, in seconds.
+    """
+
+    upstream: UpstreamId
+    at: float
+
+    def may_be(self, crash: Crash) -> bool:
+        """Returns whether it may be a recorded crash."""
+        near = abs(crash.at - self.at) < _SAME_FLAP_WINDOW_S
+        return near and crash.upstream == self.upstream
+
+
+@attrs.define
+class Evidence:
+    """The crashes recorded against one request.
+
+    Attributes:
+      crashes: In the order in which they were recorded.
+      pending: Upstreams that may have crashed and are being probed.
+      trial_at: When the last trial began.
+      observed_here: Whether this instance observed any of the crashes itself.
+      quarantined_by: Number of crashes that quarantined it first; 0 if none have.
+    """
+
+    crashes: list[Crash] = attrs.field(factory=list)
+    pending: list[UpstreamId] = attrs.field(factory=list)
+    trial_at: float = float("-inf")
+    observed_here: bool = False
+    quarantined_by: int = 0
+
+    def add(self, crash: Crash) -> None:
+        """Adds a crash."""
+        self.crashes.append(crash)
+        if self.quarantined and not self.quarantined_by:
+            self.quarantined_by = len(self.crashes)
+
+    @property
+    def exhausted(self) -> bool:
+        """Whether enough crashes are recorded to put off further trials.
+
+        Weak evidence alone is not enough before a trial has failed.
+        """
+        crashes = len(self.crashes)
+        trial_failed = 0 < self.quarantined_by < crashes
+        all_weak = self.weight == crashes * WEAK_WEIGHT
+        return crashes >= MAX_EARLY_CRASHES and (trial_failed or not all_weak)
+
+    def reweigh(self, flaps: Iterable[Flap]) -> bool:
+        """Weakens crashes of upstreams that have flapped since without the request.
+
+        Returns:
+          Whether any crash became weak evidence.
+        """
+        others = [f for f in flaps if not any(map(f.may_be, self.crashes))]
+        before = self.weight
+        self.crashes = [self._reweighed(crash, others) for crash in self.crashes]
+        return self.weight < before
+
+    @staticmethod
+    def _reweighed(crash: Crash, flaps: Iterable[Flap]) -> Crash:
+        since = [f for f in flaps if f.upstream == crash.upstream and f.at > crash.at]
+        if crash.weak or len(since) < FLAPS_TO_WEAKEN:
+            return crash
+        return attrs.evolve(crash, weak=True)
+
+    @property
+    def weight(self) -> int:
+        """Sum of the weights of the crashes."""
+        return sum(WEAK_WEIGHT if crash.weak else WEIGHT for crash in self.crashes)
+
+    @property
+    def quarantined(self) -> bool:
+        """Whether the evidence is heavy enough for a quarantine."""
+        return self.weight >= QUARANTINE_WEIGHT
+
+    @property
+    def trials_failed(self) -> int:
+        """Number of crashes after the one that began the quarantine."""
+        weights = [WEAK_WEIGHT if crash.weak else WEIGHT for crash in self.crashes]
+        reached = itertools.accumulate(weights)
+        return sum(weight >= QUARANTINE_WEIGHT for weight in reached) - 1
+
+    @property
+    def last_at(self) -> float:
+        return max((crash.at for crash in self.crashes), default=float("-inf"))
+
+    def find_reported(self, crash: Crash) -> Crash | None:
+        """Returns the recorded duplicate of a reported crash; None if it is new."""
+        return next(
+            (known for known in self.crashes if crash.is_duplicate_report(known)), None
+        )
+
+    def find_observed(self, crash: Crash, *, attempt_began: float) -> Crash | None:
+        """Returns the recorded duplicate of an observed crash; None if it is new."""
+        duplicates = (
+            known
+            for known in self.crashes
+            if crash.is_duplicate_observation(known, attempt_began=attempt_began)
+        )
+        return next(duplicates, None)
+
+    def with_known_weight(self, crash: Crash) -> Crash:
+        """Returns a reported crash, weak if it is known to be."""
+        known = self.find_reported(crash)
+        return attrs.evolve(crash, weak=True) if known and known.weak else crash
+
+    def with_number(self, crash: Crash, *, before: Sequence[Crash] = ()) -> Crash:
+        """Returns a new crash with its number assigned.
+
+        Args:
+          crash: The crash.
+          before: Earlier crashes that were retracted or voided.
+        """
+        if crash.number:
+            return crash
+        earlier = (*before, *self.crashes)
+        numbers = [c.number for c in earlier if c.upstream == crash.upstream]
+        return attrs.evolve(crash, number=max(numbers, default=0) + 1)
--- a/src/coppercleat/quarantine/_ledger.py
+++ b/src/coppercleat/quarantine/_ledger.py
@@ -9,29 +9,26 @@
 
 import collections
 import enum
-import itertools
 from collections.abc import Callable, Iterable, Sequence
 
 import attrs
 
 from coppercleat.ids import UpstreamId
 from coppercleat.quarantine._ends import SAME_CRASH_WINDOW_S, Crash, CrashReport
+from coppercleat.quarantine._evidence import (
+    QUARANTINE_WEIGHT,
+    WEIGHT,
+    Evidence,
+    Flap,
+)
 from coppercleat.quarantine._fingerprint import Fingerprint
 
-QUARANTINE_CRASHES = 3
-"""Crashes after which a request is quarantined. An innocent request may meet a few:
-retries of it and of the culprit can reach the same upstream."""
-
 _STEADY_ONLY_CRASHES = 2
 STEADY_ONLY_S = 8.0
 """After so many crashes, and for so many seconds after the last, a request is sent to
 steady upstreams only, since one that has just started may crash by itself. The time is
 limited, since upstreams may be unsteady for hours."""
 
-_WEIGHT, _WEAK_WEIGHT = 2, 1
-_QUARANTINE_WEIGHT = QUARANTINE_CRASHES * _WEIGHT
-"""Weight of a crash as evidence, and the sum from which a request is quarantined."""
-
 QUARANTINE_PERIODS_S = (60.0, 600.0, 3600.0)
 """Seconds of quarantine, at first and after each failed trial. After a period one trial
 is allowed, so that an innocent request is not refused for good."""
@@ -43,10 +40,9 @@
 WEAK_EVIDENCE_PERIOD_S = 5.0
 """Upper limit of the first quarantine period if any of the evidence is weak."""
 
-MAX_EARLY_CRASHES = 6
 LATE_PERIOD_S = 600.0
-"""After so many crashes, one of them a failed trial or not all of them weak evidence,
-the next trial is at least so many seconds away, beyond the time that most work has."""
+"""Shortest quarantine period once the evidence is exhausted, in seconds, beyond the
+time that most work has."""
 
 TRIAL_STAGGER_S = 2.0
 """Delay after which the next instance in line may run a trial, as the one before it may
@@ -66,17 +62,9 @@
 """Limit of remembered requests; those with the lightest and oldest evidence are evicted
 first."""
 
-FLAPS_TO_WEAKEN = 2
-"""Crashes of an upstream soon after its start, without a request, that make an earlier
-crash of it weak evidence against the request."""
-
 FLAP_SETTLE_S = 0.5
 """Time after which all suspects of a flapping upstream's crash are known."""
 
-_SAME_FLAP_WINDOW_S = 3.0
-"""A crash this close to a recorded one of the same upstream may be that one: the list
-shows crashes late."""
-
 _MAX_FLAPS = 64
 """Limit of remembered crashes of flapping upstreams."""
 
@@ -134,132 +122,6 @@
 """Verdict on a request without recorded crashes."""
 
 
-@attrs.frozen
-class Flap:
-    """A crash of an upstream soon after its start.
-
-    Attributes:
-      upstream: The upstream that crashed.
-      at: Time of the crash on the local clock, in seconds.
-    """
-
-    upstream: UpstreamId
-    at: float
-
-    def may_be(self, crash: Crash) -> bool:
-        """Returns whether it may be a recorded crash."""
-        near = abs(crash.at - self.at) < _SAME_FLAP_WINDOW_S
-        return near and crash.upstream == self.upstream
-
-
-@attrs.define
-class _Record:
-    """Evidence against one request.
-
-    Attributes:
-      crashes: In the order in which they were recorded.
-      pending: Upstreams that may have crashed and are being probed.
-      trial_at: When the last trial began.
-      observed_here: Whether this instance observed any of the crashes itself.
-      quarantined_by: Number of crashes that quarantined it first; 0 if none have.
-    """
-
-    crashes: list[Crash] = attrs.field(factory=list)
-    pending: list[UpstreamId] = attrs.field(factory=list)
-    trial_at: float = float("-inf")
-    observed_here: bool = False
-    quarantined_by: int = 0
-
-    def add(self, crash: Crash) -> None:
-        """Adds a crash."""
-        self.crashes.append(crash)
-        if self.quarantined and not self.quarantined_by:
-            self.quarantined_by = len(self.crashes)
-
-    @property
-    def exhausted(self) -> bool:
-        """Whether enough crashes are recorded to put off further trials.
-
-        Weak evidence alone is not enough before a trial has failed.
-        """
-        crashes = len(self.crashes)
-        trial_failed = 0 < self.quarantined_by < crashes
-        all_weak = self.weight == crashes * _WEAK_WEIGHT
-        return crashes >= MAX_EARLY_CRASHES and (trial_failed or not all_weak)
-
-    def reweigh(self, flaps: Iterable[Flap]) -> bool:
-        """Weakens crashes of upstreams that have flapped since without the request.
-
-        Returns:
-          Whether any crash became weak evidence.
-        """
-        others = [f for f in flaps if not any(map(f.may_be, self.crashes))]
-        before = self.weight
-        self.crashes = [self._reweighed(crash, others) for crash in self.crashes]
-        return self.weight < before
-
-    @staticmethod
-    def _reweighed(crash: Crash, flaps: Iterable[Flap]) -> Crash:
-        since = [f for f in flaps if f.upstream == crash.upstream and f.at > crash.at]
-        if crash.weak or len(since) < FLAPS_TO_WEAKEN:
-            return crash
-        return attrs.evolve(crash, weak=True)
-
-    @property
-    def weight(self) -> int:
-        """Sum of the weights of the crashes."""
-        return sum(_WEAK_WEIGHT if crash.weak else _WEIGHT for crash in self.crashes)
-
-    @property
-    def quarantined(self) -> bool:
-        """Whether the evidence is heavy enough for a quarantine."""
-        return self.weight >= _QUARANTINE_WEIGHT
-
-    @property
-    def trials_failed(self) -> int:
-        """Number of crashes after the one that began the quarantine."""
-        weights = [_WEAK_WEIGHT if crash.weak else _WEIGHT for crash in self.crashes]
-        reached = itertools.accumulate(weights)
-        return sum(weight >= _QUARANTINE_WEIGHT for weight in reached) - 1
-
-    @property
-    def last_at(self) -> float:
-        return max((crash.at for crash in self.crashes), default=float("-inf"))
-
-    def find_reported(self, crash: Crash) -> Crash | None:
-        """Returns the recorded duplicate of a reported crash; None if it is new."""
-        return next(
-            (known for known in self.crashes if crash.is_duplicate_report(known)), None
-        )
-
-    def find_observed(self, crash: Crash, *, attempt_began: float) -> Crash | None:
-        """Returns the recorded duplicate of an observed crash; None if it is new."""
-        duplicates = (
-            known
-            for known in self.crashes
-            if crash.is_duplicate_observation(known, attempt_began=attempt_began)
-        )
-        return next(duplicates, None)
-
-    def with_known_weight(self, crash: Crash) -> Crash:
-        """Returns a reported crash, weak if it is known to be."""
-        known = self.find_reported(crash)
-        return attrs.evolve(crash, weak=True) if known and known.weak else crash
-
-    def with_number(self, crash: Crash, *, before: Sequence[Crash] = ()) -> Crash:
-        """Returns a new crash with its number assigned.
-
-        Args:
-          crash: The crash.
-          before: Earlier crashes that were retracted or voided.
-        """
-        if crash.number:
-            return crash
-        earlier = (*before, *self.crashes)
-        numbers = [c.number for c in earlier if c.upstream == crash.upstream]
-        return attrs.evolve(crash, number=max(numbers, default=0) + 1)
-
-
 class CrashHistory:
     """Crashes by request; all times are in seconds on one clock of the caller.
 
@@ -268,7 +130,7 @@
     """
 
     def __init__(self) -> None:
-        self._records: dict[Fingerprint, _Record] = {}
+        self._records: dict[Fingerprint, Evidence] = {}
         self._voided_until: dict[tuple[Fingerprint, UpstreamId | None], float] = {}
         self._discounted: dict[Fingerprint, list[Crash]] = {}
         self._flaps: collections.deque[Flap] = collections.deque(maxlen=_MAX_FLAPS)
@@ -305,7 +167,7 @@
           crash: The crash as observed here.
           attempt_began: When the interrupted attempt began.
         """
-        record = self._records.get(fingerprint, _Record())
+        record = self._records.get(fingerprint, Evidence())
         before = self._discounted.get(fingerprint, ())
         known = record.find_observed(crash, attempt_began=attempt_began)
         return known or record.with_number(crash, before=before)
@@ -337,7 +199,7 @@
         """
         self._flaps.append(flap)
 
-    def _reweigh(self, fingerprint: Fingerprint, record: _Record, now: float) -> None:
+    def _reweigh(self, fingerprint: Fingerprint, record: Evidence, now: float) -> None:
         settled = [flap for flap in self._flaps if now - flap.at >= FLAP_SETTLE_S]
         if record.reweigh(settled):
             self.on_reweighed(fingerprint)
@@ -347,7 +209,7 @@
         counted = [crash for crash in crashes if self._counts(fingerprint, crash)]
         record = self._record(fingerprint)
         counted = [record.with_known_weight(crash) for crash in counted]
-        if _Record(crashes=counted).weight > record.weight:
+        if Evidence(crashes=counted).weight > record.weight:
             record.crashes = []
             for crash in counted:
                 record.add(record.with_number(crash))
@@ -439,7 +301,7 @@
         crashes = len(record.crashes)
         if record.quarantined:
             return self._verdict_in_quarantine(record, now, periods_s)
-        if record.weight + len(set(record.pending)) * _WEIGHT >= _QUARANTINE_WEIGHT:
+        if record.weight + len(set(record.pending)) * WEIGHT >= QUARANTINE_WEIGHT:
             return Verdict(VerdictKind.HELD, HELD_RETRY_S, crashes)
         steady_only = (
             crashes >= _STEADY_ONLY_CRASHES and now - record.last_at < STEADY_ONLY_S
@@ -447,7 +309,7 @@
         return Verdict(VerdictKind.FREE, crashes=crashes, steady_only=steady_only)
 
     def _verdict_in_quarantine(
-        self, record: _Record, now: float, periods_s: Sequence[float]
+        self, record: Evidence, now: float, periods_s: Sequence[float]
     ) -> Verdict:
         crashes, trial = len(record.crashes), record.trials_failed
         if trial < len(periods_s):
@@ -488,7 +350,7 @@
 
     def crashes_of(self, fingerprint: Fingerprint) -> list[Crash]:
         """Returns the crashes recorded against a request."""
-        return list(self._records.get(fingerprint, _Record()).crashes)
+        return list(self._records.get(fingerprint, Evidence()).crashes)
 
     def is_quarantined(self, fingerprint: Fingerprint) -> bool:
         """Returns whether a request is quarantined."""
@@ -514,12 +376,12 @@
 
     # Expiry and eviction.
 
-    def _record(self, fingerprint: Fingerprint) -> _Record:
+    def _record(self, fingerprint: Fingerprint) -> Evidence:
         record = self._records.get(fingerprint)
         if record is None:
             if len(self._records) >= MAX_REQUESTS:
                 self._evict_lightest()
-            record = self._records[fingerprint] = _Record()
+            record = self._records[fingerprint] = Evidence()
         return record
 
     def _is_voided(self, fingerprint: Fingerprint, crash: Crash) -> bool:
@@ -541,7 +403,7 @@
             return False
         return not (crash.number and any(map(crash.is_duplicate_report, discounted)))
 
-    def _drop_if_empty(self, fingerprint: Fingerprint, record: _Record) -> None:
+    def _drop_if_empty(self, fingerprint: Fingerprint, record: Evidence) -> None:
         if not record.crashes and not record.pending:
             self._records.pop(fingerprint, None)
 
