--- a/src/coppercleat/serving/_admission_queue.py
+++ b/src/coppercleat/serving/_admission_queue.py
@@ -37,13 +37,6 @@
 MAX_RETRY_AFTER_S = 5.0
 """Longest retry delay, in seconds."""
 
-RETRY_TIME_SHARE = 0.9
-"""Share of the time that a refused request still had after which it comes back at the
-latest: its client gives up soon after."""
-
-_RETRY_SPREAD = 0.6
-"""Least part of that time after which it comes back, so that not all return at once."""
-
 
 @attrs.frozen
 class Overloaded:
@@ -305,8 +298,7 @@
         The wait is estimated from the rate at which the service releases slots.
         """
         if len(self._queue) >= MAX_QUEUE_LENGTH:
-            retry_after_s = self._in_its_time(request, MAX_RETRY_AFTER_S, now)
-            return Overloaded("too many requests wait here", retry_after_s)
+            return Overloaded("too many requests wait here", MAX_RETRY_AFTER_S)
         total = self.placement.total_slots(request.service, now=now)
         missing = (
             1
@@ -324,7 +316,7 @@
         spare = rate - self.demand.fleet_rate(request.service, now=now)
         if spare > 0 and now + last / spare <= self._dispatch_deadline(request):
             return None
-        wait_s = self._retry_after_s(request, rate, missing / rate, now)
+        wait_s = self._retry_after_s(request.service, rate, missing / rate, now)
         reason = (
             f"no slot comes free in time: {last} wait, {rate:.0f} a second come free"
         )
@@ -344,36 +336,26 @@
         return ahead_here + self.peer_queues.ahead(position, service=service, now=now)
 
     def _retry_after_s(
-        self, request: QueuedRequest, rate: float, wait_s: float, now: float
+        self, service: str, rate: float, wait_s: float, now: float
     ) -> float:
         """Returns a retry delay that spreads retries over the released slots.
 
         Each refused request gets the next time at which a slot of this instance's
-        share is released, with jitter, unless its client would give up before.
+        share is released, with jitter.
 
         Args:
-          request: The refused request.
+          service: Service of the request.
           rate: Slots that the service releases per second.
           wait_s: Seconds until the queued requests ahead have slots.
           now: Seconds on this instance's clock.
         """
-        service = request.service
         own = self.demand.for_service(service).rate(now=now)
         share = own / max(own, self.demand.fleet_rate(service, now=now), 1e-9)
         gap_s = 1 / max(rate * share, 1e-9)
         last = self._next_retry_at.get(service, now)
         at = max(last, now + wait_s) + gap_s * self._rng.uniform(0.5, 1.5)
         self._next_retry_at[service] = min(at, now + MAX_RETRY_AFTER_S)
-        return self._in_its_time(request, self._next_retry_at[service] - now, now)
-
-    def _in_its_time(
-        self, request: QueuedRequest, retry_after_s: float, now: float
-    ) -> float:
-        """Returns a retry delay after which the client still waits for an answer."""
-        longest_s = RETRY_TIME_SHARE * max(0.0, request.serve_by - now)
-        if retry_after_s > longest_s:
-            retry_after_s = longest_s * self._rng.uniform(_RETRY_SPREAD, 1.0)
-        return max(MIN_RETRY_AFTER_S, retry_after_s)
+        return max(MIN_RETRY_AFTER_S, self._next_retry_at[service] - now)
 
 
 def _queued_work(request: QueuedRequest, count: int, now: float) -> QueuedWork:
