Quarantine: trials are put off after six crashes for items alone

Cause: after six crashes under a request the next trial was ten minutes away, for online requests too, which meet more crashes as upstreams flap since their clients come again.

--- a/src/coppercleat/quarantine/_ledger.py
+++ b/src/coppercleat/quarantine/_ledger.py
@@ -314,7 +314,8 @@
         crashes, trial = len(record.crashes), record.trials_failed
         if trial < len(periods_s):
             period_s = periods_s[trial]
-            if record.exhausted:
+            # Only items have short periods that would go on after many crashes.
+            if record.exhausted and periods_s[0] <= WEAK_EVIDENCE_PERIOD_S:
                 period_s = max(period_s, LATE_PERIOD_S)
             elif not trial and any(crash.weak for crash in record.crashes):
                 period_s = min(period_s, WEAK_EVIDENCE_PERIOD_S)
