Membership: a zone tells other zones who of it is down, instead of a line of each

Cause: a heartbeat carries 42 lines, those of the own zone first. From some 100 members on lines of other zones rarely fit, so that their live members were taken for dead.

Change: in a fleet of more members than a heartbeat carries, lines stay in the own zone, with the age of the last sign of life; each member sends to one other zone at a time a report of who of its zone is down, which is passed on there with its age. Two speakers of a zone, those whose machines carry most, send to all of it. Who is alive is kept by zone and computed anew only when that can have changed.

--- a/src/coppercleat/membership/_detector.py
+++ b/src/coppercleat/membership/_detector.py
@@ -2,21 +2,30 @@
 
 Each member increments its own heartbeat counter and relays the highest counters it has
 received. A member is suspected when its counter has not increased for too long.
+
+In a fleet with more members than a heartbeat carries, counters are relayed within the
+own availability zone only; see ``_zone_reports`` for the members of other zones.
 """
 
 from __future__ import annotations
 
+import heapq
+import itertools
 import random
 from collections.abc import Iterable
 
 import attrs
 
 from coppercleat.ids import InstanceId, Revision, ZoneId
-from coppercleat.membership._messages import Heartbeat, MemberLine
+from coppercleat.membership._messages import Heartbeat, MemberLine, ZoneReport
+from coppercleat.membership._zone_reports import ZoneReports, own_report
 
 _MAX_RELAYED_MEMBERS = 42
 """Most members in one heartbeat."""
 
+_MAX_SPEAKER_LINES = 64
+"""Most members in a speaker's heartbeat, by which the others of its zone live."""
+
 _REMOVAL_FACTOR = 20
 """Members are removed after this many times the suspicion timeout."""
 
@@ -24,6 +33,13 @@
 """Up to this many members, an update goes to all of them."""
 
 _CROSS_ZONE_TARGETS = 1
+
+SPEAKERS = 2
+"""Members that exchange a zone's sums with other zones: one may die unnoticed."""
+
+_MAX_ZONE_TURN = 1 << 16
+"""Turns begin at random, so that the members of a zone send to different ones."""
+
 _PAUSE_FRACTION = 0.5
 """Ticks further apart than this fraction of the suspicion timeout mean that this
 process was suspended: four ticks are expected within the timeout."""
@@ -52,12 +68,30 @@
         return self.listed or (self.line.address if self.line else "")
 
 
+@attrs.frozen
+class _Alive:
+    """The members of a zone that are alive, until one of them is suspected.
+
+    Attributes:
+      members: The other members of the zone that are alive.
+      ids: The same, as a set.
+      speakers: See ``Detector.speakers``; empty for other zones.
+      until: Time of the next suspicion, in seconds of this instance's clock.
+    """
+
+    members: list[InstanceId]
+    ids: frozenset[InstanceId]
+    speakers: tuple[InstanceId, ...]
+    until: float
+
+
 class Detector:
     """Membership as one instance sees it; all times are seconds on its clock.
 
     Attributes:
       own: This instance's own state.
       members: All other known instances, by id.
+      reports: The latest reports of other availability zones.
       paused: Whether this process was suspended before the last tick for longer than
         the suspicion timeout.
     """
@@ -81,11 +115,22 @@
         """
         self.own = own
         self.members: dict[InstanceId, Member] = {}
+        self.reports = ZoneReports(own.zone)
         self.paused = False
         self._suspect_after_s = suspect_after_s
         self._fanout = fanout
         self._rng = rng
         self._ticked_at: float | None = None
+        self._reports_from = float("inf")
+        self._remove_from = float("-inf")
+        self._zone_turn = rng.randrange(_MAX_ZONE_TURN)
+        self._alive: dict[ZoneId, _Alive] = {}
+        self._zones: dict[ZoneId, dict[InstanceId, Member]] = {}
+
+    @property
+    def is_large(self) -> bool:
+        """Whether the fleet has more members than a heartbeat carries."""
+        return len(self.members) > _MAX_RELAYED_MEMBERS
 
     def observe_list(
         self, listed: Iterable[tuple[InstanceId, str, ZoneId]], now: float
@@ -100,38 +145,72 @@
             member = self.members.get(instance)
             if member is None:
                 member = Member(zone=zone, advanced_at=now)
-                self.members[instance] = member
+                self._add(instance, member)
             member.listed = address
 
     def observe(self, heartbeat: Heartbeat, now: float) -> None:
         """Records the sender's state and the relayed states in a heartbeat."""
         self._observe_line(heartbeat.own, now)
-        for line in heartbeat.heard:
-            self._observe_line(line, now)
+        ages_ms = heartbeat.ages_ms or itertools.repeat(0)
+        for line, age_ms in zip(heartbeat.heard, ages_ms, strict=False):
+            self._observe_line(line, now - age_ms / 1000)
+        for zone in self.reports.observe(heartbeat.zones, now):
+            self._alive.pop(zone, None)
 
     def observe_message(self, sender: InstanceId, now: float) -> None:
         """Records a message of any type as evidence that its sender is alive."""
         member = self.members.get(sender)
         if member is not None and member.line is not None:
-            member.advanced_at = now
+            self._record_advance(sender, member, now)
 
-    def _observe_line(self, line: MemberLine, now: float) -> None:
+    def _observe_line(self, line: MemberLine, sign_at: float) -> None:
+        """Records a state of a member that gave a sign of life at that time."""
         if line.instance == self.own.instance:
             self._refute(line)
             return
         member = self.members.get(line.instance)
         if member is None:
             member = Member(zone=line.zone)
-            self.members[line.instance] = member
+            self._add(line.instance, member)
         known = member.line
         if known is not None and (line.incarnation, line.beat) <= (
             known.incarnation,
             known.beat,
         ):
             return
+        if known is None or known.speed != line.speed:
+            self._alive.pop(member.zone, None)
         member.line = line
-        member.zone = line.zone
-        member.advanced_at = now
+        if member.zone != line.zone:
+            self._remove(line.instance)
+            member.zone = line.zone
+            self._add(line.instance, member)
+        self._record_advance(line.instance, member, sign_at)
+
+    def _add(self, instance: InstanceId, member: Member) -> None:
+        was_large = self.is_large
+        self.members[instance] = member
+        self._zones.setdefault(member.zone, {})[instance] = member
+        self._forget_alive(member.zone, resized=was_large != self.is_large)
+
+    def _remove(self, instance: InstanceId) -> None:
+        was_large = self.is_large
+        member = self.members.pop(instance)
+        del self._zones[member.zone][instance]
+        self._forget_alive(member.zone, resized=was_large != self.is_large)
+
+    def _forget_alive(self, zone: ZoneId, *, resized: bool) -> None:
+        if resized:
+            self._alive.clear()
+        self._alive.pop(zone, None)
+
+    def _record_advance(
+        self, instance: InstanceId, member: Member, sign_at: float
+    ) -> None:
+        member.advanced_at = max(member.advanced_at, sign_at)
+        alive = self._alive.get(member.zone)
+        if alive is not None and instance not in alive.ids:
+            del self._alive[member.zone]
 
     def _refute(self, line: MemberLine) -> None:
         """Raises the own incarnation above one that other members remember."""
@@ -141,18 +220,40 @@
     def tick(
         self, now: float, *, revision: Revision
     ) -> tuple[Heartbeat, list[InstanceId]]:
-        """Returns the next heartbeat and the members to send it to."""
+        """Returns the next heartbeat and the members to send it to.
+
+        In a large fleet these are of the own zone; see ``zone_heartbeat``.
+        """
         last_tick_at = self._ticked_at
         elapsed_s = now - last_tick_at if last_tick_at is not None else 0.0
         self.paused = elapsed_s > self._suspect_after_s
         if elapsed_s > self._suspect_after_s * _PAUSE_FRACTION:
             self._exclude_pause(elapsed_s, now)
+        if last_tick_at is None or self.paused:
+            # Until then it has not heard of all members of its zone.
+            self._reports_from = now + self._suspect_after_s
         self._ticked_at = now
         self.own = _replace(self.own, beat=self.own.beat + 1, revision=revision)
         self._remove_stale(now)
-        return Heartbeat(
-            self.own, self._relayed_members(now)
-        ), self._heartbeat_targets()
+        if not self.is_large:
+            lines = self._relayed_members(now)
+            return Heartbeat(self.own, lines), self._heartbeat_targets()
+        lines, ages_ms = self._relayed_zone_members(now)
+        heartbeat = Heartbeat(self.own, lines, self.reports.outgoing(now), ages_ms)
+        return heartbeat, self._zone_targets(now)
+
+    def zone_heartbeat(self, now: float) -> tuple[Heartbeat, list[InstanceId]]:
+        """Returns the heartbeat for other zones and the members to send it to.
+
+        In a small fleet there are none, since ``tick`` chooses members of all zones.
+        """
+        if not self.is_large:
+            return Heartbeat(self.own, ()), []
+        reports: tuple[ZoneReport, ...] = ()
+        if now >= self._reports_from:
+            zone = self.own.zone
+            reports = (own_report(zone, self._down_here(now), self.speakers(now)),)
+        return Heartbeat(self.own, (), reports), self._partners(now)
 
     def gossip_targets(self) -> list[InstanceId]:
         """Returns the members to send an update to that each receiver forwards once.
@@ -167,26 +268,35 @@
 
     def alive(self, now: float) -> list[InstanceId]:
         """Returns this instance and the known members that are not suspected."""
-        others = [
-            i
-            for i, member in self.members.items()
-            if self._is_member_alive(member, now)
-        ]
-        return [self.own.instance, *others]
+        found = [self.own.instance]
+        for zone in self._zones:
+            found += self._alive_in(zone, now).members
+        return found
+
+    def alive_in(self, zone: ZoneId, now: float) -> list[InstanceId]:
+        """Returns the other members of a zone that are known and not suspected."""
+        return list(self._alive_in(zone, now).members)
+
+    def speakers(self, now: float) -> tuple[InstanceId, ...]:
+        """Returns the members of the own zone that exchange its sums with others.
+
+        These are the members whose machines carry most, which all of the zone agree on.
+        """
+        return self._alive_in(self.own.zone, now).speakers
 
     def is_alive(self, instance: InstanceId, now: float) -> bool:
         """Returns whether a member's state is known and it is not suspected."""
         if instance == self.own.instance:
             return True
         member = self.members.get(instance)
-        return member is not None and self._is_member_alive(member, now)
+        return member is not None and self._is_member_alive(instance, member, now)
 
     def has_died(self, instance: InstanceId, now: float) -> bool:
         """Returns whether a member's state is known and it is suspected."""
         member = self.members.get(instance)
         if member is None or member.line is None:
             return False
-        return not self._is_member_alive(member, now)
+        return not self._is_member_alive(instance, member, now)
 
     def zone_of(self, instance: InstanceId) -> ZoneId | None:
         """Returns a member's availability zone; None if it is not known."""
@@ -206,35 +316,111 @@
                 best = (member.line.revision, instance)
         return best
 
-    def _is_member_alive(self, member: Member, now: float) -> bool:
+    # Who is alive.
+
+    def _alive_in(self, zone: ZoneId, now: float) -> _Alive:
+        """Returns who is alive; computed anew only when that can have changed."""
+        alive = self._alive.get(zone)
+        if alive is None or now > alive.until:
+            alive = self._alive[zone] = self._compute_alive(zone, now)
+        return alive
+
+    def _compute_alive(self, zone: ZoneId, now: float) -> _Alive:
+        known = self._members_of(zone)
+        members = [i for i, m in known.items() if self._is_member_alive(i, m, now)]
+        if self._judged_by_report(zone, now):
+            until = self.reports.expires_at(zone)
+        else:
+            signs = (known[instance].advanced_at for instance in members)
+            until = min(signs, default=float("inf")) + self._suspect_after_s
+        speakers: tuple[InstanceId, ...] = ()
+        if zone == self.own.zone:
+            speakers = self._choose_speakers(members)
+        return _Alive(members, frozenset(members), speakers, until)
+
+    def _choose_speakers(self, here: list[InstanceId]) -> tuple[InstanceId, ...]:
+        candidates = [self.own, *self._lines_of(here)]
+        candidates.sort(key=lambda line: (-line.speed, line.instance))
+        return tuple(line.instance for line in candidates[:SPEAKERS])
+
+    def _judged_by_report(self, zone: ZoneId, now: float) -> bool:
         return (
+            self.is_large
+            and zone != self.own.zone
+            and self.reports.is_reported(zone, now)
+        )
+
+    def _is_member_alive(
+        self, instance: InstanceId, member: Member, now: float
+    ) -> bool:
+        is_heard = (
             member.line is not None
             and now - member.advanced_at <= self._suspect_after_s
         )
+        if not self._judged_by_report(member.zone, now):
+            return is_heard
+        down_since = self.reports.down_since(member.zone, instance)
+        if down_since is None:
+            return True
+        return is_heard and member.advanced_at > down_since
+
+    def _down_here(self, now: float) -> list[InstanceId]:
+        """Returns the known members of the own zone that are not alive."""
+        return [
+            instance
+            for instance, member in self._members_of(self.own.zone).items()
+            if not self._is_member_alive(instance, member, now)
+        ]
+
+    def _members_of(self, zone: ZoneId) -> dict[InstanceId, Member]:
+        return self._zones.get(zone, {})
 
     def _exclude_pause(self, pause_s: float, now: float) -> None:
         """Extends all suspicion timeouts by the duration of a suspension."""
+        self._alive.clear()
+        self.reports.exclude_pause(pause_s, now)
         for member in self.members.values():
             if member.line is not None:
                 member.advanced_at = min(now, member.advanced_at + pause_s)
 
     def _remove_stale(self, now: float) -> None:
+        if now < self._remove_from:
+            return
+        self._remove_from = now + self._suspect_after_s
         limit = self._suspect_after_s * _REMOVAL_FACTOR
-        stale = [i for i, m in self.members.items() if now - m.advanced_at > limit]
+        stale = [
+            i
+            for i, m in self.members.items()
+            if now - m.advanced_at > limit and not self._is_member_alive(i, m, now)
+        ]
         for instance in stale:
-            del self.members[instance]
+            self._remove(instance)
+
+    # Who gets which heartbeat.
 
     def _relayed_members(self, now: float) -> tuple[MemberLine, ...]:
         """Returns states of members that are alive, those of the own zone first."""
-        lines = [
-            member.line
-            for member in self.members.values()
-            if member.line is not None and self._is_member_alive(member, now)
-        ]
+        lines = self._lines_of(self.alive(now)[1:])
         self._rng.shuffle(lines)
         lines.sort(key=lambda line: line.zone != self.own.zone)
         return tuple(lines[:_MAX_RELAYED_MEMBERS])
 
+    def _relayed_zone_members(
+        self, now: float
+    ) -> tuple[tuple[MemberLine, ...], tuple[int, ...]]:
+        """Returns states of live members of the own zone, the newest ones, and ages."""
+        here = [self.members[i] for i in self.alive_in(self.own.zone, now)]
+        is_speaker = self.own.instance in self.speakers(now)
+        most = _MAX_SPEAKER_LINES if is_speaker else _MAX_RELAYED_MEMBERS
+        here = heapq.nlargest(most, here, key=lambda m: m.advanced_at)
+        newest = [(m.line, m.advanced_at) for m in here if m.line is not None]
+        ages_ms = (round(1000 * max(0.0, now - at)) for _, at in newest)
+        return tuple(line for line, _ in newest), tuple(ages_ms)
+
+    def _lines_of(self, instances: Iterable[InstanceId]) -> list[MemberLine]:
+        lines = (self.members[instance].line for instance in instances)
+        return [line for line in lines if line is not None]
+
     def _heartbeat_targets(self) -> list[InstanceId]:
         """Returns random members, most of them in the own zone."""
         ids = list(self.members)
@@ -249,6 +435,40 @@
             remote, remote_count
         )
 
+    def _zone_targets(self, now: float) -> list[InstanceId]:
+        """Returns the speakers of the own zone and random members of it.
+
+        A speaker sends to all of the zone, so that each member's state reaches all
+        others within two intervals; the random ones do where both speakers are gone.
+        """
+        local = list(self._members_of(self.own.zone))
+        speakers = self.speakers(now)
+        if self.own.instance in speakers:
+            return local
+        others = [i for i in local if i not in speakers]
+        random_count = min(self._fanout - len(speakers), len(others))
+        return [*speakers, *self._rng.sample(others, random_count)]
+
+    def _partners(self, now: float) -> list[InstanceId]:
+        """Returns the member of another zone whose turn it is.
+
+        Zones take turns. Each member sends to its own two partners in a zone, so that
+        the links of a member stay few and all members of the zone are reached.
+        """
+        zones = sorted(z for z, m in self._zones.items() if m and z != self.own.zone)
+        if not zones:
+            return []
+        turn, self._zone_turn = self._zone_turn, self._zone_turn + 1
+        zone = zones[turn % len(zones)]
+        there = sorted(self._alive_in(zone, now).members)
+        if not there:
+            # A zone that was cut off is heard again only if somebody sends to it.
+            return [self._rng.choice(list(self._members_of(zone)))]
+        here = sorted([self.own.instance, *self.alive_in(self.own.zone, now)])
+        place = here.index(self.own.instance) * len(there) // len(here)
+        second = turn // len(zones) % 2
+        return [there[(place + second) % len(there)]]
+
 
 def _replace(line: MemberLine, **changes: int) -> MemberLine:
     values = {name: getattr(line, name) for name in line.__struct_fields__}
--- a/src/coppercleat/membership/_messages.py
+++ b/src/coppercleat/membership/_messages.py
@@ -12,6 +12,10 @@
 from coppercleat.storage import Node
 
 _MAX_MEMBERS = 64
+_MAX_ZONES = 64
+MAX_DOWN = 256
+"""Most members in one ``ZoneReport``; more than a zone of the planned size has."""
+
 _MAX_CHANGES = 512
 MAX_ARRIVALS = 1024
 """Most upstreams in one ``OnlineArrivals``."""
@@ -29,6 +33,8 @@
       incarnation: Increases with each start of the instance.
       beat: Heartbeat counter, increases within the incarnation.
       revision: Its configuration revision.
+      speed: What its machine carries, as a power of two; see ``measure_speed``. 0 if
+        its release does not tell.
     """
 
     instance: InstanceId
@@ -37,13 +43,42 @@
     incarnation: int
     beat: int
     revision: Revision
+    speed: int = 0
+
+
+class ZoneReport(Struct, frozen=True, array_like=True):
+    """What a zone tells the others of its members, as one of them sees it.
+
+    Attributes:
+      zone: The availability zone.
+      age_s: Seconds since the report was made; grows each time it is passed on.
+      down: Known members of the zone that are not alive.
+      speakers: Members that exchange the zone's sums with other zones.
+    """
+
+    zone: ZoneId
+    age_s: Annotated[float, Meta(ge=0)]
+    down: Annotated[tuple[InstanceId, ...], Meta(max_length=MAX_DOWN)]
+    speakers: Annotated[tuple[InstanceId, ...], Meta(max_length=_MAX_MEMBERS)] = ()
 
 
 class Heartbeat(Struct, frozen=True, tag="hb", array_like=True):
-    """The sender's own state, and the states that it relays of other members."""
+    """The sender's own state, and what it relays of other members.
+
+    Attributes:
+      own: State of the sender.
+      heard: States of other members.
+      zones: Reports of whole zones, in a fleet too large for a line of each member.
+      ages_ms: Milliseconds since the last sign of life of each ``heard`` member;
+        without ages, the states are taken as new.
+    """
 
     own: MemberLine
     heard: Annotated[tuple[MemberLine, ...], Meta(max_length=_MAX_MEMBERS)]
+    zones: Annotated[tuple[ZoneReport, ...], Meta(max_length=_MAX_ZONES)] = ()
+    ages_ms: Annotated[
+        tuple[Annotated[int, Meta(ge=0)], ...], Meta(max_length=_MAX_MEMBERS)
+    ] = ()
 
 
 class LinkCheck(Struct, frozen=True, tag="check", array_like=True):
--- a/src/coppercleat/membership/_messenger.py
+++ b/src/coppercleat/membership/_messenger.py
@@ -98,6 +98,9 @@
         self._writer.incarnation = self.detector.own.incarnation
         for instance in targets:
             self.send(instance, heartbeat, kind=MessageKind.ROUTINE)
+        zone_heartbeat, partners = self.detector.zone_heartbeat(now)
+        for instance in partners:
+            self.send(instance, zone_heartbeat, kind=MessageKind.ROUTINE)
         if not self.detector.alive(now)[1:]:
             self._send_to_seeds(heartbeat)
         if self.detector.paused:
--- /dev/null
+++ b/tests/features/large_fleets.feature
@@ -0,0 +1,48 @@
+Feature: Fleets of hundreds of instances
+
+  From some 100 instances on, live members of other zones were taken for dead every few
+  seconds, with nothing wrong: the lines of the own zone filled the heartbeats.
+
+  Scenario Outline: <members> instances in <zones> zones, <lost> in 100 messages lost
+    When they exchange heartbeats for 4 s after their start
+    Then no live member of any zone is taken for dead in the next 6 s
+    And a member sends at most 2000 bytes a second of heartbeats to other zones
+
+    Examples:
+      | members | zones | lost |
+      | 9       | 3     | 0    |
+      | 9       | 3     | 10   |
+      | 64      | 4     | 0    |
+      | 64      | 4     | 10   |
+      | 130     | 3     | 10   |
+      | 195     | 5     | 0    |
+      | 195     | 5     | 10   |
+      | 300     | 5     | 10   |
+      | 714     | 17    | 10   |
+
+  Scenario Outline: Of <members> instances in <zones> zones <what> dies
+    When they exchange heartbeats for 5 s after their start, 10 in 100 lost
+    And of the fleet <what> dies
+    Then their own zone knows of it after 2.5 s and all others after 4 s
+    And no live member is taken for dead
+
+    Examples:
+      | members | zones | what             |
+      | 64      | 4     | one member       |
+      | 64      | 4     | half of a zone   |
+      | 195     | 5     | one member       |
+      | 195     | 5     | half of a zone   |
+      | 195     | 5     | a whole zone     |
+      | 300     | 5     | half of the fleet |
+      | 714     | 17    | one member       |
+
+  Scenario Outline: Of <members> instances in <zones> zones one starts again
+    When they exchange heartbeats for 5 s after their start, 10 in 100 lost
+    And one member starts again 6 s after its death
+    Then all take it as alive 2.5 s later, and it takes all others as alive
+
+    Examples:
+      | members | zones |
+      | 9       | 3     |
+      | 195     | 5     |
+      | 300     | 5     |
--- a/tests/harness/__init__.py
+++ b/tests/harness/__init__.py
@@ -52,8 +52,11 @@
 )
 from tests.harness._processes import Process, free_port, until
 from tests.harness._word_play import WordPlay, draw_course
+from tests.harness._zones_model import HEARTBEAT_S, ZonesModel
 
 __all__ = [
+    "HEARTBEAT_S",
+    "ZonesModel",
     "COURSES",
     "HOST",
     "JOBS",
