Idle wake-ups, start-up probes and takeovers no longer grow with the fleet

Causes, from reading and from a count of an instance among 40 at rest (some 280 wake-ups a second): two checks for stalls look 20 times a second though nothing runs; each instance that starts probes every upstream of the fleet, also of zones that it rarely uses (195 x 37 = 7,215 new connections on the large site's first seconds); a takeover is told to all live instances though only the previous owner runs the job.

Change: the checks wait until there is an attempt; of more upstreams than are probed at a time only those of the own zone are probed at the start, others are used last until they count as verified; a takeover is told to the previous owner.

--- a/src/coppercleat/jobs/_items.py
+++ b/src/coppercleat/jobs/_items.py
@@ -132,6 +132,7 @@
         self.on_change = on_change
         self.on_end = on_end
         self._running: list[RunningItem] = []
+        self._started = trio.Event()
         self._avoided: dict[UpstreamId, float] = {}
         self._estimator = ItemDurationEstimator()
         self._patience = YieldTimer(placement.rng)
@@ -251,6 +252,7 @@
         running.crash_suspect = verdict.crashes > 0
         run.start(item, state.id)
         self._running.append(running)
+        self._started.set()
         state.batch += 1
         state.breaker.started()
         self.on_change(state, True)
@@ -382,11 +384,16 @@
 
     async def cancel_stalled(self) -> None:
         """Cancels stalled attempts, until cancelled itself."""
-        async for now in stall_check_times():
+        async for now in stall_check_times(self._until_running):
             for running in self._running:
                 if running.heard_at and now - running.heard_at > STALL_S:
                     running.stall.cancel()
 
+    async def _until_running(self) -> None:
+        if not self._running:
+            self._started = trio.Event()
+            await self._started.wait()
+
     # Preemption.
 
     def preempt(self) -> None:
--- a/src/coppercleat/jobs/_worker.py
+++ b/src/coppercleat/jobs/_worker.py
@@ -77,7 +77,7 @@
         holds_lease: Callable[[], bool],
         isolated: Callable[[], bool],
         pause_s: Callable[[], float],
-        on_takeover: Callable[[JobId], None],
+        on_takeover: Callable[[JobId, str], None],
         on_commit: Callable[[str], None],
     ) -> None:
         """Initializes the worker.
@@ -96,7 +96,8 @@
           isolated: Returns whether this instance reaches neither the store nor any
             other instance, so that others must be assumed to take over its jobs.
           pause_s: Returns the seconds between two refreshes of the job index.
-          on_takeover: Called with each job that was taken over here.
+          on_takeover: Called with each job that was taken over here, and the name of
+            its previous owner.
           on_commit: Called with the outcome of each commit.
         """
         self.repository = repository
@@ -252,7 +253,7 @@
             return
         _log.info("Job taken over.", job=stored.row.job, owner_before=stored.row.owner)
         self.job_index.observe(taken)
-        self.on_takeover(stored.row.job)
+        self.on_takeover(stored.row.job, stored.row.owner)
         await self._wait_for_handover(stored.row.job)
         await self._run_job(taken, "taken over")
 
--- a/src/coppercleat/serving/_silence.py
+++ b/src/coppercleat/serving/_silence.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import contextlib
-from collections.abc import AsyncIterator, Iterator
+from collections.abc import AsyncIterator, Awaitable, Callable, Iterator
 
 import trio
 
@@ -42,18 +42,24 @@
     return max(EVENT_GAP_STALL_S, EVENT_GAP_STALL_TARGET_FACTOR * route.gap_target_s)
 
 
-async def stall_check_times() -> AsyncIterator[float]:
+async def stall_check_times(
+    until_needed: Callable[[], Awaitable[None]],
+) -> AsyncIterator[float]:
     """Yields the time of each check for stalls; skips the first of several late ones.
 
     After a suspension of the process, data may have arrived that has not been read yet.
     Without this exception its sender would seem to have stalled.
+
+    Args:
+      until_needed: Returns once there is an attempt to check.
     """
-    checked_at, skipped = trio.current_time(), False
+    skipped = False
     while True:
+        await until_needed()
+        began = trio.current_time()
         await trio.sleep(CHECK_INTERVAL_S)
         now = trio.current_time()
-        late = now - checked_at > LATE_CHECK_S
-        checked_at = now
+        late = now - began > LATE_CHECK_S
         skipped = late and not skipped
         if not skipped:
             yield now
@@ -69,6 +75,7 @@
     def __init__(self, placement: Placement) -> None:
         self.placement = placement
         self._open_attempts: dict[Exchange, tuple[UpstreamState, trio.CancelScope]] = {}
+        self._opened = trio.Event()
 
     @contextlib.contextmanager
     def watching(self, exchange: Exchange, state: UpstreamState) -> Iterator[None]:
@@ -77,6 +84,7 @@
         # Other responses may take as long as the route allows.
         if exchange.route.kind is RouteKind.STREAM and exchange.progress.may_fail_over:
             self._open_attempts[exchange] = (state, scope)
+            self._opened.set()
         try:
             with scope:
                 yield
@@ -85,12 +93,17 @@
 
     async def run(self) -> None:
         """Ends stalled attempts until cancelled."""
-        async for now in stall_check_times():
+        async for now in stall_check_times(self._until_open):
             for exchange, (state, scope) in list(self._open_attempts.items()):
                 if self._has_stalled(exchange, state, now):
                     exchange.stalled = True
                     scope.cancel()
 
+    async def _until_open(self) -> None:
+        if not self._open_attempts:
+            self._opened = trio.Event()
+            await self._opened.wait()
+
     def _has_stalled(
         self, exchange: Exchange, state: UpstreamState, now: float
     ) -> bool:
--- a/src/coppercleat/serving/_survey.py
+++ b/src/coppercleat/serving/_survey.py
@@ -157,7 +157,7 @@
                 del self._probe_states[upstream]
         # In a large fleet, only few of thousands of upstreams are uncertain.
         candidates = (
-            states
+            self._probed_at_startup()
             if now < self._probe_all_until
             else self._probe_states.keys() & states.keys()
         )
@@ -167,6 +167,19 @@
         capacity = max(0, MAX_CONCURRENT_PROBES - len(self._probing))
         return due if len(due) <= capacity else self._rng.sample(due, capacity)
 
+    def _probed_at_startup(self) -> Collection[UpstreamId]:
+        """Returns all upstreams, or those of the own zone if there are many.
+
+        Each instance of a large fleet would otherwise probe each upstream of it, most
+        of which it never uses. Until they count as verified they are used last.
+        """
+        states = self.placement.states
+        if len(states) <= MAX_CONCURRENT_PROBES:
+            return states.keys()
+        zone = self.placement.zone
+        own = [u for u, state in states.items() if state.upstream.zone == zone]
+        return own or states.keys()
+
     def _mark_unverified(self) -> None:
         """Marks upstreams that were never probed: they may run requests from before."""
         unverified_until = (
--- a/tests/harness/_ends_play.py
+++ b/tests/harness/_ends_play.py
@@ -113,7 +113,7 @@
             holds_lease=lambda: True,
             isolated=lambda: False,
             pause_s=lambda: 0.4,
-            on_takeover=lambda job: None,
+            on_takeover=lambda job, previous: None,
             on_commit=lambda outcome: None,
         )
         self.service = JobService(
--- a/tests/harness/_job_play.py
+++ b/tests/harness/_job_play.py
@@ -176,10 +176,10 @@
 class NoCatalogue:
     """Knows nothing."""
 
-    async def read_routes(self) -> None:
+    async def read_routes(self, *, full: bool = True) -> None:
         return None
 
-    async def read_upstreams(self) -> list:
+    async def read_upstreams(self, *, full: bool = True) -> list:
         return []
 
 
@@ -232,7 +232,7 @@
             holds_lease=self.watch.holds_lease,
             isolated=lambda: False,
             pause_s=lambda: 0.4,
-            on_takeover=lambda job: None,
+            on_takeover=lambda job, previous: None,
             on_commit=lambda outcome: None,
         )
         self.service = JobService(
--- a/tests/harness/_jobs.py
+++ b/tests/harness/_jobs.py
@@ -119,6 +119,6 @@
         holds_lease=lambda: not cut(),
         isolated=cut,
         pause_s=lambda: LOOK_S,
-        on_takeover=lambda job: None,
+        on_takeover=lambda job, previous: None,
         on_commit=lambda outcome: None,
     )
