Store: a large fleet reads what has changed, and rows of instances when it must

Change: beyond 24 instances routes and upstreams are followed by their changes, with a full read each 0.6 of the bound, since the store may omit changes for a moment. Rows of instances are read at 40 rows a second while the members that are heard are those whose rows are alive, at once when that differs or a job's owner is not known. A row that was read rarely is dated by the own renewals of later versions, so that a dead owner is found no later: 6 s in the model at 195 and 300 instances.

--- a/src/coppercleat/platform/_catalogue.py
+++ b/src/coppercleat/platform/_catalogue.py
@@ -21,7 +21,7 @@
     Target,
     Upstream,
 )
-from coppercleat.storage import BAD_BYTES, Row
+from coppercleat.storage import BAD_BYTES, Row, TableFollower
 
 _MS = 1000
 _MAX_PORT = 65_535
@@ -37,7 +37,9 @@
 _ID = re.compile(r"[\x21-\x7e]{1,200}")
 """An id goes into a header; the store takes keys of 200 bytes."""
 
-_CONFIG_KEY = "op/config"
+_CONFIG_TABLE = "op"
+_CONFIG_NAME = "config"
+_CONFIG_KEY = f"{_CONFIG_TABLE}/{_CONFIG_NAME}"
 _UPSTREAM_TABLE = "servers"
 
 _KINDS = {
@@ -118,14 +120,27 @@
 
     def __init__(self, store: StoreClient) -> None:
         self.store = store
+        self._config_rows = TableFollower(
+            store, _CONFIG_TABLE, read_all=self._read_config_row
+        )
+        self._upstream_rows = TableFollower(
+            store, _UPSTREAM_TABLE, read_all=self._read_upstream_rows
+        )
         self._route_version = 0
         self._routes: RouteConfig | None = None
         self._upstreams: dict[str, tuple[int, Upstream | None]] = {}
 
-    async def read_routes(self) -> RouteConfig | None:
-        """See ``Catalogue.read_routes``; what does not fit changes nothing."""
+    async def _read_config_row(self) -> dict[str, Row]:
         rows = await self.store.read([_CONFIG_KEY])
-        row = rows.get(_CONFIG_KEY)
+        return {key.removeprefix(f"{_CONFIG_TABLE}/"): row for key, row in rows.items()}
+
+    async def _read_upstream_rows(self) -> dict[str, Row]:
+        return dict(await self.store.rows_of(_UPSTREAM_TABLE))
+
+    async def read_routes(self, *, full: bool = True) -> RouteConfig | None:
+        """See ``Catalogue.read_routes``; what does not fit changes nothing."""
+        rows = await self._config_rows.read(full=full)
+        row = rows.get(_CONFIG_NAME)
         if row is None or row.version == self._route_version:
             return self._routes
         self._route_version = row.version
@@ -140,14 +155,15 @@
             )
         return self._routes
 
-    async def read_upstreams(self) -> list[Upstream]:
+    async def read_upstreams(self, *, full: bool = True) -> list[Upstream]:
         """See ``Catalogue.read_upstreams``.
 
         An entry that does not fit names no upstream, whatever it was before, and is
         logged once.
         """
         decoded: dict[str, tuple[int, Upstream | None]] = {}
-        for key, row in await self.store.rows_of(_UPSTREAM_TABLE):
+        rows = await self._upstream_rows.read(full=full)
+        for key, row in sorted(rows.items()):
             known = self._upstreams.get(key)
             if known is not None and known[0] == row.version:
                 decoded[key] = known
--- a/src/coppercleat/serving/_pauses.py
+++ b/src/coppercleat/serving/_pauses.py
@@ -39,6 +39,17 @@
 READ_SHARE = 0.2
 """Share of the store's reads that the fleet spends on each of four kinds of polls."""
 
+FEW_INSTANCES = 24
+"""Up to this many instances read everything at each poll."""
+
+FULL_READ_SHARE = 0.6
+"""Interval between full reads, as a share of the bound for a change to be in force: one
+that the store omits from its changes for a moment is still in force in time."""
+
+ROWS_READ_PER_S = 40.0
+"""Rows of other instances that an instance reads per second while nothing shows that
+one of them has changed."""
+
 WRITE_SHARE = 0.2
 """Share of the store's writes that the fleet spends on lease renewals."""
 
@@ -86,6 +97,27 @@
     return paced(scale * RENEWAL_INTERVAL_S, instances, calls)
 
 
+def full_read_interval_s(bound_s: float, instances: int) -> float:
+    """Returns the interval between full reads of routes or of upstreams, in seconds.
+
+    In between, a large fleet reads what has changed: full reads cost bytes in
+    proportion to the instances and to the rows.
+
+    Args:
+      bound_s: Seconds within which a change must be in force.
+      instances: Number of live instances.
+    """
+    return 0.0 if instances <= FEW_INSTANCES else bound_s * FULL_READ_SHARE
+
+
+def instances_read_interval_s(settings: GatewaySettings, instances: int) -> float:
+    """Returns the interval between reads of the instances' rows, in seconds.
+
+    It applies while the rows and the members that are heard agree.
+    """
+    return max(renewal_interval_s(settings, instances), instances / ROWS_READ_PER_S)
+
+
 def longest_renewal_interval_s(settings: GatewaySettings, instances: int) -> float:
     """Returns the longest interval that jitter makes of the renewals', in seconds."""
     return POLL_JITTER[1] * renewal_interval_s(settings, instances)
--- a/src/coppercleat/serving/_watch.py
+++ b/src/coppercleat/serving/_watch.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import collections
 import contextlib
 import random
 from collections.abc import Callable
@@ -17,7 +18,10 @@
 from coppercleat.quarantine import QuarantineRecord
 from coppercleat.serving._model import RouteConfig, RouteTable, Upstream
 from coppercleat.serving._pauses import (
+    FEW_INSTANCES,
     POLL_JITTER,
+    full_read_interval_s,
+    instances_read_interval_s,
     lease_s,
     outage_s,
     renewal_interval_s,
@@ -25,7 +29,7 @@
     routes_poll_interval_s,
     upstreams_poll_interval_s,
 )
-from coppercleat.serving._peers import RoutesSnapshot
+from coppercleat.serving._peer_messages import RoutesSnapshot
 from coppercleat.serving._placement import Placement
 from coppercleat.serving._settings import GatewaySettings
 from coppercleat.storage import (
@@ -74,6 +78,11 @@
 connection and is retried at once; otherwise the store is slow or unreachable."""
 
 _INSTANCE_PREFIX = "instance/"
+_KEPT_RENEWALS = 64
+"""Own renewals whose times are kept: more than fit between two reads of the rows."""
+
+_INSTANCES = "instances"
+"""Name of the poll of the instances' rows."""
 
 _log = part_logger("watch")
 
@@ -81,12 +90,20 @@
 class Catalogue(Protocol):
     """Reads what the operator and the upstreams have written to the platform."""
 
-    async def read_routes(self) -> RouteConfig | None:
-        """Returns the newest version of the routes, None if there is none yet."""
+    async def read_routes(self, *, full: bool = True) -> RouteConfig | None:
+        """Returns the newest version of the routes, None if there is none yet.
+
+        Args:
+          full: Whether to read them even if no change of them is shown.
+        """
         ...
 
-    async def read_upstreams(self) -> list[Upstream]:
-        """Returns all listed upstreams."""
+    async def read_upstreams(self, *, full: bool = True) -> list[Upstream]:
+        """Returns all listed upstreams.
+
+        Args:
+          full: Whether to read all of them instead of those that have changed.
+        """
         ...
 
 
@@ -189,6 +206,8 @@
       upstreams_loaded: Whether a list of upstreams has come from the store or a peer.
       on_members: Called with id, peer address and zone of the other instances.
       quarantine_records: Returns the quarantined requests to store in the own row.
+      is_settled: Returns whether the members that are heard are those whose rows are
+        alive; then the rows are read less often in a large fleet.
       on_quarantine_records: Called with the quarantined requests in any row, that of
         an earlier start of this instance included.
     """
@@ -218,6 +237,7 @@
         self.on_quarantine_records: Callable[[tuple[QuarantineRecord, ...]], None] = (
             lambda kept: None
         )
+        self.is_settled: Callable[[set[InstanceId]], bool] = lambda live: False
         self._list = UpstreamList()
         self._upstreams: tuple[Upstream, ...] = ()
         self._upstreams_at = float("-inf")
@@ -225,6 +245,13 @@
         self._renewed_at = float("-inf")
         self._instances_read_at = float("-inf")
         self._instances_read_until = float("-inf")
+        self._rows_unneeded_at = float("-inf")
+        self._reads_rarely = False
+        self._seeks_owner = False
+        self._own_renewals: collections.deque[tuple[int, float]] = collections.deque(
+            maxlen=_KEPT_RENEWALS
+        )
+        self._full_reads: dict[str, float] = {}
         self._own_version = ABSENT
         self._instances: dict[InstanceId, _SeenRow] = {}
         self._undecodable: dict[InstanceId, int] = {}
@@ -280,7 +307,9 @@
         instance, _, boot = owner.rpartition("/")
         seen = self._instances.get(InstanceId(instance))
         if seen is None or seen.row.boot != boot:
-            return self._instances_read_at <= since
+            is_unread = self._instances_read_at <= since
+            self._seeks_owner = self._seeks_owner or is_unread
+            return is_unread
         if seen.row.leaving:
             return False
         # As of the last read: no lease expires while the store cannot be read.
@@ -331,7 +360,7 @@
                 ("routes", self._poll_routes, routes_poll_interval_s),
                 ("upstreams", self._poll_upstreams, upstreams_poll_interval_s),
                 ("renewal", self._renew, renewal_interval_s),
-                ("instances", self._poll_instances, renewal_interval_s),
+                (_INSTANCES, self._poll_instances, renewal_interval_s),
             ):
                 nursery.start_soon(self._poll_forever, name, poll, interval_of)
 
@@ -342,6 +371,10 @@
         failures = 0
         while True:
             asked_at = trio.current_time()
+            if name == _INSTANCES and not self._needs_rows(asked_at):
+                self._rows_unneeded_at = asked_at
+                await trio.sleep(self._interval_s(interval_of, began, 0))
+                continue
             try:
                 await poll()
                 failures = 0
@@ -349,11 +382,46 @@
             except CoppercleatError as error:
                 failures += 1
                 self._record_failure(name, asked_at=asked_at, reason=str(error))
-            starting = trio.current_time() - began < STARTUP_S
-            scale = STARTUP_INTERVAL_SCALE if starting else 1.0
-            interval_s = interval_of(self.settings, self.instances, scale=scale)
-            interval_s = retry_interval_s(interval_s, failures)
-            await trio.sleep(interval_s * self.rng.uniform(*POLL_JITTER))
+            await trio.sleep(self._interval_s(interval_of, began, failures))
+
+    def _interval_s(
+        self, interval_of: Callable[..., float], began: float, failures: int
+    ) -> float:
+        starting = trio.current_time() - began < STARTUP_S
+        scale = STARTUP_INTERVAL_SCALE if starting else 1.0
+        interval_s = interval_of(self.settings, self.instances, scale=scale)
+        interval_s = retry_interval_s(interval_s, failures)
+        return interval_s * self.rng.uniform(*POLL_JITTER)
+
+    def _needs_rows(self, now: float) -> bool:
+        """Returns whether the instances' rows must be read now.
+
+        In a large fleet they need not while the members that are heard are those whose
+        rows are alive. Other polls show meanwhile that the store is reached.
+        """
+        interval_s = instances_read_interval_s(self.settings, self.instances)
+        is_recent = now - self._instances_read_at < interval_s
+        is_reached = now - self._reached_at <= outage_s(self.settings, self.instances)
+        if self._seeks_owner or _INSTANCES in self._failing:
+            return True
+        if not (is_recent and is_reached) or self.instances <= FEW_INSTANCES:
+            return True
+        live = {i for i in self._instances if self._is_row_alive(i)}
+        return not self.is_settled(live)
+
+    def _is_row_alive(self, instance: InstanceId) -> bool:
+        boot = self._instances[instance].row.boot
+        return self.is_owner_alive(f"{instance}/{boot}", since=float("-inf"))
+
+    def _is_full_read(self, poll: str, bound_s: float) -> bool:
+        """Returns whether a poll is to read everything, and notes that it does."""
+        now = trio.current_time()
+        interval_s = full_read_interval_s(bound_s, self.instances)
+        is_due = now - self._full_reads.get(poll, float("-inf")) >= interval_s
+        if is_due or poll in self._failing:
+            self._full_reads[poll] = now
+            return True
+        return False
 
     def _record_success(self, poll: str) -> None:
         self._reached_at = trio.current_time()
@@ -374,7 +442,8 @@
             _log.warning("The store is away.", reason=reason)
 
     async def _poll_routes(self) -> None:
-        config = await self.catalogue.read_routes()
+        full = self._is_full_read("routes", self.settings.apply_s)
+        config = await self.catalogue.read_routes(full=full)
         self._routes_read_at = trio.current_time()
         if config is not None:
             self._adopt(config, source="the store")
@@ -393,7 +462,8 @@
     async def _poll_upstreams(self) -> None:
         now = trio.current_time()
         after_outage = now - self._upstreams_at > 2 * _STALE_S
-        listed = await self.catalogue.read_upstreams()
+        full = self._is_full_read("upstreams", self.settings.drain_s)
+        listed = await self.catalogue.read_upstreams(full=full)
         self._use(listed, after_outage=after_outage)
         self._upstreams_at = trio.current_time()
 
@@ -436,6 +506,7 @@
             if not isinstance(reply, TransactionRefused):
                 self._own_version = reply[key]
                 self._renewed_at = began
+                self._own_renewals.append((reply[key], trio.current_time()))
                 return
             # Written by an earlier start, or by a renewal whose reply was lost.
             rows = await self.platform.read([key])
@@ -472,10 +543,23 @@
                     reason=str(error),
                 )
             return
-        self._instances[instance] = _SeenRow(decoded, row.version, now)
+        self._instances[instance] = _SeenRow(
+            decoded, row.version, self._written_by(row.version, now)
+        )
         if decoded.quarantined:
             self.on_quarantine_records(decoded.quarantined)
 
+    def _written_by(self, version: int, now: float) -> float:
+        """Returns a time by which a row that was just read had been written.
+
+        Versions increase with each transaction, so that a row with a lower one than an
+        own renewal was written before it. That matters where rows are read rarely.
+        """
+        if not self._reads_rarely:
+            return now
+        later = (at for renewed, at in self._own_renewals if renewed > version)
+        return min(later, default=now)
+
     async def leave(self) -> None:
         """Announces the shutdown, so that the others need not await the lease's end."""
         self._leaving = True
@@ -490,7 +574,10 @@
         rows = await self.platform.scan(_INSTANCE_PREFIX)
         now = trio.current_time()
         # Only the time between two reads: a slow read shows whether rows have changed.
-        unread_s = began - self._instances_read_until
+        last_at = max(self._instances_read_until, self._rows_unneeded_at)
+        unread_s = began - last_at
+        self._reads_rarely = self._rows_unneeded_at > self._instances_read_until
+        self._seeks_owner = False
         if unread_s > outage_s(self.settings, self.instances):
             # After an outage, of the store or of this instance only, rows that have
             # not changed meanwhile prove nothing.
--- a/src/coppercleat/storage/__init__.py
+++ b/src/coppercleat/storage/__init__.py
@@ -21,6 +21,7 @@
     TransactionRefused,
     decode_row,
 )
+from coppercleat.storage._table_follower import TableFollower
 
 __all__ = [
     "ABSENT",
@@ -38,6 +39,7 @@
     "Platform",
     "Put",
     "Row",
+    "TableFollower",
     "Transaction",
     "TransactionRefused",
     "decode_row",
--- a/tests/features/large_fleets.feature
+++ b/tests/features/large_fleets.feature
@@ -58,3 +58,40 @@
       | 39        | 60   | 5   |
       | 20        | 60   | 5   |
       | 60        | 60   | 5   |
+
+  Scenario Outline: A table of <rows> rows is followed, <event>
+    When a table of <rows> rows is read in full, and <event>
+    Then the next read of changes shows it, and <calls> calls are made for it
+
+    Examples:
+      | rows | event                              | calls |
+      | 3    | a row is changed                   | 1     |
+      | 3    | a row is deleted                   | 1     |
+      | 3    | nothing is changed                 | 1     |
+      | 700  | a row is changed                   | 1     |
+      | 3    | a row is changed, the history lost | 3     |
+      | 3    | another part gets a row            | 1     |
+
+  Scenario: Changes that the platform omits for a moment show at the next full read
+    When a row is changed and the platform omits the change for a moment
+    Then a read of changes does not show it, and the next full read does
+
+  Scenario Outline: <instances> instances, whose rows are alive and <heard>, read the rows every <interval> s
+    When an instance among <instances> watches their rows for 30 s, <heard>
+    Then it reads them <least> to <most> times
+
+    Examples: renewals come once a second
+      | instances | heard                     | interval | least | most |
+      | 9         | all of them are heard     | 1        | 24    | 42   |
+      | 195       | all of them are heard     | 4.9      | 4     | 10   |
+      | 195       | one of them is not heard  | 1        | 24    | 42   |
+      | 195       | one more of them is heard | 1        | 24    | 42   |
+
+  Scenario Outline: An owner among <instances> instances dies while the rows are read less often
+    When of <instances> instances whose rows an instance watches one dies after 12 s
+    Then its jobs have no live owner <within> s later at the latest
+
+    Examples: as long as its lease, and a read
+      | instances | within |
+      | 195       | 6      |
+      | 300       | 6      |
--- a/tests/features/steps/serving_steps.py
+++ b/tests/features/steps/serving_steps.py
@@ -533,10 +533,10 @@
 class NoCatalogue:
     """Knows nothing."""
 
-    async def read_routes(self):
+    async def read_routes(self, *, full=True):
         return None
 
-    async def read_upstreams(self):
+    async def read_upstreams(self, *, full=True):
         return []
 
 
--- a/tests/features/steps/suspended_steps.py
+++ b/tests/features/steps/suspended_steps.py
@@ -34,10 +34,10 @@
 class NoCatalogue:
     """A platform on which nothing is listed yet."""
 
-    async def read_routes(self):
+    async def read_routes(self, *, full=True):
         return None
 
-    async def read_upstreams(self):
+    async def read_upstreams(self, *, full=True):
         return []
 
 
