--- a/src/coppercleat/membership/_detector.py
+++ b/src/coppercleat/membership/_detector.py
@@ -34,6 +34,9 @@
 
 _CROSS_ZONE_TARGETS = 1
 
+_RANDOM_ZONE_TARGETS = 1
+"""Members of the own zone that get a heartbeat besides the speakers."""
+
 SPEAKERS = 2
 """Members that exchange a zone's sums with other zones: one may die unnoticed."""
 
@@ -458,7 +461,7 @@
         if self.own.instance in speakers:
             return local
         others = [i for i in local if i not in speakers]
-        random_count = min(self._fanout - len(speakers), len(others))
+        random_count = min(_RANDOM_ZONE_TARGETS, len(others))
         return [*speakers, *self._rng.sample(others, random_count)]
 
     def _partners(self, now: float) -> list[InstanceId]:
--- a/src/coppercleat/serving/_peers.py
+++ b/src/coppercleat/serving/_peers.py
@@ -39,7 +39,7 @@
 from coppercleat.serving._placement import Placement
 from coppercleat.serving._settings import GatewaySettings
 from coppercleat.serving._work_counts import InFlight
-from coppercleat.serving._zone_relay import RELAY_INTERVAL_S, ZoneRelay
+from coppercleat.serving._zone_relay import ZoneRelay
 
 HEARTBEAT_INTERVAL_S = 0.5
 SUSPECT_AFTER_S = 2.0
@@ -217,6 +217,8 @@
         self._changed = trio.Event()
         self._urgent = trio.Event()
         self._relay_pending = trio.Event()
+        self._relayed_at = float("-inf")
+        self._relay_at = float("inf")
         self.relay.on_pending = self._relay_due
 
     async def run(self) -> None:
@@ -573,21 +575,29 @@
 
     async def _relay_forever(self) -> None:
         """Passes on what others have asked this instance to pass on."""
-        sent_at = float("-inf")
         while True:
             await self._relay_pending.wait()
-            soonest = trio.current_time() + _RELAY_BATCHING_S
-            await trio.sleep_until(max(soonest, sent_at + RELAY_INTERVAL_S))
+            while trio.current_time() < self._relay_at:
+                # Something more urgent may come meanwhile.
+                self._relay_pending = trio.Event()
+                with trio.move_on_at(self._relay_at):
+                    await self._relay_pending.wait()
             self._relay_pending = trio.Event()
-            sent_at = trio.current_time()
-            relayed = self.relay.take(now=sent_at)
+            now = trio.current_time()
+            self._relayed_at, self._relay_at = now, float("inf")
+            relayed = self.relay.take(now=now)
             if relayed is None:
                 continue
-            for instance in self.detector.alive_in(self.settings.zone, sent_at):
+            for instance in self.detector.alive_in(self.settings.zone, now):
                 self.messenger.send(instance, relayed, kind=MessageKind.ROUTINE)
 
-    def _relay_due(self) -> None:
-        self._relay_pending.set()
+    def _relay_due(self, within_s: float) -> None:
+        """Schedules the next message of the relay, a time after the last one."""
+        soonest = trio.current_time() + _RELAY_BATCHING_S
+        due_at = max(soonest, self._relayed_at + within_s)
+        if due_at < self._relay_at:
+            self._relay_at = due_at
+            self._relay_pending.set()
 
     def _tells_all(self) -> bool:
         """Whether every instance sends its counts to every other one."""
--- a/src/coppercleat/serving/_survey.py
+++ b/src/coppercleat/serving/_survey.py
@@ -95,6 +95,7 @@
         self._rng = rng
         self._probing: set[UpstreamId] = set()
         self._probe_states: dict[UpstreamId, _ProbeState] = {}
+        self._idle_at_startup: set[UpstreamId] = set()
         self._uncertain = trio.Event()
         self._probe_all_until = float("inf")
 
@@ -171,14 +172,15 @@
         """Returns all upstreams, or those of the own zone if there are many.
 
         Each instance of a large fleet would otherwise probe each upstream of it, most
-        of which it never uses. Until they count as verified they are used last.
+        of which it never uses. Until they count as verified they are used last. One
+        that ran nothing is not probed again.
         """
         states = self.placement.states
         if len(states) <= MAX_CONCURRENT_PROBES:
             return states.keys()
         zone = self.placement.zone
         own = [u for u, state in states.items() if state.upstream.zone == zone]
-        return own or states.keys()
+        return [u for u in own or states if u not in self._idle_at_startup]
 
     def _mark_unverified(self) -> None:
         """Marks upstreams that were never probed: they may run requests from before."""
@@ -211,6 +213,8 @@
         if report is None:
             return
         running = report.running + report.waiting
+        if not running:
+            self._idle_at_startup.add(state.id)
         probe_state = self._probe_states.setdefault(state.id, _ProbeState())
         probe_state.estimated_at = trio.current_time()
         state.unverified_until = float("-inf")
--- a/src/coppercleat/serving/_zone_relay.py
+++ b/src/coppercleat/serving/_zone_relay.py
@@ -27,9 +27,12 @@
 )
 from coppercleat.serving._placement import AttemptResults
 
-RELAY_INTERVAL_S = 0.1
-"""Interval between a relay's messages: a tenth of the time for which a request holds
-its slot changes the load of an upstream by less than one."""
+RELAY_INTERVAL_S = 0.15
+"""Interval between a relay's messages. With two relays a change is known in half of it,
+in which the load of an upstream of eight slots changes by about one."""
+
+REFRESH_INTERVAL_S = 0.5
+"""The same while nothing has changed and is only to be kept from expiring."""
 
 MAX_RELAYED_ENTRIES = 8
 """Most entries of queued work that are passed on for one instance."""
@@ -48,11 +51,11 @@
     """Collects what one instance passes on; the clock is passed in.
 
     Attributes:
-      on_pending: Called when there is something to pass on.
+      on_pending: Called when something is to be passed on within a time in seconds.
     """
 
     def __init__(self) -> None:
-        self.on_pending: Callable[[], None] = lambda: None
+        self.on_pending: Callable[[float], None] = lambda within_s: None
         self._known: dict[InstanceId, _KnownWork] = {}
         self._changed: set[InstanceId] = set()
         self._zones: dict[ZoneId, tuple[float, ZoneWorkInFlight]] = {}
@@ -70,23 +73,25 @@
         self, instance: InstanceId, incarnation: int, work: WorkInFlight, *, now: float
     ) -> None:
         """Records an instance's work, and passes it on if it asks for that."""
+        known = self._known.get(instance)
         condensed = msgspec.structs.replace(work, waiting=condense(work.waiting))
         self._known[instance] = _KnownWork(incarnation, condensed, now)
         if work.pass_on:
             self._changed.add(instance)
-            self.on_pending()
+            is_same = known is not None and _same_state(known.work, condensed)
+            self.on_pending(REFRESH_INTERVAL_S if is_same else RELAY_INTERVAL_S)
 
     def observe_zone(self, work: ZoneWorkInFlight, *, now: float) -> None:
         """Records another zone's work, to be passed on."""
         self._zones[work.zone] = now, work
-        self.on_pending()
+        self.on_pending(RELAY_INTERVAL_S)
 
     def observe_results(
         self, instance: InstanceId, results: Iterable[AttemptResults]
     ) -> None:
         """Records results of an instance's attempts, to be passed on."""
         self._results.setdefault(instance, []).extend(results)
-        self.on_pending()
+        self.on_pending(REFRESH_INTERVAL_S)
 
     def forget(self, instance: InstanceId) -> None:
         """Drops what is known of an instance's work."""
@@ -127,6 +132,11 @@
         )
 
 
+def _same_state(one: WorkInFlight, other: WorkInFlight) -> bool:
+    """Returns whether two messages differ in rates and due times at most."""
+    return one.counts == other.counts and not one.waiting and not other.waiting
+
+
 def condense(
     waiting: tuple[QueuedWork, ...], most: int = MAX_RELAYED_ENTRIES
 ) -> tuple[QueuedWork, ...]:
