--- a/src/coppercleat/gateway/_run.py
+++ b/src/coppercleat/gateway/_run.py
@@ -47,7 +47,8 @@
 async def run_gateway(gateway: Gateway, edges: GatewayEdges) -> None:
     """Runs an instance until a signal stops it."""
     settings = gateway.settings
-    _log.info("Starting.", instance=settings.instance, boot=gateway.boot)
+    speed = gateway.peers.detector.own.speed
+    _log.info("Starting.", instance=settings.instance, boot=gateway.boot, speed=speed)
     listening_over = trio.Event()
     async with trio.open_nursery() as nursery:
         nursery.start_soon(gateway.run)
--- a/src/coppercleat/serving/_peers.py
+++ b/src/coppercleat/serving/_peers.py
@@ -204,6 +204,7 @@
         self.relay = ZoneRelay()
         self.expired_counts = 0
         self._work_number = 0
+        self._speaks = False
         self._routes_requested_at = float("-inf")
         self._counts_sent_at = float("-inf")
         self._crash_report_repeats: dict[InstanceId, int] = {}
@@ -307,6 +308,7 @@
             now = trio.current_time()
             self.messenger.beat(now, revision=Revision(self.version()))
             self.placement.lagging = self._is_relayed(now)
+            self._log_speakers(now)
             self.expire_stale_counts(now)
             self._request_newer_routes(now)
             self._send_results()
@@ -573,6 +575,14 @@
                 found.append(speakers[place % len(speakers)])
         return found
 
+    def _log_speakers(self, now: float) -> None:
+        """Logs when this instance begins or ceases to speak for its zone."""
+        speakers = () if self._tells_all() else self.detector.speakers(now)
+        speaks = self.settings.instance in speakers
+        if speaks != self._speaks:
+            self._speaks = speaks
+            _log.info("Speakers of the zone changed.", speaks=speaks, speakers=speakers)
+
     async def _relay_forever(self) -> None:
         """Passes on what others have asked this instance to pass on."""
         while True:
