--- a/src/coppercleat/serving/_pauses.py
+++ b/src/coppercleat/serving/_pauses.py
@@ -22,9 +22,6 @@
 JOBS_POLLS_PER_BOUND = 7
 """Reads of changed jobs per time bound."""
 
-LARGE_FLEET_JOBS_POLLS = 4
-"""The same in a large fleet, each of whose instances reads the changes of all jobs."""
-
 RENEWAL_INTERVAL_S = 1.0
 """Interval between lease renewals, in seconds."""
 
@@ -87,11 +84,7 @@
 
 def jobs_poll_interval_s(settings: GatewaySettings, instances: int) -> float:
     """Returns the interval between reads of changed jobs, in seconds."""
-    wanted_s = settings.cancel_s / LARGE_FLEET_JOBS_POLLS
-    if instances <= FEW_INSTANCES:
-        wanted_s = min(
-            MAX_JOBS_POLL_INTERVAL_S, settings.cancel_s / JOBS_POLLS_PER_BOUND
-        )
+    wanted_s = min(MAX_JOBS_POLL_INTERVAL_S, settings.cancel_s / JOBS_POLLS_PER_BOUND)
     return paced(wanted_s, instances, _reads(settings))
 
 
