Membership: an instance whose clock was set back is heard again after its restart

What operators would see: an instance that starts again after its time of day jumped back is taken for dead by all peers, and its messages are dropped as replayed: its work is not counted, it gets no sums, no crash reports and no newer routes.

Cause: its incarnation is made of the time of day. Peers that remember a higher one drop its messages, and relay states of live members only, so that it never learns of its own.

Change: a heartbeat to a suspected member bears that member's own last state; it then outdoes that incarnation, as it does already when it hears of itself.

--- a/src/coppercleat/membership/_detector.py
+++ b/src/coppercleat/membership/_detector.py
@@ -258,6 +258,17 @@
             reports = (own_report(zone, self._down_here(now), self.speakers(now)),)
         return Heartbeat(self.own, (), reports), self._partners(now)
 
+    def reminder(self, instance: InstanceId, now: float) -> Heartbeat | None:
+        """Returns the heartbeat for a suspected member; None for any other member.
+
+        It bears the member's own last state. A restarted member whose clock was set
+        back outdoes that incarnation, since its messages are taken for old ones.
+        """
+        member = self.members.get(instance)
+        if member is None or member.line is None or self.is_alive(instance, now):
+            return None
+        return Heartbeat(self.own, (member.line,))
+
     def gossip_targets(self) -> list[InstanceId]:
         """Returns the members to send an update to that each receiver forwards once.
 
--- a/src/coppercleat/membership/_messenger.py
+++ b/src/coppercleat/membership/_messenger.py
@@ -97,7 +97,8 @@
         heartbeat, targets = self.detector.tick(now, revision=revision)
         self._writer.incarnation = self.detector.own.incarnation
         for instance in targets:
-            self.send(instance, heartbeat, kind=MessageKind.ROUTINE)
+            reminder = self.detector.reminder(instance, now)
+            self.send(instance, reminder or heartbeat, kind=MessageKind.ROUTINE)
         zone_heartbeat, partners = self.detector.zone_heartbeat(now)
         for instance in partners:
             self.send(instance, zone_heartbeat, kind=MessageKind.ROUTINE)
--- a/tests/features/large_fleets.feature
+++ b/tests/features/large_fleets.feature
@@ -36,16 +36,20 @@
       | 300     | 5     | half of the fleet |
       | 714     | 17    | one member       |
 
-  Scenario Outline: Of <members> instances in <zones> zones one starts again
+  Scenario Outline: Of <members> instances in <zones> zones one starts again, its clock <clock> s
     When they exchange heartbeats for 5 s after their start, 10 in 100 lost
     And one member starts again 6 s after its death
-    Then all take it as alive 2.5 s later, and it takes all others as alive
-
-    Examples:
-      | members | zones |
-      | 9       | 3     |
-      | 195     | 5     |
-      | 300     | 5     |
+    Then all take it as alive <within> s later, and it takes all others as alive
+
+    Examples: incarnations are made of the time of day, which may have jumped
+      | members | zones | clock | within |
+      | 9       | 3     | +6    | 2.5    |
+      | 195     | 5     | +6    | 2.5    |
+      | 300     | 5     | +6    | 2.5    |
+      | 9       | 3     | -2    | 4      |
+      | 9       | 3     | -8000 | 4      |
+      | 64      | 4     | -2    | 6      |
+      | 195     | 5     | -2    | 6      |
 
   Scenario Outline: <instances> instances share 8 upstreams of a zone, <load> in 100 of their slots in use
     When each of <instances> instances tells two relays what it starts and ends
--- a/tests/features/steps/large_fleet_steps.py
+++ b/tests/features/steps/large_fleet_steps.py
@@ -86,7 +86,8 @@
     context.again = context.model.names[0]
     context.model.dead.add(context.again)
     context.model.run(later)
-    context.model.restart(context.again)
+    clock_s = int(context.active_outline["clock"])
+    context.model.restart(context.again, clock_s=clock_s)
 
 
 @then("all take it as alive {within:g} s later, and it takes all others as alive")
--- a/tests/harness/_links.py
+++ b/tests/harness/_links.py
@@ -33,13 +33,13 @@
     )
 
 
-def make_peers(name, zone, port, seed):
+def make_peers(name, zone, port, seed, incarnation=1):
     address, seeds = f"127.0.0.1:{port}", (f"127.0.0.1:{seed}",)
     settings = node_settings(name, zone, peers=address, seeds=seeds)
     rng = random.Random(name)
     placement = Placement(ZoneId(zone), rng=rng)
     placement.replace([roomy_upstream("x")])
-    return GatewayPeers(settings, placement, incarnation=1, rng=rng)
+    return GatewayPeers(settings, placement, incarnation=incarnation, rng=rng)
 
 
 class Relay:
--- a/tests/harness/_zones_model.py
+++ b/tests/harness/_zones_model.py
@@ -11,6 +11,8 @@
 LIST_S = 1.0
 SUSPECT_S = 2.0
 FANOUT = 4
+STARTED_AT_S = 10_000
+"""Time of day of the first starts, and their incarnation."""
 
 
 class ZonesModel:
@@ -39,16 +41,21 @@
         self._writer = EnvelopeWriter(self.names[0], 1, key="a key for tests only")
         self._listed_at = float("-inf")
 
-    def _detector(self, name: InstanceId, incarnation: int = 1) -> Detector:
+    def _detector(self, name: InstanceId, incarnation: int = STARTED_AT_S) -> Detector:
         own = MemberLine(
             name, "10.0.0.1:7402", self.zone_of[name], incarnation, 0, Revision(1)
         )
         return Detector(own, suspect_after_s=SUSPECT_S, fanout=FANOUT, rng=self.rng)
 
-    def restart(self, name: InstanceId) -> None:
-        """Starts a member anew, without knowledge of the others."""
+    def restart(self, name: InstanceId, *, clock_s: int) -> None:
+        """Starts a member anew, without knowledge of the others.
+
+        Args:
+          name: The member.
+          clock_s: By how much its time of day is later than at its first start.
+        """
         self.dead.discard(name)
-        self.detectors[name] = self._detector(name, incarnation=2)
+        self.detectors[name] = self._detector(name, STARTED_AT_S + clock_s)
         self._list_for(name)
 
     def _list_for(self, name: InstanceId) -> None:
@@ -79,7 +86,8 @@
                     self.cross_bytes[name] += size
                     self.links[name].add(target)
                 if target not in self.dead and self.rng.random() >= self.loss:
-                    self.detectors[target].observe(heartbeat, at)
+                    reminder = detector.reminder(target, at)
+                    self.detectors[target].observe(reminder or heartbeat, at)
 
     def observers(self, zone: ZoneId | None = None) -> list[InstanceId]:
         """Returns up to 24 living members, evenly drawn, of one zone or of all."""
