Relays: a start is told at once to the peers with items at an upstream that may be full

Batch fills the slots, and who must preempt learnt of the start from a relay, up to 0.15 s later; only one peer was told directly, and only when this instance's own lagging counts showed more than all slots.

Change: all peers with items at such an upstream are told at a start, at most as many as it has slots; the relays' interval is 0.1 s again.

--- a/src/coppercleat/serving/_peers.py
+++ b/src/coppercleat/serving/_peers.py
@@ -477,9 +477,10 @@
             with trio.move_on_after(_BATCHING_DELAY_S):
                 await self._urgent.wait()
             self._changed = trio.Event()
+            started = self._urgent.is_set()
             self._urgent = trio.Event()
             self._counts_sent_at = trio.current_time()
-            self._send_counts(self._counts_recipients())
+            self._send_counts(self._counts_recipients(started=started))
 
     def _send_counts(self, instances: Iterable[InstanceId]) -> None:
         """Sends this instance's work in flight, as routine if nothing has changed."""
@@ -618,14 +619,20 @@
         here = self.detector.alive_in(self.settings.zone, now)
         return len(here) > _ZONE_MESH_MAX_PEERS and not self._tells_all()
 
-    def _counts_recipients(self) -> list[InstanceId]:
-        """Returns the peers to which this instance sends its own counts."""
+    def _counts_recipients(self, *, started: bool = False) -> list[InstanceId]:
+        """Returns the peers to which this instance sends its own counts.
+
+        Args:
+          started: Whether an attempt has started, for which peers may have to preempt.
+        """
         if self._tells_all():
             return self.live_peers()
         now = trio.current_time()
         if not self._is_relayed(now):
             return self.detector.alive_in(self.settings.zone, now)
-        recipients = {*self.detector.speakers(now), *self.placement.preempting_peers()}
+        recipients = set(self.detector.speakers(now))
+        if started:
+            recipients |= self.placement.contended_batch_peers()
         return sorted(recipients - {self.settings.instance})
 
     # Receiving.
--- a/src/coppercleat/serving/_placement.py
+++ b/src/coppercleat/serving/_placement.py
@@ -34,6 +34,9 @@
 LAGGING_TIE_LOAD = 3.0
 """The same where counts lag: instances choose among upstreams that may be as free."""
 
+CONTENDED_FREE_SLOTS = 1
+"""An upstream with so few free slots by counts that lag may be full."""
+
 FULL_BACKOFF_S = 0.1
 """Seconds without online requests for an upstream that refused one as full: about the
 time until one of its slots is released."""
@@ -397,17 +400,15 @@
         zones = self.zones.batch_by_reporter(state.id)
         return not any((count, zone) > own_zone for zone, count in zones.items())
 
-    def preempting_peers(self) -> set[InstanceId]:
-        """Returns the peers that should preempt an item for a request of this instance.
+    def contended_batch_peers(self) -> set[InstanceId]:
+        """Returns the peers with items where this instance's requests may need slots.
 
-        They learn of it at once, while others may learn of it later.
+        One of them may have to preempt an item, whatever others know by then.
         """
-        found = set()
+        found: set[InstanceId] = set()
         for state in self.states.values():
-            if state.online and self.free_slots(state) < 0:
-                items = self.peers.batch_by_reporter(state.id)
-                if items:
-                    found.add(max(items, key=lambda peer: (items[peer], peer)))
+            if state.online and self.free_slots(state) <= CONTENDED_FREE_SLOTS:
+                found.update(self.peers.batch_by_reporter(state.id))
         return found
 
     def _usable(self, service: str) -> Iterator[UpstreamState]:
--- a/src/coppercleat/serving/_zone_relay.py
+++ b/src/coppercleat/serving/_zone_relay.py
@@ -27,7 +27,7 @@
 )
 from coppercleat.serving._placement import AttemptResults
 
-RELAY_INTERVAL_S = 0.15
+RELAY_INTERVAL_S = 0.1
 """Interval between a relay's messages. With two relays a change is known in half of it,
 in which the load of an upstream of eight slots changes by about one."""
 
