Tests: a play holds its shard of ports, and tells who else held one

Cause: the shard of a play without COPPERCLEAT_TEST_SHARD was its process id modulo 12, nothing held a shard, and a killed gateway or runner leaves its ports free until it starts again. Two plays could give out the same ports.

Change: a process takes its shard before its first port, by a lock (flock) on a file in the temporary directory that no child inherits. A given shard that is held: a typed error with the holder's process id and the remedy. Without one: the highest free shard; there are 22 now (shards 0 to 11 keep their ports). The soak that a scenario starts is a play of its own and takes its own shard. Each fleet of gateways has a name of its own and each fleet of instances a key, so that no play hears another's. A fleet looks who listens at its ports (/proc/net/tcp, /proc/PID/fd of its own processes) before each start and at the end of a scenario or soak; another's process there is a problem.

--- a/bench/soak.py
+++ b/bench/soak.py
@@ -132,6 +132,7 @@
         except Exception as error:  # noqa: BLE001 - a soak that breaks has failed
             self.problems.append(f"the play ended early: {error!r}")
         finally:
+            self.problems += self.fleet.note_foreign_listeners()
             if self.problems:
                 self._keep_output()
             self.fleet.close()
--- a/tests/features/steps/gateway_steps.py
+++ b/tests/features/steps/gateway_steps.py
@@ -1,6 +1,7 @@
 """Steps for gateways before stand-ins of the users' platform."""
 
 import json
+import os
 import pathlib
 import shutil
 import signal
@@ -18,7 +19,16 @@
 
 from coppercleat.ids import InstanceId
 from coppercleat.membership import EnvelopeWriter, LinkCheck
-from tests.harness import JOBS, ONCE, PLAIN, RESUMABLE, STREAM, Gateways, until
+from tests.harness import (
+    JOBS,
+    ONCE,
+    PLAIN,
+    RESUMABLE,
+    SHARD_VARIABLE,
+    STREAM,
+    Gateways,
+    until,
+)
 
 ROUTES = {"stream": STREAM, "resumable": RESUMABLE, "plain": PLAIN, "once": ONCE}
 JOB = "job-1"
@@ -669,7 +679,9 @@
 def short_soak(context, seconds, seed, *more):
     command = [sys.executable, "-m", "bench.soak"]
     command += ["--seeds", f"{seed}-{seed}", "--length_s", str(seconds), *more]
-    done = subprocess.run(command, capture_output=True, text=True, check=False)
+    # The soak is a play of its own; this process may hold the shard that was given.
+    own = {k: v for k, v in os.environ.items() if k != SHARD_VARIABLE}
+    done = subprocess.run(command, capture_output=True, text=True, check=False, env=own)
     assert done.returncode == 0, done.stdout + done.stderr
 
 
--- a/tests/harness/__init__.py
+++ b/tests/harness/__init__.py
@@ -50,7 +50,9 @@
     node_settings,
     roomy_upstream,
 )
-from tests.harness._processes import Process, free_port, until
+from tests.harness._port_check import PortHolder, PortUse, foreign_listeners
+from tests.harness._ports import SHARD_VARIABLE, free_port, holder_of, own_shard
+from tests.harness._processes import Process, until
 from tests.harness._relay_model import RelayModel
 from tests.harness._word_play import WordPlay, draw_course
 from tests.harness._zones_model import HEARTBEAT_S, ZonesModel
@@ -70,8 +72,11 @@
     "PLAIN",
     "PREFIX",
     "PROMISES",
+    "PortHolder",
+    "PortUse",
     "RESUMABLE",
     "RUN_S",
+    "SHARD_VARIABLE",
     "STREAM",
     "Answer",
     "Deployment",
@@ -94,7 +99,9 @@
     "fail_by_turns",
     "first_moment",
     "first_time",
+    "foreign_listeners",
     "free_port",
+    "holder_of",
     "in_no_time",
     "item_may_go",
     "job_course",
@@ -104,6 +111,7 @@
     "make_route",
     "make_worker",
     "node_settings",
+    "own_shard",
     "roomy_upstream",
     "submission",
     "until",
--- a/tests/harness/_fleet.py
+++ b/tests/harness/_fleet.py
@@ -3,7 +3,9 @@
 from __future__ import annotations
 
 import json
+import os
 import pathlib
+import secrets
 import shutil
 import signal
 import tempfile
@@ -16,10 +18,12 @@
 import yaml
 
 from coppercleat.rpc import RpcClient
-from tests.harness._processes import Process, free_port, until
+from tests.harness._port_check import PortHolder, PortUse
+from tests.harness._ports import free_port
+from tests.harness._processes import Process, until
 
 _T = TypeVar("_T")
-KEY = "a key that only tests know"
+KEY = f"a key that only this play knows: {os.getpid()} {secrets.token_hex(4)}"
 
 
 @attrs.define(kw_only=True)
@@ -58,12 +62,12 @@
     process: Process | None = None
 
 
-class Fleet:
+class Fleet(PortHolder):
     """Starts all processes of a deployment, and ends them."""
 
     def __init__(self, deployment: Deployment) -> None:
+        super().__init__()
         self.deployment = deployment
-        self.processes: dict[str, Process] = {}
         self.ports: dict[str, int] = {}
         self.entries: dict[str, _Entry] = {}
         self.nodes: list[dict[str, Any]] = []
@@ -101,8 +105,25 @@
         """Runs an async function."""
         return trio.run(function, *args)
 
+    # Ports.
+
+    def port_uses(self) -> list[PortUse]:
+        """Returns all ports that have been given out, with who is to listen there."""
+        uses = [
+            PortUse(name, port, self.pid(name)) for name, port in self.ports.items()
+        ]
+        for zone, ways in self.links.items():
+            for node, port in ways.items():
+                way = f"the link from {zone} to {node}"
+                uses.append(PortUse(way, port, self.pid("proxy")))
+        for name, entry in self.entries.items():
+            for use, port in entry.ports.items():
+                uses.append(PortUse(f"{name} ({use})", port, self.pid(name)))
+        return uses
+
     def _standin(self, name: str, kind: str, *flags: str) -> None:
         port = self.ports.setdefault(name, free_port())
+        self.note_foreign_listeners()
         module = f"tests.standins.{kind}"
         self.processes[name] = Process(
             name, ["-m", module, "--port", str(port), *flags]
@@ -158,6 +179,7 @@
     def start_entry(self, name: str) -> None:
         """Starts an instance, or starts it again under the same name."""
         entry = self.entries[name]
+        self.note_foreign_listeners()
         path = self.directory / f"{name}.yaml"
         path.write_text(yaml.safe_dump(self._settings(entry)))
         arguments = ["-m", "coppercleat", "entry", f"--settings={path}"]
--- a/tests/harness/_gateways.py
+++ b/tests/harness/_gateways.py
@@ -6,6 +6,7 @@
 import json
 import os
 import pathlib
+import secrets
 import shutil
 import signal
 import tempfile
@@ -24,7 +25,9 @@
 from coppercleat.platform import StoreClient
 from coppercleat.storage import Put, Transaction, TransactionRefused
 from tests.harness._pauses import Pauses, plan_of_environment
-from tests.harness._processes import Process, free_port, until
+from tests.harness._port_check import PortHolder, PortUse
+from tests.harness._ports import free_port
+from tests.harness._processes import Process, until
 
 _T = TypeVar("_T")
 SERVICE = "menus"
@@ -56,8 +59,12 @@
         return [int(line[4:]) for line in lines if line.startswith("id: ")]
 
 
-class Gateways:
-    """Starts gateways, runners and the store, and ends them."""
+class Gateways(PortHolder):
+    """Starts gateways, runners and the store, and ends them.
+
+    Attributes:
+      fleet_name: The gateways' own, so that they hear no other play's.
+    """
 
     def __init__(
         self,
@@ -68,9 +75,10 @@
         proxied: bool = False,
         checkout: pathlib.Path | None = None,
     ) -> None:
+        super().__init__()
         self.directory = pathlib.Path(tempfile.mkdtemp(prefix="coppercleat-"))
-        self.processes: dict[str, Process] = {}
         self.ports: dict[str, dict[str, int]] = {}
+        self.fleet_name = f"test {os.getpid()} {secrets.token_hex(4)}"
         self.store_port = free_port()
         self.versions: dict[str, int] = {}
         self.config: dict[str, Any] = default_config()
@@ -123,7 +131,23 @@
         """Runs an async function."""
         return trio.run(function, *args)
 
+    # Ports.
+
+    def port_uses(self) -> list[PortUse]:
+        """Returns all ports that have been given out, with who is to listen there."""
+        proxy = self.pid("proxy")
+        uses = [PortUse("the store", self.store_port, self.pid("store"))]
+        if self.proxy_port:
+            uses.append(PortUse("the proxy", self.proxy_port, proxy))
+        for name, port in self.links.items():
+            uses.append(PortUse(f"the link of {name}", port, proxy))
+        for name, ports in self.ports.items():
+            for use, port in ports.items():
+                uses.append(PortUse(f"{name} ({use})", port, self.pid(name)))
+        return uses
+
     def _process(self, name: str, module: str, port: int, *flags: str) -> None:
+        self.note_foreign_listeners()
         arguments = ["-m", module, "--port", str(port), *flags]
         self.processes[name] = Process(name, arguments)
 
@@ -132,6 +156,7 @@
         ports = self.ports.setdefault(
             name, {use: free_port() for use in ("front", "readiness", "control")}
         )
+        self.note_foreign_listeners()
         settings = self.settings(name, ports)
         path = self.directory / f"{name}.yaml"
         path.write_text(yaml.safe_dump(settings))
@@ -140,8 +165,7 @@
             return
         os.environ["COPPERCLEAT_CONFIG"] = str(path)
         arguments = ["deploy/start.py", "gateway", "--log_level=debug"]
-        if self.proxy_port:
-            arguments.append(f"--fleet=fleet at {self.store_port}")
+        arguments.append(f"--fleet={self.fleet_name}")
         self.processes[name] = Process(name, arguments)
 
     def _deployed(
--- a/tests/harness/_links.py
+++ b/tests/harness/_links.py
@@ -9,7 +9,7 @@
 from coppercleat.ids import InstanceId, UpstreamId, ZoneId
 from coppercleat.membership import LinkWatch, MessageKind
 from coppercleat.serving import GatewayPeers, GatewaySettings, Placement, Upstream
-from tests.harness._processes import free_port
+from tests.harness._ports import free_port
 
 
 def roomy_upstream(name):
--- a/tests/harness/_processes.py
+++ b/tests/harness/_processes.py
@@ -6,7 +6,6 @@
 import pathlib
 import shutil
 import signal
-import socket
 import subprocess
 import sys
 import tempfile
@@ -25,29 +24,6 @@
 KEPT_LOGS = "COPPERCLEAT_TEST_LOGS"
 """The environment variable that names a folder in which all logs are kept."""
 
-_PORTS_FROM = 20_000
-_PORTS = 12_000
-_SHARDS = 12
-"""Each shard of a test run takes ports of its own; see tools/behave_shards.py."""
-
-_shard = int(os.environ.get("COPPERCLEAT_TEST_SHARD", str(os.getpid() % _SHARDS)))
-_first_port = _PORTS_FROM + _shard % _SHARDS * (_PORTS // _SHARDS)
-_next_port = _first_port
-
-
-def free_port() -> int:
-    """Returns a TCP port that was free a moment ago; not the same again soon."""
-    global _next_port  # noqa: PLW0603 - one counter for the whole test process
-    while True:
-        _next_port = _first_port + (_next_port - _first_port + 1) % (_PORTS // _SHARDS)
-        with socket.socket() as probe:
-            probe.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-            try:
-                probe.bind(("127.0.0.1", _next_port))
-            except OSError:
-                continue
-            return _next_port
-
 
 class Process:
     """One child process of the test, with its log in a file."""
