Soak: a play that fails leaves what names its cause

Change: bench/_soak_evidence.py writes in out/soak-SEED.log command, commit, shard, load at begin and end; each port, who is to listen there and who does; each process that was ever started with its signals and exit code; faults as they were set, with parameters; all calls of clients, online requests and reads included; row, input, results and cancellation of the jobs concerned; the store's objects; runs of runners; all lines. The fleet notes what is done to it, so that no draw of a play changes. The file is written too if the fleet's start fails, and the fleet is then ended. A job's row is read by its exact key: j-1 was not found beside j-10, and a row that is absent ended the play with a ValueError in place of what was found.

--- a/bench/soak.py
+++ b/bench/soak.py
@@ -8,7 +8,7 @@
 held against docs/PROMISES.md. Ways between gateways are not harmed: a gateway tells
 others the address at which it listens, so nothing can stand between; links that fall
 silent are played in one process, see tests/harness/_links.py.
-A seed that fails leaves its output in ``out/soak-SEED.log``.
+A seed that fails leaves ``out/soak-SEED.log``; see ``bench._soak_evidence``.
 """
 
 from __future__ import annotations
@@ -16,7 +16,6 @@
 import argparse
 import collections
 import contextlib
-import datetime
 import json
 import pathlib
 import random
@@ -31,6 +30,7 @@
 import httpcore
 import trio
 
+from bench._soak_evidence import Evidence
 from bench._soak_flaps import FLAPS, Flaps
 from coppercleat.errors import CoppercleatError
 from tests.harness import JOBS, ONCE, PLAIN, RESUMABLE, STREAM, Answer, Gateways
@@ -98,7 +98,7 @@
       deadly: Whether some end under a request that comes again.
       killed: Runners that were killed.
       problems: Broken promises, in words.
-      told: Clients' calls about jobs and the faults, with their times.
+      evidence: Clients' calls and the faults, and what else a trace needs.
     """
 
     def __init__(
@@ -120,14 +120,14 @@
         self.problems: list[str] = []
         self.down: set[str] = set()
         self.ends_at = 0.0
-        self.told: list[dict[str, Any]] = []
+        self.evidence = Evidence(self.fleet)
 
     # The play.
 
     def play(self) -> None:
         """Plays and checks."""
-        self.fleet.start()
         try:
+            self.fleet.start()
             trio.run(self._play)
         except Exception as error:  # noqa: BLE001 - a soak that breaks has failed
             self.problems.append(f"the play ended early: {error!r}")
@@ -183,8 +183,7 @@
 
     def _tell(self, what: str, began: float, **details: Any) -> None:
         """Keeps what a client or a fault did, and from when to when."""
-        line = {"what": what, "from": _wall(began), "to": _wall(time.time())}
-        self.told.append(line | details)
+        self.evidence.tell(what, began, **details)
 
     async def _client(self, number: int) -> None:
         count = 0
@@ -193,14 +192,17 @@
             kind = self.rng.choice(list(ROUTES))
             request = f"r-{number}-{count}"
             self.answers[request] = (kind, None)
+            began, gateway, answer = time.time(), self._gateway(), None
             try:
                 with trio.move_on_after(6):
                     answer = await self.fleet.ask(
-                        self._gateway(), ROUTES[kind], request, deadline_ms=3000
+                        gateway, ROUTES[kind], request, deadline_ms=3000
                     )
                     self.answers[request] = (kind, answer)
             except _NETWORK:
                 pass
+            seen = _seen(answer)
+            self._tell("ask", began, request=request, kind=kind, at=gateway, **seen)
             await trio.sleep(self.rng.uniform(0, 0.3))
 
     async def _deadly_client(self) -> None:
@@ -209,9 +211,11 @@
         route = self.rng.choice(list(ROUTES.values()))
         while self._playing():
             count += 1
+            name, gateway, answer = f"deadly-{count}", self._gateway(), None
+            began = time.time()
             with contextlib.suppress(*_NETWORK), trio.move_on_after(4):
-                name = f"deadly-{count}"
-                await self.fleet.ask(self._gateway(), route, name, body="deadly")
+                answer = await self.fleet.ask(gateway, route, name, body="deadly")
+            self._tell("ask", began, request=name, at=gateway, **_seen(answer))
             await trio.sleep(self.rng.uniform(0, 0.5))
 
     async def _submitter(self) -> None:
@@ -268,8 +272,8 @@
                 gateway = self._gateway()
                 target = f"/v1/lots/{job.id}?after={after}"
                 answer = await self.fleet.call(gateway, "GET", JOBS[0], target)
-                if answer.status == 404:
-                    self._tell("read", began, job=job.id, at=gateway, status=404)
+                found = {"after": after, "status": answer.status}
+                self._tell("read", began, job=job.id, at=gateway, **found)
                 if answer.status == 404 and accepted:
                     self.problems.append(f"{job.id}: 404 after it was accepted")
                 if answer.status != 200:
@@ -345,8 +349,8 @@
                 await trio.sleep(0.05)
         names = [result["id"] for result in job.seen.values()]
         if sorted(names) != [f"{job.id}-item-{n}" for n in range(len(job.items))]:
-            row = await self.fleet.job_row(job.id)
-            self._tell("row", time.time(), job=job.id, row=row)
+            rows = await self.evidence.rows_of(job.id)
+            self._tell("rows", time.time(), job=job.id, rows=rows)
             self.problems.append(
                 f"{job.id}: listed are {names}, its end was asked: {job.end_asked}"
             )
@@ -399,18 +403,21 @@
                 self.problems.append(f"{job.id}: {len(late)} runs after its end")
 
     def _keep_output(self) -> None:
-        _OUT.mkdir(exist_ok=True)
-        with (_OUT / f"soak-{self.seed}.log").open("w", encoding="utf-8") as out:
-            out.write(json.dumps({"problems": self.problems, "faults": self.done}))
-            out.write("\n--- clients and faults\n")
-            out.writelines(json.dumps(line) + "\n" for line in self.told)
-            for name, process in self.fleet.processes.items():
-                out.write(f"\n--- {name}\n{process.output()}")
-
-
-def _wall(unix_s: float) -> str:
-    """Returns a time of day as the processes' logs write it, in UTC."""
-    return datetime.datetime.fromtimestamp(unix_s, datetime.UTC).isoformat()[11:23]
+        told = " ".join(self.problems)
+        concerned = [job.id for job in self.jobs if f"{job.id}:" in told]
+        self.evidence.write(
+            _OUT / f"soak-{self.seed}.log",
+            {"seed": self.seed, "problems": self.problems, "faults": self.done},
+            concerned or [job.id for job in self.jobs],
+        )
+
+
+def _seen(answer: Answer | None) -> dict[str, Any]:
+    """Returns what a client saw of an answer, to be told."""
+    if answer is None:
+        return {"status": 0}
+    ends = [answer.events[0], answer.events[-1]] if answer.events else []
+    return {"status": answer.status, "events": ends, "whole": answer.whole}
 
 
 HEALTHY_STORE = {
--- a/tests/harness/__init__.py
+++ b/tests/harness/__init__.py
@@ -50,7 +50,12 @@
     node_settings,
     roomy_upstream,
 )
-from tests.harness._port_check import PortHolder, PortUse, foreign_listeners
+from tests.harness._port_check import (
+    PortHolder,
+    PortUse,
+    foreign_listeners,
+    port_states,
+)
 from tests.harness._ports import SHARD_VARIABLE, free_port, holder_of, own_shard
 from tests.harness._processes import Process, until
 from tests.harness._relay_model import RelayModel
@@ -112,6 +117,7 @@
     "make_worker",
     "node_settings",
     "own_shard",
+    "port_states",
     "roomy_upstream",
     "submission",
     "until",
--- a/tests/harness/_fleet.py
+++ b/tests/harness/_fleet.py
@@ -125,9 +125,7 @@
         port = self.ports.setdefault(name, free_port())
         self.note_foreign_listeners()
         module = f"tests.standins.{kind}"
-        self.processes[name] = Process(
-            name, ["-m", module, "--port", str(port), *flags]
-        )
+        self.add_process(Process(name, ["-m", module, "--port", str(port), *flags]))
 
     def add_engine(self, name: str, zone: str, *, listed: bool = True) -> None:
         """Starts an engine; again after it died, with the same port."""
@@ -183,7 +181,8 @@
         path = self.directory / f"{name}.yaml"
         path.write_text(yaml.safe_dump(self._settings(entry)))
         arguments = ["-m", "coppercleat", "entry", f"--settings={path}"]
-        entry.process = self.processes[name] = Process(name, arguments)
+        entry.process = Process(name, arguments)
+        self.add_process(entry.process)
 
     def _settings(self, entry: _Entry) -> dict[str, Any]:
         platform = f"http://127.0.0.1:{self.ports['platform']}/from/{entry.zone}"
--- a/tests/harness/_gateways.py
+++ b/tests/harness/_gateways.py
@@ -59,11 +59,27 @@
         return [int(line[4:]) for line in lines if line.startswith("id: ")]
 
 
+@attrs.frozen
+class Action:
+    """Something that a test did to its fleet.
+
+    Attributes:
+      at: Unix time in seconds.
+      what: The kind, in words.
+    """
+
+    at: float
+    what: str
+    details: dict[str, Any]
+
+
 class Gateways(PortHolder):
     """Starts gateways, runners and the store, and ends them.
 
     Attributes:
       fleet_name: The gateways' own, so that they hear no other play's.
+      actions: Faults and changes that were set, in order. Signals stand with the
+        processes.
     """
 
     def __init__(
@@ -79,6 +95,7 @@
         self.directory = pathlib.Path(tempfile.mkdtemp(prefix="coppercleat-"))
         self.ports: dict[str, dict[str, int]] = {}
         self.fleet_name = f"test {os.getpid()} {secrets.token_hex(4)}"
+        self.actions: list[Action] = []
         self.store_port = free_port()
         self.versions: dict[str, int] = {}
         self.config: dict[str, Any] = default_config()
@@ -149,7 +166,7 @@
     def _process(self, name: str, module: str, port: int, *flags: str) -> None:
         self.note_foreign_listeners()
         arguments = ["-m", module, "--port", str(port), *flags]
-        self.processes[name] = Process(name, arguments)
+        self.add_process(Process(name, arguments))
 
     def start_gateway(self, name: str) -> None:
         """Starts a gateway, or starts it again under the same name and ports."""
@@ -161,12 +178,12 @@
         path = self.directory / f"{name}.yaml"
         path.write_text(yaml.safe_dump(settings))
         if self.checkout is not None:
-            self.processes[name] = self._deployed(name, self.checkout, path)
+            self.add_process(self._deployed(name, self.checkout, path))
             return
         os.environ["COPPERCLEAT_CONFIG"] = str(path)
         arguments = ["deploy/start.py", "gateway", "--log_level=debug"]
         arguments.append(f"--fleet={self.fleet_name}")
-        self.processes[name] = Process(name, arguments)
+        self.add_process(Process(name, arguments))
 
     def _deployed(
         self, name: str, checkout: pathlib.Path, settings: pathlib.Path
@@ -215,8 +232,12 @@
         """Returns the port by which a gateway reaches the store."""
         return self.links.get(name, self.store_port)
 
+    def _note(self, what: str, **details: Any) -> None:
+        self.actions.append(Action(time.time(), what, details))
+
     async def link(self, name: str, **faults: Any) -> None:
         """Sets the proxy's link to a runner, or from a gateway to the store."""
+        self._note("link", of=name, **faults)
         target = self.store_port
         if name in self.runners:
             target = self.ports[name]["http"]
@@ -228,6 +249,7 @@
 
     async def silence(self, names: list[str]) -> None:
         """Lets the open connections of these links fall silent; other faults stay."""
+        self._note("open connections fall silent", of=list(names))
         async with self.linking:
             report = await self.control("proxy")
             links = report["knobs"]["links"]
@@ -250,6 +272,7 @@
 
     async def list_runner(self, name: str, *, state: str = "ready") -> None:
         """Writes a runner's entry."""
+        self._note("list", runner=name, state=state)
         await self.put(f"servers/{name}", await self.entry(name, state=state))
 
     async def entry(self, name: str, *, state: str = "ready") -> dict[str, Any]:
@@ -328,6 +351,7 @@
 
     async def unlist_runner(self, name: str) -> None:
         """Removes a runner's entry."""
+        self._note("unlist", runner=name)
         async with _store(self.store_port) as store:
             await store.transact(Transaction(deletes=[f"servers/{name}"]))
 
@@ -335,6 +359,7 @@
         """Writes a new version of the operator's document."""
         self.config |= changes
         self.config["version"] += 3
+        self._note("configuration", version=self.config["version"], **changes)
         await self.put("op/config", self.config)
 
     async def put(self, key: str, value: Any) -> None:
@@ -351,11 +376,14 @@
 
     async def job_row(self, job: str) -> dict[str, Any]:
         """Returns the row of a job as the store has it."""
-        [(_, row)] = await self.rows(f"job/{job}", part=JOBS[0])
-        return json.loads(row.value)
+        key = f"job/{job}"
+        # Keys of other jobs may begin alike.
+        return json.loads(dict(await self.rows(key, part=JOBS[0]))[key].value)
 
     async def control(self, name: str, **knobs: Any) -> dict[str, Any]:
         """Sets knobs of a stand-in, and returns its report."""
+        if knobs and name != "proxy":
+            self._note("knobs", of=name, **knobs)
         known = {"store": self.store_port, "proxy": self.proxy_port}
         port = known.get(name) or self.ports[name]["http"]
         async with httpcore.AsyncConnectionPool() as pool:
--- a/tests/harness/_port_check.py
+++ b/tests/harness/_port_check.py
@@ -6,9 +6,11 @@
 import pathlib
 import time
 from collections.abc import Callable, Iterable, Mapping
+from typing import Any
 
 import attrs
 
+from tests.harness._ports import holder_of, shard_of
 from tests.harness._processes import Process
 
 _AGAIN_S = 0.05
@@ -37,17 +39,24 @@
 
     Attributes:
       processes: Its processes by name.
+      started: All that were ever started, in order.
       disturbances: Which ports other processes were seen to hold, in words.
     """
 
     def __init__(self) -> None:
         self.processes: dict[str, Process] = {}
+        self.started: list[Process] = []
         self.disturbances: list[str] = []
 
     def port_uses(self) -> list[PortUse]:
         """Returns all ports that have been given out, with who is to listen there."""
         raise NotImplementedError
 
+    def add_process(self, process: Process) -> None:
+        """Takes a process that was started, in the place of an earlier one."""
+        self.processes[process.name] = process
+        self.started.append(process)
+
     def pid(self, name: str) -> int:
         """Returns the id of a process, 0 if it does not run."""
         process = self.processes.get(name)
@@ -73,12 +82,26 @@
     if not first:
         return []
     time.sleep(_AGAIN_S)
-    return [
+    return [_told(use) for use in _held_by_others(uses()) if use in first]
+
+
+def port_states(uses: Callable[[], Iterable[PortUse]]) -> list[dict[str, Any]]:
+    """Returns for each port who is to listen there and who does."""
+    others, listeners = set(foreign_listeners(uses)), _listeners()
+    states = []
+    for use in uses():
+        holder = "its own process" if use.port in listeners else "nobody"
+        if _told(use) in others:
+            holder = f"another process; shard held by {holder_of(shard_of(use.port))}"
+        states.append(attrs.asdict(use) | {"listens": holder})
+    return states
+
+
+def _told(use: PortUse) -> str:
+    return (
         f"port {use.port} of {use.name} is held by a process that is not of this play: "
         "what the play saw may be that process's doing"
-        for use in _held_by_others(uses())
-        if use in first
-    ]
+    )
 
 
 def _held_by_others(uses: Iterable[PortUse]) -> list[PortUse]:
--- a/tests/harness/_ports.py
+++ b/tests/harness/_ports.py
@@ -100,6 +100,11 @@
     return _LOWEST_PORT + before % (SHARDS * PORTS_PER_SHARD)
 
 
+def shard_of(port: int) -> int:
+    """Returns the shard that a port belongs to."""
+    return (port - _PORT_OF_SHARD_0) // PORTS_PER_SHARD % SHARDS
+
+
 def lock_file(shard: int) -> pathlib.Path:
     """Returns the file whose lock holds a shard."""
     return pathlib.Path(tempfile.gettempdir()) / f"coppercleat-shard-{shard}.lock"
--- a/tests/harness/_processes.py
+++ b/tests/harness/_processes.py
@@ -26,7 +26,12 @@
 
 
 class Process:
-    """One child process of the test, with its log in a file."""
+    """One child process of the test, with its log in a file.
+
+    Attributes:
+      began: Unix time of its start, in seconds.
+      signals: Signals that the test sent it, with their Unix times.
+    """
 
     def __init__(
         self,
@@ -38,6 +43,8 @@
         environment: dict[str, str] | None = None,
     ) -> None:
         self.name = name
+        self.began = time.time()
+        self.signals: list[tuple[float, signal.Signals]] = []
         self.log = pathlib.Path(tempfile.gettempdir()) / (
             f"coppercleat-{os.getpid()}-{name}.log"
         )
@@ -59,12 +66,12 @@
     def signal(self, number: signal.Signals) -> None:
         """Sends a signal."""
         if self.running:
+            self.signals.append((time.time(), number))
             self.popen.send_signal(number)
 
     def kill(self) -> None:
         """Ends it at once."""
-        if self.running:
-            self.popen.kill()
+        self.signal(signal.SIGKILL)
         self.popen.wait()
 
     def wait(self) -> int:
