Job plays: pauses, planned stops, lost takeovers, late effects, clients that come again

The model of job_plays.feature had no instance that stands still, no planned stop, no effect after the call was given up, no fault of one kind of write, no omitted change, no missing input, no large input, no quota, one host and clients that ask once.

Change: these are kinds of faults and of clients in plans of a new drawing function, and a grid of all orders of acceptance, kill, takeover, history and end; the old draws stay. The store notes who writes what. Tasks run in an order that the seed gives.

--- a/tests/features/steps/kept_jobs_steps.py
+++ b/tests/features/steps/kept_jobs_steps.py
@@ -33,6 +33,7 @@
     node_settings,
     submission,
 )
+from tests.harness._job_store import Trouble
 
 ITEM = "an item"
 X = UpstreamId("x")
@@ -113,7 +114,7 @@
 
 async def store_away(play):
     """The store is away for 8 s; a call takes 2 s to fail."""
-    play.views[0].trouble.append("silent")
+    play.views[0].trouble.append(Trouble("silent"))
     await trio.sleep(8)
     play.views[0].trouble.clear()
 
--- /dev/null
+++ b/tests/harness/_job_plans.py
@@ -0,0 +1,162 @@
+"""Plans of plays of jobs: drawn with faults in clusters, and all of a small grid."""
+
+from __future__ import annotations
+
+import itertools
+import random
+from collections.abc import Iterator
+
+from tests.harness._job_play import ITEMS, Ask, Fault, Plan
+from tests.harness._jobs import HOST
+
+OTHER_HOST = "other.example"
+HARD_LENGTH_S = 20.0
+GRID_LENGTH_S = 10.0
+TOKENS = 10
+"""Tokens of an item."""
+
+HARD_KINDS = (
+    "away",
+    "silent",
+    "loses",
+    "late",
+    "history",
+    "omits",
+    "no_input",
+    "fails",
+    "news",
+    "killed",
+    "paused",
+    "stopped",
+)
+OF_ONE = ("killed", "paused", "stopped")
+"""Faults of one instance; all others may be of all."""
+
+WRITES = ("", "accept", "takeover", "end", "commit", "renewal")
+LONGEST_S = {"paused": 8.0, "omits": 2.0}
+"""Longest time of a fault; 5 s of those that are not named."""
+
+
+def draw_hard_plan(seed: int) -> Plan:
+    """Draws a play of all kinds of faults, most of them near an acceptance."""
+    rng = random.Random(f"hard {seed}")
+    instances = rng.choice((3, 3, 4, 6))
+    asks: list[Ask] = []
+    for number in range(rng.randint(3, 8)):
+        asks += _draw_asks(rng, f"j-{number}", instances)
+    moments = [ask.at for ask in asks]
+    faults = [_draw_fault(rng, moments, instances) for _ in range(rng.randint(4, 12))]
+    return Plan(
+        tuple(faults),
+        tuple(sorted(asks, key=lambda ask: ask.at)),
+        length_s=HARD_LENGTH_S,
+        instances=instances,
+        lasting=True,
+        pause_s=rng.choice((0.4, 0.4, 1.0)),
+        quota=rng.choice((0, 0, 0, 3 * ITEMS * TOKENS)),
+        in_flight_s=rng.choice((0.0, 0.0, 7.0)),
+        order_seed=seed,
+    )
+
+
+def _draw_asks(rng: random.Random, job: str, instances: int) -> list[Ask]:
+    at, host = rng.uniform(1, HARD_LENGTH_S), rng.choice((HOST, HOST, OTHER_HOST))
+    large = rng.random() < 0.1
+    asks = [
+        Ask(
+            at + rng.choice((0.0, rng.uniform(0, 3))),
+            "submit",
+            job,
+            rng.randrange(instances),
+            tries=rng.randint(1, 4),
+            leaves_s=rng.choice((None, None, None, rng.uniform(0.001, 2.5))),
+            host=host,
+            large=large,
+        )
+        for _ in range(rng.randint(1, 2))
+    ]
+    if rng.random() < 0.4:
+        end_at = at + rng.uniform(0.0, 4)
+        tries, instance = rng.randint(1, 4), rng.randrange(instances)
+        asks.append(Ask(end_at, "end", job, instance, tries=tries, host=host))
+    return asks
+
+
+def _draw_fault(rng: random.Random, moments: list[float], instances: int) -> Fault:
+    kind = rng.choice(HARD_KINDS)
+    is_near = rng.random() < 0.7
+    at = rng.choice(moments) + rng.uniform(-1, 3) if is_near else rng.uniform(1, 20)
+    one = kind in OF_ONE or rng.random() < 0.5
+    return Fault(
+        max(0.5, at),
+        rng.uniform(0.3, LONGEST_S.get(kind, 5.0)),
+        kind,
+        rng.randrange(instances) if one else None,
+        only=rng.choice(WRITES) if kind in ("loses", "late") else "",
+        effect_s=rng.choice((1.5, rng.uniform(0.03, 5.0))),
+    )
+
+
+# The grid: one job, accepted by instance 0, at all orders of what may go wrong with it.
+
+_ACCEPTED_AT = 3.0
+_WRITE_FAULTS = (None, ("loses", 0.0), ("late", 1.5), ("late", 4.0))
+_KILLED_AFTER_S = (None, 0.001, 0.2, 2.2)
+_READ_FAULTS = (None, "history", "omits")
+_ENDS_AFTER_S = (None, 0.3, 4.6)
+
+
+def grid_plans() -> Iterator[Plan]:
+    """Yields a play of each combination of the grid.
+
+    Acceptance answered, lost or late; its owner killed at once, before the first item
+    is done, or after the client gave up; the takeover answered, lost or late; the
+    history lost or changes omitted meanwhile; an end not asked, asked at once, or about
+    when the job is taken over, its answer lost as the takeover's is; the client comes
+    again at another instance at once, or not.
+    """
+    for number, choice in enumerate(
+        itertools.product(
+            _WRITE_FAULTS,
+            _KILLED_AFTER_S,
+            _WRITE_FAULTS,
+            _READ_FAULTS,
+            _ENDS_AFTER_S,
+            (False, True),
+        )
+    ):
+        yield _grid_plan(number, *choice)
+
+
+def _grid_plan(
+    number: int,
+    accept: tuple[str, float] | None,
+    killed_after_s: float | None,
+    takeover: tuple[str, float] | None,
+    read_fault: str | None,
+    ends_after_s: float | None,
+    comes_again: bool,
+) -> Plan:
+    at = _ACCEPTED_AT
+    faults = []
+    asks = [Ask(at, "submit", "j-0", 0)]
+    if accept:
+        faults.append(Fault(at - 0.1, 1.0, accept[0], 0, "accept", accept[1]))
+    if killed_after_s is not None:
+        faults.append(Fault(at + killed_after_s, 3.0, "killed", 0))
+    if takeover:
+        for only in ("takeover", "end"):
+            faults.append(Fault(at + 0.1, 7.0, takeover[0], None, only, takeover[1]))
+    if read_fault:
+        faults.append(Fault(at - 0.1, 7.0, read_fault, None))
+    if ends_after_s is not None:
+        asks.append(Ask(at + ends_after_s, "end", "j-0", 1, tries=2))
+    if comes_again:
+        asks.append(Ask(at + 0.4, "submit", "j-0", 1, tries=2))
+    return Plan(
+        tuple(faults),
+        tuple(asks),
+        length_s=GRID_LENGTH_S,
+        lasting=True,
+        order_seed=number,
+    )
--- a/tests/harness/_job_play.py
+++ b/tests/harness/_job_play.py
@@ -3,22 +3,44 @@
 A play is drawn whole from its seed before it begins: what clients ask, what goes wrong,
 when and where. It can be written out and cut down by hand. Instances are the real
 watch, index, worker and service of jobs; the store is in memory and has its own faults.
+
+What it has, by the kinds of faults: the store is away or silent, loses answers, applies
+writes late (also seconds after the call was given up, also after its writer is gone),
+all of them or those of one purpose (acceptance, takeover, end, commit, renewal); it
+drops its history or omits changes; input cannot be read; instances are killed and start
+again under their name, stop as planned, or stand still longer than their lease, after
+which their timers fire late; news of takeovers comes late. Clients come again at other
+instances, leave in the middle of a call, submit to several hosts and ask for ends.
+
+What it does not have: links (news of takeovers takes a drawn time), upstreams
+that end or refuse, preemption by online requests, expiry, and the sweeper.
 """
 
 from __future__ import annotations
 
 import contextlib
+import contextvars
 import random
+from collections.abc import Callable, Iterator
+from types import SimpleNamespace
 from typing import Any
+from unittest import mock
 
 import attrs
+import msgspec
 import trio
-import trio.testing
 
-from coppercleat.errors import PlatformUnavailableError
 from coppercleat.gateway import JobAnswer, JobService
+from coppercleat.gateway._run import _stop
 from coppercleat.ids import JobId, ZoneId
-from coppercleat.jobs import ItemRunner, ItemState, JobIndex, JobRepository, JobWorker
+from coppercleat.jobs import (
+    ItemRunner,
+    ItemState,
+    JobIndex,
+    JobRepository,
+    JobWorker,
+    Submission,
+)
 from coppercleat.serving import (
     Placement,
     Route,
@@ -27,22 +49,52 @@
     UpstreamResponse,
     Watch,
 )
-from coppercleat.storage import AnswerLostError, HistoryLostError, MemoryPlatform
 from coppercleat.upstreams import AttemptState
+from tests.harness._job_store import (
+    LATE_EFFECT_S,
+    RecordingPlatform,
+    Trouble,
+    View,
+)
 from tests.harness._jobs import HOST, make_route, submission
 from tests.harness._links import node_settings, roomy_upstream
+from tests.harness._ordered import run_in_order
 
 INSTANCES = 3
 LENGTH_S = 20.0
 SETTLE_S = 60.0
 """After all has healed each accepted job must be read to its end within this time."""
 
+FINISH_S = 18.0
+"""After all has healed each accepted job must be listed whole within this time, by the
+users' pages (finishS)."""
+
+CANCEL_S = 3.0
+"""So long after an acknowledged end items of its job may still begin."""
+
+RESTART_S = 3.0
+"""A killed instance is back after this time at the latest."""
+
 ITEMS = 4
-TIMEOUT_S = 2.0
-"""After so long a call to the store counts as unanswered."""
+LARGE_BYTES = 170_000
+"""Body of each item of a job whose input is stored as an object."""
+
+RETRY_S = 0.3
+"""Pause of a client before it comes again."""
+
+PATIENCE_S = 5.0
+"""A client that is not answered in this time comes again."""
+
+NEWS_S = 0.03
+"""Time that news of a takeover takes."""
 
 KINDS = ("away", "silent", "loses", "late", "history", "killed")
 
+_here: contextvars.ContextVar[Instance | None] = contextvars.ContextVar(
+    "here", default=None
+)
+_SLEEP = trio.sleep
+
 
 @attrs.frozen
 class Fault:
@@ -50,30 +102,72 @@
 
     Attributes:
       instance: Its number; None for all.
+      only: The writes that it concerns; empty for all.
+      effect_s: When a write of the kind ``late`` takes effect.
     """
 
     at: float
     for_s: float
     kind: str
     instance: int | None
+    only: str = ""
+    effect_s: float = LATE_EFFECT_S
+
+    @property
+    def healed_at(self) -> float:
+        """When it is over, without what it has delayed."""
+        for_s = min(self.for_s, RESTART_S) if self.kind == "killed" else self.for_s
+        return self.at + for_s
 
 
 @attrs.frozen
 class Ask:
-    """What a client asks of an instance."""
+    """What a client asks of an instance.
+
+    Attributes:
+      tries: How often it asks, each time of the next instance, until it is answered.
+      leaves_s: When it leaves in the middle of its call; None for never.
+      host: The host that it submits to.
+      large: Whether its job's input is stored as an object.
+    """
 
     at: float
     what: str
     job: str
     instance: int
+    tries: int = 1
+    leaves_s: float | None = None
+    host: str = HOST
+    large: bool = False
 
 
 @attrs.frozen
 class Plan:
-    """All of a play."""
+    """All of a play.
+
+    Attributes:
+      lasting: Whether the store's faults meet instances that start again as well.
+      pause_s: Pause of an instance between two looks at changed jobs.
+      quota: Tokens that may wait on the route; 0 for no limit.
+      in_flight_s: How long a client of an instance that stops as planned stays.
+      order_seed: Seed of the order in which tasks that are ready run.
+    """
 
     faults: tuple[Fault, ...]
     asks: tuple[Ask, ...]
+    length_s: float = LENGTH_S
+    instances: int = INSTANCES
+    lasting: bool = False
+    pause_s: float = 0.4
+    quota: int = 0
+    in_flight_s: float = 0.0
+    order_seed: int = 0
+
+    @property
+    def healed_at(self) -> float:
+        """When the last fault is over and the last client has begun to ask."""
+        faults = [fault.healed_at for fault in self.faults]
+        return max([*faults, *(ask.at for ask in self.asks)], default=0.0)
 
 
 def draw_plan(seed: int) -> Plan:
@@ -97,67 +191,23 @@
     return Plan(tuple(faults), tuple(sorted(asks, key=lambda ask: ask.at)))
 
 
-class View:
-    """The store as one instance reaches it.
+class FiveEvents:
+    """A caller whose upstreams answer with five events in 0.5 s.
 
     Attributes:
-      takes_s: Seconds that each call takes.
+      began: When runs began of each job's items, in trio time.
+      failing: Whether runs fail, with status 500.
     """
 
-    def __init__(self, memory: MemoryPlatform, nursery: trio.Nursery) -> None:
-        self.takes_s = 0.002
-        self.memory = memory
-        self.nursery = nursery
-        self.trouble: list[str] = []
-
-    async def _reach(self) -> None:
-        await trio.sleep(self.takes_s)
-        if "away" in self.trouble:
-            raise PlatformUnavailableError("away")
-        if "silent" in self.trouble:
-            await trio.sleep(TIMEOUT_S)
-            raise PlatformUnavailableError("silent")
-
-    async def transact(self, transaction: Any) -> Any:
-        try:
-            await self._reach()
-        except PlatformUnavailableError as error:
-            if "silent" in self.trouble:
-                raise AnswerLostError("silent") from error
-            raise
-        if "late" in self.trouble:
-            self.nursery.start_soon(self._later, transaction)
-        if "late" in self.trouble or "loses" in self.trouble:
-            if "late" not in self.trouble:
-                self.memory.transact_now(transaction)
-            await trio.sleep(TIMEOUT_S)
-            raise AnswerLostError("lost")
-        return await self.memory.transact(transaction)
-
-    async def _later(self, transaction: Any) -> None:
-        await trio.sleep(1.5)
-        self.memory.transact_now(transaction)
-
-    async def changes(self, space: str, *, after: int) -> Any:
-        await self._reach()
-        if "history" in self.trouble:
-            raise HistoryLostError("dropped")
-        return await self.memory.changes(space, after=after)
-
-    def __getattr__(self, name: str) -> Any:
-        async def read(*args: Any, **options: Any) -> Any:
-            await self._reach()
-            return await getattr(self.memory, name)(*args, **options)
-
-        return read
-
-
-class FiveEvents:
-    """A caller whose upstreams answer with five events in 0.5 s."""
+    def __init__(self) -> None:
+        self.began: dict[str, list[float]] = {}
+        self.failing = False
 
     @contextlib.asynccontextmanager
     async def exchange(self, upstream: Any, request: Any, **options: Any) -> Any:
         options["attempt"].move(AttemptState.SENT)
+        job, _, _ = request.request_id.rpartition("-")
+        self.began.setdefault(job, []).append(trio.current_time())
 
         async def body() -> Any:
             for number in range((options["resume_after"] or 0) + 1, 6):
@@ -165,7 +215,7 @@
                 yield f"id: {number}\ndata: w\n\n".encode()
 
         yield UpstreamResponse(
-            status=200,
+            status=500 if self.failing else 200,
             headers=[(b"content-type", b"text/event-stream")],
             refused=False,
             wrong_upstream=False,
@@ -188,6 +238,7 @@
 
     Attributes:
       calls: Clients' calls that it has not answered.
+      pauses: Faults under way for which it stands still.
     """
 
     def __init__(
@@ -198,6 +249,9 @@
         *,
         caller: Any = None,
         route: Route | None = None,
+        hosts: tuple[str, ...] = (HOST,),
+        pause_s: float = 0.4,
+        on_takeover: Callable[[JobId, str], None] = lambda job, previous: None,
     ) -> None:
         rng = random.Random(f"{number} {start}")
         placement = Placement(ZoneId("a"), rng=rng)
@@ -205,7 +259,11 @@
         boot = f"b{start}"
         self.view = view
         self.calls: set[trio.CancelScope] = set()
+        self.pauses = 0
+        self._resumed = trio.Event()
         self.watch = Watch(settings, NoCatalogue(), view, placement, boot=boot, rng=rng)
+        view.owner = self.watch.owner_name
+        view.pass_pause = self.pass_pause
         placement.replace([roomy_upstream("x")])
         clock = trio.current_time
         self.index = JobIndex(view)
@@ -219,20 +277,21 @@
         )
         self.route = route or make_route(retention_s=600.0)
         self.placement = placement
-        config = RouteConfig(version=1, routes=(self.route,))
+        routes = tuple(msgspec.structs.replace(self.route, host=h) for h in hosts)
+        config = RouteConfig(version=1, routes=routes)
         self.worker = JobWorker(
             repository,
             self.index,
             items,
             owner=self.watch.owner_name,
             clock=clock,
-            routes=lambda: RouteTable(config),
+            routes=lambda: None if self.pauses else RouteTable(config),
             is_owner_alive=self.watch.is_owner_alive,
             live_instances=self.watch.live_instances,
             holds_lease=self.watch.holds_lease,
             isolated=lambda: False,
-            pause_s=lambda: 0.4,
-            on_takeover=lambda job, previous: None,
+            pause_s=lambda: pause_s,
+            on_takeover=on_takeover,
             on_commit=lambda outcome: None,
         )
         self.service = JobService(
@@ -255,34 +314,100 @@
                 )
             nursery.start_soon(self.worker.run)
 
+    async def pass_pause(self) -> None:
+        """Waits while it stands still."""
+        while self.pauses:
+            await self._resumed.wait()
+
+    async def stand_still(self, for_s: float) -> None:
+        """Lets nothing of it run for a time; its timers fire late."""
+        self.pauses += 1
+        await _SLEEP(for_s)
+        self.pauses -= 1
+        if not self.pauses:
+            self._resumed.set()
+            self._resumed = trio.Event()
+
+    async def stop(self, in_flight_s: float) -> None:
+        """Stops it as the gateway does on a signal, with a client that stays on."""
+        leaves_at = trio.current_time() + in_flight_s
+        gateway = _Stopping(
+            settings=self.watch.settings,
+            admission=SimpleNamespace(queue=SimpleNamespace(shutdown_at=0.0)),
+            worker=self.worker,
+            watch=self.watch,
+            leaves_at=leaves_at,
+        )
+        await _stop(gateway, trio.Event())  # type: ignore[arg-type]
+
+
+class _Stopping(SimpleNamespace):
+    """What a planned stop needs of a gateway."""
+
+    @property
+    def in_flight(self) -> int:
+        return int(trio.current_time() < self.leaves_at)
+
+
+async def _sleep_here(seconds: float) -> None:
+    """Sleeps, and goes on only when the instance that sleeps does not stand still."""
+    await _SLEEP(seconds)
+    here = _here.get()
+    if here is not None:
+        await here.pass_pause()
+
+
+@contextlib.contextmanager
+def _at(instance: Instance) -> Iterator[None]:
+    token = _here.set(instance)
+    try:
+        yield
+    finally:
+        _here.reset(token)
+
 
 class JobPlay:
     """Plays a plan and finds jobs that were accepted and cannot be read to their end.
 
     Attributes:
-      accepted: Jobs that were acknowledged.
+      accepted: When jobs were acknowledged, by job.
       end_asked: Jobs whose end was asked.
+      ended: When an end was first acknowledged, by job.
       problems: Broken promises, in words.
+      late: Jobs that were not listed whole ``FINISH_S`` after all had healed.
+      listed_after_s: Seconds from the last healing to the last listing of each
+        accepted job; below 0 for before.
     """
 
     def __init__(self, plan: Plan) -> None:
         self.plan = plan
-        self.accepted: set[str] = set()
+        self.accepted: dict[str, float] = {}
         self.end_asked: set[str] = set()
+        self.ended: dict[str, float] = {}
+        self.answers: dict[str, list[JobAnswer | None]] = {}
         self.problems: list[str] = []
+        self.late: list[str] = []
+        self.listed_after_s: dict[str, float] = {}
         self.instances: list[Instance] = []
+        self.caller = FiveEvents()
+        self.memory = RecordingPlatform()
+        self._hosts = {ask.job: ask.host for ask in plan.asks}
+        letter = "R" if plan.lasting else "S"
+        quota = plan.quota
+        self._route = make_route(letter, retention_s=600.0, max_waiting_tokens=quota)
+        self._trouble: list[list[Trouble]] = [[] for _ in range(plan.instances)]
         self._scopes: list[trio.CancelScope] = []
         self._starts = 0
 
     def play(self) -> None:
         """Plays it, in no time."""
-        trio.run(self._play, clock=trio.testing.MockClock(autojump_threshold=0))
+        with mock.patch.object(trio, "sleep", _sleep_here):
+            run_in_order(self._play, seed=self.plan.order_seed)
 
     async def _play(self) -> None:
-        self.memory = MemoryPlatform()
         async with trio.open_nursery() as nursery:
             self.nursery = nursery
-            for number in range(INSTANCES):
+            for number in range(self.plan.instances):
                 self.instances.append(self._make(number))
                 self._scopes.append(trio.CancelScope())
                 nursery.start_soon(self._run, number)
@@ -290,67 +415,157 @@
                 nursery.start_soon(self._harm, fault)
             for ask in self.plan.asks:
                 nursery.start_soon(self._ask, ask)
-            await trio.sleep(LENGTH_S + 10)
+            await trio.sleep(self.plan.length_s + 10)
             with trio.move_on_after(SETTLE_S):
                 for job in sorted(self.accepted):
                     await self._read_whole(job)
             for job in sorted(self.accepted):
                 await self._check(job)
+            self._check_promises()
             nursery.cancel_scope.cancel()
 
+    # Instances.
+
     def _make(self, number: int) -> Instance:
         self._starts += 1
-        return Instance(number, self._starts, View(self.memory, self.nursery))
+        trouble = self._trouble[number] if self.plan.lasting else None
+        return Instance(
+            number,
+            self._starts,
+            View(self.memory, self.nursery, trouble),
+            caller=self.caller,
+            route=self._route,
+            hosts=tuple({HOST: None} | dict.fromkeys(self._hosts.values())),
+            pause_s=self.plan.pause_s,
+            on_takeover=lambda job, owner: self._announce(number, job, owner),
+        )
 
     async def _run(self, number: int) -> None:
-        with self._scopes[number]:
-            await self.instances[number].run()
+        instance = self.instances[number]
+        with self._scopes[number], _at(instance):
+            await instance.run()
+
+    def _announce(self, number: int, job: JobId, previous: str) -> None:
+        if self.plan.lasting:
+            self.nursery.start_soon(self._tell, number, job, previous)
+
+    async def _tell(self, number: int, job: JobId, previous: str) -> None:
+        """Tells the previous owner of a takeover, and brings its progress back."""
+        told = int(previous.partition("/")[0].removeprefix("i-") or number)
+        if told == number:
+            return
+        await self._pass_news(number, told)
+        owner = self.instances[told]
+        if self._scopes[told].cancel_called:
+            return
+        items = owner.worker.stop_taken_job(job)
+        if items:
+            await self._pass_news(told, number)
+            self.instances[number].worker.receive_handover(job, items)
+
+    async def _pass_news(self, sender: int, receiver: int) -> None:
+        slow = [t.effect_s for t in self._trouble[sender] if t.kind == "news"]
+        await _SLEEP(max(slow, default=NEWS_S))
+        await self.instances[receiver].pass_pause()
+
+    # Faults.
 
     async def _harm(self, fault: Fault) -> None:
         await trio.sleep(fault.at)
-        if fault.kind == "killed":
+        if fault.kind in _HARMS:
             assert fault.instance is not None
-            self._scopes[fault.instance].cancel()
-            for call in self.instances[fault.instance].calls:
-                call.cancel()
-            await trio.sleep(min(fault.for_s, 3.0))
-            if self._scopes[fault.instance].cancel_called:
-                self.instances[fault.instance] = self._make(fault.instance)
-                self._scopes[fault.instance] = trio.CancelScope()
-                self.nursery.start_soon(self._run, fault.instance)
+            await _HARMS[fault.kind](self, fault, fault.instance)
             return
-        numbers = range(INSTANCES) if fault.instance is None else [fault.instance]
-        views = [self.instances[number].view for number in numbers]
-        for view in views:
-            view.trouble.append(fault.kind)
+        numbers = (
+            range(self.plan.instances) if fault.instance is None else [fault.instance]
+        )
+        trouble = Trouble(fault.kind, fault.only, fault.effect_s)
+        if self.plan.lasting:
+            lists = [self._trouble[number] for number in numbers]
+        else:
+            lists = [self.instances[number].view.trouble for number in numbers]
+        for troubles in lists:
+            troubles.append(trouble)
+        self.caller.failing = fault.kind == "fails" or self.caller.failing
         await trio.sleep(fault.for_s)
-        for view in views:
-            view.trouble.remove(fault.kind)
+        for troubles in lists:
+            troubles.remove(trouble)
+        self.caller.failing = fault.kind != "fails" and self.caller.failing
+
+    async def _kill(self, fault: Fault, number: int) -> None:
+        self._scopes[number].cancel()
+        for call in self.instances[number].calls:
+            call.cancel()
+        await trio.sleep(min(fault.for_s, RESTART_S))
+        if self._scopes[number].cancel_called:
+            self.instances[number] = self._make(number)
+            self._scopes[number] = trio.CancelScope()
+            self.nursery.start_soon(self._run, number)
+
+    async def _pause(self, fault: Fault, number: int) -> None:
+        await self.instances[number].stand_still(fault.for_s)
+
+    async def _stop(self, fault: Fault, number: int) -> None:
+        instance = self.instances[number]
+        if self._scopes[number].cancel_called or instance.worker.stopping:
+            return
+        with trio.CancelScope() as scope, _at(instance):
+            # It ends with the instance.
+            instance.calls.add(scope)
+            await instance.stop(self.plan.in_flight_s)
+        if self.instances[number] is instance:
+            await self._kill(fault, number)
+
+    # Clients.
 
     async def _ask(self, ask: Ask) -> None:
         await trio.sleep(ask.at)
-        if self._scopes[ask.instance].cancel_called:
-            return
-        instance = self.instances[ask.instance]
         if ask.what == "end":
             self.end_asked.add(ask.job)
-        with trio.CancelScope() as scope:
+        for attempt in range(ask.tries):
+            number = (ask.instance + attempt) % self.plan.instances
+            if await self._ask_once(ask, number):
+                return
+            await trio.sleep(RETRY_S)
+
+    async def _ask_once(self, ask: Ask, number: int) -> bool:
+        """Returns whether the client got the answer that it wanted."""
+        if self._scopes[number].cancel_called:
+            return False
+        instance = self.instances[number]
+        asked_at = trio.current_time()
+        answer = None
+        with trio.move_on_after(ask.leaves_s or PATIENCE_S) as scope, _at(instance):
             # It ends with the instance that it is asked of.
             instance.calls.add(scope)
-            await self._ask_service(instance.service, ask)
+            answer = await self._ask_service(instance.service, ask)
         instance.calls.discard(scope)
-
-    async def _ask_service(self, service: JobService, ask: Ask) -> None:
         if ask.what == "end":
-            await service.end(HOST, JobId(ask.job))
-            return
-        reply = await service.submit(submission(ask.job, ITEMS), make_route())
-        if reply.answer is JobAnswer.ACCEPTED:
-            self.accepted.add(ask.job)
+            return self._note_end(ask, answer, asked_at)
+        self.answers.setdefault(ask.job, []).append(answer)
+        if answer is JobAnswer.ACCEPTED:
+            self.accepted.setdefault(ask.job, trio.current_time())
+        return answer is JobAnswer.ACCEPTED
+
+    def _note_end(self, ask: Ask, answer: JobAnswer | None, asked_at: float) -> bool:
+        known_s = asked_at - self.accepted.get(ask.job, asked_at)
+        if answer is JobAnswer.ABSENT and known_s > 1.0:
+            self.problems.append(f"{ask.job}: absent {known_s:.1f} s after acceptance")
+        if answer is JobAnswer.ENDED:
+            self.ended.setdefault(ask.job, trio.current_time())
+        return answer is JobAnswer.ENDED
+
+    async def _ask_service(self, service: JobService, ask: Ask) -> JobAnswer:
+        if ask.what == "end":
+            return (await service.end(ask.host, JobId(ask.job))).answer
+        return (await service.submit(_submission(ask), self._route)).answer
+
+    # Checks.
 
     async def _results(self, job: str) -> list:
         instance = self.instances[0]
-        reply = await instance.service.results(HOST, JobId(job), after=0)
+        host = self._hosts[job]
+        reply = await instance.service.results(host, JobId(job), after=0)
         return reply.page.results if reply.page else []
 
     async def _read_whole(self, job: str) -> None:
@@ -365,3 +580,29 @@
         cancelled = [r for r in results if r.state is ItemState.CANCELLED]
         if cancelled and job not in self.end_asked:
             self.problems.append(f"{job}: cancelled, and nobody asked for it")
+
+    def _check_promises(self) -> None:
+        self.problems += self.memory.problems
+        for job, ended_at in self.ended.items():
+            for began in self.caller.began.get(job, []):
+                if began > ended_at + CANCEL_S:
+                    late_s = began - ended_at
+                    self.problems.append(f"{job}: runs {late_s:.1f} s after its end")
+        refusals = {JobAnswer.NOT_RUN, JobAnswer.OVER_QUOTA}
+        for job, answers in self.answers.items():
+            if set(answers) <= refusals and job in self.caller.began:
+                self.problems.append(f"{job}: refused each time, and runs")
+        for job in self.accepted:
+            whole_at = self.memory.whole_at.get(job, float("inf"))
+            self.listed_after_s[job] = whole_at - self.plan.healed_at
+            if self.listed_after_s[job] > FINISH_S:
+                self.late.append(f"{job}: {self.listed_after_s[job]:.1f} s")
+
+
+_HARMS = {"killed": JobPlay._kill, "paused": JobPlay._pause, "stopped": JobPlay._stop}
+
+
+def _submission(ask: Ask) -> Submission:
+    body = b"x" * LARGE_BYTES if ask.large else b"x"
+    submitted = submission(ask.job, ITEMS, body=body)
+    return msgspec.structs.replace(submitted, host=ask.host)
--- a/tests/harness/_kept_jobs.py
+++ b/tests/harness/_kept_jobs.py
@@ -8,7 +8,8 @@
 from coppercleat.serving import UpstreamResponse
 from coppercleat.storage import MemoryPlatform
 from coppercleat.upstreams import AttemptState
-from tests.harness._job_play import Instance, View
+from tests.harness._job_play import Instance
+from tests.harness._job_store import Trouble, View
 from tests.harness._jobs import make_route, submission
 from tests.harness._kept_work import NEVER, course, in_no_time
 
@@ -109,7 +110,7 @@
     while True:
         await trio.sleep(well_s)
         for view in views:
-            view.trouble.append("away")
+            view.trouble.append(Trouble("away"))
         await trio.sleep(away_s)
         for view in views:
             view.trouble.clear()
