Tests that fail: deleted jobs that stay in the index, and an index that is never fresh

A job whose deletion is not shown by the changes (history lost, change omitted) stays in the index for ever, and its tokens count as finished; while the history is lost at each look, no look succeeds, so that the index is 10 s old though all was read 25 times, and no item starts after 2 s.

--- /dev/null
+++ b/tests/features/job_index.feature
@@ -0,0 +1,36 @@
+Feature: The index of jobs shows what the store holds, whatever becomes of its history
+
+  # A job that the index lacks is run by nobody; one that it keeps after its deletion counts
+  # as finished for ever, so that more is accepted than the quota allows.
+  Scenario Outline: <event>
+    When jobs are followed and <event>
+    Then <look> shows just the jobs that are stored
+    And the index is <age> s old at most
+
+    Examples:
+      | event                                                            | look                         | age |
+      | nothing happens                                                  | the next look                | 0.5 |
+      | a job is accepted while all are read, in a part already read     | the next look                | 0.5 |
+      | a job is accepted while all are read, in a part of its own       | the next look                | 0.5 |
+      | a job is accepted here while all are read                        | the next look                | 0.5 |
+      | the read of all breaks off after the first part                  | the look after               | 0.5 |
+      | the history is lost and the read of all breaks off               | the look after               | 0.5 |
+      | a job is accepted in a new part while the history is lost        | the next look                | 0.5 |
+      | a job is accepted and its change omitted                         | a look 7 s later             | 0.5 |
+      | a job is deleted                                                 | the next look                | 0.5 |
+      | a job is deleted while the history is lost                       | the next look                | 0.5 |
+      | a job is deleted and its change omitted                          | a look 7 s later             | 0.5 |
+      | a job is deleted while all are read                              | the next look                | 0.5 |
+      | the history is lost at each look of 10 s                         | the next look                | 0.5 |
+
+  Scenario Outline: A table is followed, <event>
+    When a table of 3 rows is followed and <event>
+    Then the next read of changes shows what is stored
+
+    Examples:
+      | event                                                       |
+      | a full read breaks off after a change                       |
+      | the history is lost and the read of all breaks off          |
+      | the first read is a full one, and a change comes after it   |
+      | the first read is a full one, and a change comes during it  |
+      | a full read comes while the history is lost                 |
--- a/tests/harness/_job_plans.py
+++ b/tests/harness/_job_plans.py
@@ -160,3 +160,76 @@
         lasting=True,
         order_seed=number,
     )
+
+
+# All pairs of faults about one job, in three orders.
+
+_PAIR_LENGTH_S = 14.0
+_PAIR_FAULTS = (
+    ("away", None, ""),
+    ("silent", None, ""),
+    ("history", None, ""),
+    ("omits", None, ""),
+    ("no_input", None, ""),
+    ("fails", None, ""),
+    ("news", None, ""),
+    *(
+        (kind, None, only)
+        for kind in ("loses", "late")
+        for only in ("accept", "takeover", "end", "commit", "renewal")
+    ),
+    ("killed", 0, ""),
+    ("paused", 0, ""),
+    ("stopped", 0, ""),
+    ("killed", 1, ""),
+    ("paused", 1, ""),
+)
+_PAIR_FOR_S = 5.0
+_PAIR_OFFSETS_S = (-0.1, 0.3, 2.1)
+"""Before the job is accepted, while its first items run, after some are listed."""
+
+
+def pair_plans() -> Iterator[Plan]:
+    """Yields a play of each two faults, each begun at three moments of a job's course.
+
+    The job's items take 2.5 s; its client comes again at the next instance until it is
+    answered; another client asks for the end of a second job in the middle.
+    """
+    number = 0
+    for first, second in itertools.combinations_with_replacement(_PAIR_FAULTS, 2):
+        for offsets in itertools.product(_PAIR_OFFSETS_S, repeat=2):
+            yield _pair_plan(number, (first, second), offsets)
+            number += 1
+
+
+def _pair_plan(
+    number: int,
+    pair: tuple[tuple[str, int | None, str], ...],
+    offsets: tuple[float, ...],
+) -> Plan:
+    at = _ACCEPTED_AT
+    faults = tuple(
+        Fault(
+            at + offset,
+            2.0 if kind == "omits" else _PAIR_FOR_S,
+            kind,
+            instance,
+            only,
+            effect_s=1.5 if number % 2 else 4.0,
+        )
+        for (kind, instance, only), offset in zip(pair, offsets, strict=True)
+    )
+    asks = (
+        Ask(at, "submit", "j-0", 0, tries=4),
+        Ask(at, "submit", "j-1", 0, tries=4),
+        Ask(at + 1.0, "end", "j-1", 1, tries=4),
+    )
+    return Plan(
+        faults,
+        asks,
+        length_s=_PAIR_LENGTH_S,
+        lasting=True,
+        in_flight_s=7.0,
+        event_s=0.5,
+        order_seed=number,
+    )
--- /dev/null
+++ b/tests/harness/_job_plants.py
@@ -0,0 +1,173 @@
+"""Faults planted in the product, which plays of jobs must find."""
+
+from __future__ import annotations
+
+import contextlib
+from collections.abc import Callable, Iterator
+from typing import Any
+from unittest import mock
+
+import msgspec
+
+from coppercleat.jobs import JobIndex, JobRepository, JobWorker, _index
+from coppercleat.jobs._records import CancellationRow
+from coppercleat.serving import Watch
+from coppercleat.storage import HistoryLostError
+
+Plant = Callable[[], contextlib.AbstractContextManager[Any]]
+
+PLANTS: dict[str, Plant] = {}
+"""By the words of a feature's row."""
+
+
+def plant(words: str) -> Callable[[Callable[[], Iterator[None]]], Plant]:
+    """Returns a decorator that registers a planted fault."""
+
+    def register(make: Callable[[], Iterator[None]]) -> Plant:
+        PLANTS[words] = contextlib.contextmanager(make)
+        return PLANTS[words]
+
+    return register
+
+
+@contextlib.contextmanager
+def _without_checks(prefix: str, method: str) -> Iterator[None]:
+    """Drops the checks of keys with a prefix from a method's transactions."""
+    original = getattr(JobRepository, method)
+
+    async def call(self: JobRepository, *args: Any, **options: Any) -> Any:
+        unchecked = JobRepository(
+            _Unchecked(self.platform, prefix), clock=self.clock, rng=self.rng
+        )
+        return await original(unchecked, *args, **options)
+
+    with mock.patch.object(JobRepository, method, call):
+        yield
+
+
+class _Unchecked:
+    """A store whose transactions lose their checks of some keys."""
+
+    def __init__(self, platform: Any, prefix: str) -> None:
+        self.platform = platform
+        self.prefix = prefix
+
+    async def transact(self, transaction: Any) -> Any:
+        checks = [c for c in transaction.checks if not c.key.startswith(self.prefix)]
+        return await self.platform.transact(
+            msgspec.structs.replace(transaction, checks=checks)
+        )
+
+    def __getattr__(self, name: str) -> Any:
+        return getattr(self.platform, name)
+
+
+@plant("takeovers without a check of the version")
+def _unchecked_takeovers() -> Iterator[None]:
+    with _without_checks("job/", "set_owner"):
+        yield
+
+
+@plant("commits without a check of the version")
+def _unchecked_commits() -> Iterator[None]:
+    with _without_checks("job/", "commit"):
+        yield
+
+
+@plant("acceptances without a check for an earlier one")
+def _unchecked_acceptances() -> Iterator[None]:
+    with _without_checks("job/", "accept"):
+        yield
+
+
+@plant("no full reads of jobs")
+def _no_full_reads() -> Iterator[None]:
+    with mock.patch.object(_index, "FULL_READ_INTERVAL_S", float("inf")):
+        yield
+
+
+@plant("a version taken as read before all was read, and no full reads")
+def _version_first() -> Iterator[None]:
+    original = JobIndex._read_all
+
+    async def read_all(self: JobIndex) -> None:
+        self._next_full_read_at = float("inf")
+        self._version = await self.platform.newest_version()
+        await original(self)
+
+    with _no_full_reads(), mock.patch.object(JobIndex, "_read_all", read_all):
+        yield
+
+
+@plant("no row that a cancellation writes")
+def _no_cancellation_row() -> Iterator[None]:
+    empty = CancellationRow(unlisted=())
+    with mock.patch(
+        "coppercleat.jobs._repository._cancellation_row", lambda row: empty
+    ):
+        yield
+
+
+@plant("no look for owned jobs that do not run")
+def _no_look() -> Iterator[None]:
+    original = JobWorker._start_job
+
+    def start(self: JobWorker, stored: Any, why: str) -> None:
+        if "not running" not in why:
+            original(self, stored, why)
+
+    with mock.patch.object(JobWorker, "_start_job", start):
+        yield
+
+
+@plant("an owner's earlier start taken for alive")
+def _earlier_start() -> Iterator[None]:
+    original = Watch.is_owner_alive
+
+    def is_alive(self: Watch, owner: str, *, since: float) -> bool:
+        seen = self._instances.get(owner.rpartition("/")[0])  # type: ignore[call-overload]
+        if seen is not None:
+            owner = f"{owner.rpartition('/')[0]}/{seen.row.boot}"
+        return original(self, owner, since=since)
+
+    with mock.patch.object(Watch, "is_owner_alive", is_alive):
+        yield
+
+
+@plant("a change that does not stop a job")
+def _deaf_owner() -> Iterator[None]:
+    with mock.patch.object(JobWorker, "_job_changed", lambda self, stored: None):
+        yield
+
+
+@plant("a lost history that is taken for no change")
+def _lost_history() -> Iterator[None]:
+    original = JobIndex.refresh
+
+    async def refresh(self: JobIndex) -> None:
+        platform = self.platform
+        self.platform = _Deaf(platform)  # type: ignore[assignment]
+        try:
+            await original(self)
+        finally:
+            self.platform = platform
+
+    with _no_full_reads(), mock.patch.object(JobIndex, "refresh", refresh):
+        yield
+
+
+class _Deaf:
+    """A store that shows no change where it has lost its history."""
+
+    def __init__(self, platform: Any) -> None:
+        self.platform = platform
+
+    async def changes(self, space: str, *, after: int) -> Any:
+        try:
+            return await self.platform.changes(space, after=after)
+        except HistoryLostError:
+            newest = await self.platform.newest_version()
+            return await self.platform.changes(space, after=newest)
+
+    def __getattr__(self, name: str) -> Any:
+        return getattr(self.platform, name)
--- a/tests/harness/_job_play.py
+++ b/tests/harness/_job_play.py
@@ -31,7 +31,7 @@
 import trio
 
 from coppercleat.gateway import JobAnswer, JobService
-from coppercleat.gateway._run import _stop
+from coppercleat.gateway._run import UNREADY_S, _stop
 from coppercleat.ids import JobId, ZoneId
 from coppercleat.jobs import (
     ItemRunner,
@@ -72,6 +72,9 @@
 CANCEL_S = 3.0
 """So long after an acknowledged end items of its job may still begin."""
 
+GRACE_S = 8.0
+"""A planned stop takes this long at most."""
+
 RESTART_S = 3.0
 """A killed instance is back after this time at the latest."""
 
@@ -113,11 +116,18 @@
     only: str = ""
     effect_s: float = LATE_EFFECT_S
 
-    @property
-    def healed_at(self) -> float:
-        """When it is over, without what it has delayed."""
-        for_s = min(self.for_s, RESTART_S) if self.kind == "killed" else self.for_s
-        return self.at + for_s
+    def healed_at(self, in_flight_s: float) -> float:
+        """Returns when it is over, without what it has delayed.
+
+        Args:
+          in_flight_s: How long a client of an instance that stops stays.
+        """
+        if self.kind == "stopped":
+            stays_s = min(max(UNREADY_S, in_flight_s), GRACE_S)
+            return self.at + stays_s + min(self.for_s, RESTART_S)
+        return self.at + (
+            min(self.for_s, RESTART_S) if self.kind == "killed" else self.for_s
+        )
 
 
 @attrs.frozen
@@ -150,6 +160,7 @@
       pause_s: Pause of an instance between two looks at changed jobs.
       quota: Tokens that may wait on the route; 0 for no limit.
       in_flight_s: How long a client of an instance that stops as planned stays.
+      event_s: Time that each of an item's five events takes.
       order_seed: Seed of the order in which tasks that are ready run.
     """
 
@@ -161,12 +172,13 @@
     pause_s: float = 0.4
     quota: int = 0
     in_flight_s: float = 0.0
+    event_s: float = 0.1
     order_seed: int = 0
 
     @property
     def healed_at(self) -> float:
         """When the last fault is over and the last client has begun to ask."""
-        faults = [fault.healed_at for fault in self.faults]
+        faults = [fault.healed_at(self.in_flight_s) for fault in self.faults]
         return max([*faults, *(ask.at for ask in self.asks)], default=0.0)
 
 
@@ -192,14 +204,16 @@
 
 
 class FiveEvents:
-    """A caller whose upstreams answer with five events in 0.5 s.
+    """A caller whose upstreams answer with five events.
 
     Attributes:
+      event_s: Time that each takes.
       began: When runs began of each job's items, in trio time.
       failing: Whether runs fail, with status 500.
     """
 
-    def __init__(self) -> None:
+    def __init__(self, event_s: float = 0.1) -> None:
+        self.event_s = event_s
         self.began: dict[str, list[float]] = {}
         self.failing = False
 
@@ -211,7 +225,7 @@
 
         async def body() -> Any:
             for number in range((options["resume_after"] or 0) + 1, 6):
-                await trio.sleep(0.1)
+                await trio.sleep(self.event_s)
                 yield f"id: {number}\ndata: w\n\n".encode()
 
         yield UpstreamResponse(
@@ -389,7 +403,7 @@
         self.late: list[str] = []
         self.listed_after_s: dict[str, float] = {}
         self.instances: list[Instance] = []
-        self.caller = FiveEvents()
+        self.caller = FiveEvents(plan.event_s)
         self.memory = RecordingPlatform()
         self._hosts = {ask.job: ask.host for ask in plan.asks}
         letter = "R" if plan.lasting else "S"
@@ -592,6 +606,8 @@
         for job, answers in self.answers.items():
             if set(answers) <= refusals and job in self.caller.began:
                 self.problems.append(f"{job}: refused each time, and runs")
+        for job in self.memory.open_jobs:
+            self.problems.append(f"{job}: in the store, and not whole at the end")
         for job in self.accepted:
             whole_at = self.memory.whole_at.get(job, float("inf"))
             self.listed_after_s[job] = whole_at - self.plan.healed_at
--- a/tests/harness/_job_store.py
+++ b/tests/harness/_job_store.py
@@ -54,6 +54,7 @@
     Attributes:
       writer: Owner name of the instance whose transaction is applied.
       problems: Broken promises, in words.
+      open_jobs: Jobs with items that are not listed.
       whole_at: When a job's last item was listed or its end was written, in trio time.
     """
 
@@ -61,6 +62,7 @@
         super().__init__()
         self.writer = ""
         self.problems: list[str] = []
+        self.open_jobs: set[str] = set()
         self.whole_at: dict[str, float] = {}
 
     def _insert(self, key: str, row: Row) -> None:
@@ -81,7 +83,10 @@
             self.problems.append(f"{job.job}: an item is listed twice, {job.listed}")
         if before is not None:
             self._compare(decode_row(before, JobRow), job)
-        if not job.open:
+        if job.open:
+            self.open_jobs.add(job.job)
+        else:
+            self.open_jobs.discard(job.job)
             self.whole_at.setdefault(job.job, trio.current_time())
 
     def _compare(self, old: JobRow, new: JobRow) -> None:
