Jobs: an index that has read all jobs is fresh, though the history is lost again

Callers saw: while the store loses its history at each look for longer than 2 s, no item of any job starts and no job of a dead owner is taken over, though every job can be read. Cause: after all jobs were read because changes were lost, the changes were asked for once more; where that was refused too, the whole look counted as failed, and an index older than MAX_INDEX_AGE_S lets nothing start. Evidence: row 'the history is lost at each look of 10 s' of job_index.feature failed on the code before (age 10.4 s, 0.5 s asked) and passes. Why it works: the version was read before the rows, so that all changes before the look are in what was read; the next look goes on from that version.

--- a/src/coppercleat/jobs/_index.py
+++ b/src/coppercleat/jobs/_index.py
@@ -26,7 +26,7 @@
       platform: The store.
       jobs: Jobs by id.
       loaded: Whether all jobs have been read once.
-      fresh_at: When the last successful refresh began, in trio time.
+      fresh_at: When the last read that shows all changes before it began, in trio time.
       on_change: Called with each job that is new or has changed.
     """
 
@@ -72,11 +72,15 @@
         try:
             if began >= self._next_full_read_at:
                 await self._read_all()
-            changes = await self.platform.changes(JOB_SPACE, after=self._version)
+            await self._read_changes()
         except HistoryLostError:
+            # All jobs are as good as their changes, which may be lost again.
             _log.info("Change history was lost; reading all jobs.", after=self._version)
             await self._read_all()
-            changes = await self.platform.changes(JOB_SPACE, after=self._version)
+        self.fresh_at = began
+
+    async def _read_changes(self) -> None:
+        changes = await self.platform.changes(JOB_SPACE, after=self._version)
         for changed in changes.rows:
             if changed.row is None:
                 self.jobs.pop(JobId(changed.key.removeprefix(f"{JOB_SPACE}/")), None)
@@ -84,7 +88,6 @@
             else:
                 self._apply_row(changed.key, changed.row)
         self._version = max(self._version, changes.version)
-        self.fresh_at = began
 
     async def _read_all(self) -> None:
         # The version is read before the rows, so that the change feed repeats changes
