Jobs: a full read drops jobs whose deletion no change has shown

Callers saw (by the model, not on a site): after a job's deletion, some 180 s after its acceptance, was not shown to an instance, its tokens counted as finished there for good, so that more than the quota is accepted; and the instance tries each 5 s to delete it again. Cause: a full read added and renewed jobs and removed none. A deletion is shown by the changes alone, which the store may omit or drop. Why it works: the version is read before the rows, so that a job of that version or an older one that no read has shown is deleted; newer ones, accepted during the read, stay (a row).

--- a/src/coppercleat/jobs/_index.py
+++ b/src/coppercleat/jobs/_index.py
@@ -94,19 +94,35 @@
         # made during the scan. It is stored after them, so that a scan that fails does
         # not skip changes.
         newest = await self.platform.newest_version()
+        seen: set[str] = set()
         for part in await self.platform.parts(JOB_SPACE):
             prefix, after = f"{JOB_SPACE}/", ""
             while True:
                 rows = await self.platform.scan(prefix, after=after, part=part)
                 for key, row in rows:
+                    seen.add(key)
                     self._apply_row(key, row)
                 if not rows:
                     break
                 after = rows[-1][0]
+        self._drop_unseen(seen, newest)
         self._version = newest
         self.loaded = True
         self._next_full_read_at = trio.current_time() + FULL_READ_INTERVAL_S
 
+    def _drop_unseen(self, seen: set[str], newest: int) -> None:
+        """Drops jobs whose deletion was not shown: a read of all has not shown them.
+
+        Args:
+          seen: Keys of all rows that were read.
+          newest: Version before the read; later jobs may lie behind it.
+        """
+        for job, stored in list(self.jobs.items()):
+            if stored.version <= newest and job_key(job) not in seen:
+                del self.jobs[job]
+        for key in set(self._invalid_rows) - seen:
+            del self._invalid_rows[key]
+
     def _apply_row(self, key: str, row: Row) -> None:
         try:
             job = decode_row(row, JobRow)
--- a/tests/features/job_index.feature
+++ b/tests/features/job_index.feature
@@ -5,6 +5,7 @@
   Scenario Outline: <event>
     When jobs are followed and <event>
     Then <look> shows just the jobs that are stored
+    And only tokens of stored jobs count as finished
     And the index is <age> s old at most
 
     Examples:
--- a/tests/features/steps/job_index_steps.py
+++ b/tests/features/steps/job_index_steps.py
@@ -52,7 +52,7 @@
             raise HistoryLostError("dropped")
         return msgspec.structs.replace(found, rows=()) if self.omits else found
 
-    def accept(self, job: str, part: str) -> None:
+    def accept(self, job: str, part: str, listed: tuple[int, ...] = ()) -> None:
         """Stores a job of one item."""
         row = JobRow(
             job=job,
@@ -62,6 +62,7 @@
             accepted_at=0.0,
             due_at=9.0,
             expires_at=9.0,
+            listed=listed,
         )
         self.put(f"job/{job}", msgspec.json.encode(row), part=part)
 
@@ -237,7 +238,7 @@
         platform = FailingPlatform()
         for part in PARTS:
             for number in range(2):
-                platform.accept(f"{part[0]}-{number}", part)
+                platform.accept(f"{part[0]}-{number}", part, listed=(0,))
         index = JobIndex(platform)
         await index.refresh()
         await EVENTS[context.what](platform, index)
@@ -248,11 +249,21 @@
         context.stored = sorted(key.removeprefix("job/") for key in keys)
         context.shown = sorted(index.jobs)
         context.age_s = trio.current_time() - index.fresh_at
+        context.finished = [
+            sum(index.finished_tokens(part, "/") for part in PARTS),
+            sum(job != "new" for job in context.stored),
+        ]
 
     trio.run(run, clock=trio.testing.MockClock(autojump_threshold=0))
     assert context.shown == context.stored, (context.shown, context.stored)
 
 
+@then("only tokens of stored jobs count as finished")
+def finished_stored(context):
+    counted, stored = context.finished
+    assert counted == stored, context.finished
+
+
 @then("the index is {age:g} s old at most")
 def index_fresh(context, age):
     assert context.age_s <= age, context.age_s
