--- a/src/coppercleat/jobs/_index.py
+++ b/src/coppercleat/jobs/_index.py
@@ -26,7 +26,7 @@
       platform: The store.
       jobs: Jobs by id.
       loaded: Whether all jobs have been read once.
-      fresh_at: When the last successful refresh began, in trio time.
+      fresh_at: When the last read that shows all changes before it began, in trio time.
       on_change: Called with each job that is new or has changed.
     """
 
@@ -72,11 +72,15 @@
         try:
             if began >= self._next_full_read_at:
                 await self._read_all()
-            changes = await self.platform.changes(JOB_SPACE, after=self._version)
+            await self._read_changes()
         except HistoryLostError:
+            # All jobs are as good as their changes, which may be lost again.
             _log.info("Change history was lost; reading all jobs.", after=self._version)
             await self._read_all()
-            changes = await self.platform.changes(JOB_SPACE, after=self._version)
+        self.fresh_at = began
+
+    async def _read_changes(self) -> None:
+        changes = await self.platform.changes(JOB_SPACE, after=self._version)
         for changed in changes.rows:
             if changed.row is None:
                 self.jobs.pop(JobId(changed.key.removeprefix(f"{JOB_SPACE}/")), None)
@@ -84,26 +88,41 @@
             else:
                 self._apply_row(changed.key, changed.row)
         self._version = max(self._version, changes.version)
-        self.fresh_at = began
 
     async def _read_all(self) -> None:
         # The version is read before the rows, so that the change feed repeats changes
         # made during the scan. It is stored after them, so that a scan that fails does
         # not skip changes.
         newest = await self.platform.newest_version()
+        seen: set[str] = set()
         for part in await self.platform.parts(JOB_SPACE):
             prefix, after = f"{JOB_SPACE}/", ""
             while True:
                 rows = await self.platform.scan(prefix, after=after, part=part)
                 for key, row in rows:
+                    seen.add(key)
                     self._apply_row(key, row)
                 if not rows:
                     break
                 after = rows[-1][0]
+        self._drop_unseen(seen, newest)
         self._version = newest
         self.loaded = True
         self._next_full_read_at = trio.current_time() + FULL_READ_INTERVAL_S
 
+    def _drop_unseen(self, seen: set[str], newest: int) -> None:
+        """Drops jobs whose deletion was not shown: a read of all has not shown them.
+
+        Args:
+          seen: Keys of all rows that were read.
+          newest: Version before the read; later jobs may lie behind it.
+        """
+        for job, stored in list(self.jobs.items()):
+            if stored.version <= newest and job_key(job) not in seen:
+                del self.jobs[job]
+        for key in set(self._invalid_rows) - seen:
+            del self._invalid_rows[key]
+
     def _apply_row(self, key: str, row: Row) -> None:
         try:
             job = decode_row(row, JobRow)
