--- a/bench/soak.py
+++ b/bench/soak.py
@@ -27,24 +27,29 @@
 from functools import partial
 from typing import Any
 
-import attrs
 import httpcore
 import trio
 
+from bench._soak_checks import (
+    EVENTS,
+    Job,
+    check_listed,
+    check_requests,
+    check_runs_of,
+    runs_by_request,
+    take_page,
+)
 from bench._soak_flaps import FLAPS, Flaps
-from coppercleat.errors import CoppercleatError
+from bench._soak_healing import (
+    HEALTHY_STORE,
+    heal_processes,
+    heal_ways,
+    insist,
+    until_heard,
+)
 from tests.harness import JOBS, ONCE, PLAIN, RESUMABLE, STREAM, Answer, Gateways
 
 ROUTES = {"stream": STREAM, "resumable": RESUMABLE, "plain": PLAIN, "once": ONCE}
-AT_MOST_ONCE = ("stream", "once")
-PROMISES = (408, 421, 429, 503)
-EVENTS = 30
-CANCEL_S = 3.0
-"""After a job's end is acknowledged nothing of it may start for longer than this."""
-
-HEARD_S = 10.0
-"""After a restart a gateway hears others within seconds: beats come twice a second."""
-
 SETTLE_S = 60.0
 _OUT = pathlib.Path("out")
 _NETWORK = (httpcore.NetworkError, httpcore.ProtocolError, httpcore.TimeoutException)
@@ -72,23 +77,6 @@
     return action
 
 
-@attrs.define
-class Job:
-    """A submitted job as its client knows it."""
-
-    id: str
-    items: list[str]
-    statuses: list[int] = attrs.field(factory=list)
-    seen: dict[int, Any] = attrs.field(factory=dict)
-    ended_at: float = 0.0
-    end_asked: bool = False
-
-    @property
-    def accepted(self) -> bool:
-        """Whether any submission was acknowledged."""
-        return 202 in self.statuses
-
-
 class Soak:
     """One seed's play.
 
@@ -274,10 +262,7 @@
                 if answer.status != 200:
                     return 0
                 page = json.loads(answer.body)
-                for position, result in enumerate(page["results"], after):
-                    first = job.seen.setdefault(position, result)
-                    if first != result:
-                        self.problems.append(f"{job.id}: position {position} changed")
+                self.problems += take_page(job, after, page)
                 return len(page["results"])
         except _NETWORK:
             pass
@@ -306,34 +291,11 @@
         self._tell("fault", began, fault=name)
 
     async def _heal(self) -> None:
-        await self.fleet.control("store", **HEALTHY_STORE)
-        for name in self.fleet.links:
-            await self.fleet.link(name)
+        await heal_ways(self.fleet)
         while self.fleet.reviving:
             await trio.sleep(0.1)
-        healthy = {"silent": False, "resume_status": 0, "cut_next": 0, "fail_every": 0}
-        for name in self.fleet.runners:
-            await self.fleet.control(name, **healthy)
-            await _insist(lambda n=name: self.fleet.list_runner(n))
-        for name in self.fleet.names:
-            if not self.fleet.processes[name].running:
-                self.fleet.start_gateway(name)
-        for name in self.fleet.names:
-            await self.fleet.ready(name)
-        with trio.move_on_after(HEARD_S):
-            while await self._unheard():
-                await trio.sleep(0.1)
-        self.problems += await self._unheard()
-
-    async def _unheard(self) -> list[str]:
-        """Returns which gateways do not hear all others, in words."""
-        line = f"coppercleat_peers_heard {len(self.fleet.names) - 1}"
-        pages = {name: await self.fleet.metrics(name) for name in self.fleet.names}
-        return [
-            f"{name} does not hear all others"
-            for name, page in pages.items()
-            if line not in page.splitlines()
-        ]
+        await heal_processes(self.fleet)
+        self.problems += await until_heard(self.fleet)
 
     # What must hold.
 
@@ -342,61 +304,20 @@
             while len(job.seen) < len(job.items):
                 await self._read(job)
                 await trio.sleep(0.05)
-        names = [result["id"] for result in job.seen.values()]
-        if sorted(names) != [f"{job.id}-item-{n}" for n in range(len(job.items))]:
+        if sorted(job.listed_ids) != sorted(job.item_ids):
             row = await self.fleet.job_row(job.id)
             self._tell("row", time.time(), job=job.id, row=row)
-            self.problems.append(
-                f"{job.id}: listed are {names}, its end was asked: {job.end_asked}"
-            )
-        text = "\n".join(f"word {n}" for n in range(1, EVENTS + 1))
-        for result in job.seen.values():
-            good = result["state"] == "completed" and result["text"] == text
-            if not good and result["state"] != "dead_letter":
-                self.problems.append(f"{job.id}: {result['id']} is not whole")
+        self.problems += check_listed(job)
 
     async def _check(self) -> None:
-        runs: dict[str, list[dict[str, Any]]] = {}
-        for run in await self.fleet.runs():
-            runs.setdefault(run["id"], []).append(run)
-        for request, (kind, answer) in self.answers.items():
-            ran = runs.get(request, [])
-            if kind in AT_MOST_ONCE and len(ran) > 1:
-                self.problems.append(f"{request} ({kind}) ran {len(ran)} times")
-            if answer is not None:
-                self._check_answer(request, answer, ran)
+        runs = runs_by_request(await self.fleet.runs())
+        self.problems += check_requests(self.answers, runs)
         for job in self.jobs:
-            self._check_job(job, runs)
+            self.problems += check_runs_of(job, runs)
         ended = len(self.fleet.ended) - self.killed
         if ended > MOST_DEADLY_ENDS:
             self.problems.append(f"{ended} runners ended under one request")
 
-    def _check_answer(
-        self, request: str, answer: Answer, ran: list[dict[str, Any]]
-    ) -> None:
-        if answer.status in PROMISES and ran:
-            self.problems.append(f"{request}: {answer.status}, but it ran")
-        if answer.status != 200:
-            return
-        if request not in answer.headers.get("response-stamp", ""):
-            self.problems.append(f"{request}: another request's answer")
-        events = answer.events
-        if events != list(range(1, len(events) + 1)):
-            self.problems.append(f"{request}: events {events}")
-        if answer.whole and len(events) != EVENTS:
-            self.problems.append(f"{request}: looks whole after {len(events)} events")
-
-    def _check_job(self, job: Job, runs: dict[str, list[dict[str, Any]]]) -> None:
-        names = [f"{job.id}-item-{n}" for n in range(len(job.items))]
-        ran = [run for name in names for run in runs.get(name, ())]
-        refused = job.statuses and all(s in PROMISES for s in job.statuses)
-        if refused and ran:
-            self.problems.append(f"{job.id}: always refused as not run, but it ran")
-        if job.ended_at:
-            late = [r for r in ran if r["at"] > job.ended_at + CANCEL_S]
-            if late:
-                self.problems.append(f"{job.id}: {len(late)} runs after its end")
-
     def _keep_output(self) -> None:
         _OUT.mkdir(exist_ok=True)
         with (_OUT / f"soak-{self.seed}.log").open("w", encoding="utf-8") as out:
@@ -412,25 +333,6 @@
     return datetime.datetime.fromtimestamp(unix_s, datetime.UTC).isoformat()[11:23]
 
 
-HEALTHY_STORE = {
-    "outage": False,
-    "hang": False,
-    "latency_s": 0.0,
-    "lose_share": 0.0,
-    "late_effect_s": 0.0,
-    "cut_zones": [],
-}
-
-
-async def _insist(write: Callable[[], Awaitable[None]]) -> None:
-    """Repeats a write of the operator or of a runner until the store takes it."""
-    while True:
-        try:
-            return await write()
-        except CoppercleatError:
-            await trio.sleep(0.1)
-
-
 async def _store_has(soak: Soak, **knobs: Any) -> None:
     await soak.fleet.control("store", **knobs)
     await trio.sleep(soak.rng.uniform(0.5, 4.0))
@@ -591,11 +493,11 @@
 async def runner_leaves(soak: Soak) -> None:
     """A runner drains, leaves the list, and is listed again."""
     name = soak.rng.choice(soak.fleet.runners[1:])
-    await _insist(lambda: soak.fleet.list_runner(name, state="draining"))
+    await insist(lambda: soak.fleet.list_runner(name, state="draining"))
     await trio.sleep(soak.rng.uniform(0.2, 2.0))
-    await _insist(lambda: soak.fleet.unlist_runner(name))
+    await insist(lambda: soak.fleet.unlist_runner(name))
     await trio.sleep(soak.rng.uniform(0.2, 2.0))
-    await _insist(lambda: soak.fleet.list_runner(name))
+    await insist(lambda: soak.fleet.list_runner(name))
 
 
 @end
@@ -611,7 +513,7 @@
 async def configuration_changes(soak: Soak) -> None:
     """The operator writes new versions in quick succession."""
     for _ in range(soak.rng.randint(1, 6)):
-        await _insist(soak.fleet.apply_config)
+        await insist(soak.fleet.apply_config)
         await trio.sleep(0.1)
 
 
