Jobs: an item that its row lists is not listed again by a later run of its owner

Cause: a commit that is refused since the row has changed, with the same owner, dropped what the row lists from the finished items only. An item that still waited or ran was listed again when it ended. The row can change so when a commit without an answer takes effect after its run was stopped and begun anew at the same owner, as news of an earlier takeover that comes late may do (stop_taken_job asks for no version). Evidence: two rows of job_owners.feature gave (0, 2, 1, 0) for three items; they pass. Why it works: a run adopts a row whole: listed items leave those that wait and those that are finished, and one that runs is dropped when its attempt ends. A commit's own items leave by the same way, so that a release beside a commit in flight removes no other item's result.

--- a/src/coppercleat/jobs/_run.py
+++ b/src/coppercleat/jobs/_run.py
@@ -189,6 +189,17 @@
             and (item.quarantine is None or item.quarantine.until <= now)
         ]
 
+    def adopt(self, stored: StoredJob) -> None:
+        """Adopts a newer row, and drops the items that it lists.
+
+        They were committed here, or by an earlier run of this owner whose commit took
+        effect late. A listed item that runs is dropped once its attempt ends.
+        """
+        self.stored = stored
+        listed = set(stored.row.listed)
+        self.pending = [item for item in self.pending if item.index not in listed]
+        self.finished = [item for item in self.finished if item.index not in listed]
+
     def start(self, item: ItemProgress, upstream: UpstreamId) -> None:
         """Moves an item from pending to running."""
         self.pending.remove(item)
@@ -213,6 +224,8 @@
           not_before: When the item may run again, in trio time.
         """
         self.running.pop(item.index, None)
+        if item.index in self.stored.row.listed:
+            return
         item.upstream = UpstreamId("")
         item.not_before = not_before
         if outcome is ItemAttemptOutcome.FAILED:
--- a/src/coppercleat/jobs/_worker.py
+++ b/src/coppercleat/jobs/_worker.py
@@ -429,8 +429,7 @@
             self.on_commit("superseded")
             return self._resolve_conflict(run, stored)
         self.on_commit("done")
-        run.stored = stored
-        del run.finished[: len(batch)]
+        run.adopt(stored)
         run.record_checkpoints(checkpoints)
         self.job_index.observe(stored)
         return True
@@ -447,9 +446,7 @@
             if stored is not None:
                 self.job_index.observe(stored)
             return False
-        listed = set(stored.row.listed)
-        run.stored = stored
-        run.finished = [item for item in run.finished if item.index not in listed]
+        run.adopt(stored)
         self.job_index.observe(stored)
         return True
 
