--- a/tests/features/job_index.feature
+++ b/tests/features/job_index.feature
@@ -23,6 +23,14 @@
       | a job is deleted and its change omitted                          | a look 7 s later             | 0.5 |
       | a job is deleted while all are read                              | the next look                | 0.5 |
       | the history is lost at each look of 10 s                         | the next look                | 0.5 |
+      | a job is deleted and accepted again under its id                 | the next look                | 0.5 |
+      | a job is deleted and accepted again, all of it omitted           | a look 7 s later             | 0.5 |
+      | a job is deleted and accepted again while all are read           | the next look                | 0.5 |
+      | a late answer shows a job after its deletion                     | a look 7 s later             | 0.5 |
+      | a job of an id of another host is accepted and deleted           | a look 14 s later            | 0.5 |
+      | a job of an id of another host is accepted and deleted, this omitted | a look 14 s later            | 0.5 |
+      | a job of an id of another host is accepted                       | a look 7 s later             | 0.5 |
+      | calls take 0.5 s and all are read                                | this look                    | 0.5 |
 
   Scenario Outline: A table is followed, <event>
     When a table of 3 rows is followed and <event>
--- a/tests/features/steps/job_index_steps.py
+++ b/tests/features/steps/job_index_steps.py
@@ -32,21 +32,33 @@
     Attributes:
       lost: Whether the history is lost.
       omits: Whether changes are omitted.
+      takes_s: Seconds that each call takes.
       on_scan: Called before each scan, with how many came before.
     """
 
     def __init__(self) -> None:
         super().__init__()
         self.lost = self.omits = False
+        self.takes_s = 0.0
         self.scans = 0
         self.on_scan: Callable[[int], None] = lambda number: None
 
     async def scan(self, prefix, **options):
         self.scans += 1
         self.on_scan(self.scans - 1)
+        await trio.sleep(self.takes_s)
         return await super().scan(prefix, **options)
 
+    async def parts(self, space):
+        await trio.sleep(self.takes_s)
+        return await super().parts(space)
+
+    async def newest_version(self):
+        await trio.sleep(self.takes_s)
+        return await super().newest_version()
+
     async def changes(self, space, *, after):
+        await trio.sleep(self.takes_s)
         found = await super().changes(space, after=after)
         if self.lost:
             raise HistoryLostError("dropped")
@@ -218,10 +230,70 @@
         await look(index)
 
 
+@event("a job is deleted and accepted again under its id")
+async def accepted_again(platform, index):
+    platform.delete("job/b-1", PARTS[1])
+    platform.accept("b-1", PARTS[1], listed=(0,))
+
+
+@event("a job is deleted and accepted again, all of it omitted")
+async def accepted_again_unseen(platform, index):
+    await accepted_again(platform, index)
+    platform.omits = True
+    await look(index)
+    platform.omits = False
+
+
+@event("a job is deleted and accepted again while all are read")
+async def accepted_again_behind(platform, index):
+    def change():
+        platform.delete("job/a-1", PARTS[0])
+        platform.accept("a-1", PARTS[0], listed=(0,))
+
+    platform.at_scan(2, change)
+    await read_all(index)
+
+
+@event("a late answer shows a job after its deletion")
+async def shown_late(platform, index):
+    stored = index.get("b-1")
+    platform.delete("job/b-1", PARTS[1])
+    await look(index)
+    index.observe(stored)
+
+
+@event("a job of an id of another host is accepted and deleted")
+async def other_host(platform, index):
+    platform.accept("a-1", PARTS[1])
+    await look(index)
+    platform.delete("job/a-1", PARTS[1])
+
+
+@event("a job of an id of another host is accepted and deleted, this omitted")
+async def other_host_unseen(platform, index):
+    await other_host(platform, index)
+    platform.omits = True
+    await read_all(index)
+    platform.omits = False
+
+
+@event("a job of an id of another host is accepted")
+async def same_id(platform, index):
+    platform.accept("a-1", PARTS[1], listed=(0,))
+
+
+@event("calls take 0.5 s and all are read")
+async def slow(platform, index):
+    platform.takes_s = 0.5
+    await read_all(index)
+
+
 LOOKS = {
+    "this look": (0, 0.0),
     "the next look": (1, LOOK_S),
     "the look after": (2, LOOK_S),
     "a look 7 s later": (1, FULL_LOOK_S),
+    "a look 14 s later": (2, FULL_LOOK_S),
 }
 
 
@@ -245,13 +317,13 @@
         for _ in range(count):
             await trio.sleep(after_s)
             await look(index)
-        keys = [key.rpartition("\x1f")[2] for key in platform.rows]
-        context.stored = sorted(key.removeprefix("job/") for key in keys)
-        context.shown = sorted(index.jobs)
+        places = [key.partition("\x1fjob/") for key in platform.rows]
+        context.stored = sorted((part, job) for part, _, job in places)
+        context.shown = sorted((stored.row.host, stored.row.job) for stored in index)
         context.age_s = trio.current_time() - index.fresh_at
         context.finished = [
             sum(index.finished_tokens(part, "/") for part in PARTS),
-            sum(job != "new" for job in context.stored),
+            sum(job != "new" for _, job in context.stored),
         ]
 
     trio.run(run, clock=trio.testing.MockClock(autojump_threshold=0))
