Jobs: a job that was deleted runs no more at an owner that was cut off

Callers would see: an item of a job whose end was acknowledged minutes ago reaches an upstream, where its owner was cut off from the store from before the end until after the deletion. Cause: a deletion, shown by the changes or by a full read, dropped the job from the index and left its run alone; the index was fresh, so that the run's items started again until a commit was refused.

--- a/src/coppercleat/jobs/_index.py
+++ b/src/coppercleat/jobs/_index.py
@@ -28,6 +28,7 @@
       loaded: Whether all jobs have been read once.
       fresh_at: When the last read that shows all changes before it began, in trio time.
       on_change: Called with each job that is new or has changed.
+      on_delete: Called with each deleted job, as last known.
     """
 
     def __init__(self, platform: Platform) -> None:
@@ -36,6 +37,7 @@
         self.loaded = False
         self.fresh_at = float("-inf")
         self.on_change: Callable[[StoredJob], None] = lambda stored: None
+        self.on_delete: Callable[[StoredJob], None] = lambda stored: None
         self._invalid_rows: dict[str, int] = {}
         self._version = 0
         self._next_full_read_at = float("-inf")
@@ -117,7 +119,7 @@
         job = JobId(key.removeprefix(f"{JOB_SPACE}/"))
         known = self.jobs.get(job)
         if known is not None and known.row.host == part:
-            del self.jobs[job]
+            self._delete(known)
         self._invalid_rows.pop(key, None)
 
     def _drop_unseen(self, seen: dict[str, int], newest: int) -> None:
@@ -128,13 +130,17 @@
             is a job of another host.
           newest: Version before the read; later jobs may lie behind it.
         """
-        for job, stored in list(self.jobs.items()):
-            read = seen.get(job_key(job), ABSENT)
+        for stored in self:
+            read = seen.get(job_key(stored.row.job), ABSENT)
             if stored.version <= newest and read < stored.version:
-                del self.jobs[job]
+                self._delete(stored)
         for key in set(self._invalid_rows) - set(seen):
             del self._invalid_rows[key]
 
+    def _delete(self, stored: StoredJob) -> None:
+        del self.jobs[stored.row.job]
+        self.on_delete(stored)
+
     def _apply_row(self, key: str, row: Row) -> None:
         try:
             job = decode_row(row, JobRow)
--- a/src/coppercleat/jobs/_worker.py
+++ b/src/coppercleat/jobs/_worker.py
@@ -128,6 +128,7 @@
             isolated=isolated,
         )
         job_index.on_change = self._job_changed
+        job_index.on_delete = self._job_deleted
 
     async def run(self) -> None:
         """Runs jobs until cancelled."""
@@ -203,6 +204,11 @@
         elif run is None and stored.row.open and stored.row.owner == self.owner:
             self._start_job(stored, "owned, found in a change")
 
+    def _job_deleted(self, stored: StoredJob) -> None:
+        run = self.runs.get(stored.row.job)
+        if run is not None and run.stored.row.host == stored.row.host:
+            self._abandon(run, "deleted")
+
     def _start_job(self, stored: StoredJob, why: str) -> None:
         job = stored.row.job
         if job in self._active or self._nursery is None or self.stopping:
