--- a/src/coppercleat/jobs/_sweep.py
+++ b/src/coppercleat/jobs/_sweep.py
@@ -99,12 +99,18 @@
           Whether the job's row was deleted; not so if it has changed meanwhile.
         """
         row = stored.row
+        # A job that was deleted and accepted again has rows of the same keys.
+        unchanged = Check(job_key(row.job), stored.version)
         for kind in ("result", "partial", "input"):
             rows = await self.platform.scan(
                 f"{kind}/{row.job}/", limit=1_000_000, part=row.host
             )
             for keys in _batches([key for key, _ in rows]):
-                await self.platform.transact(Transaction(deletes=keys, part=row.host))
+                answer = await self.platform.transact(
+                    Transaction(checks=[unchanged], deletes=keys, part=row.host)
+                )
+                if isinstance(answer, TransactionRefused):
+                    return False
         if row.input_object:
             await self.platform.delete_object(row.input_object)
         return await self._remove_row(stored)
