Jobs: a commit stays within the 100 entries of a transaction

Callers would see: a job is listed nowhere for good where some 99 of its items or more end between two commits: when they expire at once, when their upstreams run them at once, or when commits fail for a while; and its results are lost to the instance that holds them. Cause: a commit was bounded by its bytes alone. The store takes 100 entries in a transaction and refuses more with a status that promises nothing, so that the same commit was sent again each 0.25 s. A planned stop with 99 checkpoints or more released nothing for the same reason. Change: 60 rows of results, 38 checkpoints and the job's row twice. Items that would lose most are checkpointed first, so that none of a large job is passed over for ever. Evidence: of the rows of lasting_jobs.feature '... expire at once', 'finish while commits fail', 'finish at once' and 'is stopped as planned' five failed on the code before (0 of 99, 0 of 200 listed; owner kept) and pass.

--- a/src/coppercleat/jobs/_repository.py
+++ b/src/coppercleat/jobs/_repository.py
@@ -32,6 +32,7 @@
 from coppercleat.serving import Route
 from coppercleat.storage import (
     ABSENT,
+    MAX_TRANSACTION_ENTRIES,
     AnswerLostError,
     Check,
     Platform,
@@ -53,6 +54,14 @@
 
 _MAX_COMMIT_BYTES = 500_000
 
+_JOB_ENTRIES = 2
+"""Entries of a commit for the job's row: its check and its new value."""
+
+_MAX_CHECKPOINTS = 38
+"""Maximum checkpoints in one commit; results have the other entries."""
+
+_MAX_RESULT_ROWS = MAX_TRANSACTION_ENTRIES - _JOB_ENTRIES - _MAX_CHECKPOINTS
+
 _log = part_logger("jobs")
 
 
@@ -426,10 +435,11 @@
 
 def commit_batch_size(finished: Sequence[FinishedItem]) -> int:
     """Returns how many of the items fit into one transaction, at least one."""
-    size = 0
+    size = rows = 0
     for count, item in enumerate(finished):
         size += len(item.text)
-        if count and size > _MAX_COMMIT_BYTES:
+        rows += len(_slices(item.text))
+        if count and (size > _MAX_COMMIT_BYTES or rows > _MAX_RESULT_ROWS):
             return count
     return len(finished)
 
@@ -444,6 +454,8 @@
         size = sum(len(event) + 8 for event in checkpoint.events)
         if size > SLICE_BYTES or total + size > _MAX_CHECKPOINT_BYTES:
             continue
+        if len(fitting) == _MAX_CHECKPOINTS:
+            break
         fitting[index] = checkpoint
         total += size
     return fitting
@@ -471,10 +483,14 @@
     return decode_row(row, QuotaRow).accepted_tokens, row.version
 
 
+def _slices(text: bytes) -> list[bytes]:
+    """Returns a result's text as it is split into rows, at least one."""
+    starts = range(0, max(1, len(text)), SLICE_BYTES)
+    return [text[start : start + SLICE_BYTES] for start in starts]
+
+
 def _result_puts(job: JobId, position: int, item: FinishedItem) -> list[Put]:
-    slices = [
-        item.text[i : i + SLICE_BYTES] for i in range(0, len(item.text), SLICE_BYTES)
-    ] or [b""]
+    slices = _slices(item.text)
     first = ResultRow(
         item=item.item, state=item.state, text=slices[0], more=len(slices) - 1
     )
--- a/src/coppercleat/jobs/_run.py
+++ b/src/coppercleat/jobs/_run.py
@@ -86,6 +86,16 @@
     request: OnlineRequest | None = None
     quarantine: QuarantineState | None = None
 
+    @property
+    def new_events(self) -> int:
+        """Events since the last checkpoint."""
+        return len(self.events) - self.checkpointed_events
+
+    @property
+    def failed_anew(self) -> bool:
+        """Whether it has failed since the last checkpoint."""
+        return self.failures > self.checkpointed_failures
+
     def as_finished(self, state: ItemState) -> FinishedItem:
         """Returns the item with its final state and its result."""
         text = b"\n".join(self.events) if state is ItemState.COMPLETED else b""
@@ -262,17 +272,19 @@
     def new_checkpoints(self, min_new_events: int) -> dict[int, CheckpointRow]:
         """Returns checkpoints, by item index, of items with enough progress to store.
 
+        Those that would lose most come first, as not all may fit into one commit.
+
         Args:
           min_new_events: New events since the last checkpoint that are worth a write;
             a new failure always is.
         """
-        checkpoints = {}
-        for item in [*self.running.values(), *self.pending]:
-            new_events = len(item.events) - item.checkpointed_events
-            failed = item.failures > item.checkpointed_failures
-            if (item.events and new_events >= min_new_events) or failed:
-                checkpoints[item.index] = item.checkpoint()
-        return checkpoints
+        items = [*self.running.values(), *self.pending]
+        items.sort(key=lambda item: (item.failed_anew, item.new_events), reverse=True)
+        return {
+            item.index: item.checkpoint()
+            for item in items
+            if (item.events and item.new_events >= min_new_events) or item.failed_anew
+        }
 
     def record_checkpoints(self, checkpoints: dict[int, CheckpointRow]) -> None:
         """Marks checkpoints as stored."""
--- a/src/coppercleat/jobs/_sweep.py
+++ b/src/coppercleat/jobs/_sweep.py
@@ -27,7 +27,7 @@
 """Retention beyond the promised one: clocks differ, and readers may be slow."""
 
 _MAX_DELETES = 90
-"""Maximum rows deleted by one transaction, whose limit is 100 entries."""
+"""Maximum rows deleted by one transaction; below ``MAX_TRANSACTION_ENTRIES``."""
 
 _log = part_logger("jobs")
 
--- a/src/coppercleat/storage/__init__.py
+++ b/src/coppercleat/storage/__init__.py
@@ -5,6 +5,7 @@
 from coppercleat.storage._port import (
     ABSENT,
     BAD_BYTES,
+    MAX_TRANSACTION_ENTRIES,
     AnswerLostError,
     ChangedRow,
     Changes,
@@ -26,6 +27,7 @@
 __all__ = [
     "ABSENT",
     "BAD_BYTES",
+    "MAX_TRANSACTION_ENTRIES",
     "AnswerLostError",
     "ChangedRow",
     "Changes",
--- a/src/coppercleat/storage/_port.py
+++ b/src/coppercleat/storage/_port.py
@@ -28,6 +28,9 @@
 ABSENT = 0
 """The version of a row that does not exist."""
 
+MAX_TRANSACTION_ENTRIES = 100
+"""Maximum checks, puts and deletes of one transaction together."""
+
 
 class Row(msgspec.Struct, frozen=True):
     """A row as read: its bytes and its version."""
