--- a/src/coppercleat/jobs/_index.py
+++ b/src/coppercleat/jobs/_index.py
@@ -10,7 +10,7 @@
 from coppercleat.jobs._records import JOB_SPACE, JobRow, job_key
 from coppercleat.jobs._repository import StoredJob
 from coppercleat.observability import part_logger
-from coppercleat.storage import HistoryLostError, Platform, Row, decode_row
+from coppercleat.storage import ABSENT, HistoryLostError, Platform, Row, decode_row
 
 FULL_READ_INTERVAL_S = 6.0
 """Interval of full reads besides the change feed: the store may omit changes shortly
@@ -28,6 +28,7 @@
       loaded: Whether all jobs have been read once.
       fresh_at: When the last read that shows all changes before it began, in trio time.
       on_change: Called with each job that is new or has changed.
+      on_delete: Called with each deleted job, as last known.
     """
 
     def __init__(self, platform: Platform) -> None:
@@ -36,6 +37,7 @@
         self.loaded = False
         self.fresh_at = float("-inf")
         self.on_change: Callable[[StoredJob], None] = lambda stored: None
+        self.on_delete: Callable[[StoredJob], None] = lambda stored: None
         self._invalid_rows: dict[str, int] = {}
         self._version = 0
         self._next_full_read_at = float("-inf")
@@ -72,10 +74,13 @@
         try:
             if began >= self._next_full_read_at:
                 await self._read_all()
+                # The changes are newer than the read of all, which may be slow.
+                began = trio.current_time()
             await self._read_changes()
         except HistoryLostError:
             # All jobs are as good as their changes, which may be lost again.
             _log.info("Change history was lost; reading all jobs.", after=self._version)
+            began = trio.current_time()
             await self._read_all()
         self.fresh_at = began
 
@@ -83,8 +88,7 @@
         changes = await self.platform.changes(JOB_SPACE, after=self._version)
         for changed in changes.rows:
             if changed.row is None:
-                self.jobs.pop(JobId(changed.key.removeprefix(f"{JOB_SPACE}/")), None)
-                self._invalid_rows.pop(changed.key, None)
+                self._drop(changed.part, changed.key)
             else:
                 self._apply_row(changed.key, changed.row)
         self._version = max(self._version, changes.version)
@@ -94,13 +98,13 @@
         # made during the scan. It is stored after them, so that a scan that fails does
         # not skip changes.
         newest = await self.platform.newest_version()
-        seen: set[str] = set()
+        seen: dict[str, int] = {}
         for part in await self.platform.parts(JOB_SPACE):
             prefix, after = f"{JOB_SPACE}/", ""
             while True:
                 rows = await self.platform.scan(prefix, after=after, part=part)
                 for key, row in rows:
-                    seen.add(key)
+                    seen[key] = max(row.version, seen.get(key, ABSENT))
                     self._apply_row(key, row)
                 if not rows:
                     break
@@ -110,19 +114,33 @@
         self.loaded = True
         self._next_full_read_at = trio.current_time() + FULL_READ_INTERVAL_S
 
-    def _drop_unseen(self, seen: set[str], newest: int) -> None:
+    def _drop(self, part: str, key: str) -> None:
+        """Drops a job that was deleted, unless its id is that of another host's job."""
+        job = JobId(key.removeprefix(f"{JOB_SPACE}/"))
+        known = self.jobs.get(job)
+        if known is not None and known.row.host == part:
+            self._delete(known)
+        self._invalid_rows.pop(key, None)
+
+    def _drop_unseen(self, seen: dict[str, int], newest: int) -> None:
         """Drops jobs whose deletion was not shown: a read of all has not shown them.
 
         Args:
-          seen: Keys of all rows that were read.
+          seen: Newest version read of each key. An older one than that of a known job
+            is a job of another host.
           newest: Version before the read; later jobs may lie behind it.
         """
-        for job, stored in list(self.jobs.items()):
-            if stored.version <= newest and job_key(job) not in seen:
-                del self.jobs[job]
-        for key in set(self._invalid_rows) - seen:
+        for stored in self:
+            read = seen.get(job_key(stored.row.job), ABSENT)
+            if stored.version <= newest and read < stored.version:
+                self._delete(stored)
+        for key in set(self._invalid_rows) - set(seen):
             del self._invalid_rows[key]
 
+    def _delete(self, stored: StoredJob) -> None:
+        del self.jobs[stored.row.job]
+        self.on_delete(stored)
+
     def _apply_row(self, key: str, row: Row) -> None:
         try:
             job = decode_row(row, JobRow)
