--- a/bench/_soak_drawing.py
+++ b/bench/_soak_drawing.py
@@ -41,6 +41,10 @@
 )
 
 ROUTES = ("stream", "resumable", "plain", "once")
+EVENT_S = (0.02, 0.05, 0.08)
+"""Times between events. With the longest a job is still open when another gateway has
+taken it over from one that was killed; a request still ends within its deadline."""
+
 LATE_EFFECT_S = 1.5
 LEASE_S = 3.4
 """Lease of an instance in a fleet of a few: its owner is given up after it."""
@@ -81,6 +85,7 @@
         drawn = self.rng.choice((4, 4, 4, 5, 6, 8))
         self.gateways = [f"gateway-{n + 1}" for n in range(gateways or drawn)]
         self.runners = [f"runner-{n + 1}" for n in range(self.rng.randint(3, 4))]
+        self.event_s = self.rng.choice(EVENT_S)
         self.jobs: list[PlannedJob] = []
         self.submissions: list[Submission] = []
         self.ends: list[EndRequest] = []
@@ -101,6 +106,7 @@
             length_s=self.length_s,
             gateways=len(self.gateways),
             runners=len(self.runners),
+            event_s=self.event_s,
             jobs=tuple(self.jobs),
             submissions=tuple(self.submissions),
             ends=tuple(self.ends),
@@ -172,6 +178,7 @@
             request = OnlineRequest(
                 at_s=at_s,
                 id=f"r-{client}-{count}",
+                client=client,
                 route=self.rng.choice(ROUTES),
                 gateway=self.gateway(),
                 leaves_after_s=self._leaves(0.1),
@@ -200,7 +207,7 @@
         for _ in range(self.rng.randint(2, max(3, int(self.length_s * 0.7)))):
             at_s = self.span(0.3, last_s)
             drawn += self.rng.choice(SINGLE)(self, at_s)
-        for _ in range(self.rng.randint(0, max(1, int(self.length_s / 4)))):
+        for _ in range(self.rng.randint(1, max(1, int(self.length_s / 4)))):
             at_s = self.span(0.3, max(0.5, last_s - 3))
             drawn += self.rng.choice(COURSES)(self, at_s)
         drawn.sort(key=lambda fault: fault.at_s)
--- a/bench/_soak_schedule.py
+++ b/bench/_soak_schedule.py
@@ -256,24 +256,32 @@
     """A client sends an online request.
 
     Attributes:
+      client: Number of the client, which keeps its connections open for its next
+        requests; None for a connection of its own.
       route: Its kind of route.
       leaves_after_s: As of a submission.
     """
 
     at_s: float
     id: str
+    client: int | None = None
     route: str
     gateway: str
     leaves_after_s: float | None = None
 
 
 class Schedule(msgspec.Struct, frozen=True, kw_only=True, forbid_unknown_fields=True):
-    """All of a play."""
+    """All of a play.
+
+    Attributes:
+      event_s: Time between the events of an answer.
+    """
 
     seed: int
     length_s: float
     gateways: int
     runners: int
+    event_s: float = 0.02
     jobs: tuple[PlannedJob, ...]
     submissions: tuple[Submission, ...]
     ends: tuple[EndRequest, ...]
--- a/bench/scheduled_soak.py
+++ b/bench/scheduled_soak.py
@@ -16,12 +16,14 @@
 
 import argparse
 import collections
+import contextlib
 import json
 import pathlib
 import random
 import sys
 import time
 from collections.abc import Awaitable, Callable, Iterable
+from functools import partial
 from typing import Any
 
 import attrs
@@ -71,7 +73,6 @@
 _CALL_S = 4.0
 _REQUEST_S = 6.0
 _DEADLINE_MS = 3000
-_EVENT_S = 0.02
 _SETTLE_READ_S = 0.1
 _OUT = pathlib.Path("out")
 _NETWORK = (httpcore.NetworkError, httpcore.ProtocolError, httpcore.TimeoutException)
@@ -84,16 +85,19 @@
     Attributes:
       finish_s: The shorter bound.
       settle_s: The bound of ``bench.soak``.
+      out: Where a play that fails leaves its folder.
       late: Jobs that broke the shorter bound, in words.
       settled_s: When the last job was whole, from healing on.
       unanswered: Jobs that no answer has told to be accepted, and whose rows are open
         after all has settled; nothing is promised about them.
+      pools: Connections of clients that keep theirs.
       met: How often the gateways logged each of ``SENTENCES``.
     """
 
     schedule: Schedule
     finish_s: float = FINISH_S
     settle_s: float = SETTLE_S
+    out: pathlib.Path = _OUT
     record: Record = attrs.field(factory=Record)
     jobs: dict[str, Job] = attrs.field(factory=dict)
     answers: dict[str, tuple[str, Answer | None]] = attrs.field(factory=dict)
@@ -104,6 +108,7 @@
     fleet: RecordedGateways = attrs.field(init=False)
     faults: FaultPlayer = attrs.field(init=False)
     healed_at: float = 0.0
+    pools: dict[int | None, httpcore.AsyncConnectionPool] = attrs.field(factory=dict)
     met: dict[str, int] = attrs.field(factory=dict)
 
     def __attrs_post_init__(self) -> None:
@@ -138,7 +143,7 @@
             self._count_sentences()
             if self.failed:
                 at = time.strftime("%H%M%S")
-                self.folder = _OUT / f"scheduled-soak-{self.schedule.seed}-{at}"
+                self.folder = self.out / f"scheduled-soak-{self.schedule.seed}-{at}"
                 self.record.problems += self.late
                 self.record.write(self.folder, self.schedule, self.fleet)
             self.fleet.close()
@@ -151,7 +156,8 @@
 
     async def _play(self) -> None:
         for name in self.fleet.runners:
-            await self.fleet.control(name, events=EVENTS, event_s=_EVENT_S)
+            knobs = {"events": EVENTS, "event_s": self.schedule.event_s}
+            await self.fleet.control(name, **knobs)
         async with trio.open_nursery() as nursery:
             nursery.start_soon(self.record.watch)
             await self._play_schedule()
@@ -163,7 +169,11 @@
     async def _play_schedule(self) -> None:
         self.record.reach("play")
         schedule, began = self.schedule, trio.current_time()
-        async with trio.open_nursery() as nursery:
+        clients = {step.client for step in schedule.requests} - {None}
+        async with contextlib.AsyncExitStack() as stack, trio.open_nursery() as nursery:
+            for client in clients:
+                pool = httpcore.AsyncConnectionPool()
+                self.pools[client] = await stack.enter_async_context(pool)
             for steps, do in (
                 (schedule.submissions, self._submit),
                 (schedule.ends, self._end),
@@ -239,7 +249,11 @@
         answer = await _answered(
             call,
             lambda: self.fleet.ask(
-                step.gateway, ROUTES[step.route], step.id, deadline_ms=_DEADLINE_MS
+                step.gateway,
+                ROUTES[step.route],
+                step.id,
+                deadline_ms=_DEADLINE_MS,
+                pool=self.pools.get(step.client),
             ),
             step.leaves_after_s,
             waits_s=_REQUEST_S,
@@ -319,6 +333,7 @@
             "seed": self.schedule.seed,
             "gateways": self.schedule.gateways,
             "runners": self.schedule.runners,
+            "event_s": self.schedule.event_s,
             "load": [round(load[0], 1) for load in self.record.load.values()],
             "requests": len(self.answers),
             "answered": sum(a is not None for _, a in self.answers.values()),
@@ -368,20 +383,24 @@
     return answer
 
 
-def cut_down(schedule: Schedule, *, plays: int) -> Schedule:
-    """Takes out each fault without which one of some plays still fails."""
+def cut_down(schedule: Schedule, fails: Callable[[Schedule], bool]) -> Schedule:
+    """Takes out each fault without which the schedule still fails."""
     for fault in schedule.faults:
         fewer = schedule.without([fault.number])
-        if any(_failed_play(fewer) for _ in range(plays)):
+        if fails(fewer):
             schedule = fewer
-            print(json.dumps({"not needed": fault.number}), flush=True)
     return schedule
 
 
-def _failed_play(schedule: Schedule) -> bool:
-    play = Play(schedule)
-    play.play()
-    return play.failed
+def _fails(schedule: Schedule, *, plays: int) -> bool:
+    """Returns whether one of some plays fails, and prints it."""
+    for _ in range(plays):
+        play = Play(schedule)
+        play.play()
+        print(json.dumps(play.line()), flush=True)
+        if play.failed:
+            return True
+    return False
 
 
 def _schedules(options: argparse.Namespace) -> Iterable[Schedule]:
@@ -424,7 +443,7 @@
         path = _OUT / "schedules" / f"{schedule.seed}.json"
         save_schedule(schedule, path)
         if options.cut_down:
-            schedule = cut_down(schedule, plays=options.plays)
+            schedule = cut_down(schedule, partial(_fails, plays=options.plays))
             save_schedule(schedule, path.with_suffix(".cut.json"))
             continue
         for _ in range(options.plays):
--- a/tests/harness/_gateways.py
+++ b/tests/harness/_gateways.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import base64
+import contextlib
 import json
 import os
 import pathlib
@@ -388,17 +389,21 @@
         *,
         headers: dict[str, str] | None = None,
         body: bytes = b"",
+        pool: httpcore.AsyncConnectionPool | None = None,
     ) -> Answer:
-        """Makes a client's call on a connection of its own."""
+        """Makes a client's call, on a connection of its own if no pool is given."""
         port = self.ports[name]["front"]
         wire = [("host", host), *(headers or {}).items()]
         if body:
             wire.append(("content-length", str(len(body))))
         parts: list[bytes] = []
         url = f"http://127.0.0.1:{port}{target}"
+        own = httpcore.AsyncConnectionPool() if pool is None else None
         async with (
-            httpcore.AsyncConnectionPool() as pool,
-            pool.stream(method, url, headers=wire, content=body or None) as response,
+            own or contextlib.nullcontext(),
+            (own or pool).stream(
+                method, url, headers=wire, content=body or None
+            ) as response,
         ):
             whole = True
             try:
@@ -417,6 +422,7 @@
         *,
         deadline_ms: int = 5000,
         body: str = "",
+        pool: httpcore.AsyncConnectionPool | None = None,
         **headers: str,
     ) -> Answer:
         """Sends an online request, with a body of its own if none is given."""
@@ -425,7 +431,9 @@
         sent |= {key.replace("_", "-"): value for key, value in headers.items()}
         content = (body or f"prompt of {request}").encode()
         target = prefix + "x?q=%2F1"
-        return await self.call(name, "POST", host, target, headers=sent, body=content)
+        return await self.call(
+            name, "POST", host, target, headers=sent, body=content, pool=pool
+        )
 
     async def submit(self, name: str, job: str, items: list[str]) -> Answer:
         """Submits a job with items of these bodies."""
