--- a/bench/_soak_drawing.py
+++ b/bench/_soak_drawing.py
@@ -49,6 +49,12 @@
 LEASE_S = 3.4
 """Lease of an instance in a fleet of a few: its owner is given up after it."""
 
+_SINGLE_PER_S = 0.7
+_COURSES_PER_S = 0.25
+_FIRST_FAULT_S = 0.3
+_COURSE_S = 3.0
+"""Left for a course before the end."""
+
 _LAST_FAULT_S = 0.5
 """Before the end of a play no fault begins any more."""
 
@@ -78,9 +84,12 @@
 class Drawing:
     """A schedule while it is drawn."""
 
-    def __init__(self, seed: int, *, length_s: float, gateways: int | None) -> None:
+    def __init__(
+        self, seed: int, *, length_s: float, gateways: int | None, every: bool
+    ) -> None:
         self.rng = random.Random(f"schedule {seed}")
         self.seed = seed
+        self.every = every
         self.length_s = length_s
         drawn = self.rng.choice((4, 4, 4, 5, 6, 8))
         self.gateways = [f"gateway-{n + 1}" for n in range(gateways or drawn)]
@@ -204,12 +213,10 @@
     def _draw_faults(self) -> None:
         drawn: list[AnyFault] = []
         last_s = self.length_s - _LAST_FAULT_S
-        for _ in range(self.rng.randint(2, max(3, int(self.length_s * 0.7)))):
-            at_s = self.span(0.3, last_s)
-            drawn += self.rng.choice(SINGLE)(self, at_s)
-        for _ in range(self.rng.randint(1, max(1, int(self.length_s / 4)))):
-            at_s = self.span(0.3, max(0.5, last_s - 3))
-            drawn += self.rng.choice(COURSES)(self, at_s)
+        for drawer in self._drawers():
+            longest_s = last_s - _COURSE_S if drawer in COURSES else last_s
+            at_s = self.span(_FIRST_FAULT_S, max(2 * _FIRST_FAULT_S, longest_s))
+            drawn += drawer(self, at_s)
         drawn.sort(key=lambda fault: fault.at_s)
         ends_by_s = self.length_s + self.rng.choice((0.1, 0.1, 1, 4))
         self.faults = [
@@ -217,6 +224,15 @@
             for number, fault in enumerate(drawn, 1)
         ]
 
+    def _drawers(self) -> list[Drawer]:
+        """Draws what is to go wrong."""
+        if self.every:
+            return SINGLE + COURSES
+        most = max(3, int(self.length_s * _SINGLE_PER_S))
+        singles = self.rng.choices(SINGLE, k=self.rng.randint(2, most))
+        most = max(1, int(self.length_s * _COURSES_PER_S))
+        return singles + self.rng.choices(COURSES, k=self.rng.randint(1, most))
+
     def sent_about(self, at_s: float) -> str:
         """Draws a job that is first submitted within the second before a moment."""
         first_s = self.first_sent_s
@@ -225,7 +241,7 @@
 
 
 def draw_schedule(
-    seed: int, *, length_s: float, gateways: int | None = None
+    seed: int, *, length_s: float, gateways: int | None = None, every: bool = False
 ) -> Schedule:
     """Draws a schedule.
 
@@ -233,8 +249,10 @@
       seed: Gives the same schedule each time.
       length_s: From the first call to the last.
       gateways: How many there are; None draws four to eight.
+      every: Whether each fault and each course comes once, instead of some.
     """
-    return Drawing(seed, length_s=length_s, gateways=gateways).draw()
+    drawing = Drawing(seed, length_s=length_s, gateways=gateways, every=every)
+    return drawing.draw()
 
 
 def _placed(fault: AnyFault, number: int, *, ends_by_s: float) -> AnyFault:
--- a/tests/features/steps/scheduled_soak_steps.py
+++ b/tests/features/steps/scheduled_soak_steps.py
@@ -10,6 +10,7 @@
 from behave import then, when
 
 from bench._soak_drawing import draw_schedule
+from bench._soak_play import Play
 from bench._soak_schedule import (
     GatewaysKilled,
     OnlineRequest,
@@ -22,7 +23,7 @@
     load_schedule,
     save_schedule,
 )
-from bench.scheduled_soak import Play, cut_down
+from bench.scheduled_soak import cut_down
 
 LENGTH_S = 12.0
 ON_PURPOSE = "j-0: made to fail on purpose"
