Scheduled soak: answers lost by changes of jobs alone

Change: the store's stand-in can lose the answers of changes that write to one table; drawn for half of the faults, for the table of jobs. Jobs that no answer has told to be accepted are looked at until the shorter bound is over.

--- a/bench/_soak_drawing.py
+++ b/bench/_soak_drawing.py
@@ -290,6 +290,7 @@
         for_s=for_s,
         share=drawing.rng.choice((0.4, 0.4, 0.7, 1.0)),
         late_effect_s=drawing.rng.choice((0.0, LATE_EFFECT_S)),
+        table=drawing.rng.choice(("", "job")),
     )
 
 
--- a/bench/_soak_faults.py
+++ b/bench/_soak_faults.py
@@ -43,7 +43,7 @@
 _ROW_S = 0.5
 _NETWORK = (httpcore.NetworkError, httpcore.ProtocolError, httpcore.TimeoutException)
 _HEALTHY_WAY = {"cut": False, "swallow": False, "mute": False, "delay_s": 0.0}
-_HEALTHY = {"store": HEALTHY_STORE | {"dropped_before": 0}}
+_HEALTHY = {"store": HEALTHY_STORE | {"dropped_before": 0, "lose_table": ""}}
 
 Player = Callable[["FaultPlayer", Any], Awaitable[None]]
 PLAYERS: dict[type, Player] = {}
@@ -152,8 +152,13 @@
 
 @plays(StoreLosesAnswers)
 async def _store_loses_answers(player: FaultPlayer, fault: StoreLosesAnswers) -> None:
-    knobs = {"lose_share": fault.share, "late_effect_s": fault.late_effect_s}
-    await player.have("store", fault.for_s, **knobs)
+    await player.have(
+        "store",
+        fault.for_s,
+        lose_share=fault.share,
+        late_effect_s=fault.late_effect_s,
+        lose_table=fault.table,
+    )
 
 
 @plays(HistoryLost)
--- a/bench/_soak_play.py
+++ b/bench/_soak_play.py
@@ -70,7 +70,7 @@
       late: Jobs that broke the shorter bound, in words.
       settled_s: When the last job was whole, from healing on.
       unanswered: Jobs that no answer has told to be accepted, and whose rows are open
-        after all has settled; nothing is promised about them.
+        when the shorter bound is over; nothing is promised about them.
       pools: Connections of clients that keep theirs.
       met: How often the gateways logged each of ``SENTENCES``.
     """
@@ -317,11 +317,17 @@
                 await self._look_at_unanswered(job)
 
     async def _look_at_unanswered(self, job: Job) -> None:
-        rows = await self.fleet.rows_of_job(job.id)
+        """Looks whether a job that took effect all the same is run, too."""
+        while await self._is_open(job):
+            if self._healed_s() > self.finish_s:
+                self.unanswered.append(job.id)
+                return
+            await trio.sleep(_SETTLE_READ_S)
+
+    async def _is_open(self, job: Job) -> bool:
+        rows = self._kept(job)["unanswered"] = await self.fleet.rows_of_job(job.id)
         row = rows.get(f"job/{job.id}", {}).get("value")
-        if row and not row.get("ended") and len(row["listed"]) < len(job.items):
-            self.unanswered.append(job.id)
-            self._kept(job)["unanswered"] = rows
+        return bool(row) and not row["ended"] and len(row["listed"]) < len(job.items)
 
     def line(self) -> dict[str, Any]:
         """Returns what the play showed."""
--- a/bench/_soak_schedule.py
+++ b/bench/_soak_schedule.py
@@ -54,10 +54,16 @@
 
 
 class StoreLosesAnswers(Fault):
-    """A share of the changes lose their answers and take effect, some later."""
+    """A share of the changes lose their answers and take effect, some later.
+
+    Attributes:
+      table: Only changes that write to this table do; empty for all. With "job" these
+        are acceptances, takeovers, commits and ends, while leases are renewed.
+    """
 
     share: float
     late_effect_s: float
+    table: str = ""
 
 
 class HistoryLost(Fault):
--- a/tests/standins/platform.py
+++ b/tests/standins/platform.py
@@ -43,6 +43,7 @@
       hang: Take calls and never answer.
       lose_next: So many further changes take effect and lose their answer.
       lose_share: Share of changes that do, at random from the seed.
+      lose_table: Only changes that write to this table do; empty for all.
       late_effect_s: Lost changes take effect so much later.
       dropped_before: Changes up to this version are no longer kept.
       stale_reads: Reads see the state when this was set.
@@ -57,6 +58,7 @@
     hang: bool = False
     lose_next: int = 0
     lose_share: float = 0.0
+    lose_table: str = ""
     late_effect_s: float = 0.0
     dropped_before: int = 0
     stale_reads: bool = False
@@ -202,7 +204,7 @@
             deletes=[_key(e) for e in wire["remove"]],
             part=entries[0]["part"] if entries else "",
         )
-        lost = self._loses()
+        lost = self._loses(transaction)
         if lost and self.knobs.late_effect_s:
             self.nursery.start_soon(self._later, transaction)
             await trio.sleep_forever()
@@ -231,7 +233,12 @@
         await trio.sleep(self.knobs.late_effect_s)
         self.memory.transact_now(transaction)
 
-    def _loses(self) -> bool:
+    def _loses(self, transaction: Transaction) -> bool:
+        table = f"{self.knobs.lose_table}/"
+        if self.knobs.lose_table and not any(
+            put.key.startswith(table) for put in transaction.puts
+        ):
+            return False
         if self.knobs.lose_next > 0:
             self.knobs.lose_next -= 1
             return True
