--- a/tests/harness/_job_plans.py
+++ b/tests/harness/_job_plans.py
@@ -6,12 +6,15 @@
 import random
 from collections.abc import Iterator
 
+import attrs
+
 from tests.harness._job_play import ITEMS, Ask, Fault, Plan
 from tests.harness._jobs import HOST
 
 OTHER_HOST = "other.example"
 HARD_LENGTH_S = 20.0
 GRID_LENGTH_S = 10.0
+LARGE_INSTANCES = 26
 TOKENS = 10
 """Tokens of an item."""
 
@@ -59,6 +62,19 @@
     )
 
 
+def draw_large_plan(seed: int) -> Plan:
+    """Draws a play of a fleet so large that rows of instances are read rarely."""
+    plan = draw_hard_plan(seed)
+    rng = random.Random(f"large {seed}")
+    faults = tuple(
+        attrs.evolve(fault, instance=rng.randrange(LARGE_INSTANCES))
+        if fault.instance is not None and rng.random() < 0.5
+        else fault
+        for fault in plan.faults
+    )
+    return attrs.evolve(plan, faults=faults, instances=LARGE_INSTANCES)
+
+
 def _draw_asks(rng: random.Random, job: str, instances: int) -> list[Ask]:
     at, host = rng.uniform(1, HARD_LENGTH_S), rng.choice((HOST, HOST, OTHER_HOST))
     large = rng.random() < 0.1
--- a/tests/harness/_job_play.py
+++ b/tests/harness/_job_play.py
@@ -12,6 +12,8 @@
 which their timers fire late; news of takeovers comes late. Clients come again at other
 instances, leave in the middle of a call, submit to several hosts and ask for ends.
 
+Beyond 24 instances their rows are read rarely while all are heard.
+
 What it does not have: links (news of takeovers takes a drawn time), upstreams
 that end or refuse, preemption by online requests, expiry, and the sweeper.
 """
@@ -32,7 +34,7 @@
 
 from coppercleat.gateway import JobAnswer, JobService
 from coppercleat.gateway._run import UNREADY_S, _stop
-from coppercleat.ids import JobId, ZoneId
+from coppercleat.ids import InstanceId, JobId, ZoneId
 from coppercleat.jobs import (
     ItemRunner,
     ItemState,
@@ -88,6 +90,9 @@
 PATIENCE_S = 5.0
 """A client that is not answered in this time comes again."""
 
+HEARD_S = 2.0
+"""An instance that is silent is heard of for so long."""
+
 NEWS_S = 0.03
 """Time that news of a takeover takes."""
 
@@ -266,6 +271,7 @@
         hosts: tuple[str, ...] = (HOST,),
         pause_s: float = 0.4,
         on_takeover: Callable[[JobId, str], None] = lambda job, previous: None,
+        hears: Callable[[], set[InstanceId]] | None = None,
     ) -> None:
         rng = random.Random(f"{number} {start}")
         placement = Placement(ZoneId("a"), rng=rng)
@@ -276,6 +282,8 @@
         self.pauses = 0
         self._resumed = trio.Event()
         self.watch = Watch(settings, NoCatalogue(), view, placement, boot=boot, rng=rng)
+        if hears is not None:
+            self.watch.is_settled = lambda live: live == hears()
         view.owner = self.watch.owner_name
         view.pass_pause = self.pass_pause
         placement.replace([roomy_upstream("x")])
@@ -411,6 +419,7 @@
         self._route = make_route(letter, retention_s=600.0, max_waiting_tokens=quota)
         self._trouble: list[list[Trouble]] = [[] for _ in range(plan.instances)]
         self._scopes: list[trio.CancelScope] = []
+        self._silent_since: dict[int, float] = {}
         self._starts = 0
 
     def play(self) -> None:
@@ -452,8 +461,16 @@
             hosts=tuple({HOST: None} | dict.fromkeys(self._hosts.values())),
             pause_s=self.plan.pause_s,
             on_takeover=lambda job, owner: self._announce(number, job, owner),
+            hears=lambda: self._heard_at(number),
         )
 
+    def _heard_at(self, number: int) -> set[InstanceId]:
+        """Returns the other instances that an instance hears."""
+        gone = trio.current_time() - HEARD_S
+        silent = {n for n, since in self._silent_since.items() if since < gone}
+        others = set(range(self.plan.instances)) - silent - {number}
+        return {InstanceId(f"i-{other}") for other in others}
+
     async def _run(self, number: int) -> None:
         instance = self.instances[number]
         with self._scopes[number], _at(instance):
@@ -510,14 +527,18 @@
         self._scopes[number].cancel()
         for call in self.instances[number].calls:
             call.cancel()
+        self._silent_since.setdefault(number, trio.current_time())
         await trio.sleep(min(fault.for_s, RESTART_S))
+        self._silent_since.pop(number, None)
         if self._scopes[number].cancel_called:
             self.instances[number] = self._make(number)
             self._scopes[number] = trio.CancelScope()
             self.nursery.start_soon(self._run, number)
 
     async def _pause(self, fault: Fault, number: int) -> None:
+        self._silent_since.setdefault(number, trio.current_time())
         await self.instances[number].stand_still(fault.for_s)
+        self._silent_since.pop(number, None)
 
     async def _stop(self, fault: Fault, number: int) -> None:
         instance = self.instances[number]
