--- a/tests/features/job_owners.feature
+++ b/tests/features/job_owners.feature
@@ -23,3 +23,16 @@
       | the answers to its release are lost             | 2.5    |
       | its release takes effect late, without answers  | 2.5    |
       | the store is away for the first second          | 2.5    |
+
+  # An owner may know a route later than the instance that accepted its job: then its items
+  # must wait, and not fail.
+  Scenario Outline: A job's owner learns of its route after <known> s
+    When the owner of a job learns of its route after <known> s
+    Then its items are <state> within <within> s
+
+    Examples:
+      | known | state     | within |
+      | 0     | completed | 3      |
+      | 0.6   | completed | 4      |
+      | 5     | completed | 8      |
+      | 99    | failed    | 12     |
--- a/tests/features/steps/job_owner_steps.py
+++ b/tests/features/steps/job_owner_steps.py
@@ -12,7 +12,7 @@
     ItemState,
     JobIndex,
 )
-from coppercleat.serving import UpstreamResponse
+from coppercleat.serving import RouteConfig, RouteTable, UpstreamResponse
 from coppercleat.storage import MemoryPlatform
 from coppercleat.upstreams import AttemptState
 from tests.harness import HOST, make_repository, make_worker, submission
@@ -149,3 +149,44 @@
 def leaving_known(context, within):
     # Others look for changed rows once a second, with some jitter.
     assert context.known_s <= within + 1.2, context.known_s
+
+
+# Routes.
+
+
+@when("the owner of a job learns of its route after {known:g} s")
+def route_known(context, known):
+    async def run():
+        platform = MemoryPlatform()
+        repository, index = make_repository(platform), JobIndex(platform)
+        worker = make_worker(repository, index)
+        worker.items.caller = OneEvent()
+        routes = worker._starter.routes
+        other = RouteTable(RouteConfig(version=1, routes=()))
+        worker._starter.routes = lambda: (
+            routes() if trio.current_time() >= known else other
+        )
+        await repository.accept(
+            submission("job", ITEMS),
+            worker_route(routes),
+            owner=worker.owner,
+            finished_tokens=lambda host, prefix: 0,
+        )
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(worker.run)
+            while (await repository.find(HOST, JobId("job"))).row.open:
+                await trio.sleep(0.1)
+                if trio.current_time() > LONGEST_S:
+                    break
+            context.took_s = trio.current_time()
+            nursery.cancel_scope.cancel()
+        page = await repository.results(HOST, JobId("job"), ITEMS, after=0)
+        context.states = {result.state.value for result in page.results}
+
+    trio.run(run, clock=trio.testing.MockClock(autojump_threshold=0))
+
+
+@then("its items are {state} within {within:g} s")
+def items_ended(context, state, within):
+    assert context.states == {state}, context.states
+    assert context.took_s <= within, context.took_s
