Jobs: items wait for a route that their owner does not know yet

Callers saw (by the model, not on a site): all items of an accepted job listed as given up at once, though its route is in force. Cause: an owner gave up the pending items of a job as soon as its own routes had none for it. Routes reach instances up to some seconds apart, and a job may change its owner within 0.6 s (one accepted without an owner, or of an instance that stops), so that the new owner's routes may be older than the job. Evidence: with routes 0.6 s and 5 s older than the job all items failed at once (two rows of job_owners.feature); they are completed now, and those of a job whose route never comes are given up within 12 s, inside finishS. Why it works: a missing route counts once it has been missing for 10 s without a break, longer than a configuration takes to be in force; a time in which nothing could be read is none. Class: what is not there, taken for gone by a reader whose knowledge is older.

--- a/src/coppercleat/jobs/_run.py
+++ b/src/coppercleat/jobs/_run.py
@@ -126,6 +126,7 @@
       running: Items that run at upstreams, by index.
       finished: Items whose results are still to be committed.
       lateness_logged: Whether the warning that the job will be late was logged.
+      unrouted_since: Since when the job has had no route here, in trio time.
     """
 
     def __init__(
@@ -139,6 +140,7 @@
         self.running: dict[int, ItemProgress] = {}
         self.finished: list[FinishedItem] = []
         self.lateness_logged = False
+        self.unrouted_since: float | None = None
         listed = set(stored.row.listed)
         for index, spec in enumerate(items):
             if index in listed:
--- a/src/coppercleat/jobs/_starter.py
+++ b/src/coppercleat/jobs/_starter.py
@@ -21,6 +21,10 @@
 """Grace after a job's expiry before its items fail: the clocks of the instance that
 accepted the job and of its owner may differ by seconds."""
 
+ROUTE_GRACE_S = 10.0
+"""Grace before the items of a job without a route fail: its owner may learn of a new
+route some seconds after the instance that accepted the job."""
+
 _SLOT_POLL_S = 0.02
 """Poll interval for free slots while items wait. The end of a local run wakes the
 starter at once; slots freed by other instances are seen only by polling."""
@@ -161,6 +165,9 @@
         """
         table = self.routes()
         if table is None or not self.may_start():
+            # Routes may be as old as the time in which nothing was read.
+            for run in self.runs.values():
+                run.unrouted_since = None
             return False
         wall = self.clock()
         candidates = next_candidates(
@@ -218,13 +225,15 @@
     def _runnable(
         self, table: RouteTable, wall: float
     ) -> Iterator[tuple[JobRun, Route]]:
-        """Yields jobs with their routes; fails the pending items of expired ones."""
+        """Yields jobs with their routes; fails pending items of the others in time."""
         for run in list(self.runs.values()):
             row = run.stored.row
             route = table.match(row.host, row.path)
-            if route is not None and wall <= row.expires_at + EXPIRY_MARGIN_S:
+            has_expired = wall > row.expires_at + EXPIRY_MARGIN_S
+            if route is not None and not has_expired:
+                run.unrouted_since = None
                 yield run, route
-            elif run.pending:
+            elif run.pending and (has_expired or _is_route_gone(run)):
                 _log.warning(
                     "Pending items failed: the job expired or has no route.",
                     job=row.job,
@@ -235,3 +244,11 @@
     async def _run_item(self, running: RunningItem, route: Route) -> None:
         await self.items.run(running, route)
         self.wake()
+
+
+def _is_route_gone(run: JobRun) -> bool:
+    """Returns whether a job without a route has had none for the grace."""
+    now = trio.current_time()
+    if run.unrouted_since is None:
+        run.unrouted_since = now
+    return now - run.unrouted_since >= ROUTE_GRACE_S
