Jobs: a checkpoint or an input that does not decode ends no gateway

Callers would see: an instance that owns such a job ends, and each that takes the job over after it, so that no job is listed. Cause: rows of input and checkpoints were decoded without a guard in a task of the worker. Change: the item of a bad checkpoint starts anew; a job whose input does not decode is tried again, as one whose input is missing, and does not stop others. Evidence: two rows of lasting_jobs.feature ended the play with DecodeError before and pass. Still open: a job whose input stays missing or bad is never listed, not even as failed. Brought about by a foreign row only; no site has shown it.

--- a/src/coppercleat/jobs/_repository.py
+++ b/src/coppercleat/jobs/_repository.py
@@ -32,6 +32,7 @@
 from coppercleat.serving import Route
 from coppercleat.storage import (
     ABSENT,
+    BAD_BYTES,
     MAX_TRANSACTION_ENTRIES,
     AnswerLostError,
     Check,
@@ -280,18 +281,29 @@
             if len(found) != row.slices:
                 raise PlatformUnavailableError(f"Input of {row.job} is missing")
             packed = b"".join(slice_row.value for _, slice_row in found)
-        return msgspec.msgpack.decode(packed, type=list[ItemSpec])
+        try:
+            return msgspec.msgpack.decode(packed, type=list[ItemSpec])
+        except BAD_BYTES as error:
+            raise PlatformUnavailableError(
+                f"Input of {row.job} does not fit: {error}"
+            ) from error
 
     async def checkpoints(self, row: JobRow) -> dict[int, CheckpointRow]:
-        """Returns the checkpoints of a job's items, by item index."""
+        """Returns the checkpoints of a job's items, by item index.
+
+        An item whose checkpoint does not fit starts anew.
+        """
         prefix = f"partial/{row.job}/"
-        found = await self.platform.scan(prefix, part=row.host)
-        return {
-            int(key.removeprefix(prefix)): msgspec.msgpack.decode(
-                checkpoint.value, type=CheckpointRow
-            )
-            for key, checkpoint in found
-        }
+        checkpoints = {}
+        for key, found in await self.platform.scan(prefix, part=row.host):
+            try:
+                index = int(key.removeprefix(prefix))
+                checkpoint = msgspec.msgpack.decode(found.value, type=CheckpointRow)
+            except (ValueError, *BAD_BYTES) as error:
+                _log.error("Checkpoint is invalid; ignored.", key=key, why=str(error))
+                continue
+            checkpoints[index] = checkpoint
+        return checkpoints
 
     async def results(
         self, host: str, job: JobId, total: int, *, after: int
