Tests: ends of a job that waits for a slot, while the owner's reads fail

That the store omits changes is said in _index.py and large_fleets.feature, not on the users' pages.

--- a/tests/features/lasting_jobs.feature
+++ b/tests/features/lasting_jobs.feature
@@ -40,6 +40,18 @@
       | ended             |
       | ended and deleted |
 
+  # The users' pages: cancelMs.
+  Scenario Outline: A job that waits for a slot is ended while <what>
+    When a job that waits for a slot is ended while <what>
+    Then no item of it begins more than 3 s after the end
+
+    Examples:
+      | what                                          |
+      | all is well                                   |
+      | the history is lost at each look of 8 s       |
+      | its owner can read changes, but nothing whole |
+      | one look omits its change                     |
+
   Scenario Outline: <row> of a job does not fit
     When <row> of a job does not fit and another job is accepted
     Then its owner goes on and lists <listed>
--- a/tests/features/steps/lasting_job_steps.py
+++ b/tests/features/steps/lasting_job_steps.py
@@ -29,6 +29,7 @@
 )
 from tests.harness._job_play import FiveEvents
 from tests.harness._job_store import Trouble, View
+from tests.harness._jobs import LOOK_S
 
 MAX_ENTRIES = 100
 """Entries of one transaction, by the store."""
@@ -249,6 +250,60 @@
     assert not context.began, context.began
 
 
+# Items that wait for a slot.
+
+
+def trouble_while(kind, for_s, only=""):
+    async def harm(site):
+        trouble = Trouble(kind, only)
+        site.view.trouble.append(trouble)
+        await trio.sleep(for_s)
+        site.view.trouble.remove(trouble)
+
+    return harm
+
+
+async def no_trouble(site):
+    return None
+
+
+WHILE = {
+    "all is well": no_trouble,
+    "the history is lost at each look of 8 s": trouble_while("history", 8.0),
+    "its owner can read changes, but nothing whole": trouble_while("away", 8.0, "scan"),
+    "one look omits its change": trouble_while("omits", LOOK_S + 0.1),
+}
+
+
+@when("a job that waits for a slot is ended while {what}")
+def ended_while_waiting(context, what):
+    async def run(site):
+        await site.accept("first", SLOTS // 2)
+        await site.accept("second", SLOTS // 2)
+        await trio.sleep(0.2)
+        await site.accept("job", 1)
+        # Just after a read of all: the next one is as far off as can be.
+        await trio.sleep(0.3)
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(WHILE[what], site)
+            await trio.sleep(0.01)
+            assert await make_repository(site.memory).cancel(HOST, "job")
+            ended_at = trio.current_time()
+        await trio.sleep(10)
+        began = site.caller.began.get("job", [])
+        context.began = [round(at - ended_at, 2) for at in began]
+        assert await site.listed("second") == SLOTS // 2
+
+    # Slots are free 4.5 s after they were taken.
+    play(run, event_s=0.9)
+
+
+@then("no item of it begins more than {seconds:g} s after the end")
+def none_begins_late(context, seconds):
+    late = [at for at in context.began if at > seconds]
+    assert not late, late
+
+
 # Rows that do not fit.
 
 
