A suite beside another one takes no shard that is held

Cause: tools/behave_shards.py gives its processes the shards 0 to 5.

Change: a suite holds a lock of its own for its time; a second one gives no shard, so that each of its processes takes the highest free one.

--- a/tests/features/ports.feature
+++ b/tests/features/ports.feature
@@ -17,6 +17,12 @@
     When the play is killed
     Then a second play may be given the same shard
 
+  Scenario: A second suite starts beside another
+    Given a suite that holds the shards 0 to 5
+    When a second suite starts
+    Then the processes of the second suite are given no shard
+    And a suite that starts after the end of the first is given the shards 0 to 5
+
   # A gateway that is killed leaves its ports free until it starts again.
   Scenario Outline: A process of another play takes the <use> port of a dead <process>
     Given 1 gateways and 1 runners, none of whose ports others hold
--- a/tests/features/steps/port_steps.py
+++ b/tests/features/steps/port_steps.py
@@ -4,6 +4,7 @@
 import signal
 import subprocess
 import sys
+import tempfile
 import time
 
 import yaml
@@ -22,6 +23,12 @@
     print(child.popen.pid, flush=True)
 input()
 """
+_SUITE = """
+from tools.behave_shards import Run
+run = Run([])
+print(*(run.environment(n).get("COPPERCLEAT_TEST_SHARD") for n in range(6)), flush=True)
+input()
+"""
 _LISTENER = """
 import socket, sys
 listener = socket.create_server(("127.0.0.1", {port}))
@@ -121,6 +128,38 @@
     assert shard_of(second) == context.shards[0]
 
 
+@given("a suite that holds the shards 0 to 5")
+def first_suite(context):
+    # Locks of its own: this scenario may run within a suite.
+    context.locks = tempfile.TemporaryDirectory(prefix="coppercleat-locks-")
+    context.add_cleanup(context.locks.cleanup)
+    context.suite = start_suite(context)
+    assert context.suite.stdout.readline().split() == [str(n) for n in range(6)]
+
+
+def start_suite(context):
+    own = {"TMPDIR": context.locks.name, SHARD_VARIABLE: "11"}
+    return start_python(context, _SUITE, **os.environ | own)
+
+
+@when("a second suite starts")
+def second_suite(context):
+    context.given = start_suite(context).stdout.readline().split()
+
+
+@then("the processes of the second suite are given no shard")
+def given_none(context):
+    assert context.given == ["None"] * 6, context.given
+
+
+@then("a suite that starts after the end of the first is given the shards 0 to 5")
+def third_suite(context):
+    context.suite.kill()
+    context.suite.wait()
+    third = start_suite(context)
+    assert third.stdout.readline().split() == [str(n) for n in range(6)]
+
+
 # Ports of a fleet.
 
 
--- a/tests/harness/__init__.py
+++ b/tests/harness/__init__.py
@@ -56,7 +56,13 @@
     foreign_listeners,
     port_states,
 )
-from tests.harness._ports import SHARD_VARIABLE, free_port, holder_of, own_shard
+from tests.harness._ports import (
+    SHARD_VARIABLE,
+    free_port,
+    hold_suite_shards,
+    holder_of,
+    own_shard,
+)
 from tests.harness._processes import Process, until, waited_for_processor_s
 from tests.harness._relay_model import RelayModel
 from tests.harness._word_play import WordPlay, draw_course
@@ -106,6 +112,7 @@
     "first_time",
     "foreign_listeners",
     "free_port",
+    "hold_suite_shards",
     "holder_of",
     "in_no_time",
     "item_may_go",
--- a/tests/harness/_ports.py
+++ b/tests/harness/_ports.py
@@ -53,9 +53,6 @@
 class Shard:
     """A range of ports that this process holds until its end.
 
-    The lock belongs to an open file that no child inherits, so that the kernel frees it
-    when this process ends, in whatever way.
-
     Attributes:
       number: From 0 on.
       first_port: The lowest port.
@@ -69,15 +66,8 @@
         """
         self.number = number
         self.first_port = first_port(number)
-        self._file = os.open(lock_file(number), os.O_RDWR | os.O_CREAT, 0o666)
-        try:
-            fcntl.flock(self._file, fcntl.LOCK_EX | fcntl.LOCK_NB)
-        except BlockingIOError:
-            holder = holder_of(number)
-            os.close(self._file)
-            raise ShardHeldError(number, holder) from None
-        os.truncate(self._file, 0)
-        os.write(self._file, str(os.getpid()).encode())
+        if not hold(lock_file(number)):
+            raise ShardHeldError(number, holder_of(number))
         self._last_port = self.first_port
 
     def free_port(self) -> int:
@@ -105,6 +95,28 @@
     return (port - _PORT_OF_SHARD_0) // PORTS_PER_SHARD % SHARDS
 
 
+def hold(path: pathlib.Path) -> bool:
+    """Locks a file until the end of this process; returns whether no other has it.
+
+    The lock belongs to an open file that no child inherits, so that the kernel frees it
+    when this process ends, in whatever way.
+    """
+    file = os.open(path, os.O_RDWR | os.O_CREAT, 0o666)
+    try:
+        fcntl.flock(file, fcntl.LOCK_EX | fcntl.LOCK_NB)
+    except BlockingIOError:
+        os.close(file)
+        return False
+    os.truncate(file, 0)
+    os.write(file, str(os.getpid()).encode())
+    return True
+
+
+def hold_suite_shards() -> bool:
+    """Takes the lowest shards for a suite; returns whether no other suite has them."""
+    return hold(pathlib.Path(tempfile.gettempdir()) / "coppercleat-suite.lock")
+
+
 def lock_file(shard: int) -> pathlib.Path:
     """Returns the file whose lock holds a shard."""
     return pathlib.Path(tempfile.gettempdir()) / f"coppercleat-shard-{shard}.lock"
@@ -121,7 +133,7 @@
 def take_shard(wanted: str | None) -> Shard:
     """Takes the shard that is given, or the highest that is free.
 
-    Suites are given the lowest ones.
+    The lowest ones are for a suite.
 
     Raises:
       ShardHeldError: Another play has the one that is given.
--- a/tools/behave_shards.py
+++ b/tools/behave_shards.py
@@ -18,6 +18,8 @@
 import threading
 import time
 
+from tests.harness import SHARD_VARIABLE, hold_suite_shards
+
 FEATURES = "tests/features"
 KNOWN_RED = pathlib.Path("KNOWN-RED.txt")
 SHARDS = max(1, min(6, (os.cpu_count() or 2) - 2))
@@ -83,19 +85,27 @@
     """One run of all scenarios.
 
     Attributes:
+      own_shards: Whether its processes are given the suite's shards of ports; beside
+        another suite each takes one that is free.
       failed: Location, name and output of each scenario that failed.
       took: Seconds and first location of each batch.
     """
 
     def __init__(self, scenarios: list[tuple[str, str]]) -> None:
         self.waiting = collections.deque(batches(scenarios))
+        self.own_shards = hold_suite_shards()
         self.passed: list[str] = []
         self.failed: list[tuple[str, str, str]] = []
         self.took: list[tuple[float, str]] = []
 
+    def environment(self, shard: int) -> dict[str, str]:
+        """Returns the environment of the processes that run one after the other."""
+        environment = {k: v for k, v in os.environ.items() if k != SHARD_VARIABLE}
+        return environment | ({SHARD_VARIABLE: str(shard)} if self.own_shards else {})
+
     def work(self, shard: int) -> None:
         """Runs batches until none is left."""
-        environment = {**os.environ, "COPPERCLEAT_TEST_SHARD": str(shard)}
+        environment = self.environment(shard)
         while True:
             try:
                 batch = self.waiting.popleft()
