--- a/bench/_soak_evidence.py
+++ b/bench/_soak_evidence.py
@@ -21,7 +21,7 @@
 from tests.harness import JOBS, Gateways, Process, own_shard, port_states
 
 _COLLECT_S = 10.0
-_MOST_CHARACTERS = 300
+_MOST_CHARACTERS = 2000
 """Of a stored value."""
 
 
