--- a/src/coppercleat/gateway/_run.py
+++ b/src/coppercleat/gateway/_run.py
@@ -87,6 +87,8 @@
     with trio.open_signal_receiver(
         signal.SIGTERM, signal.SIGINT, signal.SIGHUP
     ) as signals:
+        # Blocked since the start of the process; one that has come is delivered now.
+        signal.pthread_sigmask(signal.SIG_UNBLOCK, {signal.SIGHUP})
         async for number in signals:
             if number == signal.SIGHUP:
                 _reload(gateway, edges)
