--- a/Makefile
+++ b/Makefile
@@ -6,7 +6,7 @@
 STAMP := $(VENV)/.installed
 RUNTIME := --constraint requirements.lock
 
-.PHONY: setup demo test lint format types generated behave bench slopes event-cost gateway-slopes experiment soak chaos membership generate reference binary clean
+.PHONY: setup demo test lint format types generated behave bench slopes event-cost gateway-slopes experiment soak scheduled-soak chaos membership generate reference binary clean
 
 setup: $(STAMP)
 
@@ -75,6 +75,9 @@
 soak: setup
 	$(BIN)/python -m bench.soak
 
+scheduled-soak: setup
+	$(BIN)/python -m bench.scheduled_soak
+
 chaos: setup
 	$(BIN)/python -m bench.chaos
 
