--- a/tests/features/job_plays.feature
+++ b/tests/features/job_plays.feature
@@ -22,10 +22,11 @@
     And every accepted job was listed whole 18 s after all had healed
 
     Examples:
-      | which | first | last | stride |
-      | drawn | 0     | 5    | 1      |
-      | grid  | 5     | 1151 | 144    |
-      | pair  | 7     | 2276 | 228    |
+      | which    | first | last | stride |
+      | drawn    | 0     | 5    | 1      |
+      | takeover | 0     | 4    | 1      |
+      | grid     | 5     | 1151 | 144    |
+      | pair     | 7     | 2276 | 228    |
 
   # A simulation that does not find a planted fault proves nothing.
   Scenario Outline: Simulation <number> of the <which> ones finds <plant>
--- a/tests/features/steps/job_play_steps.py
+++ b/tests/features/steps/job_play_steps.py
@@ -8,13 +8,17 @@
     PLANTS,
     JobPlay,
     draw_hard_plan,
+    draw_large_plan,
     draw_plan,
+    draw_takeover_plan,
     grid_plans,
     pair_plans,
 )
 
 PLANS = {
     "drawn": lambda: map(draw_hard_plan, itertools.count()),
+    "large": lambda: map(draw_large_plan, itertools.count()),
+    "takeover": lambda: map(draw_takeover_plan, itertools.count()),
     "grid": grid_plans,
     "pair": pair_plans,
 }
--- a/tests/harness/__init__.py
+++ b/tests/harness/__init__.py
@@ -12,7 +12,13 @@
     Answer,
     Gateways,
 )
-from tests.harness._job_plans import draw_hard_plan, grid_plans, pair_plans
+from tests.harness._job_plans import (
+    draw_hard_plan,
+    draw_large_plan,
+    draw_takeover_plan,
+    grid_plans,
+    pair_plans,
+)
 from tests.harness._job_plants import PLANTS
 from tests.harness._job_play import JobPlay, draw_plan
 from tests.harness._jobs import (
@@ -94,7 +100,9 @@
     "draw_course",
     "draw_ends_plan",
     "draw_hard_plan",
+    "draw_large_plan",
     "draw_plan",
+    "draw_takeover_plan",
     "grid_plans",
     "pair_plans",
     "fail_by_turns",
--- a/tests/harness/_job_plans.py
+++ b/tests/harness/_job_plans.py
@@ -62,6 +62,44 @@
     )
 
 
+def draw_takeover_plan(seed: int) -> Plan:
+    """Draws a play in which owners go and takeovers are lost, most of them twice."""
+    rng = random.Random(f"takeover {seed}")
+    instances = rng.choice((3, 3, 4))
+    asks: list[Ask] = []
+    faults: list[Fault] = []
+    for number in range(rng.randint(2, 4)):
+        of_job = _draw_asks(rng, f"j-{number}", instances)
+        asks += of_job
+        for _ in range(2):
+            at = of_job[0].at + rng.choice((0.0, rng.uniform(0, 6)))
+            faults += _draw_gone_owner(rng, at, of_job[0].instance, instances)
+    return Plan(
+        tuple(faults),
+        tuple(sorted(asks, key=lambda ask: ask.at)),
+        length_s=HARD_LENGTH_S,
+        instances=instances,
+        lasting=True,
+        in_flight_s=rng.choice((0.0, 7.0)),
+        event_s=rng.choice((0.1, 0.5)),
+        order_seed=seed,
+    )
+
+
+def _draw_gone_owner(
+    rng: random.Random, at: float, owner: int, instances: int
+) -> Iterator[Fault]:
+    gone = rng.choice((owner, owner, rng.randrange(instances)))
+    kind = rng.choice(OF_ONE)
+    yield Fault(at + rng.uniform(0, 1), rng.uniform(0.3, 8), kind, gone)
+    kind, effect_s = rng.choice(("loses", "late")), rng.uniform(0.3, 5)
+    only = rng.choice(("takeover", "takeover", "commit", "end", "accept"))
+    yield Fault(at, rng.uniform(2, 9), kind, None, only, effect_s)
+    kind = rng.choice(("history", "omits", "no_input", "news"))
+    for_s = rng.uniform(0.3, LONGEST_S.get(kind, 5.0))
+    yield Fault(at + rng.uniform(0, 5), for_s, kind, None, effect_s=effect_s)
+
+
 def draw_large_plan(seed: int) -> Plan:
     """Draws a play of a fleet so large that rows of instances are read rarely."""
     plan = draw_hard_plan(seed)
