--- a/tests/harness/_job_play.py
+++ b/tests/harness/_job_play.py
@@ -615,6 +615,9 @@
         cancelled = [r for r in results if r.state is ItemState.CANCELLED]
         if cancelled and job not in self.end_asked:
             self.problems.append(f"{job}: cancelled, and nobody asked for it")
+        given_up = [r for r in results if r.state is ItemState.FAILED]
+        if given_up and all(fault.kind != "fails" for fault in self.plan.faults):
+            self.problems.append(f"{job}: given up, and no run failed")
 
     def _check_promises(self) -> None:
         self.problems += self.memory.problems
