Watch: a list of upstreams is as old as the beginning of its read

Callers would see: while the store is slow at one instance, an upstream that drains gets new requests again at another that hears of the first one's list, until its own next read. Cause: the age told with a list counted from the end of the read, up to 2 s after what it shows, so that an older list passed for a newer one. Evidence: scenario 'A slow read of the upstreams at a peer' of large_fleets.feature failed on the code before and passes. Whether a read follows an outage is told from its end as before.

--- a/src/coppercleat/serving/_watch.py
+++ b/src/coppercleat/serving/_watch.py
@@ -241,6 +241,7 @@
         self._list = UpstreamList()
         self._upstreams: tuple[Upstream, ...] = ()
         self._upstreams_at = float("-inf")
+        self._upstreams_read_until = float("-inf")
         self._routes_read_at = float("-inf")
         self._renewed_at = float("-inf")
         self._instances_read_at = float("-inf")
@@ -350,6 +351,7 @@
         if routes_snapshot.upstreams and read_at > self._upstreams_at + _STALE_S:
             self._use(list(routes_snapshot.upstreams), after_outage=False)
             self._upstreams_at = read_at
+            self._upstreams_read_until = max(self._upstreams_read_until, read_at)
 
     # Polling.
 
@@ -460,12 +462,14 @@
         )
 
     async def _poll_upstreams(self) -> None:
-        now = trio.current_time()
-        after_outage = now - self._upstreams_at > 2 * _STALE_S
+        began = trio.current_time()
+        after_outage = began - self._upstreams_read_until > 2 * _STALE_S
         full = self._is_full_read("upstreams", self.settings.drain_s)
         listed = await self.catalogue.read_upstreams(full=full)
         self._use(listed, after_outage=after_outage)
-        self._upstreams_at = trio.current_time()
+        # The list is as old as the read's beginning, also for peers.
+        self._upstreams_at = began
+        self._upstreams_read_until = trio.current_time()
 
     def _use(self, listed: list[Upstream], *, after_outage: bool) -> None:
         now = trio.current_time()
--- a/tests/features/large_fleets.feature
+++ b/tests/features/large_fleets.feature
@@ -80,6 +80,10 @@
     When a row is changed and the platform omits the change for a moment
     Then a read of changes does not show it, and the next full read does
 
+  Scenario: A slow read of the upstreams at a peer replaces no newer list
+    When an upstream drains after a peer's read of 1.9 s began and before an instance's own
+    Then the instance keeps it as draining when the peer tells its list
+
   Scenario Outline: <instances> instances, whose rows are alive and <heard>, read the rows every <interval> s
     When an instance among <instances> watches their rows for 30 s, <heard>
     Then it reads them <least> to <most> times
--- a/tests/features/steps/large_fleet_store_steps.py
+++ b/tests/features/steps/large_fleet_store_steps.py
@@ -8,7 +8,14 @@
 from behave import then, when
 
 from coppercleat.ids import InstanceId, ZoneId
-from coppercleat.serving import GatewaySettings, Placement, StoreRates, Watch
+from coppercleat.serving import (
+    GatewaySettings,
+    Placement,
+    RouteConfig,
+    RouteTable,
+    StoreRates,
+    Watch,
+)
 from coppercleat.serving._watch import InstanceRow
 from coppercleat.storage import (
     HistoryLostError,
@@ -18,6 +25,7 @@
     Transaction,
 )
 from tests.harness import node_settings
+from tests.harness._links import roomy_upstream
 
 DETECTION_S = 2.0
 
@@ -129,6 +137,61 @@
         return []
 
 
+class SlowCatalogue(NoCatalogue):
+    """Lists one upstream, as it is when a read begins.
+
+    Attributes:
+      takes_s: Seconds that a read takes.
+      draining: Whether the upstream drains.
+    """
+
+    def __init__(self):
+        self.takes_s = 0.0
+        self.draining = False
+
+    async def read_upstreams(self, *, full=True):
+        found = msgspec.structs.replace(roomy_upstream("x"), draining=self.draining)
+        await trio.sleep(self.takes_s)
+        return [found]
+
+
+def watch_upstreams(name):
+    placement = Placement(ZoneId("a"), rng=random.Random(1))
+    watch = Watch(
+        node_settings(name, "a"),
+        SlowCatalogue(),
+        MemoryPlatform(),
+        placement,
+        boot="b",
+        rng=random.Random(1),
+    )
+    watch.table = RouteTable(RouteConfig(version=1, routes=()))
+    return watch
+
+
+@when(
+    "an upstream drains after a peer's read of 1.9 s began and before an instance's own"
+)
+def slow_read_at_peer(context):
+    async def run():
+        peer, instance = watch_upstreams("peer"), watch_upstreams("own")
+        peer.catalogue.takes_s = 1.9
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(peer._poll_upstreams)
+            await trio.sleep(0.4)
+            instance.catalogue.draining = True
+            await instance._poll_upstreams()
+        instance.adopt_routes_snapshot(peer.routes_snapshot(0))
+        context.upstream = instance.placement.states["x"].upstream
+
+    trio.run(run, clock=trio.testing.MockClock(autojump_threshold=0))
+
+
+@then("the instance keeps it as draining when the peer tells its list")
+def keeps_draining(context):
+    assert context.upstream.draining, context.upstream
+
+
 class RowsPlatform(MemoryPlatform):
     """Counts the reads of the instances' rows."""
 
