--- a/tests/harness/_job_play.py
+++ b/tests/harness/_job_play.py
@@ -442,6 +442,9 @@
             with trio.move_on_after(SETTLE_S):
                 for job in sorted(self.accepted):
                     await self._read_whole(job)
+                # Jobs whose acceptance was not acknowledged are run as well.
+                while self.memory.open_jobs:
+                    await trio.sleep(0.5)
             for job in sorted(self.accepted):
                 await self._check(job)
             self._check_promises()
