--- a/bench/_soak_evidence.py
+++ b/bench/_soak_evidence.py
@@ -1,6 +1,6 @@
 """What a play that fails leaves in a file, so that its cause can be told from it alone.
 
-Every line bears a time of day in UTC, as the processes' own log lines do.
+Times are times of day in UTC, as in the processes' own log lines.
 """
 
 from __future__ import annotations
@@ -116,7 +116,10 @@
         return [{"object": name} for name in report["objects"]]
 
     async def _runs(self) -> list[dict[str, Any]]:
-        return await self.fleet.runs()
+        # Runners tell their own steady clock, the same for all processes.
+        to_wall = time.time() - time.monotonic()
+        runs = await self.fleet.runs()
+        return [run | {"at": wall(run["at"] + to_wall)} for run in runs]
 
 
 def wall(unix_s: float) -> str:
