Jobs: a planned stop commits all finished items before it releases a job

Callers would see: items that had finished run again elsewhere, where more than 60 of a job wait for their commit when its owner stops as planned; a consequence of the bound on entries. Evidence: 'A job of 150 items that have finished is stopped as planned' of lasting_jobs.feature: 60 listed on the code before, 150 now.

--- a/src/coppercleat/jobs/_worker.py
+++ b/src/coppercleat/jobs/_worker.py
@@ -42,6 +42,9 @@
 _COMMIT_INTERVAL_S = 0.05
 """Items that finish within this time are committed in one transaction."""
 
+_MAX_RELEASE_COMMITS = 6
+"""A job's results may need some commits; two of them may fail."""
+
 _TAKEOVER_STAGGER_S = 0.6
 """Extra delay per rank before a job of a dead owner is taken over."""
 
@@ -479,9 +482,11 @@
         self.runs.pop(run.stored.row.job, None)
         while run.running:
             await trio.sleep(_STOP_POLL_S)
-        for _ in range(3):
+        for _ in range(_MAX_RELEASE_COMMITS):
             checkpoints = limit_checkpoints(run.new_checkpoints(1))
-            if not await self._commit(run, checkpoints, owner=NO_OWNER):
+            is_last = commit_batch_size(run.finished) == len(run.finished)
+            owner = NO_OWNER if is_last else None
+            if not await self._commit(run, checkpoints, owner=owner):
                 return
             if run.stored.row.owner == NO_OWNER:
                 _log.info("Job released.", job=run.stored.row.job)
--- a/tests/features/lasting_jobs.feature
+++ b/tests/features/lasting_jobs.feature
@@ -22,6 +22,10 @@
       | 30    | 30   |
       | 200   | 30   |
 
+  Scenario: A job of 150 items that have finished is stopped as planned before a commit
+    When a job of 150 items that have finished is stopped as planned before a commit
+    Then its row names no owner, and 150 items are listed
+
   Scenario Outline: A job is swept by an old row, accepted again with <items> items of <bytes> bytes
     When a job of <items> items of <bytes> bytes is swept by a row from before its second acceptance
     Then its second acceptance still has its input
--- a/tests/features/steps/lasting_job_steps.py
+++ b/tests/features/steps/lasting_job_steps.py
@@ -172,6 +172,28 @@
     assert len(context.checkpoints) >= count, len(context.checkpoints)
 
 
+@when(
+    "a job of {count:d} items that have finished is stopped as planned before a commit"
+)
+def stopped_finished(context, count):
+    async def run(site):
+        site.view.trouble.append(Trouble("away", "commit"))
+        await site.accept("job", count)
+        await trio.sleep(1.5)
+        site.view.trouble.clear()
+        await site.worker.release_jobs()
+        found = await make_repository(site.memory).find(HOST, "job")
+        context.owner, context.listed = found.row.owner, len(found.row.listed)
+
+    play(run)
+
+
+@then("its row names no owner, and {count:d} items are listed")
+def released_listed(context, count):
+    assert context.owner == NO_OWNER, context.owner
+    assert context.listed == count, context.listed
+
+
 # Sweeps.
 
 
