--- a/tests/features/steps/lasting_job_steps.py
+++ b/tests/features/steps/lasting_job_steps.py
@@ -172,6 +172,28 @@
     assert len(context.checkpoints) >= count, len(context.checkpoints)
 
 
+@when(
+    "a job of {count:d} items that have finished is stopped as planned before a commit"
+)
+def stopped_finished(context, count):
+    async def run(site):
+        site.view.trouble.append(Trouble("away", "commit"))
+        await site.accept("job", count)
+        await trio.sleep(1.5)
+        site.view.trouble.clear()
+        await site.worker.release_jobs()
+        found = await make_repository(site.memory).find(HOST, "job")
+        context.owner, context.listed = found.row.owner, len(found.row.listed)
+
+    play(run)
+
+
+@then("its row names no owner, and {count:d} items are listed")
+def released_listed(context, count):
+    assert context.owner == NO_OWNER, context.owner
+    assert context.listed == count, context.listed
+
+
 # Sweeps.
 
 
@@ -280,10 +302,11 @@
     async def run(site):
         await site.accept("first", SLOTS // 2)
         await site.accept("second", SLOTS // 2)
-        await trio.sleep(0.2)
+        while sum(map(len, site.caller.began.values())) < SLOTS:
+            await trio.sleep(0.01)
         await site.accept("job", 1)
-        # Just after a read of all: the next one is as far off as can be.
-        await trio.sleep(0.3)
+        # Its owner knows of it, and the next read of all is some 5 s off.
+        await trio.sleep(2 * LOOK_S)
         async with trio.open_nursery() as nursery:
             nursery.start_soon(WHILE[what], site)
             await trio.sleep(0.01)
