--- a/src/coppercleat/jobs/_items.py
+++ b/src/coppercleat/jobs/_items.py
@@ -151,8 +151,8 @@
 
         An item that has failed avoids upstreams that seem to fail, since its attempts
         are limited. An item under which upstreams have crashed is kept apart from
-        others of that kind, so that a crash can be attributed to one of them. Slots are
-        left to more urgent work that waits at other instances.
+        others of that kind, at any instance, so that a crash can be attributed to one
+        of them. Slots are left to more urgent work that waits at other instances.
 
         Args:
           route: The job's route.
@@ -168,7 +168,7 @@
         own = QueuePosition(Rank.BATCH_LATE if late else Rank.BATCH, now + due_in_s)
         service = route.targets[0].service
         ineligible = self.placement.upstreams_to_avoid(verdict, service, now=now)
-        suspect_upstreams = {r.state.id for r in self._running if r.crash_suspect}
+        suspect_upstreams = self.placement.upstreams_with_crash_suspects()
         if verdict.kind is VerdictKind.TRIAL:
             # A crash would count against both items and prolong the quarantine of a
             # harmless one.
@@ -251,6 +251,7 @@
             self.crash_detector.begin_trial(request)
         running = RunningItem(run, item, request, state, trio.CancelScope())
         running.crash_suspect = verdict.crashes > 0
+        state.crash_suspects += running.crash_suspect
         run.start(item, state.id)
         self._running.append(running)
         self._started.set()
@@ -333,6 +334,7 @@
             yield
         finally:
             running.state.batch -= 1
+            running.state.crash_suspects -= running.crash_suspect
             running.state.breaker.abandoned()
             self._running.remove(running)
             self.on_change(running.state, False)
--- a/src/coppercleat/serving/_placement.py
+++ b/src/coppercleat/serving/_placement.py
@@ -195,7 +195,12 @@
         """Returns this instance's work in flight, to report to peers."""
         return [
             # Peers cannot preempt abandoned attempts, so they count as online.
-            InFlight(state.id, state.online + state.abandoned_in_flight, state.batch)
+            InFlight(
+                state.id,
+                state.online + state.abandoned_in_flight,
+                state.batch,
+                state.crash_suspects,
+            )
             for state in self.states.values()
             if state.online or state.batch or state.abandoned_in_flight
         ]
@@ -206,7 +211,10 @@
         for own in self.own_in_flight():
             peers = found.get(own.upstream, InFlight(own.upstream, 0, 0))
             found[own.upstream] = InFlight(
-                own.upstream, own.online + peers.online, own.batch + peers.batch
+                own.upstream,
+                own.online + peers.online,
+                own.batch + peers.batch,
+                own.crash_suspects + peers.crash_suspects,
             )
         return list(found.values())
 
@@ -283,6 +291,16 @@
             return unsteady
         return set()
 
+    def upstreams_with_crash_suspects(self) -> set[UpstreamId]:
+        """Returns where any instance runs items under which upstreams crashed."""
+        return {
+            state.id
+            for state in self.states.values()
+            if state.crash_suspects
+            or self.peers.crash_suspects(state.id)
+            or self.zones.crash_suspects(state.id)
+        }
+
     def steady_in_s(self, service: str, *, now: float) -> float:
         """Returns seconds until a service has a steady upstream, if none crashes."""
         delays = (max(0.0, s.steady_from - now) for s in self._usable(service))
--- a/src/coppercleat/serving/_upstream_state.py
+++ b/src/coppercleat/serving/_upstream_state.py
@@ -34,6 +34,7 @@
       stall_onsets: Onsets of recent stalls that count against the upstream.
       online: Online requests of this instance in flight there.
       batch: Batch items of this instance in flight there.
+      crash_suspects: Those of them under which upstreams have crashed.
       gone: Whether it was found to have left, possibly before the list shows it.
       listings_while_gone: Number of lists that have shown it since.
       restarted: Whether a newer incarnation, with its own state, has replaced it.
@@ -61,6 +62,7 @@
     stall_onsets: StallOnsets = attrs.field(factory=StallOnsets)
     online: int = 0
     batch: int = 0
+    crash_suspects: int = 0
     gone: bool = False
     listings_while_gone: int = 0
     restarted: bool = False
--- a/src/coppercleat/serving/_work_counts.py
+++ b/src/coppercleat/serving/_work_counts.py
@@ -17,11 +17,14 @@
       upstream: The upstream.
       online: Number of online requests.
       batch: Number of batch items.
+      crash_suspects: Number of these items under which upstreams have crashed; absent
+        from instances of earlier versions.
     """
 
     upstream: UpstreamId
     online: int
     batch: int
+    crash_suspects: int = 0
 
 
 _T = TypeVar("_T", bound=Hashable)
@@ -37,6 +40,7 @@
         self._reported: dict[_T, dict[UpstreamId, InFlight]] = {}
         self._online: dict[UpstreamId, int] = {}
         self._batch: dict[UpstreamId, int] = {}
+        self._crash_suspects: dict[UpstreamId, int] = {}
         self._outdated: set[_T] = set()
 
     def observe(self, reporter: _T, counts: Iterable[InFlight]) -> None:
@@ -81,6 +85,10 @@
         """Returns the batch items of all reporters at an upstream."""
         return self._batch.get(upstream, 0)
 
+    def crash_suspects(self, upstream: UpstreamId) -> int:
+        """Returns the items of all reporters there that have met crashes."""
+        return self._crash_suspects.get(upstream, 0)
+
     def load(self, upstream: UpstreamId) -> int:
         """Returns the requests and items of all reporters at an upstream."""
         return self.online(upstream) + self.batch(upstream)
@@ -97,7 +105,12 @@
     def summed(self) -> dict[UpstreamId, InFlight]:
         """Returns the sums over all reporters by upstream."""
         return {
-            upstream: InFlight(upstream, self.online(upstream), self.batch(upstream))
+            upstream: InFlight(
+                upstream,
+                self.online(upstream),
+                self.batch(upstream),
+                self.crash_suspects(upstream),
+            )
             for upstream in {*self._online, *self._batch}
         }
 
@@ -105,6 +118,7 @@
         for sums, number in (
             (self._online, count.online),
             (self._batch, count.batch),
+            (self._crash_suspects, count.crash_suspects),
         ):
             left = sums.get(count.upstream, 0) + sign * number
             if left:
