--- a/src/coppercleat/jobs/_item_bar.py
+++ b/src/coppercleat/jobs/_item_bar.py
@@ -61,7 +61,7 @@
         """
         now, service = trio.current_time(), route.targets[0].service
         avoid = self.placement.upstreams_to_avoid(verdict, service, now=now)
-        if not avoid and verdict.kind is not VerdictKind.TRIAL:
+        if not avoid and not verdict.runs_apart:
             return None
         wait_s = _SLOT_RETRY_S
         if not self.placement.serves(service, avoid=avoid):
--- a/src/coppercleat/jobs/_items.py
+++ b/src/coppercleat/jobs/_items.py
@@ -169,7 +169,7 @@
         service = route.targets[0].service
         ineligible = self.placement.upstreams_to_avoid(verdict, service, now=now)
         suspect_upstreams = self.placement.upstreams_with_crash_suspects()
-        if verdict.kind is VerdictKind.TRIAL:
+        if verdict.runs_apart:
             # A crash would count against both items and prolong the quarantine of a
             # harmless one.
             ineligible |= suspect_upstreams
--- a/src/coppercleat/quarantine/_end_watch.py
+++ b/src/coppercleat/quarantine/_end_watch.py
@@ -251,10 +251,13 @@
             now=trio.current_time(),
             periods_s=ITEM_QUARANTINE_PERIODS_S if item else QUARANTINE_PERIODS_S,
         )
+        if item and verdict.crashes:
+            stagger_s = item_trial_stagger_s(fingerprint)
+            verdict = attrs.evolve(verdict, stagger_s=stagger_s)
         if verdict.kind is not VerdictKind.QUARANTINED or verdict.retry_after_s:
             return verdict
         if item:
-            wait_s = item_trial_stagger_s(fingerprint) - verdict.overdue_s
+            wait_s = verdict.stagger_s - verdict.overdue_s
             if wait_s > 0:
                 return attrs.evolve(verdict, retry_after_s=wait_s)
         elif not self.may_run_trial(fingerprint, verdict.overdue_s):
--- a/src/coppercleat/quarantine/_ledger.py
+++ b/src/coppercleat/quarantine/_ledger.py
@@ -107,6 +107,8 @@
       crashes: Number of crashes recorded against it.
       steady_only: Whether it may be sent to steady upstreams only.
       overdue_s: Seconds since a trial became due.
+      stagger_s: Seconds for which it leaves an upstream that has become steady to
+        others, so that each sees where the one before it runs.
     """
 
     kind: VerdictKind
@@ -114,6 +116,12 @@
     crashes: int = 0
     steady_only: bool = False
     overdue_s: float = 0.0
+    stagger_s: float = 0.0
+
+    @property
+    def runs_apart(self) -> bool:
+        """Whether it may not run beside other requests that have met crashes."""
+        return self.kind is VerdictKind.TRIAL or self.steady_only
 
     @property
     def may_run(self) -> bool:
--- a/src/coppercleat/serving/_placement.py
+++ b/src/coppercleat/serving/_placement.py
@@ -283,7 +283,8 @@
         if not verdict.crashes:
             return set()
         usable = list(self._usable(service))
-        unsteady = {state.id for state in usable if now < state.steady_from}
+        steady_since = now - verdict.stagger_s
+        unsteady = {state.id for state in usable if steady_since < state.steady_from}
         others = (state for state in usable if state.id not in unsteady)
         if verdict.steady_only or any(
             state.breaker.allows_request(now) for state in others
