--- a/src/coppercleat/serving/_steadiness.py
+++ b/src/coppercleat/serving/_steadiness.py
@@ -29,6 +29,10 @@
 """Upper bound on the uptime that is required of a steady upstream, in seconds: work
 with a due time cannot wait longer. An item may be due in 18 s and take 5 s."""
 
+DELISTING_LAG_S = 5.0
+"""Time after a crash, in seconds, within which the upstream leaves the list for it:
+three heartbeat intervals, and the delays of the store and of reading."""
+
 RECENT_S = 30.0
 """Age in seconds after which a crash is ignored."""
 
@@ -119,6 +123,8 @@
           now: Seconds on this instance's clock; None if unknown.
         """
         planned = state.upstream.draining
+        if now is not None and now - state.crashed_at < DELISTING_LAG_S:
+            state.left_after_crash = True
         if now is not None and not planned and state.started_at > state.crashed_at:
             self._keep(state, _ShortUptime(now, now - state.started_at))
 
--- a/src/coppercleat/serving/_upstream_state.py
+++ b/src/coppercleat/serving/_upstream_state.py
@@ -36,6 +36,8 @@
       batch: Batch items of this instance in flight there.
       crash_suspects: Those of them under which upstreams have crashed.
       gone: Whether it was found to have left, possibly before the list shows it.
+      left_after_crash: Whether it left the list soon after a known crash. A run that
+        is interrupted there reached a later incarnation at its address.
       listings_while_gone: Number of lists that have shown it since.
       restarted: Whether a newer incarnation, with its own state, has replaced it.
       untracked: Untracked requests: it reports that it runs them, but no instance has
@@ -64,6 +66,7 @@
     batch: int = 0
     crash_suspects: int = 0
     gone: bool = False
+    left_after_crash: bool = False
     listings_while_gone: int = 0
     restarted: bool = False
     untracked: int = 0
@@ -94,8 +97,9 @@
 
     @property
     def stopping(self) -> bool:
-        """Whether it is draining, or has left without a restart."""
-        return self.upstream.draining or (self.gone and not self.restarted)
+        """Whether it is draining, or has left without a restart or a crash."""
+        explained = self.restarted or self.left_after_crash
+        return self.upstream.draining or (self.gone and not explained)
 
     def update_listing(self, upstream: Upstream) -> None:
         """Takes over a new listing of this incarnation."""
