--- a/src/coppercleat/jobs/_items.py
+++ b/src/coppercleat/jobs/_items.py
@@ -15,6 +15,7 @@
 from coppercleat.observability import part_logger
 from coppercleat.quarantine import (
     FREE,
+    PROGRESS_EVIDENCE_S,
     CrashDetector,
     Verdict,
     VerdictKind,
@@ -84,6 +85,9 @@
         None.
       disconnected: Whether the connection broke.
       crash_suspect: Whether upstreams have crashed under the item before.
+      trial: Whether it is a trial of a quarantined item.
+      unproven: Whether upstreams have crashed under the item, and this attempt is a
+        trial or has not made progress for ``PROGRESS_EVIDENCE_S`` yet.
     """
 
     run: JobRun
@@ -97,6 +101,20 @@
     stalled_since: float | None = None
     disconnected: bool = False
     crash_suspect: bool = False
+    trial: bool = False
+    unproven: bool = False
+
+    def record_progress(self) -> None:
+        """Records that an event came."""
+        self.heard_at = trio.current_time()
+        # A trial that fails prolongs the quarantine, whatever progress it has made.
+        if not self.trial and self.heard_at - self.began_at >= PROGRESS_EVIDENCE_S:
+            self.count_as_proven()
+
+    def count_as_proven(self) -> None:
+        """Stops counting the attempt among those that may crash the upstream."""
+        self.state.crash_suspects -= self.unproven
+        self.unproven = False
 
 
 class ItemRunner:
@@ -168,11 +186,16 @@
         own = QueuePosition(Rank.BATCH_LATE if late else Rank.BATCH, now + due_in_s)
         service = route.targets[0].service
         ineligible = self.placement.upstreams_to_avoid(verdict, service, now=now)
-        suspect_upstreams = self.placement.upstreams_with_crash_suspects()
-        if verdict.runs_apart:
-            # A crash would count against both items and prolong the quarantine of a
-            # harmless one.
+        unproven_upstreams = self.placement.upstreams_with_crash_suspects()
+        suspect_upstreams = unproven_upstreams | {
+            running.state.id for running in self._running if running.crash_suspect
+        }
+        # A crash would count against both items and prolong the quarantine of a
+        # harmless one.
+        if verdict.kind is VerdictKind.TRIAL:
             ineligible |= suspect_upstreams
+        elif verdict.runs_apart:
+            ineligible |= unproven_upstreams
         ahead = self.placement.peer_queues.ahead(own, service=service, now=now)
         while True:
             state = self.placement.choose_batch(
@@ -250,8 +273,9 @@
         if verdict.kind is VerdictKind.TRIAL:
             self.crash_detector.begin_trial(request)
         running = RunningItem(run, item, request, state, trio.CancelScope())
-        running.crash_suspect = verdict.crashes > 0
-        state.crash_suspects += running.crash_suspect
+        running.crash_suspect = running.unproven = verdict.crashes > 0
+        running.trial = verdict.kind is VerdictKind.TRIAL
+        state.crash_suspects += running.unproven
         run.start(item, state.id)
         self._running.append(running)
         self._started.set()
@@ -334,7 +358,7 @@
             yield
         finally:
             running.state.batch -= 1
-            running.state.crash_suspects -= running.crash_suspect
+            running.count_as_proven()
             running.state.breaker.abandoned()
             self._running.remove(running)
             self.on_change(running.state, False)
@@ -461,7 +485,7 @@
                 item.last_event = event.number
                 item.events.append(event.data)
                 item.media_type = media_type
-                running.heard_at = trio.current_time()
+                running.record_progress()
         if not in_order:
             raise UpstreamCallError("event numbers are not consecutive")
     if incomplete := incompleteness_reason(
--- a/src/coppercleat/quarantine/__init__.py
+++ b/src/coppercleat/quarantine/__init__.py
@@ -1,7 +1,7 @@
 """Detects requests that crash upstreams ("queries of death") and quarantines them."""
 
 from coppercleat.quarantine._end_keeper import QuarantineRecord, QuarantineStore
-from coppercleat.quarantine._end_watch import CrashDetector
+from coppercleat.quarantine._end_watch import PROGRESS_EVIDENCE_S, CrashDetector
 from coppercleat.quarantine._ends import (
     SAME_CRASH_WINDOW_S,
     Crash,
@@ -34,6 +34,7 @@
     "FREE",
     "HELD_RETRY_S",
     "ITEM_QUARANTINE_PERIODS_S",
+    "PROGRESS_EVIDENCE_S",
     "QUARANTINE_PATH",
     "SAME_CRASH_WINDOW_S",
     "TRIAL_STAGGER_S",
--- a/src/coppercleat/serving/_placement.py
+++ b/src/coppercleat/serving/_placement.py
@@ -293,7 +293,7 @@
         return set()
 
     def upstreams_with_crash_suspects(self) -> set[UpstreamId]:
-        """Returns where any instance runs items under which upstreams crashed."""
+        """Returns the upstreams at which any instance runs crash suspects."""
         return {
             state.id
             for state in self.states.values()
--- a/src/coppercleat/serving/_upstream_state.py
+++ b/src/coppercleat/serving/_upstream_state.py
@@ -34,7 +34,8 @@
       stall_onsets: Onsets of recent stalls that count against the upstream.
       online: Online requests of this instance in flight there.
       batch: Batch items of this instance in flight there.
-      crash_suspects: Those of them under which upstreams have crashed.
+      crash_suspects: Those of them under which upstreams have crashed, and that have
+        not shown by their progress that this one survives them.
       gone: Whether it was found to have left, possibly before the list shows it.
       left_after_crash: Whether it left the list soon after a known crash. A run that
         is interrupted there reached a later incarnation at its address.
--- a/src/coppercleat/serving/_work_counts.py
+++ b/src/coppercleat/serving/_work_counts.py
@@ -17,8 +17,7 @@
       upstream: The upstream.
       online: Number of online requests.
       batch: Number of batch items.
-      crash_suspects: Number of these items under which upstreams have crashed; absent
-        from instances of earlier versions.
+      crash_suspects: See ``UpstreamState``; absent from instances of earlier versions.
     """
 
     upstream: UpstreamId
@@ -86,7 +85,7 @@
         return self._batch.get(upstream, 0)
 
     def crash_suspects(self, upstream: UpstreamId) -> int:
-        """Returns the items of all reporters there that have met crashes."""
+        """Returns the items of all reporters there that may crash it."""
         return self._crash_suspects.get(upstream, 0)
 
     def load(self, upstream: UpstreamId) -> int:
