--- a/src/coppercleat/jobs/_items.py
+++ b/src/coppercleat/jobs/_items.py
@@ -186,16 +186,13 @@
         own = QueuePosition(Rank.BATCH_LATE if late else Rank.BATCH, now + due_in_s)
         service = route.targets[0].service
         ineligible = self.placement.upstreams_to_avoid(verdict, service, now=now)
-        unproven_upstreams = self.placement.upstreams_with_crash_suspects()
-        suspect_upstreams = unproven_upstreams | {
-            running.state.id for running in self._running if running.crash_suspect
-        }
+        suspect_upstreams = self._suspect_upstreams() if verdict.crashes else set()
         # A crash would count against both items and prolong the quarantine of a
         # harmless one.
         if verdict.kind is VerdictKind.TRIAL:
             ineligible |= suspect_upstreams
         elif verdict.runs_apart:
-            ineligible |= unproven_upstreams
+            ineligible |= self.placement.upstreams_with_crash_suspects()
         ahead = self.placement.peer_queues.ahead(own, service=service, now=now)
         while True:
             state = self.placement.choose_batch(
@@ -205,7 +202,7 @@
                 now=now,
                 ahead=ahead,
                 ineligible=ineligible,
-                last_resort=suspect_upstreams if verdict.crashes else (),
+                last_resort=suspect_upstreams,
             )
             if not isinstance(state, NoUpstreamAvailable):
                 self._patience.reset()
@@ -214,6 +211,11 @@
                 return None
             ahead = 0
 
+    def _suspect_upstreams(self) -> set[UpstreamId]:
+        """Returns where items run under which upstreams have crashed before."""
+        own = {running.state.id for running in self._running if running.crash_suspect}
+        return own | self.placement.upstreams_with_crash_suspects()
+
     def _failing_upstreams(self, route: Route, now: float) -> list[UpstreamId]:
         """Returns the upstreams that seem to fail; none if all of the service do."""
         failing = self.placement.suspects(now)
--- a/tests/features/ends_plays.feature
+++ b/tests/features/ends_plays.feature
@@ -36,3 +36,7 @@
       | 7002  | 7002 | 6         | 2      |
       | 7091  | 7091 | 6         | 2      |
       | 9021  | 9021 | 4         | 2      |
+      | 5042  | 5042 | 4         | 2      |
+      | 5050  | 5050 | 6         | 2      |
+      | 7034  | 7034 | 6         | 2      |
+      | 9036  | 9036 | 6         | 2      |
--- a/tests/features/quarantine.feature
+++ b/tests/features/quarantine.feature
@@ -235,6 +235,8 @@
       | is abandoned 2 s before | refuses the next connection                   | refused                 | 0       | 10 |
       | is cut                  | is draining                                   | refused                 | 0       | 10 |
       | is cut                  | is no longer listed                           | refused                 | 0       | 10 |
+      | is cut                  | crashed 1 s ago and is no longer listed       | refused                 | 1       | 1  |
+      | is cut                  | crashed 10 s ago and is no longer listed      | refused                 | 0       | 10 |
       | is cut                  | is listed with another start time             | -                       | 1       | 1  |
 
   Scenario Outline: The fingerprint of a request is <same> with another <part>
--- a/tests/features/steps/kept_item_steps.py
+++ b/tests/features/steps/kept_item_steps.py
@@ -7,10 +7,10 @@
 import trio.testing
 from behave import then, when
 
-from coppercleat.ids import RequestId, UpstreamId
+from coppercleat.ids import InstanceId, RequestId, UpstreamId
 from coppercleat.jobs import JobIndex
 from coppercleat.quarantine import Crash, CrashReport
-from coppercleat.serving import OnlineRequest, UpstreamResponse
+from coppercleat.serving import InFlight, OnlineRequest, UpstreamResponse
 from coppercleat.upstreams import AttemptState
 from tests.harness import (
     HOST,
@@ -99,6 +99,57 @@
     assert context.told == told, context.told
 
 
+def item_runs(worker):
+    return worker.items.placement.states[UpstreamId("x")].batch == 1
+
+
+def told_as_suspect(worker):
+    [told] = worker.items.placement.own_in_flight()
+    return bool(told.crash_suspects)
+
+
+@when(
+    "an item met {ends:d} ends {ago:g} s ago, "
+    "and a peer runs {suspects:d} of that kind at the one upstream"
+)
+def beside_peer(context, ends, ago, suspects):
+    peer = InstanceId("peer")
+
+    async def run():
+        repository = make_repository()
+        worker = make_worker(repository, JobIndex(repository.platform))
+        peers = worker.items.placement.peers
+        peers.observe(peer, [InFlight(UpstreamId("x"), 0, 1, suspects)])
+        job = job_of_distinct_items(1)
+        hold_against(worker.items.crash_detector, fingerprint_of(job.items[0]), ends)
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(worker.run)
+            await trio.sleep(ago)
+            worker.start_accepted_job(await accept_job(repository, job))
+            await trio.sleep(0.2)
+            context.told = [item_runs(worker) and told_as_suspect(worker)]
+            await trio.sleep(0.8)
+            context.told.append(item_runs(worker) and told_as_suspect(worker))
+            context.beside = item_runs(worker)
+            peers.observe(peer, [])
+            await trio.sleep(1.0)
+            context.alone = item_runs(worker)
+            nursery.cancel_scope.cancel()
+
+    trio.run(run, clock=trio.testing.MockClock(autojump_threshold=0))
+
+
+@then("it runs there within 1 s: {beside}; once the peer's run is over: yes")
+def runs_beside(context, beside):
+    assert context.beside == (beside == "yes")
+    assert context.alone
+
+
+@then("its run is told as that of a suspect after 0.2 s: {first}, after 1 s: {later}")
+def told_as(context, first, later):
+    assert context.told == [first == "yes", later == "yes"], context.told
+
+
 class OneSecond:
     """A caller whose upstreams take 1 s for an item, as ten events.
 
--- a/tests/features/steps/quarantine_decision_steps.py
+++ b/tests/features/steps/quarantine_decision_steps.py
@@ -189,7 +189,10 @@
     placement = Placement(ZoneId("z"), rng=random.Random(1))
     placement.replace([upstream(draining=does == "is draining")])
     state = placement.states[UpstreamId("a")]
-    if does == "is no longer listed":
+    if does.startswith("crashed") and does.endswith("no longer listed"):
+        placement.record_crash(Crash(state.id, -float(does.split()[1])), -60.0)
+        placement.replace([], now=0.0)
+    elif does == "is no longer listed":
         placement.replace([])
     detector = CrashDetector(incarnation_probe(ProbedUpstream(probes)))
     # Another instance has to record the same.
--- a/tests/features/steps/serving_steps.py
+++ b/tests/features/steps/serving_steps.py
@@ -166,7 +166,7 @@
             told.pop(teller, None)
         else:
             told[teller] = [
-                InFlight(UpstreamId(u), rng.randrange(3), rng.randrange(3))
+                InFlight(UpstreamId(u), *(rng.randrange(3) for _ in range(3)))
                 for u in rng.sample("xyz", rng.randrange(4))
             ]
             counts.observe(teller, told[teller])
@@ -176,6 +176,8 @@
             ]
             assert counts.online(upstream) == sum(c.online for c in of_upstream)
             assert counts.batch(upstream) == sum(c.batch for c in of_upstream)
+            suspects = sum(c.crash_suspects for c in of_upstream)
+            assert counts.crash_suspects(upstream) == suspects
     assert sorted(counts.reporters()) == sorted(told)
 
 
--- a/tests/features/steps/steadiness_steps.py
+++ b/tests/features/steps/steadiness_steps.py
@@ -8,7 +8,7 @@
 import trio.testing
 from behave import then, when
 
-from coppercleat.ids import UpstreamId, ZoneId
+from coppercleat.ids import RequestId, UpstreamId, ZoneId
 from coppercleat.quarantine import (
     Crash,
     CrashDetector,
@@ -19,6 +19,7 @@
 )
 from coppercleat.serving import (
     AdmissionQueue,
+    OnlineRequest,
     Placement,
     QueuedRequest,
     Upstream,
@@ -252,6 +253,42 @@
     assert placement.steady_in_s(MENUS, now=100.0) == s
 
 
+@when(
+    "place {place:d} among those that wait is that of {who} under {crashes:d} crashes"
+)
+def has_place(context, who, crashes, place):
+    request = OnlineRequest(
+        request_id=RequestId("r-1"),
+        method="POST",
+        host="stream.example",
+        target=b"/ask",
+        headers=[],
+        body=b"",
+        allowed_s=5.0,
+    )
+    request.__dict__["fingerprint"] = Fingerprint(bytes([place]) * 16)
+    detector = CrashDetector(ClosingProxy().ask)
+
+    async def run():
+        for number in range(crashes):
+            crash = Crash(UpstreamId(f"u{number}"), trio.current_time(), number=1)
+            detector.history.record_crash(request.fingerprint, crash)
+        context.verdict = detector.verdict(request, item=who == "an item")
+
+    trio.run(run, clock=trio.testing.MockClock(autojump_threshold=0))
+
+
+@then("{s:g} s after an upstream became steady it may go there: {may}")
+def may_go_there(context, s, may):
+    placement = Placement(ZoneId("z"), rng=random.Random(1))
+    placement.replace([], now=0.0)
+    placement.replace([upstream("a")], now=100.0)
+    steady_from = placement.states[UpstreamId("a")].steady_from
+    now = steady_from + s
+    avoid = placement.upstreams_to_avoid(context.verdict, MENUS, now=now)
+    assert (UpstreamId("a") not in avoid) == (may == "yes"), avoid
+
+
 def verdict_with(crashes, *, at, now=None):
     history = CrashHistory()
     for number in range(crashes):
--- a/tests/features/upstreams_that_end.feature
+++ b/tests/features/upstreams_that_end.feature
@@ -131,6 +131,49 @@
       | 1    | 4     | 7      |
       | 2    | 4     | 7      |
 
+  # Guards against crashes that count against two items: a proper one was tried beside
+  # those that crash their upstreams, at other instances, until its trials were over.
+  Scenario Outline: An item with <ends> ends <ago> s ago, while a peer runs <suspects> of that kind
+    When an item met <ends> ends <ago> s ago, and a peer runs <suspects> of that kind at the one upstream
+    Then it runs there within 1 s: <beside>; once the peer's run is over: yes
+
+    Examples: 3 ends, a trial is due after 5 s and up to 1.35 s more
+      | ends | ago | suspects | beside |
+      | 0    | 1   | 1        | yes    |
+      | 1    | 1   | 1        | yes    |
+      | 2    | 1   | 1        | no     |
+      | 2    | 1   | 0        | yes    |
+      | 2    | 9   | 1        | yes    |
+      | 3    | 7   | 1        | no     |
+      | 3    | 7   | 0        | yes    |
+
+  Scenario Outline: A run of an item with <ends> ends <ago> s ago is told to peers as a suspect's
+    When an item met <ends> ends <ago> s ago, and a peer runs 0 of that kind at the one upstream
+    Then its run is told as that of a suspect after 0.2 s: <first>, after 1 s: <later>
+
+    Examples: progress for 0.3 s clears a run, unless it is a trial
+      | ends | ago | first | later |
+      | 0    | 1   | no    | no    |
+      | 1    | 1   | yes   | no    |
+      | 2    | 1   | yes   | no    |
+      | 3    | 7   | yes   | yes   |
+
+  # Guards against items that wait at several instances for the same upstream, and are all
+  # sent there in the moment in which it becomes steady.
+  Scenario Outline: <who> with <crashes> crashes at place <place>, <s> s after an upstream became steady
+    When place <place> among those that wait is that of <who> under <crashes> crashes
+    Then <s> s after an upstream became steady it may go there: <may>
+
+    Examples: places are 0.15 s apart
+      | who     | crashes | place | s    | may |
+      | an item | 2       | 0     | 0    | yes |
+      | an item | 2       | 3     | 0.4  | no  |
+      | an item | 2       | 3     | 0.46 | yes |
+      | an item | 2       | 9     | 1.3  | no  |
+      | an item | 2       | 9     | 1.36 | yes |
+      | an item | 0       | 9     | 0    | yes |
+      | a call  | 2       | 9     | 0    | yes |
+
   Scenario Outline: A request with <crashes> crashes waits for a slot, and <what>
     When a request with <crashes> crashes waits for the one steady upstream, and <what>
     Then it is given <given>
