--- a/tests/harness/_job_store.py
+++ b/tests/harness/_job_store.py
@@ -98,7 +98,7 @@
             self.problems.append(f"{new.job}: its end was taken back")
 
 
-def kind_of_write(transaction: Transaction, memory: MemoryPlatform) -> str:
+def kind_of_write(transaction: Transaction) -> str:
     """Returns what a transaction is for: accept, end, commit, takeover or renewal."""
     keys = [put.key for put in transaction.puts]
     if any(key.startswith("instance/") for key in keys):
@@ -155,7 +155,7 @@
             await self.pass_pause()
 
     async def transact(self, transaction: Transaction) -> Any:
-        only = kind_of_write(transaction, self.memory)
+        only = kind_of_write(transaction)
         try:
             await self._reach(only)
         except PlatformUnavailableError as error:
