--- a/src/coppercleat/jobs/_run.py
+++ b/src/coppercleat/jobs/_run.py
@@ -86,6 +86,16 @@
     request: OnlineRequest | None = None
     quarantine: QuarantineState | None = None
 
+    @property
+    def new_events(self) -> int:
+        """Events since the last checkpoint."""
+        return len(self.events) - self.checkpointed_events
+
+    @property
+    def failed_anew(self) -> bool:
+        """Whether it has failed since the last checkpoint."""
+        return self.failures > self.checkpointed_failures
+
     def as_finished(self, state: ItemState) -> FinishedItem:
         """Returns the item with its final state and its result."""
         text = b"\n".join(self.events) if state is ItemState.COMPLETED else b""
@@ -126,6 +136,7 @@
       running: Items that run at upstreams, by index.
       finished: Items whose results are still to be committed.
       lateness_logged: Whether the warning that the job will be late was logged.
+      unrouted_since: Since when the job has had no route here, in trio time.
     """
 
     def __init__(
@@ -139,6 +150,7 @@
         self.running: dict[int, ItemProgress] = {}
         self.finished: list[FinishedItem] = []
         self.lateness_logged = False
+        self.unrouted_since: float | None = None
         listed = set(stored.row.listed)
         for index, spec in enumerate(items):
             if index in listed:
@@ -189,6 +201,17 @@
             and (item.quarantine is None or item.quarantine.until <= now)
         ]
 
+    def adopt(self, stored: StoredJob) -> None:
+        """Adopts a newer row, and drops the items that it lists.
+
+        They were committed here, or by an earlier run of this owner whose commit took
+        effect late. A listed item that runs is dropped once its attempt ends.
+        """
+        self.stored = stored
+        listed = set(stored.row.listed)
+        self.pending = [item for item in self.pending if item.index not in listed]
+        self.finished = [item for item in self.finished if item.index not in listed]
+
     def start(self, item: ItemProgress, upstream: UpstreamId) -> None:
         """Moves an item from pending to running."""
         self.pending.remove(item)
@@ -213,6 +236,8 @@
           not_before: When the item may run again, in trio time.
         """
         self.running.pop(item.index, None)
+        if item.index in self.stored.row.listed:
+            return
         item.upstream = UpstreamId("")
         item.not_before = not_before
         if outcome is ItemAttemptOutcome.FAILED:
@@ -262,17 +287,19 @@
     def new_checkpoints(self, min_new_events: int) -> dict[int, CheckpointRow]:
         """Returns checkpoints, by item index, of items with enough progress to store.
 
+        Those that would lose most come first, as not all may fit into one commit.
+
         Args:
           min_new_events: New events since the last checkpoint that are worth a write;
             a new failure always is.
         """
-        checkpoints = {}
-        for item in [*self.running.values(), *self.pending]:
-            new_events = len(item.events) - item.checkpointed_events
-            failed = item.failures > item.checkpointed_failures
-            if (item.events and new_events >= min_new_events) or failed:
-                checkpoints[item.index] = item.checkpoint()
-        return checkpoints
+        items = [*self.running.values(), *self.pending]
+        items.sort(key=lambda item: (item.failed_anew, item.new_events), reverse=True)
+        return {
+            item.index: item.checkpoint()
+            for item in items
+            if (item.events and item.new_events >= min_new_events) or item.failed_anew
+        }
 
     def record_checkpoints(self, checkpoints: dict[int, CheckpointRow]) -> None:
         """Marks checkpoints as stored."""
--- a/src/coppercleat/jobs/_worker.py
+++ b/src/coppercleat/jobs/_worker.py
@@ -42,6 +42,9 @@
 _COMMIT_INTERVAL_S = 0.05
 """Items that finish within this time are committed in one transaction."""
 
+_MAX_RELEASE_COMMITS = 6
+"""A job's results may need some commits; two of them may fail."""
+
 _TAKEOVER_STAGGER_S = 0.6
 """Extra delay per rank before a job of a dead owner is taken over."""
 
@@ -128,6 +131,7 @@
             isolated=isolated,
         )
         job_index.on_change = self._job_changed
+        job_index.on_delete = self._job_deleted
 
     async def run(self) -> None:
         """Runs jobs until cancelled."""
@@ -203,6 +207,11 @@
         elif run is None and stored.row.open and stored.row.owner == self.owner:
             self._start_job(stored, "owned, found in a change")
 
+    def _job_deleted(self, stored: StoredJob) -> None:
+        run = self.runs.get(stored.row.job)
+        if run is not None and run.stored.row.host == stored.row.host:
+            self._abandon(run, "deleted")
+
     def _start_job(self, stored: StoredJob, why: str) -> None:
         job = stored.row.job
         if job in self._active or self._nursery is None or self.stopping:
@@ -429,8 +438,7 @@
             self.on_commit("superseded")
             return self._resolve_conflict(run, stored)
         self.on_commit("done")
-        run.stored = stored
-        del run.finished[: len(batch)]
+        run.adopt(stored)
         run.record_checkpoints(checkpoints)
         self.job_index.observe(stored)
         return True
@@ -447,9 +455,7 @@
             if stored is not None:
                 self.job_index.observe(stored)
             return False
-        listed = set(stored.row.listed)
-        run.stored = stored
-        run.finished = [item for item in run.finished if item.index not in listed]
+        run.adopt(stored)
         self.job_index.observe(stored)
         return True
 
@@ -473,9 +479,11 @@
         self.runs.pop(run.stored.row.job, None)
         while run.running:
             await trio.sleep(_STOP_POLL_S)
-        for _ in range(3):
+        for _ in range(_MAX_RELEASE_COMMITS):
             checkpoints = limit_checkpoints(run.new_checkpoints(1))
-            if not await self._commit(run, checkpoints, owner=NO_OWNER):
+            is_last = commit_batch_size(run.finished) == len(run.finished)
+            owner = NO_OWNER if is_last else None
+            if not await self._commit(run, checkpoints, owner=owner):
                 return
             if run.stored.row.owner == NO_OWNER:
                 _log.info("Job released.", job=run.stored.row.job)
--- a/tests/harness/__init__.py
+++ b/tests/harness/__init__.py
@@ -12,6 +12,14 @@
     Answer,
     Gateways,
 )
+from tests.harness._job_plans import (
+    draw_hard_plan,
+    draw_large_plan,
+    draw_takeover_plan,
+    grid_plans,
+    pair_plans,
+)
+from tests.harness._job_plants import PLANTS
 from tests.harness._job_play import JobPlay, draw_plan
 from tests.harness._jobs import (
     HOST,
@@ -50,7 +58,20 @@
     node_settings,
     roomy_upstream,
 )
-from tests.harness._processes import Process, free_port, until
+from tests.harness._port_check import (
+    PortHolder,
+    PortUse,
+    foreign_listeners,
+    port_states,
+)
+from tests.harness._ports import (
+    SHARD_VARIABLE,
+    free_port,
+    hold_suite_shards,
+    holder_of,
+    own_shard,
+)
+from tests.harness._processes import Process, until, waited_for_processor_s
 from tests.harness._relay_model import RelayModel
 from tests.harness._word_play import WordPlay, draw_course
 from tests.harness._zones_model import HEARTBEAT_S, ZonesModel
@@ -68,10 +89,14 @@
     "NEVER",
     "ONCE",
     "PLAIN",
+    "PLANTS",
     "PREFIX",
     "PROMISES",
+    "PortHolder",
+    "PortUse",
     "RESUMABLE",
     "RUN_S",
+    "SHARD_VARIABLE",
     "STREAM",
     "Answer",
     "Deployment",
@@ -90,11 +115,19 @@
     "course",
     "draw_course",
     "draw_ends_plan",
+    "draw_hard_plan",
+    "draw_large_plan",
     "draw_plan",
+    "draw_takeover_plan",
+    "grid_plans",
+    "pair_plans",
     "fail_by_turns",
     "first_moment",
     "first_time",
+    "foreign_listeners",
     "free_port",
+    "hold_suite_shards",
+    "holder_of",
     "in_no_time",
     "item_may_go",
     "job_course",
@@ -104,7 +137,10 @@
     "make_route",
     "make_worker",
     "node_settings",
+    "own_shard",
+    "port_states",
     "roomy_upstream",
     "submission",
     "until",
+    "waited_for_processor_s",
 ]
--- a/tests/harness/_processes.py
+++ b/tests/harness/_processes.py
@@ -6,7 +6,6 @@
 import pathlib
 import shutil
 import signal
-import socket
 import subprocess
 import sys
 import tempfile
@@ -25,32 +24,14 @@
 KEPT_LOGS = "COPPERCLEAT_TEST_LOGS"
 """The environment variable that names a folder in which all logs are kept."""
 
-_PORTS_FROM = 20_000
-_PORTS = 12_000
-_SHARDS = 12
-"""Each shard of a test run takes ports of its own; see tools/behave_shards.py."""
-
-_shard = int(os.environ.get("COPPERCLEAT_TEST_SHARD", str(os.getpid() % _SHARDS)))
-_first_port = _PORTS_FROM + _shard % _SHARDS * (_PORTS // _SHARDS)
-_next_port = _first_port
-
-
-def free_port() -> int:
-    """Returns a TCP port that was free a moment ago; not the same again soon."""
-    global _next_port  # noqa: PLW0603 - one counter for the whole test process
-    while True:
-        _next_port = _first_port + (_next_port - _first_port + 1) % (_PORTS // _SHARDS)
-        with socket.socket() as probe:
-            probe.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-            try:
-                probe.bind(("127.0.0.1", _next_port))
-            except OSError:
-                continue
-            return _next_port
-
 
 class Process:
-    """One child process of the test, with its log in a file."""
+    """One child process of the test, with its log in a file.
+
+    Attributes:
+      began: Unix time of its start, in seconds.
+      signals: Signals that the test sent it, with their Unix times.
+    """
 
     def __init__(
         self,
@@ -62,6 +43,8 @@
         environment: dict[str, str] | None = None,
     ) -> None:
         self.name = name
+        self.began = time.time()
+        self.signals: list[tuple[float, signal.Signals]] = []
         self.log = pathlib.Path(tempfile.gettempdir()) / (
             f"coppercleat-{os.getpid()}-{name}.log"
         )
@@ -83,12 +66,12 @@
     def signal(self, number: signal.Signals) -> None:
         """Sends a signal."""
         if self.running:
+            self.signals.append((time.time(), number))
             self.popen.send_signal(number)
 
     def kill(self) -> None:
         """Ends it at once."""
-        if self.running:
-            self.popen.kill()
+        self.signal(signal.SIGKILL)
         self.popen.wait()
 
     def wait(self) -> int:
@@ -118,6 +101,10 @@
         after = fields.rpartition(")")[2].split()
         return (int(after[11]) + int(after[12])) / os.sysconf("SC_CLK_TCK")
 
+    def processor_wait_s(self) -> float:
+        """Returns how long its threads have waited for a processor so far, together."""
+        return waited_for_processor_s(self.popen.pid)
+
     def children(self) -> list[str]:
         """Returns the ids of its child processes."""
         tasks = pathlib.Path(f"/proc/{self.popen.pid}/task")
@@ -127,6 +114,13 @@
         return found
 
 
+def waited_for_processor_s(pid: int) -> float:
+    """Returns how long a process's threads have waited for a processor, together."""
+    tasks = pathlib.Path(f"/proc/{pid}/task").iterdir()
+    waits = [(task / "schedstat").read_text().split()[1] for task in tasks]
+    return sum(map(int, waits)) / 1e9
+
+
 async def until(
     what: str,
     condition: Callable[[], Awaitable[_T]],
