--- a/bench/_soak_checks.py
+++ b/bench/_soak_checks.py
@@ -9,8 +9,20 @@
 from typing import Any
 
 import attrs
+import httpcore
 
-from tests.harness import Answer
+from tests.harness import ONCE, PLAIN, RESUMABLE, STREAM, Answer
+
+ROUTES = {"stream": STREAM, "resumable": RESUMABLE, "plain": PLAIN, "once": ONCE}
+NETWORK_ERRORS = (
+    httpcore.NetworkError,
+    httpcore.ProtocolError,
+    httpcore.TimeoutException,
+)
+"""What a client's call may end with while ways and processes are harmed."""
+
+SETTLE_S = 60.0
+"""Bound after healing within which each accepted job is listed whole."""
 
 AT_MOST_ONCE = ("stream", "once")
 PROMISES = (408, 421, 429, 503)
--- a/bench/_soak_play.py
+++ b/bench/_soak_play.py
@@ -16,6 +16,9 @@
 
 from bench._soak_checks import (
     EVENTS,
+    NETWORK_ERRORS,
+    ROUTES,
+    SETTLE_S,
     Job,
     check_listed,
     check_requests,
@@ -33,11 +36,7 @@
     Schedule,
     Submission,
 )
-from tests.harness import JOBS, ONCE, PLAIN, RESUMABLE, STREAM, Answer
-
-ROUTES = {"stream": STREAM, "resumable": RESUMABLE, "plain": PLAIN, "once": ONCE}
-SETTLE_S = 60.0
-"""Bound for accepted jobs after healing, as ``bench.soak`` has it."""
+from tests.harness import JOBS, Answer
 
 FINISH_S = 18.0
 """The bound that users are promised, in a check of its own."""
@@ -56,7 +55,6 @@
 _DEADLINE_MS = 3000
 _SETTLE_READ_S = 0.1
 OUT = pathlib.Path("out")
-_NETWORK = (httpcore.NetworkError, httpcore.ProtocolError, httpcore.TimeoutException)
 
 
 @attrs.define
@@ -121,6 +119,7 @@
             self.problems.append(f"the play ended early: {error!r}")
         finally:
             self.record.reach("end")
+            self.record.problems += self.fleet.note_foreign_listeners()
             self._count_sentences()
             if self.failed:
                 at = time.strftime("%H%M%S")
@@ -381,7 +380,7 @@
         try:
             answer = await ask()
             call.status = answer.status
-        except _NETWORK as error:
+        except NETWORK_ERRORS as error:
             call.told = repr(error)
     call.left = answer is None and not call.told
     call.ended_unix_s = time.time()
--- a/bench/soak.py
+++ b/bench/soak.py
@@ -26,11 +26,13 @@
 from functools import partial
 from typing import Any
 
-import httpcore
 import trio
 
 from bench._soak_checks import (
     EVENTS,
+    NETWORK_ERRORS,
+    ROUTES,
+    SETTLE_S,
     Job,
     check_listed,
     check_requests,
@@ -47,12 +49,9 @@
     insist,
     until_heard,
 )
-from tests.harness import JOBS, ONCE, PLAIN, RESUMABLE, STREAM, Answer, Gateways
+from tests.harness import JOBS, Answer, Gateways
 
-ROUTES = {"stream": STREAM, "resumable": RESUMABLE, "plain": PLAIN, "once": ONCE}
-SETTLE_S = 60.0
 _OUT = pathlib.Path("out")
-_NETWORK = (httpcore.NetworkError, httpcore.ProtocolError, httpcore.TimeoutException)
 
 MOST_DEADLY_ENDS = 6
 """Runners that one deadly request may end: three, and three more while it is not known
@@ -187,7 +186,7 @@
                         gateway, ROUTES[kind], request, deadline_ms=3000
                     )
                     self.answers[request] = (kind, answer)
-            except _NETWORK:
+            except NETWORK_ERRORS:
                 pass
             seen = _seen(answer)
             self._tell("ask", began, request=request, kind=kind, at=gateway, **seen)
@@ -201,7 +200,7 @@
             count += 1
             name, gateway, answer = f"deadly-{count}", self._gateway(), None
             began = time.time()
-            with contextlib.suppress(*_NETWORK), trio.move_on_after(4):
+            with contextlib.suppress(*NETWORK_ERRORS), trio.move_on_after(4):
                 answer = await self.fleet.ask(gateway, route, name, body="deadly")
             self._tell("ask", began, request=name, at=gateway, **_seen(answer))
             await trio.sleep(self.rng.uniform(0, 0.5))
@@ -218,7 +217,7 @@
                         gateway = self._gateway()
                         answer = await self.fleet.submit(gateway, job.id, job.items)
                         job.statuses.append(answer.status)
-                except _NETWORK:
+                except NETWORK_ERRORS:
                     job.statuses.append(0)
                 status = job.statuses[before:]
                 self._tell("submit", began, job=job.id, at=gateway, status=status)
@@ -239,7 +238,7 @@
                 status = answer.status
                 if status == 200:
                     job.ended_at = time.monotonic()
-        except _NETWORK:
+        except NETWORK_ERRORS:
             pass
         self._tell("end", began, job=job.id, at=gateway, status=status)
 
@@ -269,7 +268,7 @@
                 page = json.loads(answer.body)
                 self.problems += take_page(job, after, page)
                 return len(page["results"])
-        except _NETWORK:
+        except NETWORK_ERRORS:
             pass
         return 0
 
@@ -290,7 +289,7 @@
         began = time.time()
         try:
             await self.faults[name](self)
-        except _NETWORK:
+        except NETWORK_ERRORS:
             if not self.ends:
                 raise
         self._tell("fault", began, fault=name)
