--- a/bench/soak.py
+++ b/bench/soak.py
@@ -8,7 +8,7 @@
 held against docs/PROMISES.md. Ways between gateways are not harmed: a gateway tells
 others the address at which it listens, so nothing can stand between; links that fall
 silent are played in one process, see tests/harness/_links.py.
-A seed that fails leaves its output in ``out/soak-SEED.log``.
+A seed that fails leaves ``out/soak-SEED.log``; see ``bench._soak_evidence``.
 """
 
 from __future__ import annotations
@@ -16,7 +16,6 @@
 import argparse
 import collections
 import contextlib
-import datetime
 import json
 import pathlib
 import random
@@ -27,24 +26,30 @@
 from functools import partial
 from typing import Any
 
-import attrs
 import httpcore
 import trio
 
+from bench._soak_checks import (
+    EVENTS,
+    Job,
+    check_listed,
+    check_requests,
+    check_runs_of,
+    runs_by_request,
+    take_page,
+)
+from bench._soak_evidence import Evidence
 from bench._soak_flaps import FLAPS, Flaps
-from coppercleat.errors import CoppercleatError
+from bench._soak_healing import (
+    HEALTHY_STORE,
+    heal_processes,
+    heal_ways,
+    insist,
+    until_heard,
+)
 from tests.harness import JOBS, ONCE, PLAIN, RESUMABLE, STREAM, Answer, Gateways
 
 ROUTES = {"stream": STREAM, "resumable": RESUMABLE, "plain": PLAIN, "once": ONCE}
-AT_MOST_ONCE = ("stream", "once")
-PROMISES = (408, 421, 429, 503)
-EVENTS = 30
-CANCEL_S = 3.0
-"""After a job's end is acknowledged nothing of it may start for longer than this."""
-
-HEARD_S = 10.0
-"""After a restart a gateway hears others within seconds: beats come twice a second."""
-
 SETTLE_S = 60.0
 _OUT = pathlib.Path("out")
 _NETWORK = (httpcore.NetworkError, httpcore.ProtocolError, httpcore.TimeoutException)
@@ -72,23 +77,6 @@
     return action
 
 
-@attrs.define
-class Job:
-    """A submitted job as its client knows it."""
-
-    id: str
-    items: list[str]
-    statuses: list[int] = attrs.field(factory=list)
-    seen: dict[int, Any] = attrs.field(factory=dict)
-    ended_at: float = 0.0
-    end_asked: bool = False
-
-    @property
-    def accepted(self) -> bool:
-        """Whether any submission was acknowledged."""
-        return 202 in self.statuses
-
-
 class Soak:
     """One seed's play.
 
@@ -98,7 +86,7 @@
       deadly: Whether some end under a request that comes again.
       killed: Runners that were killed.
       problems: Broken promises, in words.
-      told: Clients' calls about jobs and the faults, with their times.
+      evidence: Clients' calls and the faults, and what else a trace needs.
     """
 
     def __init__(
@@ -120,18 +108,19 @@
         self.problems: list[str] = []
         self.down: set[str] = set()
         self.ends_at = 0.0
-        self.told: list[dict[str, Any]] = []
+        self.evidence = Evidence(self.fleet)
 
     # The play.
 
     def play(self) -> None:
         """Plays and checks."""
-        self.fleet.start()
         try:
+            self.fleet.start()
             trio.run(self._play)
         except Exception as error:  # noqa: BLE001 - a soak that breaks has failed
             self.problems.append(f"the play ended early: {error!r}")
         finally:
+            self.problems += self.fleet.note_foreign_listeners()
             if self.problems:
                 self._keep_output()
             self.fleet.close()
@@ -182,8 +171,7 @@
 
     def _tell(self, what: str, began: float, **details: Any) -> None:
         """Keeps what a client or a fault did, and from when to when."""
-        line = {"what": what, "from": _wall(began), "to": _wall(time.time())}
-        self.told.append(line | details)
+        self.evidence.tell(what, began, **details)
 
     async def _client(self, number: int) -> None:
         count = 0
@@ -192,14 +180,17 @@
             kind = self.rng.choice(list(ROUTES))
             request = f"r-{number}-{count}"
             self.answers[request] = (kind, None)
+            began, gateway, answer = time.time(), self._gateway(), None
             try:
                 with trio.move_on_after(6):
                     answer = await self.fleet.ask(
-                        self._gateway(), ROUTES[kind], request, deadline_ms=3000
+                        gateway, ROUTES[kind], request, deadline_ms=3000
                     )
                     self.answers[request] = (kind, answer)
             except _NETWORK:
                 pass
+            seen = _seen(answer)
+            self._tell("ask", began, request=request, kind=kind, at=gateway, **seen)
             await trio.sleep(self.rng.uniform(0, 0.3))
 
     async def _deadly_client(self) -> None:
@@ -208,9 +199,11 @@
         route = self.rng.choice(list(ROUTES.values()))
         while self._playing():
             count += 1
+            name, gateway, answer = f"deadly-{count}", self._gateway(), None
+            began = time.time()
             with contextlib.suppress(*_NETWORK), trio.move_on_after(4):
-                name = f"deadly-{count}"
-                await self.fleet.ask(self._gateway(), route, name, body="deadly")
+                answer = await self.fleet.ask(gateway, route, name, body="deadly")
+            self._tell("ask", began, request=name, at=gateway, **_seen(answer))
             await trio.sleep(self.rng.uniform(0, 0.5))
 
     async def _submitter(self) -> None:
@@ -267,17 +260,14 @@
                 gateway = self._gateway()
                 target = f"/v1/lots/{job.id}?after={after}"
                 answer = await self.fleet.call(gateway, "GET", JOBS[0], target)
-                if answer.status == 404:
-                    self._tell("read", began, job=job.id, at=gateway, status=404)
+                found = {"after": after, "status": answer.status}
+                self._tell("read", began, job=job.id, at=gateway, **found)
                 if answer.status == 404 and accepted:
                     self.problems.append(f"{job.id}: 404 after it was accepted")
                 if answer.status != 200:
                     return 0
                 page = json.loads(answer.body)
-                for position, result in enumerate(page["results"], after):
-                    first = job.seen.setdefault(position, result)
-                    if first != result:
-                        self.problems.append(f"{job.id}: position {position} changed")
+                self.problems += take_page(job, after, page)
                 return len(page["results"])
         except _NETWORK:
             pass
@@ -306,34 +296,11 @@
         self._tell("fault", began, fault=name)
 
     async def _heal(self) -> None:
-        await self.fleet.control("store", **HEALTHY_STORE)
-        for name in self.fleet.links:
-            await self.fleet.link(name)
+        await heal_ways(self.fleet)
         while self.fleet.reviving:
             await trio.sleep(0.1)
-        healthy = {"silent": False, "resume_status": 0, "cut_next": 0, "fail_every": 0}
-        for name in self.fleet.runners:
-            await self.fleet.control(name, **healthy)
-            await _insist(lambda n=name: self.fleet.list_runner(n))
-        for name in self.fleet.names:
-            if not self.fleet.processes[name].running:
-                self.fleet.start_gateway(name)
-        for name in self.fleet.names:
-            await self.fleet.ready(name)
-        with trio.move_on_after(HEARD_S):
-            while await self._unheard():
-                await trio.sleep(0.1)
-        self.problems += await self._unheard()
-
-    async def _unheard(self) -> list[str]:
-        """Returns which gateways do not hear all others, in words."""
-        line = f"coppercleat_peers_heard {len(self.fleet.names) - 1}"
-        pages = {name: await self.fleet.metrics(name) for name in self.fleet.names}
-        return [
-            f"{name} does not hear all others"
-            for name, page in pages.items()
-            if line not in page.splitlines()
-        ]
+        await heal_processes(self.fleet)
+        self.problems += await until_heard(self.fleet)
 
     # What must hold.
 
@@ -342,93 +309,36 @@
             while len(job.seen) < len(job.items):
                 await self._read(job)
                 await trio.sleep(0.05)
-        names = [result["id"] for result in job.seen.values()]
-        if sorted(names) != [f"{job.id}-item-{n}" for n in range(len(job.items))]:
-            row = await self.fleet.job_row(job.id)
-            self._tell("row", time.time(), job=job.id, row=row)
-            self.problems.append(
-                f"{job.id}: listed are {names}, its end was asked: {job.end_asked}"
-            )
-        text = "\n".join(f"word {n}" for n in range(1, EVENTS + 1))
-        for result in job.seen.values():
-            good = result["state"] == "completed" and result["text"] == text
-            if not good and result["state"] != "dead_letter":
-                self.problems.append(f"{job.id}: {result['id']} is not whole")
+        if sorted(job.listed_ids) != sorted(job.item_ids):
+            rows = await self.evidence.rows_of(job.id)
+            self._tell("rows", time.time(), job=job.id, rows=rows)
+        self.problems += check_listed(job)
 
     async def _check(self) -> None:
-        runs: dict[str, list[dict[str, Any]]] = {}
-        for run in await self.fleet.runs():
-            runs.setdefault(run["id"], []).append(run)
-        for request, (kind, answer) in self.answers.items():
-            ran = runs.get(request, [])
-            if kind in AT_MOST_ONCE and len(ran) > 1:
-                self.problems.append(f"{request} ({kind}) ran {len(ran)} times")
-            if answer is not None:
-                self._check_answer(request, answer, ran)
+        runs = runs_by_request(await self.fleet.runs())
+        self.problems += check_requests(self.answers, runs)
         for job in self.jobs:
-            self._check_job(job, runs)
+            self.problems += check_runs_of(job, runs)
         ended = len(self.fleet.ended) - self.killed
         if ended > MOST_DEADLY_ENDS:
             self.problems.append(f"{ended} runners ended under one request")
 
-    def _check_answer(
-        self, request: str, answer: Answer, ran: list[dict[str, Any]]
-    ) -> None:
-        if answer.status in PROMISES and ran:
-            self.problems.append(f"{request}: {answer.status}, but it ran")
-        if answer.status != 200:
-            return
-        if request not in answer.headers.get("response-stamp", ""):
-            self.problems.append(f"{request}: another request's answer")
-        events = answer.events
-        if events != list(range(1, len(events) + 1)):
-            self.problems.append(f"{request}: events {events}")
-        if answer.whole and len(events) != EVENTS:
-            self.problems.append(f"{request}: looks whole after {len(events)} events")
-
-    def _check_job(self, job: Job, runs: dict[str, list[dict[str, Any]]]) -> None:
-        names = [f"{job.id}-item-{n}" for n in range(len(job.items))]
-        ran = [run for name in names for run in runs.get(name, ())]
-        refused = job.statuses and all(s in PROMISES for s in job.statuses)
-        if refused and ran:
-            self.problems.append(f"{job.id}: always refused as not run, but it ran")
-        if job.ended_at:
-            late = [r for r in ran if r["at"] > job.ended_at + CANCEL_S]
-            if late:
-                self.problems.append(f"{job.id}: {len(late)} runs after its end")
-
     def _keep_output(self) -> None:
-        _OUT.mkdir(exist_ok=True)
-        with (_OUT / f"soak-{self.seed}.log").open("w", encoding="utf-8") as out:
-            out.write(json.dumps({"problems": self.problems, "faults": self.done}))
-            out.write("\n--- clients and faults\n")
-            out.writelines(json.dumps(line) + "\n" for line in self.told)
-            for name, process in self.fleet.processes.items():
-                out.write(f"\n--- {name}\n{process.output()}")
-
-
-def _wall(unix_s: float) -> str:
-    """Returns a time of day as the processes' logs write it, in UTC."""
-    return datetime.datetime.fromtimestamp(unix_s, datetime.UTC).isoformat()[11:23]
-
-
-HEALTHY_STORE = {
-    "outage": False,
-    "hang": False,
-    "latency_s": 0.0,
-    "lose_share": 0.0,
-    "late_effect_s": 0.0,
-    "cut_zones": [],
-}
+        told = " ".join(self.problems)
+        concerned = [job.id for job in self.jobs if f"{job.id}:" in told]
+        self.evidence.write(
+            _OUT / f"soak-{self.seed}.log",
+            {"seed": self.seed, "problems": self.problems, "faults": self.done},
+            concerned or [job.id for job in self.jobs],
+        )
 
 
-async def _insist(write: Callable[[], Awaitable[None]]) -> None:
-    """Repeats a write of the operator or of a runner until the store takes it."""
-    while True:
-        try:
-            return await write()
-        except CoppercleatError:
-            await trio.sleep(0.1)
+def _seen(answer: Answer | None) -> dict[str, Any]:
+    """Returns what a client saw of an answer, to be told."""
+    if answer is None:
+        return {"status": 0}
+    ends = [answer.events[0], answer.events[-1]] if answer.events else []
+    return {"status": answer.status, "events": ends, "whole": answer.whole}
 
 
 async def _store_has(soak: Soak, **knobs: Any) -> None:
@@ -591,11 +501,11 @@
 async def runner_leaves(soak: Soak) -> None:
     """A runner drains, leaves the list, and is listed again."""
     name = soak.rng.choice(soak.fleet.runners[1:])
-    await _insist(lambda: soak.fleet.list_runner(name, state="draining"))
+    await insist(lambda: soak.fleet.list_runner(name, state="draining"))
     await trio.sleep(soak.rng.uniform(0.2, 2.0))
-    await _insist(lambda: soak.fleet.unlist_runner(name))
+    await insist(lambda: soak.fleet.unlist_runner(name))
     await trio.sleep(soak.rng.uniform(0.2, 2.0))
-    await _insist(lambda: soak.fleet.list_runner(name))
+    await insist(lambda: soak.fleet.list_runner(name))
 
 
 @end
@@ -611,7 +521,7 @@
 async def configuration_changes(soak: Soak) -> None:
     """The operator writes new versions in quick succession."""
     for _ in range(soak.rng.randint(1, 6)):
-        await _insist(soak.fleet.apply_config)
+        await insist(soak.fleet.apply_config)
         await trio.sleep(0.1)
 
 
--- a/tests/harness/_gateways.py
+++ b/tests/harness/_gateways.py
@@ -3,9 +3,11 @@
 from __future__ import annotations
 
 import base64
+import contextlib
 import json
 import os
 import pathlib
+import secrets
 import shutil
 import signal
 import tempfile
@@ -24,7 +26,9 @@
 from coppercleat.platform import StoreClient
 from coppercleat.storage import Put, Transaction, TransactionRefused
 from tests.harness._pauses import Pauses, plan_of_environment
-from tests.harness._processes import Process, free_port, until
+from tests.harness._port_check import PortHolder, PortUse
+from tests.harness._ports import free_port
+from tests.harness._processes import Process, until
 
 _T = TypeVar("_T")
 SERVICE = "menus"
@@ -56,8 +60,28 @@
         return [int(line[4:]) for line in lines if line.startswith("id: ")]
 
 
-class Gateways:
-    """Starts gateways, runners and the store, and ends them."""
+@attrs.frozen
+class Action:
+    """Something that a test did to its fleet.
+
+    Attributes:
+      at: Unix time in seconds.
+      what: The kind, in words.
+    """
+
+    at: float
+    what: str
+    details: dict[str, Any]
+
+
+class Gateways(PortHolder):
+    """Starts gateways, runners and the store, and ends them.
+
+    Attributes:
+      fleet_name: The gateways' own, so that they hear no other play's.
+      actions: Faults and changes that were set, in order. Signals stand with the
+        processes.
+    """
 
     def __init__(
         self,
@@ -68,9 +92,11 @@
         proxied: bool = False,
         checkout: pathlib.Path | None = None,
     ) -> None:
+        super().__init__()
         self.directory = pathlib.Path(tempfile.mkdtemp(prefix="coppercleat-"))
-        self.processes: dict[str, Process] = {}
         self.ports: dict[str, dict[str, int]] = {}
+        self.fleet_name = f"test {os.getpid()} {secrets.token_hex(4)}"
+        self.actions: list[Action] = []
         self.store_port = free_port()
         self.versions: dict[str, int] = {}
         self.config: dict[str, Any] = default_config()
@@ -123,26 +149,42 @@
         """Runs an async function."""
         return trio.run(function, *args)
 
+    # Ports.
+
+    def port_uses(self) -> list[PortUse]:
+        """Returns all ports that have been given out, with who is to listen there."""
+        proxy = self.pid("proxy")
+        uses = [PortUse("the store", self.store_port, self.pid("store"))]
+        if self.proxy_port:
+            uses.append(PortUse("the proxy", self.proxy_port, proxy))
+        for name, port in self.links.items():
+            uses.append(PortUse(f"the link of {name}", port, proxy))
+        for name, ports in self.ports.items():
+            for use, port in ports.items():
+                uses.append(PortUse(f"{name} ({use})", port, self.pid(name)))
+        return uses
+
     def _process(self, name: str, module: str, port: int, *flags: str) -> None:
+        self.note_foreign_listeners()
         arguments = ["-m", module, "--port", str(port), *flags]
-        self.processes[name] = Process(name, arguments)
+        self.add_process(Process(name, arguments))
 
     def start_gateway(self, name: str) -> None:
         """Starts a gateway, or starts it again under the same name and ports."""
         ports = self.ports.setdefault(
             name, {use: free_port() for use in ("front", "readiness", "control")}
         )
+        self.note_foreign_listeners()
         settings = self.settings(name, ports)
         path = self.directory / f"{name}.yaml"
         path.write_text(yaml.safe_dump(settings))
         if self.checkout is not None:
-            self.processes[name] = self._deployed(name, self.checkout, path)
+            self.add_process(self._deployed(name, self.checkout, path))
             return
         os.environ["COPPERCLEAT_CONFIG"] = str(path)
         arguments = ["deploy/start.py", "gateway", "--log_level=debug"]
-        if self.proxy_port:
-            arguments.append(f"--fleet=fleet at {self.store_port}")
-        self.processes[name] = Process(name, arguments)
+        arguments.append(f"--fleet={self.fleet_name}")
+        self.add_process(Process(name, arguments))
 
     def _deployed(
         self, name: str, checkout: pathlib.Path, settings: pathlib.Path
@@ -191,8 +233,12 @@
         """Returns the port by which a gateway reaches the store."""
         return self.links.get(name, self.store_port)
 
+    def _note(self, what: str, **details: Any) -> None:
+        self.actions.append(Action(time.time(), what, details))
+
     async def link(self, name: str, **faults: Any) -> None:
         """Sets the proxy's link to a runner, or from a gateway to the store."""
+        self._note("link", of=name, **faults)
         target = self.store_port
         if name in self.runners:
             target = self.ports[name]["http"]
@@ -204,6 +250,7 @@
 
     async def silence(self, names: list[str]) -> None:
         """Lets the open connections of these links fall silent; other faults stay."""
+        self._note("open connections fall silent", of=list(names))
         async with self.linking:
             report = await self.control("proxy")
             links = report["knobs"]["links"]
@@ -226,6 +273,7 @@
 
     async def list_runner(self, name: str, *, state: str = "ready") -> None:
         """Writes a runner's entry."""
+        self._note("list", runner=name, state=state)
         await self.put(f"servers/{name}", await self.entry(name, state=state))
 
     async def entry(self, name: str, *, state: str = "ready") -> dict[str, Any]:
@@ -304,6 +352,7 @@
 
     async def unlist_runner(self, name: str) -> None:
         """Removes a runner's entry."""
+        self._note("unlist", runner=name)
         async with _store(self.store_port) as store:
             await store.transact(Transaction(deletes=[f"servers/{name}"]))
 
@@ -311,6 +360,7 @@
         """Writes a new version of the operator's document."""
         self.config |= changes
         self.config["version"] += 3
+        self._note("configuration", version=self.config["version"], **changes)
         await self.put("op/config", self.config)
 
     async def put(self, key: str, value: Any) -> None:
@@ -327,11 +377,14 @@
 
     async def job_row(self, job: str) -> dict[str, Any]:
         """Returns the row of a job as the store has it."""
-        [(_, row)] = await self.rows(f"job/{job}", part=JOBS[0])
-        return json.loads(row.value)
+        key = f"job/{job}"
+        # Keys of other jobs may begin alike.
+        return json.loads(dict(await self.rows(key, part=JOBS[0]))[key].value)
 
     async def control(self, name: str, **knobs: Any) -> dict[str, Any]:
         """Sets knobs of a stand-in, and returns its report."""
+        if knobs and name != "proxy":
+            self._note("knobs", of=name, **knobs)
         known = {"store": self.store_port, "proxy": self.proxy_port}
         port = known.get(name) or self.ports[name]["http"]
         async with httpcore.AsyncConnectionPool() as pool:
@@ -388,17 +441,21 @@
         *,
         headers: dict[str, str] | None = None,
         body: bytes = b"",
+        pool: httpcore.AsyncConnectionPool | None = None,
     ) -> Answer:
-        """Makes a client's call on a connection of its own."""
+        """Makes a client's call, on a connection of its own if no pool is given."""
         port = self.ports[name]["front"]
         wire = [("host", host), *(headers or {}).items()]
         if body:
             wire.append(("content-length", str(len(body))))
         parts: list[bytes] = []
         url = f"http://127.0.0.1:{port}{target}"
+        own = httpcore.AsyncConnectionPool() if pool is None else None
         async with (
-            httpcore.AsyncConnectionPool() as pool,
-            pool.stream(method, url, headers=wire, content=body or None) as response,
+            own or contextlib.nullcontext(),
+            (own or pool).stream(
+                method, url, headers=wire, content=body or None
+            ) as response,
         ):
             whole = True
             try:
@@ -417,6 +474,7 @@
         *,
         deadline_ms: int = 5000,
         body: str = "",
+        pool: httpcore.AsyncConnectionPool | None = None,
         **headers: str,
     ) -> Answer:
         """Sends an online request, with a body of its own if none is given."""
@@ -425,7 +483,9 @@
         sent |= {key.replace("_", "-"): value for key, value in headers.items()}
         content = (body or f"prompt of {request}").encode()
         target = prefix + "x?q=%2F1"
-        return await self.call(name, "POST", host, target, headers=sent, body=content)
+        return await self.call(
+            name, "POST", host, target, headers=sent, body=content, pool=pool
+        )
 
     async def submit(self, name: str, job: str, items: list[str]) -> Answer:
         """Submits a job with items of these bodies."""
