--- a/tests/features/lasting_jobs.feature
+++ b/tests/features/lasting_jobs.feature
@@ -22,6 +22,10 @@
       | 30    | 30   |
       | 200   | 30   |
 
+  Scenario: A job of 150 items that have finished is stopped as planned before a commit
+    When a job of 150 items that have finished is stopped as planned before a commit
+    Then its row names no owner, and 150 items are listed
+
   Scenario Outline: A job is swept by an old row, accepted again with <items> items of <bytes> bytes
     When a job of <items> items of <bytes> bytes is swept by a row from before its second acceptance
     Then its second acceptance still has its input
@@ -40,6 +44,18 @@
       | ended             |
       | ended and deleted |
 
+  # The users' pages: cancelMs.
+  Scenario Outline: A job that waits for a slot is ended while <what>
+    When a job that waits for a slot is ended while <what>
+    Then no item of it begins more than 3 s after the end
+
+    Examples:
+      | what                                          |
+      | all is well                                   |
+      | the history is lost at each look of 8 s       |
+      | its owner can read changes, but nothing whole |
+      | one look omits its change                     |
+
   Scenario Outline: <row> of a job does not fit
     When <row> of a job does not fit and another job is accepted
     Then its owner goes on and lists <listed>
--- a/tests/harness/__init__.py
+++ b/tests/harness/__init__.py
@@ -12,7 +12,13 @@
     Answer,
     Gateways,
 )
-from tests.harness._job_plans import draw_hard_plan, grid_plans, pair_plans
+from tests.harness._job_plans import (
+    draw_hard_plan,
+    draw_large_plan,
+    draw_takeover_plan,
+    grid_plans,
+    pair_plans,
+)
 from tests.harness._job_plants import PLANTS
 from tests.harness._job_play import JobPlay, draw_plan
 from tests.harness._jobs import (
@@ -58,7 +64,13 @@
     foreign_listeners,
     port_states,
 )
-from tests.harness._ports import SHARD_VARIABLE, free_port, holder_of, own_shard
+from tests.harness._ports import (
+    SHARD_VARIABLE,
+    free_port,
+    hold_suite_shards,
+    holder_of,
+    own_shard,
+)
 from tests.harness._processes import Process, until, waited_for_processor_s
 from tests.harness._relay_model import RelayModel
 from tests.harness._word_play import WordPlay, draw_course
@@ -104,7 +116,9 @@
     "draw_course",
     "draw_ends_plan",
     "draw_hard_plan",
+    "draw_large_plan",
     "draw_plan",
+    "draw_takeover_plan",
     "grid_plans",
     "pair_plans",
     "fail_by_turns",
@@ -112,6 +126,7 @@
     "first_time",
     "foreign_listeners",
     "free_port",
+    "hold_suite_shards",
     "holder_of",
     "in_no_time",
     "item_may_go",
