--- a/Makefile
+++ b/Makefile
@@ -78,9 +78,6 @@
 scheduled-soak: setup
 	$(BIN)/python -m bench.scheduled_soak
 
-scheduled-soak: setup
-	$(BIN)/python -m bench.scheduled_soak
-
 chaos: setup
 	$(BIN)/python -m bench.chaos
 
