Plays and rows of jobs of one id at two hosts, which fail

What callers see: clients choose the ids of their jobs, and two hosts may have one of one id. The older job is not listed, or its items are listed with the text of the other host's bodies.

Plays of jobs tell jobs by host and id now, with bodies, texts and numbers of items that tell them apart; a play without faults must run each item once. Drawn plays submit each id to two hosts (owners killed or paused, news of takeovers late, a slow store, large inputs, ends), and a control is the same play with ids that differ.

The checks of plays that were there are as strict as before or stricter: a completed item's text must be that of its own body.

--- a/src/coppercleat/ids.py
+++ b/src/coppercleat/ids.py
@@ -5,6 +5,8 @@
 import random
 from typing import NewType
 
+import msgspec
+
 InstanceId = NewType("InstanceId", str)
 ZoneId = NewType("ZoneId", str)
 RegionId = NewType("RegionId", str)
@@ -21,6 +23,21 @@
 _TOKEN_BITS = 80
 
 
+class JobRef(msgspec.Struct, frozen=True):
+    """Identifies a job: clients choose ids, and those of two hosts may be alike.
+
+    Attributes:
+      host: Host that the job was submitted to.
+      id: Id that its client gave it.
+    """
+
+    host: str
+    id: JobId
+
+    def __str__(self) -> str:
+        return f"{self.id} of {self.host}"
+
+
 def random_token(rng: random.Random) -> str:
     """Returns a fresh token of 20 hexadecimal digits.
 
--- /dev/null
+++ b/tests/features/job_ids.feature
@@ -0,0 +1,61 @@
+Feature: Jobs of one id at two hosts are two jobs
+
+  # Clients choose the ids of their jobs. Items of one were listed with the text of the other's
+  # bodies, or never, while what holds, takes over and counts jobs went by the id alone.
+  Scenario Outline: Two hosts have a job of one id, and <course>
+    When two hosts have a job of one id, and <course>
+    Then both jobs are listed whole, each with its own texts
+    And each item has run once
+
+    Examples:
+      | course                                                         |
+      | both come to one instance, 1 s apart                           |
+      | each comes to an instance of its own, 1 s apart                |
+      | one comes while the input of the other is read                 |
+      | the input of both is an object                                 |
+      | a takeover of one is told to the owner of the other            |
+      | progress of one is told while the input of the other is read   |
+      | the owner of one is dead, that of the other lives              |
+
+  Scenario: Two hosts have a job of one id, and one is ended
+    When two hosts have a job of one id, and one is ended
+    Then no item of the ended job begins 3 s after its end
+    And the other job is listed whole, with its own texts
+
+  Scenario: The answer to a submission is lost, beside a newer job of its id at another host
+    When the answer to a submission is lost, beside a newer job of its id at another host
+    Then its client is told that it is accepted, within 1 s
+
+  Scenario: Finished tokens of a job count while another host has a job of its id
+    When a job of 80 tokens is listed whole at each of two hosts, both of one id
+    Then the first host takes another job of 80 tokens, of 100 that may wait
+
+  Scenario: Jobs of one id at two hosts are deleted once they have expired
+    When jobs of one id at two hosts have expired
+    Then nothing of them is left in the store after 12 s
+
+  Scenario Outline: Two hosts have a row of one key, <rows>
+    When two hosts have a row of one key, <rows>
+    Then a bad row is reported <count> times
+
+    Examples:
+      | rows                                     | count |
+      | both bad                                 | 2     |
+      | one bad, and the good one is deleted     | 1     |
+      | one good, and the bad one names its host | 1     |
+
+  Scenario: Two stalled jobs of one id are both reported
+    When two jobs of one id are stalled for 30 s
+    Then each of them is reported 3 times
+
+  # Counts and bodies drawn; owners killed or paused, news of takeovers late, a slow store, ends.
+  # While ids alone told jobs apart 76 of the first 100 failed, and none with ids that differ.
+  Scenario Outline: Simulations of two hosts, <which> ids, <first> to <last>
+    When of the <which> simulations each 1th from <first> to <last> is played
+    Then every accepted job was read to its end, and no promise broken
+    And every accepted job was listed whole 18 s after all had healed
+
+    Examples:
+      | which | first | last |
+      | twin  | 0     | 24   |
+      | apart | 0     | 9    |
--- a/tests/features/steps/job_play_steps.py
+++ b/tests/features/steps/job_play_steps.py
@@ -7,10 +7,12 @@
 from tests.harness import (
     PLANTS,
     JobPlay,
+    draw_apart_plan,
     draw_hard_plan,
     draw_large_plan,
     draw_plan,
     draw_takeover_plan,
+    draw_twin_plan,
     grid_plans,
     pair_plans,
 )
@@ -19,6 +21,8 @@
     "drawn": lambda: map(draw_hard_plan, itertools.count()),
     "large": lambda: map(draw_large_plan, itertools.count()),
     "takeover": lambda: map(draw_takeover_plan, itertools.count()),
+    "twin": lambda: map(draw_twin_plan, itertools.count()),
+    "apart": lambda: map(draw_apart_plan, itertools.count()),
     "grid": grid_plans,
     "pair": pair_plans,
 }
--- a/tests/features/steps/lasting_job_steps.py
+++ b/tests/features/steps/lasting_job_steps.py
@@ -8,6 +8,7 @@
 from behave import then, when
 
 from coppercleat.errors import PlatformUnavailableError
+from coppercleat.ids import JobId, JobRef
 from coppercleat.jobs import (
     NO_OWNER,
     JobIndex,
@@ -260,7 +261,7 @@
         site.view.trouble.clear()
         site.cut = False
         await trio.sleep(AWAY_S)
-        began = site.caller.began["job"]
+        began = site.caller.began[JobRef(HOST, JobId("job"))]
         context.began = [at - back_at for at in began if at >= back_at]
 
     # The items still run when it is cut off.
@@ -313,7 +314,7 @@
             assert await make_repository(site.memory).cancel(HOST, "job")
             ended_at = trio.current_time()
         await trio.sleep(10)
-        began = site.caller.began.get("job", [])
+        began = site.caller.began.get(JobRef(HOST, JobId("job")), [])
         context.began = [round(at - ended_at, 2) for at in began]
         assert await site.listed("second") == SLOTS // 2
 
--- a/tests/harness/__init__.py
+++ b/tests/harness/__init__.py
@@ -15,9 +15,11 @@
     Gateways,
 )
 from tests.harness._job_plans import (
+    draw_apart_plan,
     draw_hard_plan,
     draw_large_plan,
     draw_takeover_plan,
+    draw_twin_plan,
     grid_plans,
     pair_plans,
 )
@@ -119,10 +121,12 @@
     "course",
     "draw_course",
     "draw_ends_plan",
+    "draw_apart_plan",
     "draw_hard_plan",
     "draw_large_plan",
     "draw_plan",
     "draw_takeover_plan",
+    "draw_twin_plan",
     "grid_plans",
     "pair_plans",
     "fail_by_turns",
--- a/tests/harness/_job_plans.py
+++ b/tests/harness/_job_plans.py
@@ -8,7 +8,7 @@
 
 import attrs
 
-from tests.harness._job_play import ITEMS, Ask, Fault, Plan
+from tests.harness._job_play import INSTANCES, ITEMS, Ask, Fault, Plan
 from tests.harness._jobs import HOST
 
 OTHER_HOST = "other.example"
@@ -151,6 +151,66 @@
     )
 
 
+# Jobs of one id at two hosts.
+
+_TWIN_HOSTS = (HOST, OTHER_HOST)
+
+
+def draw_twin_plan(seed: int) -> Plan:
+    """Draws a play in which each id is submitted to two hosts, with other bodies."""
+    rng = random.Random(f"twin {seed}")
+    asks: list[Ask] = []
+    for number in range(rng.randint(1, 3)):
+        asks += _draw_twins(rng, f"j-{number}")
+    return Plan(
+        tuple(_draw_twin_faults(rng, asks)),
+        tuple(sorted(asks, key=lambda ask: ask.at)),
+        length_s=HARD_LENGTH_S,
+        lasting=True,
+        event_s=rng.choice((0.1, 0.3)),
+        order_seed=seed,
+    )
+
+
+def draw_apart_plan(seed: int) -> Plan:
+    """Draws the play of ``draw_twin_plan``, with ids that differ."""
+    plan = draw_twin_plan(seed)
+    asks = (attrs.evolve(ask, job=f"{ask.job}-{ask.host}") for ask in plan.asks)
+    return attrs.evolve(plan, asks=tuple(asks))
+
+
+def _draw_twins(rng: random.Random, job: str) -> Iterator[Ask]:
+    at = rng.uniform(1, 8)
+    ends = rng.choice((None, None, None, *_TWIN_HOSTS))
+    for host in rng.sample(_TWIN_HOSTS, 2):
+        yield Ask(
+            at,
+            "submit",
+            job,
+            rng.randrange(INSTANCES),
+            tries=4,
+            host=host,
+            items=rng.randint(2, 6),
+            large=rng.random() < 0.1,
+        )
+        if host == ends:
+            end_at, instance = at + rng.uniform(0.1, 4), rng.randrange(INSTANCES)
+            yield Ask(end_at, "end", job, instance, tries=4, host=host)
+        at += rng.choice((0.0, rng.uniform(0, 6)))
+
+
+def _draw_twin_faults(rng: random.Random, asks: list[Ask]) -> Iterator[Fault]:
+    for kind in ("killed", "paused"):
+        if rng.random() < 0.35:
+            ask = rng.choice(asks)
+            at, for_s = ask.at + rng.uniform(0.1, 2), rng.uniform(0.3, 8)
+            yield Fault(at, for_s, kind, ask.instance)
+    for kind, longest_s in (("slow", 0.3), ("news", 3.0)):
+        if rng.random() < 0.4:
+            effect_s = rng.uniform(0.05, longest_s)
+            yield Fault(0.5, HARD_LENGTH_S, kind, None, effect_s=effect_s)
+
+
 # The grid: one job, accepted by instance 0, at all orders of what may go wrong with it.
 
 _ACCEPTED_AT = 3.0
--- a/tests/harness/_job_play.py
+++ b/tests/harness/_job_play.py
@@ -34,13 +34,14 @@
 
 from coppercleat.gateway import JobAnswer, JobService
 from coppercleat.gateway._run import UNREADY_S, _stop
-from coppercleat.ids import InstanceId, JobId, ZoneId
+from coppercleat.ids import InstanceId, JobId, JobRef, ZoneId
 from coppercleat.jobs import (
     ItemRunner,
     ItemState,
     JobIndex,
     JobRepository,
     JobWorker,
+    ResultRow,
     Submission,
 )
 from coppercleat.serving import (
@@ -81,6 +82,9 @@
 """A killed instance is back after this time at the latest."""
 
 ITEMS = 4
+EVENTS = 5
+"""Events of a run of an item."""
+
 LARGE_BYTES = 170_000
 """Body of each item of a job whose input is stored as an object."""
 
@@ -111,7 +115,8 @@
     Attributes:
       instance: Its number; None for all.
       only: The writes that it concerns; empty for all.
-      effect_s: When a write of the kind ``late`` takes effect.
+      effect_s: When a write of the kind ``late`` takes effect; how long a call of the
+        kind ``slow`` takes.
     """
 
     at: float
@@ -143,6 +148,7 @@
       tries: How often it asks, each time of the next instance, until it is answered.
       leaves_s: When it leaves in the middle of its call; None for never.
       host: The host that it submits to.
+      items: How many items its job has.
       large: Whether its job's input is stored as an object.
     """
 
@@ -153,8 +159,14 @@
     tries: int = 1
     leaves_s: float | None = None
     host: str = HOST
+    items: int = ITEMS
     large: bool = False
 
+    @property
+    def ref(self) -> JobRef:
+        """The job."""
+        return JobRef(self.host, JobId(self.job))
+
 
 @attrs.frozen
 class Plan:
@@ -209,7 +221,7 @@
 
 
 class FiveEvents:
-    """A caller whose upstreams answer with five events.
+    """A caller whose upstreams answer with five events, each the body's first line.
 
     Attributes:
       event_s: Time that each takes.
@@ -219,19 +231,21 @@
 
     def __init__(self, event_s: float = 0.1) -> None:
         self.event_s = event_s
-        self.began: dict[str, list[float]] = {}
+        self.began: dict[JobRef, list[float]] = {}
         self.failing = False
 
     @contextlib.asynccontextmanager
     async def exchange(self, upstream: Any, request: Any, **options: Any) -> Any:
         options["attempt"].move(AttemptState.SENT)
         job, _, _ = request.request_id.rpartition("-")
-        self.began.setdefault(job, []).append(trio.current_time())
+        ref = JobRef(request.host, JobId(job))
+        self.began.setdefault(ref, []).append(trio.current_time())
+        word = request.body.partition(b"\n")[0]
 
         async def body() -> Any:
-            for number in range((options["resume_after"] or 0) + 1, 6):
+            for number in range((options["resume_after"] or 0) + 1, EVENTS + 1):
                 await trio.sleep(self.event_s)
-                yield f"id: {number}\ndata: w\n\n".encode()
+                yield b"id: %d\ndata: %s\n\n" % (number, word)
 
         yield UpstreamResponse(
             status=500 if self.failing else 200,
@@ -403,17 +417,17 @@
 
     def __init__(self, plan: Plan) -> None:
         self.plan = plan
-        self.accepted: dict[str, float] = {}
-        self.end_asked: set[str] = set()
-        self.ended: dict[str, float] = {}
-        self.answers: dict[str, list[JobAnswer | None]] = {}
+        self.accepted: dict[JobRef, float] = {}
+        self.end_asked: set[JobRef] = set()
+        self.ended: dict[JobRef, float] = {}
+        self.answers: dict[JobRef, list[JobAnswer | None]] = {}
         self.problems: list[str] = []
         self.late: list[str] = []
-        self.listed_after_s: dict[str, float] = {}
+        self.listed_after_s: dict[JobRef, float] = {}
         self.instances: list[Instance] = []
         self.caller = FiveEvents(plan.event_s)
         self.memory = RecordingPlatform()
-        self._hosts = {ask.job: ask.host for ask in plan.asks}
+        self._items = {a.ref: a.items for a in plan.asks if a.what == "submit"}
         letter = "R" if plan.lasting else "S"
         quota = plan.quota
         self._route = make_route(letter, retention_s=600.0, max_waiting_tokens=quota)
@@ -440,13 +454,13 @@
                 nursery.start_soon(self._ask, ask)
             await trio.sleep(self.plan.length_s + 10)
             with trio.move_on_after(SETTLE_S):
-                for job in sorted(self.accepted):
-                    await self._read_whole(job)
+                for ref in self._accepted_in_order():
+                    await self._read_whole(ref)
                 # Jobs whose acceptance was not acknowledged are run as well.
                 while self.memory.open_jobs:
                     await trio.sleep(0.5)
-            for job in sorted(self.accepted):
-                await self._check(job)
+            for ref in self._accepted_in_order():
+                await self._check(ref)
             self._check_promises()
             nursery.cancel_scope.cancel()
 
@@ -461,7 +475,7 @@
             View(self.memory, self.nursery, trouble),
             caller=self.caller,
             route=self._route,
-            hosts=tuple({HOST: None} | dict.fromkeys(self._hosts.values())),
+            hosts=tuple(dict.fromkeys([HOST, *(ask.host for ask in self.plan.asks)])),
             pause_s=self.plan.pause_s,
             on_takeover=lambda job, owner: self._announce(number, job, owner),
             hears=lambda: self._heard_at(number),
@@ -559,7 +573,7 @@
     async def _ask(self, ask: Ask) -> None:
         await trio.sleep(ask.at)
         if ask.what == "end":
-            self.end_asked.add(ask.job)
+            self.end_asked.add(ask.ref)
         for attempt in range(ask.tries):
             number = (ask.instance + attempt) % self.plan.instances
             if await self._ask_once(ask, number):
@@ -580,72 +594,95 @@
         instance.calls.discard(scope)
         if ask.what == "end":
             return self._note_end(ask, answer, asked_at)
-        self.answers.setdefault(ask.job, []).append(answer)
+        self.answers.setdefault(ask.ref, []).append(answer)
         if answer is JobAnswer.ACCEPTED:
-            self.accepted.setdefault(ask.job, trio.current_time())
+            self.accepted.setdefault(ask.ref, trio.current_time())
         return answer is JobAnswer.ACCEPTED
 
     def _note_end(self, ask: Ask, answer: JobAnswer | None, asked_at: float) -> bool:
-        known_s = asked_at - self.accepted.get(ask.job, asked_at)
+        known_s = asked_at - self.accepted.get(ask.ref, asked_at)
         if answer is JobAnswer.ABSENT and known_s > 1.0:
-            self.problems.append(f"{ask.job}: absent {known_s:.1f} s after acceptance")
+            self.problems.append(f"{ask.ref}: absent {known_s:.1f} s after acceptance")
         if answer is JobAnswer.ENDED:
-            self.ended.setdefault(ask.job, trio.current_time())
+            self.ended.setdefault(ask.ref, trio.current_time())
         return answer is JobAnswer.ENDED
 
     async def _ask_service(self, service: JobService, ask: Ask) -> JobAnswer:
         if ask.what == "end":
-            return (await service.end(ask.host, JobId(ask.job))).answer
-        return (await service.submit(_submission(ask), self._route)).answer
+            return (await service.end(ask.host, ask.ref.id)).answer
+        return (await service.submit(submission_of(ask), self._route)).answer
 
     # Checks.
 
-    async def _results(self, job: str) -> list:
-        instance = self.instances[0]
-        host = self._hosts[job]
-        reply = await instance.service.results(host, JobId(job), after=0)
+    def _accepted_in_order(self) -> list[JobRef]:
+        return sorted(self.accepted, key=lambda ref: (ref.id, ref.host))
+
+    async def _results(self, ref: JobRef) -> list:
+        service = self.instances[0].service
+        reply = await service.results(ref.host, ref.id, after=0)
         return reply.page.results if reply.page else []
 
-    async def _read_whole(self, job: str) -> None:
-        while len(await self._results(job)) < ITEMS:
+    async def _read_whole(self, ref: JobRef) -> None:
+        while len(await self._results(ref)) < self._items[ref]:
             await trio.sleep(0.5)
 
-    async def _check(self, job: str) -> None:
-        results = await self._results(job)
+    async def _check(self, ref: JobRef) -> None:
+        results = await self._results(ref)
         names = sorted(result.item for result in results)
-        if names != [f"{job}-{number}" for number in range(ITEMS)]:
-            self.problems.append(f"{job}: listed are {names}")
+        if names != [f"{ref.id}-{number}" for number in range(self._items[ref])]:
+            self.problems.append(f"{ref}: listed are {names}")
+        for result in results:
+            if result.state is ItemState.COMPLETED:
+                self._check_text(ref, result)
         cancelled = [r for r in results if r.state is ItemState.CANCELLED]
-        if cancelled and job not in self.end_asked:
-            self.problems.append(f"{job}: cancelled, and nobody asked for it")
+        if cancelled and ref not in self.end_asked:
+            self.problems.append(f"{ref}: cancelled, and nobody asked for it")
         given_up = [r for r in results if r.state is ItemState.FAILED]
         if given_up and all(fault.kind != "fails" for fault in self.plan.faults):
-            self.problems.append(f"{job}: given up, and no run failed")
+            self.problems.append(f"{ref}: given up, and no run failed")
+
+    def _check_text(self, ref: JobRef, result: ResultRow) -> None:
+        wanted = b"\n".join([word_of(ref.host, result.item)] * EVENTS)
+        if result.text != wanted:
+            self.problems.append(f"{ref}: {result.item} has the text {result.text!r}")
 
     def _check_promises(self) -> None:
         self.problems += self.memory.problems
-        for job, ended_at in self.ended.items():
-            for began in self.caller.began.get(job, []):
+        for ref, ended_at in self.ended.items():
+            for began in self.caller.began.get(ref, []):
                 if began > ended_at + CANCEL_S:
                     late_s = began - ended_at
-                    self.problems.append(f"{job}: runs {late_s:.1f} s after its end")
+                    self.problems.append(f"{ref}: runs {late_s:.1f} s after its end")
         refusals = {JobAnswer.NOT_RUN, JobAnswer.OVER_QUOTA}
-        for job, answers in self.answers.items():
-            if set(answers) <= refusals and job in self.caller.began:
-                self.problems.append(f"{job}: refused each time, and runs")
-        for job in self.memory.open_jobs:
-            self.problems.append(f"{job}: in the store, and not whole at the end")
-        for job in self.accepted:
-            whole_at = self.memory.whole_at.get(job, float("inf"))
-            self.listed_after_s[job] = whole_at - self.plan.healed_at
-            if self.listed_after_s[job] > FINISH_S:
-                self.late.append(f"{job}: {self.listed_after_s[job]:.1f} s")
+        for ref, answers in self.answers.items():
+            if set(answers) <= refusals and ref in self.caller.began:
+                self.problems.append(f"{ref}: refused each time, and runs")
+        for ref, began_at in self.caller.began.items():
+            if not self.plan.faults and len(began_at) > self._items[ref]:
+                self.problems.append(f"{ref}: {len(began_at)} runs without a fault")
+        for ref in self.memory.open_jobs:
+            self.problems.append(f"{ref}: in the store, and not whole at the end")
+        for ref in self.accepted:
+            whole_at = self.memory.whole_at.get(ref, float("inf"))
+            self.listed_after_s[ref] = whole_at - self.plan.healed_at
+            if self.listed_after_s[ref] > FINISH_S:
+                self.late.append(f"{ref}: {self.listed_after_s[ref]:.1f} s")
 
 
 _HARMS = {"killed": JobPlay._kill, "paused": JobPlay._pause, "stopped": JobPlay._stop}
 
 
-def _submission(ask: Ask) -> Submission:
-    body = b"x" * LARGE_BYTES if ask.large else b"x"
-    submitted = submission(ask.job, ITEMS, body=body)
-    return msgspec.structs.replace(submitted, host=ask.host)
+def submission_of(ask: Ask) -> Submission:
+    """Returns what a client submits; each item's body tells it from all others."""
+    submitted = submission(ask.job, ask.items)
+    padding = b"\n" + b"x" * (LARGE_BYTES if ask.large else 0)
+    items = [
+        msgspec.structs.replace(item, body=word_of(ask.host, item.id) + padding)
+        for item in submitted.items
+    ]
+    return msgspec.structs.replace(submitted, host=ask.host, items=items)
+
+
+def word_of(host: str, item: str) -> bytes:
+    """Returns the first line of an item's body, and of each of its events."""
+    return f"{host}/{item}".encode()
--- a/tests/harness/_job_store.py
+++ b/tests/harness/_job_store.py
@@ -9,6 +9,7 @@
 import trio
 
 from coppercleat.errors import PlatformUnavailableError
+from coppercleat.ids import JobRef
 from coppercleat.jobs import JobRow
 from coppercleat.storage import (
     AnswerLostError,
@@ -40,7 +41,8 @@
     Attributes:
       kind: One of the kinds of faults.
       only: The writes that it concerns, as ``kind_of_write`` names them; empty for all.
-      effect_s: When a write of the kind ``late`` takes effect.
+      effect_s: When a write of the kind ``late`` takes effect; how long a call of the
+        kind ``slow`` takes.
     """
 
     kind: str
@@ -62,8 +64,8 @@
         super().__init__()
         self.writer = ""
         self.problems: list[str] = []
-        self.open_jobs: set[str] = set()
-        self.whole_at: dict[str, float] = {}
+        self.open_jobs: set[JobRef] = set()
+        self.whole_at: dict[JobRef, float] = {}
 
     def _insert(self, key: str, row: Row) -> None:
         name = key.rpartition("\x1f")[2]
@@ -79,23 +81,25 @@
         super()._insert(key, row)
 
     def _note_job(self, before: Row | None, job: JobRow) -> None:
+        ref = JobRef(job.host, job.job)
         if len(set(job.listed)) < len(job.listed):
-            self.problems.append(f"{job.job}: an item is listed twice, {job.listed}")
+            self.problems.append(f"{ref}: an item is listed twice, {job.listed}")
         if before is not None:
             self._compare(decode_row(before, JobRow), job)
         if job.open:
-            self.open_jobs.add(job.job)
+            self.open_jobs.add(ref)
         else:
-            self.open_jobs.discard(job.job)
-            self.whole_at.setdefault(job.job, trio.current_time())
+            self.open_jobs.discard(ref)
+            self.whole_at.setdefault(ref, trio.current_time())
 
     def _compare(self, old: JobRow, new: JobRow) -> None:
+        ref = JobRef(new.host, new.job)
         if new.listed[: len(old.listed)] != old.listed:
-            self.problems.append(f"{new.job}: its list changed, {old.listed}")
+            self.problems.append(f"{ref}: its list changed, {old.listed}")
         if new.listed != old.listed and old.owner != self.writer:
-            self.problems.append(f"{new.job}: {self.writer} committed, not its owner")
+            self.problems.append(f"{ref}: {self.writer} committed, not its owner")
         if old.ended and not new.ended:
-            self.problems.append(f"{new.job}: its end was taken back")
+            self.problems.append(f"{ref}: its end was taken back")
 
 
 def kind_of_write(transaction: Transaction) -> str:
@@ -143,7 +147,8 @@
         return None
 
     async def _reach(self, only: str = "") -> None:
-        await _SLEEP(self.takes_s)
+        slow = self.find("slow")
+        await _SLEEP(slow.effect_s if slow else self.takes_s)
         if self.find("away", only):
             raise PlatformUnavailableError("away")
         if self.find("silent", only):
