The index of jobs tells them by host and id

What callers see: of two jobs of one id at two hosts the older is never listed while the newer is known; one host's items were loaded with the other's row and listed with its texts. The tokens that the first host's job finished count as 0, so that a job that fits gets a 429. An expired job that the index has lost lies in the store for ever. A submission whose answer is lost waits 2 s for it, though the changes have shown that it is accepted.

Cause: the index kept one job for each id; the newer row of either host replaced the other. Clients choose ids, and the store tells the rows apart by their part, which the index ignored.

Change: JobRef, host and id in one frozen value, is the key of the index, of its report of bad rows, and of each look-up in it, so that a look-up by id alone is an error of the type checker. It was weighed against one index for each host: that would have to be repeated in the worker, the messages and all that follows. A row that lies in another host's part is invalid: it was taken for a job of the host that it names, whose store would refuse each write about it.

Tests changed: the good rows of foreign_entries.feature lie in the part of their host, as the product writes them, and the row of another job differs from its key in the id alone.

--- a/src/coppercleat/gateway/_job_service.py
+++ b/src/coppercleat/gateway/_job_service.py
@@ -10,7 +10,7 @@
 import trio
 
 from coppercleat.errors import CoppercleatError, PlatformUnavailableError
-from coppercleat.ids import JobId, TenantId
+from coppercleat.ids import JobId, JobRef, TenantId
 from coppercleat.jobs import (
     NO_OWNER,
     JobIndex,
@@ -120,9 +120,7 @@
         with trio.move_on_after(ACCEPT_WITHIN_S):
             reply = await _first_of(
                 lambda: self._accept(submission, route),
-                lambda: self._shown(
-                    submission.host, submission.job, submission.account, _accepted
-                ),
+                lambda: self._shown(submission.ref, submission.account, _accepted),
             )
         self.on_submit(reply.answer.value)
         _log.info(
@@ -169,7 +167,7 @@
         """Returns results from a position on."""
 
         async def read() -> JobReply:
-            row = await self._row(host, job)
+            row = await self._row(JobRef(host, job))
             if row is None or not _may_see(row, account):
                 return JobReply(answer=JobAnswer.ABSENT)
             page = await self.repository.results(host, job, row.total, after=after)
@@ -206,7 +204,7 @@
         """
 
         async def write() -> JobReply:
-            row = await self._row(host, job)
+            row = await self._row(JobRef(host, job))
             if row is not None and not _may_see(row, account):
                 return JobReply(answer=JobAnswer.ABSENT)
             found = await self.repository.cancel(host, job)
@@ -219,7 +217,7 @@
         began = trio.current_time()
         reply = await _first_of(
             lambda: _bounded(write),
-            lambda: self._shown(host, job, account, _ended),
+            lambda: self._shown(JobRef(host, job), account, _ended),
         )
         # An end without an answer may have taken effect: then nobody runs the job.
         _log.info(
@@ -232,25 +230,22 @@
 
     def _shown(
         self,
-        host: str,
-        job: JobId,
+        ref: JobRef,
         account: TenantId | None,
         answer_of: Callable[[JobRow], JobReply | None],
     ) -> JobReply | None:
         """Returns what the changes tell a client of its job, None for nothing yet."""
-        known = self.job_index.get(job)
-        if known is None or known.row.host != host:
-            return None
-        if not _may_see(known.row, account):
+        known = self.job_index.get(ref)
+        if known is None or not _may_see(known.row, account):
             return None
         return answer_of(known.row)
 
-    async def _row(self, host: str, job: JobId) -> JobRow | None:
+    async def _row(self, ref: JobRef) -> JobRow | None:
         """Returns a job's row; what never changes may come from the job_index."""
-        known: StoredJob | None = self.job_index.get(job)
-        if known is not None and known.row.host == host:
+        known: StoredJob | None = self.job_index.get(ref)
+        if known is not None:
             return known.row
-        stored = await self.repository.find(host, job)
+        stored = await self.repository.find(ref.host, ref.id)
         if stored is not None:
             self.job_index.observe(stored)
         return stored.row if stored else None
--- a/src/coppercleat/jobs/_index.py
+++ b/src/coppercleat/jobs/_index.py
@@ -6,11 +6,11 @@
 
 import trio
 
-from coppercleat.ids import NO_ACCOUNT, JobId, TenantId
+from coppercleat.ids import NO_ACCOUNT, JobId, JobRef, TenantId
 from coppercleat.jobs._records import JOB_SPACE, JobRow, job_key
 from coppercleat.jobs._repository import StoredJob
 from coppercleat.observability import part_logger
-from coppercleat.storage import ABSENT, HistoryLostError, Platform, Row, decode_row
+from coppercleat.storage import HistoryLostError, Platform, Row, decode_row
 
 FULL_READ_INTERVAL_S = 6.0
 """Interval of full reads besides the change feed: the store may omit changes shortly
@@ -24,7 +24,7 @@
 
     Attributes:
       platform: The store.
-      jobs: Jobs by id.
+      jobs: Jobs by host and id: jobs of two hosts may have one id.
       loaded: Whether all jobs have been read once.
       fresh_at: When the last read that shows all changes before it began, in trio time.
       on_change: Called with each job that is new or has changed.
@@ -33,27 +33,27 @@
 
     def __init__(self, platform: Platform) -> None:
         self.platform = platform
-        self.jobs: dict[JobId, StoredJob] = {}
+        self.jobs: dict[JobRef, StoredJob] = {}
         self.loaded = False
         self.fresh_at = float("-inf")
         self.on_change: Callable[[StoredJob], None] = lambda stored: None
         self.on_delete: Callable[[StoredJob], None] = lambda stored: None
-        self._invalid_rows: dict[str, int] = {}
+        self._invalid_rows: dict[JobRef, int] = {}
         self._version = 0
         self._next_full_read_at = float("-inf")
 
     def __iter__(self) -> Iterator[StoredJob]:
         return iter(list(self.jobs.values()))
 
-    def get(self, job: JobId) -> StoredJob | None:
+    def get(self, ref: JobRef) -> StoredJob | None:
         """Returns a job, None if it is not in the index."""
-        return self.jobs.get(job)
+        return self.jobs.get(ref)
 
     def observe(self, stored: StoredJob) -> None:
         """Updates the index with a job just read or written, if that is newer."""
-        known = self.jobs.get(stored.row.job)
+        known = self.jobs.get(stored.ref)
         if known is None or known.version < stored.version:
-            self.jobs[stored.row.job] = stored
+            self.jobs[stored.ref] = stored
             self.on_change(stored)
 
     def finished_tokens(
@@ -91,10 +91,11 @@
     async def _read_changes(self) -> None:
         changes = await self.platform.changes(JOB_SPACE, after=self._version)
         for changed in changes.rows:
+            ref = _ref(changed.part, changed.key)
             if changed.row is None:
-                self._drop(changed.part, changed.key)
+                self._drop(ref)
             else:
-                self._apply_row(changed.key, changed.row)
+                self._apply_row(ref, changed.row)
         self._version = max(self._version, changes.version)
 
     async def _read_all(self) -> None:
@@ -102,14 +103,15 @@
         # made during the scan. It is stored after them, so that a scan that fails does
         # not skip changes.
         newest = await self.platform.newest_version()
-        seen: dict[str, int] = {}
+        seen: set[JobRef] = set()
         for part in await self.platform.parts(JOB_SPACE):
             prefix, after = f"{JOB_SPACE}/", ""
             while True:
                 rows = await self.platform.scan(prefix, after=after, part=part)
                 for key, row in rows:
-                    seen[key] = max(row.version, seen.get(key, ABSENT))
-                    self._apply_row(key, row)
+                    ref = _ref(part, key)
+                    seen.add(ref)
+                    self._apply_row(ref, row)
                 if not rows:
                     break
                 after = rows[-1][0]
@@ -118,41 +120,48 @@
         self.loaded = True
         self._next_full_read_at = trio.current_time() + FULL_READ_INTERVAL_S
 
-    def _drop(self, part: str, key: str) -> None:
-        """Drops a job that was deleted, unless its id is that of another host's job."""
-        job = JobId(key.removeprefix(f"{JOB_SPACE}/"))
-        known = self.jobs.get(job)
-        if known is not None and known.row.host == part:
+    def _drop(self, ref: JobRef) -> None:
+        """Drops a job that was deleted."""
+        known = self.jobs.get(ref)
+        if known is not None:
             self._delete(known)
-        self._invalid_rows.pop(key, None)
+        self._invalid_rows.pop(ref, None)
 
-    def _drop_unseen(self, seen: dict[str, int], newest: int) -> None:
+    def _drop_unseen(self, seen: set[JobRef], newest: int) -> None:
         """Drops jobs whose deletion was not shown: a read of all has not shown them.
 
         Args:
-          seen: Newest version read of each key. An older one than that of a known job
-            is a job of another host.
+          seen: Jobs that the read has shown.
           newest: Version before the read; later jobs may lie behind it.
         """
         for stored in self:
-            read = seen.get(job_key(stored.row.job), ABSENT)
-            if stored.version <= newest and read < stored.version:
+            if stored.version <= newest and stored.ref not in seen:
                 self._delete(stored)
-        for key in set(self._invalid_rows) - set(seen):
-            del self._invalid_rows[key]
+        for ref in set(self._invalid_rows) - seen:
+            del self._invalid_rows[ref]
 
     def _delete(self, stored: StoredJob) -> None:
-        del self.jobs[stored.row.job]
+        del self.jobs[stored.ref]
         self.on_delete(stored)
 
-    def _apply_row(self, key: str, row: Row) -> None:
+    def _apply_row(self, ref: JobRef, row: Row) -> None:
         try:
             job = decode_row(row, JobRow)
-            if key != job_key(job.job):
-                raise ValueError(f"the row is of job {job.job!r}")
+            if job.ref != ref:
+                raise ValueError(f"the row is of job {job.ref}")
             self.observe(StoredJob(job, row.version))
         except Exception as error:  # noqa: BLE001 - one bad row must not hide the rest
-            if self._invalid_rows.get(key) == row.version:
+            if self._invalid_rows.get(ref) == row.version:
                 return
-            self._invalid_rows[key] = row.version
-            _log.error("Job row is invalid; ignored.", key=key, reason=str(error))
+            self._invalid_rows[ref] = row.version
+            _log.error(
+                "Job row is invalid; ignored.",
+                host=ref.host,
+                key=job_key(ref.id),
+                reason=str(error),
+            )
+
+
+def _ref(part: str, key: str) -> JobRef:
+    """Returns the job whose row has a key in a part of the store."""
+    return JobRef(part, JobId(key.removeprefix(f"{JOB_SPACE}/")))
--- a/src/coppercleat/jobs/_records.py
+++ b/src/coppercleat/jobs/_records.py
@@ -1,7 +1,8 @@
 """Stored rows of a job, and their keys.
 
 All rows of a job are in the storage partition named by the job's host, so that one
-transaction can accept a job or commit results.
+transaction can accept a job or commit results, and jobs of one id at two hosts have
+rows of their own under the same keys.
 
 * ``job/JOB``: the job, its owner, and the items whose results are listed, in order.
 * ``input/JOB/N``: the submitted items in slices; a large job's input is an object.
@@ -21,7 +22,7 @@
 
 import msgspec
 
-from coppercleat.ids import NO_ACCOUNT, JobId, TenantId
+from coppercleat.ids import NO_ACCOUNT, JobId, JobRef, TenantId
 from coppercleat.serving import Header
 
 JOB_SPACE = "job"
@@ -97,6 +98,11 @@
     input_object: str = ""
     account: TenantId = NO_ACCOUNT
 
+    @property
+    def ref(self) -> JobRef:
+        """What the job is found by: another host may have a job of its id."""
+        return JobRef(self.host, self.job)
+
     @property
     def total(self) -> int:
         """Number of items."""
--- a/src/coppercleat/jobs/_repository.py
+++ b/src/coppercleat/jobs/_repository.py
@@ -8,7 +8,7 @@
 import msgspec
 
 from coppercleat.errors import CoppercleatError, PlatformUnavailableError
-from coppercleat.ids import NO_ACCOUNT, JobId, TenantId, random_token
+from coppercleat.ids import NO_ACCOUNT, JobId, JobRef, TenantId, random_token
 from coppercleat.jobs._records import (
     MAX_INPUT_SLICES,
     NO_OWNER,
@@ -79,6 +79,11 @@
     items: list[ItemSpec]
     account: TenantId = NO_ACCOUNT
 
+    @property
+    def ref(self) -> JobRef:
+        """What the job is found by."""
+        return JobRef(self.host, self.job)
+
 
 class StoredJob(msgspec.Struct, frozen=True):
     """A job's row and the storage version of that row."""
@@ -86,6 +91,11 @@
     row: JobRow
     version: int
 
+    @property
+    def ref(self) -> JobRef:
+        """What the job is found by."""
+        return self.row.ref
+
 
 class OverQuota(msgspec.Struct, frozen=True):
     """Sentinel: the job exceeds the quota of its route and was not accepted.
--- a/src/coppercleat/jobs/_worker.py
+++ b/src/coppercleat/jobs/_worker.py
@@ -371,7 +371,7 @@
                 items = await self.repository.items(stored.row)
                 checkpoints = await self.repository.checkpoints(stored.row)
                 # The job may have been cancelled or taken over during these reads.
-                newest = self.job_index.get(stored.row.job)
+                newest = self.job_index.get(stored.ref)
                 if newest is not None and newest.version > stored.version:
                     stored = newest
                 if not self._is_owned(stored):
@@ -386,7 +386,7 @@
                     reason=str(error),
                 )
             await trio.sleep(_RETRY_DELAY_S)
-            newest = self.job_index.get(stored.row.job)
+            newest = self.job_index.get(stored.ref)
             if newest is None or not self._is_owned(newest):
                 return None
             stored = newest
--- a/tests/features/job_ids.feature
+++ b/tests/features/job_ids.feature
@@ -9,7 +9,7 @@
 
     Examples:
       | course                                                         |
-      | both come to one instance, 1 s apart                           |
+      | both come to one instance, 1 s apart, and run side by side      |
       | each comes to an instance of its own, 1 s apart                |
       | one comes while the input of the other is read                 |
       | the input of both is an object                                 |
--- a/tests/features/steps/foreign_entry_steps.py
+++ b/tests/features/steps/foreign_entry_steps.py
@@ -12,7 +12,7 @@
 from behave import then, when
 
 from coppercleat.errors import PlatformUnavailableError
-from coppercleat.ids import InstanceId, ZoneId
+from coppercleat.ids import InstanceId, JobRef, ZoneId
 from coppercleat.jobs import JobIndex, JobRow
 from coppercleat.platform import PlatformCatalogue
 from coppercleat.serving import Placement, Watch
@@ -149,10 +149,10 @@
 
 @when("a row of a job that is {text} stands between two good ones")
 def job_row(context, text):
-    def job(name):
+    def job(name, host):
         row = JobRow(
             job=name,
-            host="jobs.example",
+            host=host,
             path="/week/submit",
             accepted_at=1.0,
             due_at=2.0,
@@ -163,9 +163,11 @@
 
     async def play():
         platform = MemoryPlatform()
-        foreign = job("first") if text == "another job's" else literal(text)
-        values = {"first": job("first"), "foreign": foreign, "last": job("last")}
-        for name, value in values.items():
+        # Each lies in a part of its own, named by its host.
+        other = job("first", "foreign")
+        foreign = other if text == "another job's" else literal(text)
+        values = {name: job(name, name) for name in ("first", "foreign", "last")}
+        for name, value in (values | {"foreign": foreign}).items():
             await platform.transact(
                 Transaction(puts=[Put(f"job/{name}", value)], part=name)
             )
@@ -232,7 +234,7 @@
             with contextlib.suppress(PlatformUnavailableError):
                 await index.refresh()
             await trio.sleep(0.001)
-        return index.get("job").row.ended
+        return index.get(JobRef("h", "job")).row.ended
 
     context.ended = trio.run(play)
 
--- a/tests/features/steps/job_id_steps.py
+++ b/tests/features/steps/job_id_steps.py
@@ -120,7 +120,9 @@
             await run(site)
             nursery.cancel_scope.cancel()
 
-    trio.run(main, clock=trio.testing.MockClock(autojump_threshold=0))
+    # A check that fails in a course is told as such, not as a group of errors.
+    clock = trio.testing.MockClock(autojump_threshold=0)
+    trio.run(main, clock=clock, strict_exception_groups=False)
 
 
 def told(ref):
@@ -128,11 +130,14 @@
     return ref.id
 
 
-@course("both come to one instance, 1 s apart")
+@course("both come to one instance, 1 s apart, and run side by side")
 async def at_one(site):
     await site.submit(ONE)
     await trio.sleep(1)
     await site.submit(OTHER)
+    await trio.sleep(LOOK_S)
+    assert OTHER in site.caller.began, "it waits for the end of the other host's job"
+    assert await site.results(ONE) == []
 
 
 @course("each comes to an instance of its own, 1 s apart", instances=2)
@@ -197,7 +202,7 @@
             finished_tokens=lambda host, prefix, account: 0,
         )
         site.answers[ref] = JobAnswer.ACCEPTED
-    await site.until_whole(ONE)
+    check_whole(ONE, await site.until_whole(ONE))
     assert await site.results(OTHER) == []
     owners[first].worker.holds_lease = holds_lease
 
--- a/tests/features/steps/job_index_steps.py
+++ b/tests/features/steps/job_index_steps.py
@@ -9,6 +9,7 @@
 from behave import then, when
 
 from coppercleat.errors import CoppercleatError, PlatformUnavailableError
+from coppercleat.ids import JobRef
 from coppercleat.jobs import JobIndex, JobRow, StoredJob
 from coppercleat.storage import (
     Changes,
@@ -262,7 +263,7 @@
 
 @event("a late answer shows a job after its deletion")
 async def shown_late(platform, index):
-    stored = index.get("b-1")
+    stored = index.get(JobRef(PARTS[1], "b-1"))
     platform.delete("job/b-1", PARTS[1])
     await look(index)
     index.observe(stored)
--- a/tests/features/steps/serving_steps.py
+++ b/tests/features/steps/serving_steps.py
@@ -11,7 +11,7 @@
 from behave import given, then, when
 
 from coppercleat.errors import PlatformUnavailableError
-from coppercleat.ids import InstanceId, JobId, Revision, UpstreamId, ZoneId
+from coppercleat.ids import InstanceId, JobId, JobRef, Revision, UpstreamId, ZoneId
 from coppercleat.jobs import (
     FinishedItem,
     ItemDurationEstimator,
@@ -604,10 +604,10 @@
         await job_index.refresh()
         await accept_job(make_repository(platform), submission("job", 3))
         with trio.move_on_after(10):
-            while job_index.get(JobId("job")) is None:
+            while job_index.get(JobRef(HOST, JobId("job"))) is None:
                 await trio.sleep(0.4)
                 await job_index.refresh()
-        context.known = job_index.get(JobId("job"))
+        context.known = job_index.get(JobRef(HOST, JobId("job")))
 
     trio.run(run, clock=trio.testing.MockClock(autojump_threshold=0))
 
