Takeovers and progress name a job's host

What callers see: an instance that takes over a job of one host stops the other host's job of that id at the previous owner, and is given its progress: items are listed with the texts of the other host's bodies.

Cause: JobTakeover and JobHandover named an id, and the previous owner stopped and handed over whatever it had under it; the new owner took progress for whatever it was loading under that id.

Change: both messages have the host as a last field, and the worker stops, gives and takes progress of just that job. Instances of the version before send none and ignore it. A takeover without a host may mean either job, so that all of that id stop here, nothing is handed over, and what is still owned starts again from its checkpoints; progress without a host is not taken. Work of up to a checkpoint's interval is done again, and no text is mixed. Taking the only job of that id that is known here was weighed: the other one may be accepted and not read yet.

Evidence: the rows of job_ids.feature of a takeover and of progress failed before (progress of the other host's job was given; 'of the other job' was listed) and pass. Six rows show what the two versions make of each other's messages, decoded by their types.

--- a/src/coppercleat/gateway/_gateway.py
+++ b/src/coppercleat/gateway/_gateway.py
@@ -208,6 +208,7 @@
         # Runs of a peer that is gone may go on; their upstreams can tell.
         self.peers.on_counts_expired = self.load_prober.mark_uncertain
         self.peers.on_job_takeover = self.worker.stop_taken_job
+        self.peers.on_unnamed_takeover = self.worker.stop_jobs_of_id
         self.peers.on_job_handover = self.worker.receive_handover
         self.watch.quarantine_records = self.quarantine_store.export_records
         self.watch.on_quarantine_records = self.quarantine_store.import_records
--- a/src/coppercleat/jobs/_worker.py
+++ b/src/coppercleat/jobs/_worker.py
@@ -7,7 +7,7 @@
 import trio
 
 from coppercleat.errors import CoppercleatError
-from coppercleat.ids import JobId
+from coppercleat.ids import JobId, JobRef
 from coppercleat.jobs._index import JobIndex
 from coppercleat.jobs._items import ItemRunner
 from coppercleat.jobs._records import NO_OWNER
@@ -80,7 +80,7 @@
         holds_lease: Callable[[], bool],
         isolated: Callable[[], bool],
         pause_s: Callable[[], float],
-        on_takeover: Callable[[JobId, str], None],
+        on_takeover: Callable[[JobRef, str], None],
         on_commit: Callable[[str], None],
     ) -> None:
         """Initializes the worker.
@@ -119,7 +119,7 @@
         self._first_seen: dict[str, float] = {}
         self._orphans: dict[JobId, float] = {}
         self._active: set[JobId] = set()
-        self._handovers: dict[JobId, list[ItemEvents]] = {}
+        self._handovers: dict[JobRef, list[ItemEvents]] = {}
         self._stalled_jobs = StalledJobs()
         self._nursery: trio.Nursery | None = None
         self._starter = ItemStarter(
@@ -262,8 +262,8 @@
             return
         _log.info("Job taken over.", job=stored.row.job, owner_before=stored.row.owner)
         self.job_index.observe(taken)
-        self.on_takeover(stored.row.job, stored.row.owner)
-        await self._wait_for_handover(stored.row.job)
+        self.on_takeover(stored.ref, stored.row.owner)
+        await self._wait_for_handover(stored.ref)
         await self._run_job(taken, "taken over")
 
     def _log_stalled_jobs(self) -> None:
@@ -310,30 +310,39 @@
             return True
         return rendezvous_order(stored.row.job, self.live_instances())[0] == self.owner
 
-    async def _wait_for_handover(self, job: JobId) -> None:
+    async def _wait_for_handover(self, ref: JobRef) -> None:
         """Waits briefly for the progress that the previous owner may send."""
         with trio.move_on_after(HANDOVER_WAIT_S):
-            while job not in self._handovers:
+            while ref not in self._handovers:
                 await trio.sleep(_HANDOVER_POLL_S)
 
-    def stop_taken_job(self, job: JobId) -> list[ItemEvents]:
+    def stop_taken_job(self, ref: JobRef) -> list[ItemEvents]:
         """Stops a job that another instance has taken over; returns its progress.
 
         Without a working store, the new owner's message is the only notice of the
         takeover.
         """
-        run = self.runs.get(job)
-        if run is None:
+        run = self.runs.get(ref.id)
+        if run is None or run.stored.ref != ref:
             return []
         progress = run.progress()
         self._abandon(run, "taken over, reported by the new owner")
         return progress
 
-    def receive_handover(self, job: JobId, items: list[ItemEvents]) -> None:
+    def stop_jobs_of_id(self, job: JobId) -> None:
+        """Stops all jobs of an id, one of which another instance has taken over.
+
+        Those that are still owned here start again from their checkpoints.
+        """
+        for run in list(self.runs.values()):
+            if run.stored.row.job == job:
+                self._abandon(run, "one job of its id was taken over, its host unnamed")
+
+    def receive_handover(self, ref: JobRef, items: list[ItemEvents]) -> None:
         """Takes the previous owner's progress of a job that is not loaded yet."""
-        if job in self._active and job not in self.runs:
-            self._handovers[job] = items
-            _log.info("Job progress received.", job=job, items=len(items))
+        if ref.id in self._active and ref.id not in self.runs:
+            self._handovers[ref] = items
+            _log.info("Job progress received.", job=ref.id, items=len(items))
 
     # Running a job.
 
@@ -363,7 +372,7 @@
         finally:
             self.runs.pop(job, None)
             self._active.discard(job)
-            self._handovers.pop(job, None)
+            self._handovers.pop(stored.ref, None)
 
     async def _load(self, stored: StoredJob) -> JobRun | None:
         while True:
@@ -377,7 +386,7 @@
                 if not self._is_owned(stored):
                     return None
                 run = JobRun(stored, items, checkpoints)
-                run.apply_handover(self._handovers.pop(stored.row.job, []))
+                run.apply_handover(self._handovers.pop(stored.ref, []))
                 return run
             except CoppercleatError as error:
                 _log.info(
--- a/src/coppercleat/serving/_peer_messages.py
+++ b/src/coppercleat/serving/_peer_messages.py
@@ -130,9 +130,15 @@
 
 
 class JobTakeover(msgspec.Struct, frozen=True, tag="taken", array_like=True):
-    """The sender has taken over a job; its previous owner must stop running it."""
+    """The sender has taken over a job; its previous owner must stop running it.
+
+    Attributes:
+      job: Id of the job.
+      host: Its host; None from an instance of a version that named the id alone.
+    """
 
     job: JobId
+    host: str | None = None
 
 
 class ItemEvents(msgspec.Struct, frozen=True, array_like=True):
@@ -154,7 +160,14 @@
 
 
 class JobHandover(msgspec.Struct, frozen=True, tag="handover", array_like=True):
-    """Response to ``JobTakeover`` with the sender's progress on the job."""
+    """Response to ``JobTakeover`` with the sender's progress on the job.
+
+    Attributes:
+      job: Id of the job.
+      items: Progress on its items.
+      host: Its host; None from an instance of a version that named the id alone.
+    """
 
     job: JobId
     items: list[ItemEvents]
+    host: str | None = None
--- a/src/coppercleat/serving/_peers.py
+++ b/src/coppercleat/serving/_peers.py
@@ -9,7 +9,7 @@
 import trio
 
 from coppercleat.accounts import Allowances
-from coppercleat.ids import InstanceId, JobId, Revision, UpstreamId, ZoneId
+from coppercleat.ids import InstanceId, JobId, JobRef, Revision, UpstreamId, ZoneId
 from coppercleat.membership import (
     Detector,
     FailedDirection,
@@ -129,6 +129,8 @@
         run the work.
       on_job_takeover: Called with a job that a peer has taken over; returns this
         instance's progress on it.
+      on_unnamed_takeover: Called with the id of a job that a peer has taken over, if
+        the peer's version names no host.
       on_job_handover: Called with a peer's progress on a job that was taken over here.
       crash_reports: Returns the crash reports known to this instance.
       on_crash_update: Called with a peer's crash reports and cleared requests; returns
@@ -190,9 +192,10 @@
         self.on_counts_expired: Callable[[Collection[UpstreamId]], None] = (
             lambda upstreams: None
         )
-        self.on_job_takeover: Callable[[JobId], list[ItemEvents]] = lambda job: []
-        self.on_job_handover: Callable[[JobId, list[ItemEvents]], None] = (
-            lambda job, items: None
+        self.on_job_takeover: Callable[[JobRef], list[ItemEvents]] = lambda ref: []
+        self.on_unnamed_takeover: Callable[[JobId], None] = lambda job: None
+        self.on_job_handover: Callable[[JobRef, list[ItemEvents]], None] = (
+            lambda ref, items: None
         )
         self.crash_reports: Callable[[], tuple[CrashReport, ...]] = tuple
         self.on_crash_update: Callable[[InstanceId, CrashUpdate], bool] = (
@@ -259,15 +262,15 @@
     def _is_full_mesh(self) -> bool:
         return len(self.placement.peers.reporters()) <= _FULL_MESH_MAX_PEERS
 
-    def announce_job_takeover(self, job: JobId, previous: str) -> None:
+    def announce_job_takeover(self, ref: JobRef, previous: str) -> None:
         """Tells the previous owner of a job that this instance has taken it over.
 
         Args:
-          job: The job.
+          ref: The job.
           previous: Name of its previous owner, of an instance and its start.
         """
         instance, _, _ = previous.rpartition("/")
-        self.messenger.send(InstanceId(instance), JobTakeover(job))
+        self.messenger.send(InstanceId(instance), JobTakeover(ref.id, ref.host))
 
     def announce_crashes(
         self, crash_reports: tuple[CrashReport, ...], cleared: tuple[Fingerprint, ...]
@@ -768,10 +771,23 @@
 
     @_handlers.handles(JobTakeover)
     def _on_job_takeover(self, sender: InstanceId, takeover: JobTakeover) -> None:
-        items = self.on_job_takeover(takeover.job)
+        if takeover.host is None:
+            # It may mean a job of any host. A wrong guess would list one job's items
+            # with the texts of another, so that nothing is handed over.
+            self.on_unnamed_takeover(takeover.job)
+            return
+        items = self.on_job_takeover(JobRef(takeover.host, takeover.job))
         if items:
-            self.messenger.send(sender, JobHandover(takeover.job, items))
+            handover = JobHandover(takeover.job, items, takeover.host)
+            self.messenger.send(sender, handover)
 
     @_handlers.handles(JobHandover)
     def _on_job_handover(self, sender: InstanceId, handover: JobHandover) -> None:
-        self.on_job_handover(handover.job, handover.items)
+        if handover.host is None:
+            _log.info(
+                "Job progress ignored: it names no host.",
+                job=handover.job,
+                sender=sender,
+            )
+            return
+        self.on_job_handover(JobRef(handover.host, handover.job), handover.items)
--- a/tests/features/job_ids.feature
+++ b/tests/features/job_ids.feature
@@ -17,6 +17,21 @@
       | progress of one is told while the input of the other is read   |
       | the owner of one is dead, that of the other lives              |
 
+  # Instances of the version before name a job by its id alone. What is done again is no loss;
+  # progress of one job that is taken for the other's would be listed as its text.
+  Scenario Outline: Instances of two versions: <receiver> hears <news> from <sender>
+    When an instance of <receiver> hears <news> from one of <sender>
+    Then having heard it, the instance <outcome>
+
+    Examples:
+      | receiver           | news       | sender             | outcome                                              |
+      | this version       | a takeover | this version       | stops the job of the host, and gives its progress    |
+      | this version       | a takeover | the version before | stops all jobs of the id, and gives no progress      |
+      | the version before | a takeover | this version       | reads the id                                         |
+      | this version       | progress   | this version       | takes it for the job of the host                     |
+      | this version       | progress   | the version before | takes nothing                                        |
+      | the version before | progress   | this version       | reads the id and the items                           |
+
   Scenario: Two hosts have a job of one id, and one is ended
     When two hosts have a job of one id, and one is ended
     Then no item of the ended job begins 3 s after its end
--- a/tests/features/steps/job_id_steps.py
+++ b/tests/features/steps/job_id_steps.py
@@ -9,7 +9,7 @@
 from behave import then, when
 
 from coppercleat.gateway import JobAnswer
-from coppercleat.ids import JobId, JobRef
+from coppercleat.ids import InstanceId, JobId, JobRef
 from coppercleat.jobs import (
     ItemState,
     JobIndex,
@@ -20,8 +20,17 @@
 )
 from coppercleat.routing import rendezvous_order
 from coppercleat.serving import ItemEvents
+from coppercleat.serving._peer_messages import JobHandover, JobTakeover
+from coppercleat.serving._peers import _handlers
 from coppercleat.storage import MemoryPlatform, Put, Transaction
-from tests.harness import HOST, LOOK_S, make_repository, make_route
+from tests.harness import (
+    HOST,
+    LOOK_S,
+    free_port,
+    make_peers,
+    make_repository,
+    make_route,
+)
 from tests.harness._job_plans import OTHER_HOST
 from tests.harness._job_play import (
     CANCEL_S,
@@ -125,11 +134,6 @@
     trio.run(main, clock=clock, strict_exception_groups=False)
 
 
-def told(ref):
-    """Returns what instances name a job by."""
-    return ref.id
-
-
 @course("both come to one instance, 1 s apart, and run side by side")
 async def at_one(site):
     await site.submit(ONE)
@@ -166,10 +170,16 @@
 async def takeover_told(site):
     await site.submit(ONE)
     await trio.sleep(1)
-    site.handed_over = site.instances[0].worker.stop_taken_job(told(OTHER))
+    site.handed_over = site.instances[0].worker.stop_taken_job(OTHER)
     await site.submit(OTHER)
 
 
+@course("a takeover names the id alone")
+async def takeover_unnamed(site):
+    await at_one(site)
+    site.instances[0].worker.stop_jobs_of_id(ID)
+
+
 @course("progress of one is told while the input of the other is read")
 async def progress_told(site):
     (instance,) = site.instances
@@ -182,7 +192,7 @@
         for _ in range(20):
             await trio.sleep(SLOW_S / 4)
             items = [ItemEvents(0, EVENTS, foreign, 0, True)]
-            instance.worker.receive_handover(told(OTHER), items)
+            instance.worker.receive_handover(OTHER, items)
 
 
 @course("the owner of one is dead, that of the other lives", instances=2)
@@ -272,6 +282,78 @@
     assert not late, late
 
 
+# Instances of two versions.
+
+
+class TakeoverBefore(msgspec.Struct, frozen=True, tag="taken", array_like=True):
+    """``JobTakeover`` of the version before."""
+
+    job: JobId
+
+
+class HandoverBefore(msgspec.Struct, frozen=True, tag="handover", array_like=True):
+    """``JobHandover`` of the version before."""
+
+    job: JobId
+    items: list[ItemEvents]
+
+
+PROGRESS = [ItemEvents(0, 1, [b"text"], 0, False)]
+MESSAGES = {
+    ("a takeover", "this version"): JobTakeover(ID, HOST),
+    ("a takeover", "the version before"): TakeoverBefore(ID),
+    ("progress", "this version"): JobHandover(ID, PROGRESS, HOST),
+    ("progress", "the version before"): HandoverBefore(ID, PROGRESS),
+}
+UNDERSTOOD = {
+    "this version": JobTakeover | JobHandover,
+    "the version before": TakeoverBefore | HandoverBefore,
+}
+
+
+@when("an instance of {receiver} hears {news} from one of {sender}")
+def hears_news(context, receiver, news, sender):
+    data = msgspec.msgpack.encode(MESSAGES[news, sender])
+    message = msgspec.msgpack.decode(data, type=UNDERSTOOD[receiver])
+    context.heard = [("read", message)]
+    if receiver == "this version":
+        context.heard = acts_on(message)
+
+
+def acts_on(message):
+    """Returns what an instance does with a message of a peer."""
+    peers = make_peers("i", "a", free_port(), free_port())
+    done = []
+
+    def note(what, answer=None):
+        return lambda *details: done.append((what, *details)) or answer
+
+    peers.on_job_takeover = note("stops", PROGRESS)
+    peers.on_unnamed_takeover = note("stops all")
+    peers.on_job_handover = note("takes")
+    peers.messenger.send = note("sends")
+    _handlers.dispatch(peers, InstanceId("peer"), message)
+    return done
+
+
+OUTCOMES = {
+    "stops the job of the host, and gives its progress": [
+        ("stops", ONE),
+        ("sends", "peer", JobHandover(ID, PROGRESS, HOST)),
+    ],
+    "stops all jobs of the id, and gives no progress": [("stops all", ID)],
+    "reads the id": [("read", TakeoverBefore(ID))],
+    "takes it for the job of the host": [("takes", ONE, PROGRESS)],
+    "takes nothing": [],
+    "reads the id and the items": [("read", HandoverBefore(ID, PROGRESS))],
+}
+
+
+@then("having heard it, the instance {outcome}")
+def does(context, outcome):
+    assert context.heard == OUTCOMES[outcome], context.heard
+
+
 # Answers.
 
 
--- a/tests/features/steps/job_play_steps.py
+++ b/tests/features/steps/job_play_steps.py
@@ -13,6 +13,7 @@
     draw_plan,
     draw_takeover_plan,
     draw_twin_plan,
+    draw_unnamed_plan,
     grid_plans,
     pair_plans,
 )
@@ -22,6 +23,7 @@
     "large": lambda: map(draw_large_plan, itertools.count()),
     "takeover": lambda: map(draw_takeover_plan, itertools.count()),
     "twin": lambda: map(draw_twin_plan, itertools.count()),
+    "unnamed": lambda: map(draw_unnamed_plan, itertools.count()),
     "apart": lambda: map(draw_apart_plan, itertools.count()),
     "grid": grid_plans,
     "pair": pair_plans,
--- a/tests/harness/__init__.py
+++ b/tests/harness/__init__.py
@@ -20,6 +20,7 @@
     draw_large_plan,
     draw_takeover_plan,
     draw_twin_plan,
+    draw_unnamed_plan,
     grid_plans,
     pair_plans,
 )
@@ -127,6 +128,7 @@
     "draw_plan",
     "draw_takeover_plan",
     "draw_twin_plan",
+    "draw_unnamed_plan",
     "grid_plans",
     "pair_plans",
     "fail_by_turns",
--- a/tests/harness/_job_plans.py
+++ b/tests/harness/_job_plans.py
@@ -179,6 +179,11 @@
     return attrs.evolve(plan, asks=tuple(asks))
 
 
+def draw_unnamed_plan(seed: int) -> Plan:
+    """Draws the play of ``draw_twin_plan``, in which no takeover names a host."""
+    return attrs.evolve(draw_twin_plan(seed), names_host=False)
+
+
 def _draw_twins(rng: random.Random, job: str) -> Iterator[Ask]:
     at = rng.uniform(1, 8)
     ends = rng.choice((None, None, None, *_TWIN_HOSTS))
--- a/tests/harness/_job_play.py
+++ b/tests/harness/_job_play.py
@@ -178,6 +178,7 @@
       quota: Tokens that may wait on the route; 0 for no limit.
       in_flight_s: How long a client of an instance that stops as planned stays.
       event_s: Time that each of an item's five events takes.
+      names_host: Whether news of takeovers names a job's host besides its id.
       order_seed: Seed of the order in which tasks that are ready run.
     """
 
@@ -190,6 +191,7 @@
     quota: int = 0
     in_flight_s: float = 0.0
     event_s: float = 0.1
+    names_host: bool = True
     order_seed: int = 0
 
     @property
@@ -284,7 +286,7 @@
         route: Route | None = None,
         hosts: tuple[str, ...] = (HOST,),
         pause_s: float = 0.4,
-        on_takeover: Callable[[JobId, str], None] = lambda job, previous: None,
+        on_takeover: Callable[[JobRef, str], None] = lambda ref, previous: None,
         hears: Callable[[], set[InstanceId]] | None = None,
     ) -> None:
         rng = random.Random(f"{number} {start}")
@@ -477,7 +479,7 @@
             route=self._route,
             hosts=tuple(dict.fromkeys([HOST, *(ask.host for ask in self.plan.asks)])),
             pause_s=self.plan.pause_s,
-            on_takeover=lambda job, owner: self._announce(number, job, owner),
+            on_takeover=lambda ref, owner: self._announce(number, ref, owner),
             hears=lambda: self._heard_at(number),
         )
 
@@ -493,11 +495,11 @@
         with self._scopes[number], _at(instance):
             await instance.run()
 
-    def _announce(self, number: int, job: JobId, previous: str) -> None:
+    def _announce(self, number: int, ref: JobRef, previous: str) -> None:
         if self.plan.lasting:
-            self.nursery.start_soon(self._tell, number, job, previous)
+            self.nursery.start_soon(self._tell, number, ref, previous)
 
-    async def _tell(self, number: int, job: JobId, previous: str) -> None:
+    async def _tell(self, number: int, ref: JobRef, previous: str) -> None:
         """Tells the previous owner of a takeover, and brings its progress back."""
         told = int(previous.partition("/")[0].removeprefix("i-") or number)
         if told == number:
@@ -506,10 +508,13 @@
         owner = self.instances[told]
         if self._scopes[told].cancel_called:
             return
-        items = owner.worker.stop_taken_job(job)
+        if not self.plan.names_host:
+            owner.worker.stop_jobs_of_id(ref.id)
+            return
+        items = owner.worker.stop_taken_job(ref)
         if items:
             await self._pass_news(told, number)
-            self.instances[number].worker.receive_handover(job, items)
+            self.instances[number].worker.receive_handover(ref, items)
 
     async def _pass_news(self, sender: int, receiver: int) -> None:
         slow = [t.effect_s for t in self._trouble[sender] if t.kind == "news"]
