The worker tells its jobs by host and id

What callers see: while an instance runs one host's job, the other host's job of that id does not begin there until the first has ended; a change of the other host's row stops the run of the first, which begins again, and its items run twice; a job of a dead owner is not taken over by the second in line while the other host's job of that id has a living owner.

Cause: the worker's runs, its jobs under way and the times since which jobs have had no owner were kept by id. The versions of rows of two hosts were compared.

Change: all three are kept by JobRef, as the index is; rows are compared only with rows of their own job. Who is first in line is still ranked by the id: both jobs go to one instance, which is no fault, and instances of both versions agree on it.

Evidence: four rows of job_ids.feature failed before (side by side, changed owners with and without large inputs, a dead owner) and pass.

--- a/src/coppercleat/jobs/_starter.py
+++ b/src/coppercleat/jobs/_starter.py
@@ -6,7 +6,7 @@
 
 import trio
 
-from coppercleat.ids import JobId
+from coppercleat.ids import JobRef
 from coppercleat.jobs._items import ItemRunner, RunningItem
 from coppercleat.jobs._run import ItemProgress, JobRun
 from coppercleat.jobs._schedule import Candidate, next_candidates
@@ -50,7 +50,7 @@
     def __init__(
         self,
         items: ItemRunner,
-        runs: Mapping[JobId, JobRun],
+        runs: Mapping[JobRef, JobRun],
         *,
         clock: Callable[[], float],
         routes: Callable[[], RouteTable | None],
--- a/src/coppercleat/jobs/_worker.py
+++ b/src/coppercleat/jobs/_worker.py
@@ -62,7 +62,7 @@
     previous owner cannot commit any more.
 
     Attributes:
-      runs: Jobs that this instance owns and has loaded, by id.
+      runs: Jobs that this instance owns and has loaded, by host and id.
       stopping: Whether the instance is shutting down and starts no more items.
     """
 
@@ -115,10 +115,10 @@
         self.on_takeover = on_takeover
         self.on_commit = on_commit
         self.stopping = False
-        self.runs: dict[JobId, JobRun] = {}
+        self.runs: dict[JobRef, JobRun] = {}
         self._first_seen: dict[str, float] = {}
-        self._orphans: dict[JobId, float] = {}
-        self._active: set[JobId] = set()
+        self._orphans: dict[JobRef, float] = {}
+        self._active: set[JobRef] = set()
         self._handovers: dict[JobRef, list[ItemEvents]] = {}
         self._stalled_jobs = StalledJobs()
         self._nursery: trio.Nursery | None = None
@@ -199,8 +199,7 @@
             await trio.sleep(self.pause_s())
 
     def _job_changed(self, stored: StoredJob) -> None:
-        job = stored.row.job
-        run = self.runs.get(job)
+        run = self.runs.get(stored.ref)
         if run is not None and run.stored.version < stored.version:
             if not self._is_owned(stored):
                 self._abandon(run, "ended" if stored.row.ended else "taken over")
@@ -208,15 +207,15 @@
             self._start_job(stored, "owned, found in a change")
 
     def _job_deleted(self, stored: StoredJob) -> None:
-        run = self.runs.get(stored.row.job)
-        if run is not None and run.stored.row.host == stored.row.host:
+        run = self.runs.get(stored.ref)
+        if run is not None:
             self._abandon(run, "deleted")
 
     def _start_job(self, stored: StoredJob, why: str) -> None:
-        job = stored.row.job
-        if job in self._active or self._nursery is None or self.stopping:
+        ref = stored.ref
+        if ref in self._active or self._nursery is None or self.stopping:
             return
-        self._active.add(job)
+        self._active.add(ref)
         self._nursery.start_soon(self._run_job, stored, why)
 
     def _take_over_orphans(self) -> None:
@@ -229,18 +228,18 @@
         if not self.job_index.loaded or not self._may_start():
             return
         for stored in self.job_index:
-            job = stored.row.job
-            if not stored.row.open or job in self.runs or job in self._active:
-                self._orphans.pop(job, None)
+            ref = stored.ref
+            if not stored.row.open or ref in self.runs or ref in self._active:
+                self._orphans.pop(ref, None)
             elif stored.row.owner == self.owner:
                 self._start_job(stored, "owned, but not running here")
             elif self._is_owner_alive(stored.row.owner, now):
-                self._orphans.pop(job, None)
+                self._orphans.pop(ref, None)
             else:
-                since = self._orphans.setdefault(job, now)
-                rank = rendezvous_order(job, self.live_instances()).index(self.owner)
+                since = self._orphans.setdefault(ref, now)
+                rank = rendezvous_order(ref.id, self.live_instances()).index(self.owner)
                 if now - since >= rank * _TAKEOVER_STAGGER_S:
-                    self._active.add(job)
+                    self._active.add(ref)
                     assert self._nursery is not None
                     self._nursery.start_soon(self._take_over, stored)
 
@@ -253,10 +252,10 @@
             taken = await self.repository.set_owner(stored, owner=self.owner)
         except CoppercleatError as error:
             _log.info("Job takeover failed.", job=stored.row.job, reason=str(error))
-            self._active.discard(stored.row.job)
+            self._active.discard(stored.ref)
             return
         if isinstance(taken, Superseded):
-            self._active.discard(stored.row.job)
+            self._active.discard(stored.ref)
             if taken.stored is not None:
                 self.job_index.observe(taken.stored)
             return
@@ -276,8 +275,8 @@
             self.job_index, should_report=self._should_report, now=now
         )
         for stored, stalled_s in stalled:
-            job, owner = stored.row.job, stored.row.owner
-            run = self.runs.get(job)
+            ref, owner = stored.ref, stored.row.owner
+            run = self.runs.get(ref)
             pending = run.pending if run is not None else []
             quarantined = {
                 i.spec.id: i.quarantine for i in pending if i.quarantine is not None
@@ -287,13 +286,13 @@
             )
             _log.warning(
                 "Job is stalled.",
-                job=job,
+                job=ref.id,
                 still_s=round(stalled_s, 1),
                 version=stored.version,
                 owner=owner,
                 owner_lives=self._is_owner_alive(owner, now),
                 held=run is not None,
-                begun=job in self._active,
+                begun=ref in self._active,
                 pending=len(pending) if run is not None else None,
                 kept_from_running=len(quarantined),
                 kept_items=list(quarantined)[:_MAX_LOGGED_ITEMS],
@@ -303,7 +302,7 @@
             )
 
     def _should_report(self, stored: StoredJob) -> bool:
-        run = self.runs.get(stored.row.job)
+        run = self.runs.get(stored.ref)
         if run is not None and run.running:
             return False
         if stored.row.owner == self.owner:
@@ -322,8 +321,8 @@
         Without a working store, the new owner's message is the only notice of the
         takeover.
         """
-        run = self.runs.get(ref.id)
-        if run is None or run.stored.ref != ref:
+        run = self.runs.get(ref)
+        if run is None:
             return []
         progress = run.progress()
         self._abandon(run, "taken over, reported by the new owner")
@@ -340,7 +339,7 @@
 
     def receive_handover(self, ref: JobRef, items: list[ItemEvents]) -> None:
         """Takes the previous owner's progress of a job that is not loaded yet."""
-        if ref.id in self._active and ref.id not in self.runs:
+        if ref in self._active and ref not in self.runs:
             self._handovers[ref] = items
             _log.info("Job progress received.", job=ref.id, items=len(items))
 
@@ -348,19 +347,19 @@
 
     async def _run_job(self, stored: StoredJob, why: str) -> None:
         """Runs a job until all its items are listed or it is no longer owned."""
-        job = stored.row.job
+        ref = stored.ref
         began = trio.current_time()
         try:
             run = await self._load(stored)
             if run is None:
                 _log.info(
-                    "Job stopped.", job=job, why="ownership changed during loading"
+                    "Job stopped.", job=ref.id, why="ownership changed during loading"
                 )
                 return
-            self.runs[job] = run
+            self.runs[ref] = run
             _log.info(
                 "Job started.",
-                job=job,
+                job=ref.id,
                 why=why,
                 version=run.stored.version,
                 pending=len(run.pending),
@@ -370,9 +369,9 @@
             self._starter.wake()
             await self._commit_until_done(run)
         finally:
-            self.runs.pop(job, None)
-            self._active.discard(job)
-            self._handovers.pop(stored.ref, None)
+            self.runs.pop(ref, None)
+            self._active.discard(ref)
+            self._handovers.pop(ref, None)
 
     async def _load(self, stored: StoredJob) -> JobRun | None:
         while True:
@@ -405,7 +404,7 @@
 
     async def _commit_until_done(self, run: JobRun) -> None:
         checkpointed_at = trio.current_time()
-        while run.stored.row.job in self.runs:
+        while run.stored.ref in self.runs:
             now = trio.current_time()
             checkpoints = {}
             if now - checkpointed_at >= CHECKPOINT_INTERVAL_S:
@@ -469,10 +468,10 @@
         return True
 
     def _abandon(self, run: JobRun, why: str) -> None:
-        job = run.stored.row.job
-        self.runs.pop(job, None)
+        ref = run.stored.ref
+        self.runs.pop(ref, None)
         self.items.stop_job(run)
-        _log.info("Job stopped.", job=job, why=why)
+        _log.info("Job stopped.", job=ref.id, why=why)
 
     # Shutdown.
 
@@ -485,7 +484,7 @@
                 nursery.start_soon(self._release, run)
 
     async def _release(self, run: JobRun) -> None:
-        self.runs.pop(run.stored.row.job, None)
+        self.runs.pop(run.stored.ref, None)
         while run.running:
             await trio.sleep(_STOP_POLL_S)
         for _ in range(_MAX_RELEASE_COMMITS):
--- a/tests/features/job_ids.feature
+++ b/tests/features/job_ids.feature
@@ -32,6 +32,10 @@
       | this version       | progress   | the version before | takes nothing                                        |
       | the version before | progress   | this version       | reads the id and the items                           |
 
+  Scenario: Two hosts have a job of one id, and a takeover names the id alone
+    When two hosts have a job of one id, and a takeover names the id alone
+    Then both jobs are listed whole, each with its own texts
+
   Scenario: Two hosts have a job of one id, and one is ended
     When two hosts have a job of one id, and one is ended
     Then no item of the ended job begins 3 s after its end
@@ -74,3 +78,4 @@
       | which | first | last |
       | twin  | 0     | 24   |
       | apart | 0     | 9    |
+      | unnamed | 0     | 9    |
