Stalled jobs are told by host and id

What operators see: of two stalled jobs of one id one is never reported, as each look takes the other one's version for a change of it.

Cause: the observations of stalled jobs were kept by id. Change: they are kept by JobRef.

Evidence: the row of job_ids.feature failed before (only the last of the two was reported, three times) and passes.

--- a/src/coppercleat/jobs/_still_jobs.py
+++ b/src/coppercleat/jobs/_still_jobs.py
@@ -6,7 +6,7 @@
 
 import attrs
 
-from coppercleat.ids import JobId
+from coppercleat.ids import JobRef
 from coppercleat.jobs._repository import StoredJob
 
 STALLED_AFTER_S = 8.0
@@ -40,7 +40,7 @@
     """Tracks when the row of each open job last changed."""
 
     def __init__(self) -> None:
-        self._observations: dict[JobId, _Observation] = {}
+        self._observations: dict[JobRef, _Observation] = {}
         self._checked_at = float("-inf")
 
     def find_due(
@@ -66,10 +66,10 @@
         for stored in jobs:
             if not stored.row.open:
                 continue
-            seen = previous.get(stored.row.job)
+            seen = previous.get(stored.ref)
             if seen is None or seen.version != stored.version:
                 seen = _Observation(stored.version, now)
-            self._observations[stored.row.job] = seen
+            self._observations[stored.ref] = seen
             due = now - seen.reported_at >= REPORT_INTERVAL_S
             if (
                 now - seen.since >= STALLED_AFTER_S
