Log lines of a job name its host, and a search for an item's lines finds its own job

Cause: lines named a job by its id alone, and the search followed the item's job by that id.

Change: lines that name a job or an item have `host`; messages of errors name both; the search follows host and id. A line without a host, of the version before, may be of any.

--- a/src/coppercleat/gateway/_job_service.py
+++ b/src/coppercleat/gateway/_job_service.py
@@ -125,6 +125,7 @@
         self.on_submit(reply.answer.value)
         _log.info(
             "Job submitted.",
+            host=submission.host,
             job=submission.job,
             items=len(submission.items),
             outcome=reply.answer.value,
@@ -222,6 +223,7 @@
         # An end without an answer may have taken effect: then nobody runs the job.
         _log.info(
             "Job's end asked.",
+            host=host,
             job=job,
             outcome=reply.answer.value,
             ms=round((trio.current_time() - began) * 1000),
--- a/src/coppercleat/jobs/_item_bar.py
+++ b/src/coppercleat/jobs/_item_bar.py
@@ -137,7 +137,8 @@
         log = _log.warning if done_in_s > due_in_s else _log.info
         log(
             "Item quarantined.",
-            job=run.stored.row.job,
+            host=run.stored.ref.host,
+            job=run.stored.ref.id,
             item=item.spec.id,
             fingerprint=format_fingerprint(run.request_of(item).fingerprint),
             standing=verdict.kind.value,
--- a/src/coppercleat/jobs/_items.py
+++ b/src/coppercleat/jobs/_items.py
@@ -318,7 +318,8 @@
         log = _log.info if outcome is not ItemAttemptOutcome.YIELDED else _log.debug
         log(
             "Item run ended.",
-            job=run.stored.row.job,
+            host=run.stored.ref.host,
+            job=run.stored.ref.id,
             item=item.spec.id,
             fingerprint=format_fingerprint(running.request.fingerprint)
             if broken
@@ -385,6 +386,8 @@
                 running.disconnected = error.disconnected
                 _log.info(
                     "Item attempt interrupted.",
+                    host=running.run.stored.ref.host,
+                    job=running.run.stored.ref.id,
                     item=item.spec.id,
                     upstream=state.id,
                     reason=str(error),
--- a/src/coppercleat/jobs/_repository.py
+++ b/src/coppercleat/jobs/_repository.py
@@ -300,17 +300,17 @@
         if row.input_object:
             packed = await self.platform.get_object(row.input_object)
             if packed is None:
-                raise PlatformUnavailableError(f"The input of {row.job} is missing")
+                raise PlatformUnavailableError(f"The input of job {row.ref} is missing")
         else:
             found = await self.platform.scan(f"input/{row.job}/", part=row.host)
             if len(found) != row.slices:
-                raise PlatformUnavailableError(f"Input of {row.job} is missing")
+                raise PlatformUnavailableError(f"The input of job {row.ref} is missing")
             packed = b"".join(slice_row.value for _, slice_row in found)
         try:
             return msgspec.msgpack.decode(packed, type=list[ItemSpec])
         except BAD_BYTES as error:
             raise PlatformUnavailableError(
-                f"Input of {row.job} does not fit: {error}"
+                f"The input of job {row.ref} does not fit: {error}"
             ) from error
 
     async def checkpoints(self, row: JobRow) -> dict[int, CheckpointRow]:
@@ -325,7 +325,12 @@
                 index = int(key.removeprefix(prefix))
                 checkpoint = msgspec.msgpack.decode(found.value, type=CheckpointRow)
             except (ValueError, *BAD_BYTES) as error:
-                _log.error("Checkpoint is invalid; ignored.", key=key, why=str(error))
+                _log.error(
+                    "Checkpoint is invalid; ignored.",
+                    host=row.host,
+                    key=key,
+                    why=str(error),
+                )
                 continue
             checkpoints[index] = checkpoint
         return checkpoints
@@ -452,7 +457,9 @@
             except AnswerLostError:
                 # The next read shows whether the transaction took effect.
                 continue
-        raise PlatformUnavailableError(f"Too many concurrent changes of job {job}")
+        raise PlatformUnavailableError(
+            f"Too many concurrent changes of job {job} of {host}"
+        )
 
     async def _update(
         self, stored: StoredJob, row: JobRow, puts: Iterable[Put] = ()
--- a/src/coppercleat/jobs/_starter.py
+++ b/src/coppercleat/jobs/_starter.py
@@ -127,7 +127,8 @@
             run.lateness_logged = True
             _log.warning(
                 "Job will be late.",
-                job=run.stored.row.job,
+                host=run.stored.ref.host,
+                job=run.stored.ref.id,
                 items=late,
                 due_in_s=round(due_in_s, 1),
             )
@@ -236,6 +237,7 @@
             elif run.pending and (has_expired or _is_route_gone(run)):
                 _log.warning(
                     "Pending items failed: the job expired or has no route.",
+                    host=row.host,
                     job=row.job,
                     route=route is None,
                 )
--- a/src/coppercleat/jobs/_sweep.py
+++ b/src/coppercleat/jobs/_sweep.py
@@ -86,10 +86,13 @@
     async def _sweep_logged(self, stored: StoredJob) -> None:
         try:
             if await self.sweep(stored):
-                _log.info("Job deleted.", job=stored.row.job)
+                _log.info("Job deleted.", host=stored.ref.host, job=stored.ref.id)
         except CoppercleatError as error:
             _log.info(
-                "Job could not be deleted.", job=stored.row.job, reason=str(error)
+                "Job could not be deleted.",
+                host=stored.ref.host,
+                job=stored.ref.id,
+                reason=str(error),
             )
 
     async def sweep(self, stored: StoredJob) -> bool:
--- a/src/coppercleat/jobs/_worker.py
+++ b/src/coppercleat/jobs/_worker.py
@@ -251,7 +251,12 @@
         try:
             taken = await self.repository.set_owner(stored, owner=self.owner)
         except CoppercleatError as error:
-            _log.info("Job takeover failed.", job=stored.row.job, reason=str(error))
+            _log.info(
+                "Job takeover failed.",
+                host=stored.ref.host,
+                job=stored.ref.id,
+                reason=str(error),
+            )
             self._active.discard(stored.ref)
             return
         if isinstance(taken, Superseded):
@@ -259,7 +264,12 @@
             if taken.stored is not None:
                 self.job_index.observe(taken.stored)
             return
-        _log.info("Job taken over.", job=stored.row.job, owner_before=stored.row.owner)
+        _log.info(
+            "Job taken over.",
+            host=stored.ref.host,
+            job=stored.ref.id,
+            owner_before=stored.row.owner,
+        )
         self.job_index.observe(taken)
         self.on_takeover(stored.ref, stored.row.owner)
         await self._wait_for_handover(stored.ref)
@@ -286,6 +296,7 @@
             )
             _log.warning(
                 "Job is stalled.",
+                host=ref.host,
                 job=ref.id,
                 still_s=round(stalled_s, 1),
                 version=stored.version,
@@ -341,7 +352,12 @@
         """Takes the previous owner's progress of a job that is not loaded yet."""
         if ref in self._active and ref not in self.runs:
             self._handovers[ref] = items
-            _log.info("Job progress received.", job=ref.id, items=len(items))
+            _log.info(
+                "Job progress received.",
+                host=ref.host,
+                job=ref.id,
+                items=len(items),
+            )
 
     # Running a job.
 
@@ -353,12 +369,16 @@
             run = await self._load(stored)
             if run is None:
                 _log.info(
-                    "Job stopped.", job=ref.id, why="ownership changed during loading"
+                    "Job stopped.",
+                    host=ref.host,
+                    job=ref.id,
+                    why="ownership changed during loading",
                 )
                 return
             self.runs[ref] = run
             _log.info(
                 "Job started.",
+                host=ref.host,
                 job=ref.id,
                 why=why,
                 version=run.stored.version,
@@ -390,7 +410,8 @@
             except CoppercleatError as error:
                 _log.info(
                     "Job could not be loaded; retrying.",
-                    job=stored.row.job,
+                    host=stored.ref.host,
+                    job=stored.ref.id,
                     reason=str(error),
                 )
             await trio.sleep(_RETRY_DELAY_S)
@@ -417,7 +438,10 @@
                     return
             elif run.all_listed:
                 _log.info(
-                    "Job completed.", job=run.stored.row.job, items=run.stored.row.total
+                    "Job completed.",
+                    host=run.stored.ref.host,
+                    job=run.stored.ref.id,
+                    items=run.stored.row.total,
                 )
                 return
             await trio.sleep(_COMMIT_INTERVAL_S)
@@ -435,7 +459,8 @@
             self.on_commit(error.kind)
             _log.info(
                 "Commit failed; retrying.",
-                job=run.stored.row.job,
+                host=run.stored.ref.host,
+                job=run.stored.ref.id,
                 finished=len(batch),
                 kind=error.kind,
                 reason=error.message,
@@ -471,7 +496,7 @@
         ref = run.stored.ref
         self.runs.pop(ref, None)
         self.items.stop_job(run)
-        _log.info("Job stopped.", job=ref.id, why=why)
+        _log.info("Job stopped.", host=ref.host, job=ref.id, why=why)
 
     # Shutdown.
 
@@ -494,5 +519,9 @@
             if not await self._commit(run, checkpoints, owner=owner):
                 return
             if run.stored.row.owner == NO_OWNER:
-                _log.info("Job released.", job=run.stored.row.job)
+                _log.info(
+                    "Job released.",
+                    host=run.stored.ref.host,
+                    job=run.stored.ref.id,
+                )
                 return
--- a/src/coppercleat/observability/_search.py
+++ b/src/coppercleat/observability/_search.py
@@ -18,19 +18,27 @@
       lines: Log lines of one or more instances, in any order.
     """
     events = [event for line in lines if (event := _event(line)) is not None]
-    wanted = {identifier}
-    for event in events:
-        if event.get("item") == identifier and "job" in event:
-            wanted.add(event["job"])
-    found = [event for event in events if _is_about(event, identifier, wanted)]
+    of_item = [event for event in events if event.get("item") == identifier]
+    jobs = {(event.get("host"), event["job"]) for event in of_item if "job" in event}
+    found = [event for event in events if _is_about(event, identifier, jobs)]
     return sorted(found, key=lambda event: event.get("timestamp", ""))
 
 
-def _is_about(event: dict[str, Any], identifier: str, wanted: set[str]) -> bool:
+def _is_about(
+    event: dict[str, Any], identifier: str, jobs: set[tuple[str | None, str]]
+) -> bool:
     if identifier in event.values():
         return True
     # Of the item's job only what concerns the whole job.
-    return event.get("job") in wanted and "item" not in event
+    if "item" in event:
+        return False
+    host, job = event.get("host"), event.get("job")
+    # Instances of versions before the hosts were logged name the id alone.
+    return any(job == known and _may_be(host, of) for of, known in jobs)
+
+
+def _may_be(host: str | None, other: str | None) -> bool:
+    return host == other or None in (host, other)
 
 
 def _event(line: str) -> dict[str, Any] | None:
--- a/tests/features/job_ids.feature
+++ b/tests/features/job_ids.feature
@@ -67,6 +67,20 @@
     When two jobs of one id are stalled for 30 s
     Then each of them is reported 3 times
 
+  Scenario: Log lines that name a job or an item name its host
+    Then each line of jobs and gateways that names a job or an item names its host
+
+  Scenario Outline: Lines about an item, of whose id two hosts <state>
+    When it is asked what lines tell of an item, of whose id two hosts <state>
+    Then the lines found are <lines>
+
+    Examples:
+      | state                                              | lines       |
+      | have one, in jobs of one id                        | a1 a2 b1 b2                  |
+      | have one, in jobs of one id, lines of other ids    | a1 a2 b1 b2                  |
+      | do not have one, but jobs of one id                | a1 a2                        |
+      | do not have one, but jobs of one id, logged before | a1 a2 b2                     |
+
   # Counts and bodies drawn; owners killed or paused, news of takeovers late, a slow store, ends.
   # While ids alone told jobs apart 76 of the first 100 failed, and none with ids that differ.
   Scenario Outline: Simulations of two hosts, <which> ids, <first> to <last>
