Jobs of one id at two hosts, played with processes

Three gateways, two runners whose events are the request's body, two hosts that take jobs: both jobs at one gateway, each at its own, one ended while both run, their gateway killed, their gateway turned away by the store, so that a peer takes both over and is given their progress.

--- a/tests/features/job_ids.feature
+++ b/tests/features/job_ids.feature
@@ -81,6 +81,22 @@
       | do not have one, but jobs of one id                | a1 a2                        |
       | do not have one, but jobs of one id, logged before | a1 a2 b2                     |
 
+  # The same with processes, over the wire.
+  Scenario Outline: Gateways: two hosts have a job of one id, and <what>
+    Given 3 gateways and 2 runners
+    And every runner is set to {"events": 120, "event_s": 0.05, "echo": true}
+    And two hosts take jobs
+    When each host gets a job of one id, and <what>
+    Then each job that was not ended is listed whole, with its own texts
+
+    Examples:
+      | what                                    |
+      | both come to one gateway                |
+      | each comes to a gateway of its own      |
+      | the second is ended while both run      |
+      | the gateway that runs both is killed    |
+      | the store turns away the gateway that runs both |
+
   # Counts and bodies drawn; owners killed, paused or without a lease, news of takeovers early and
   # late, a slow store, ends. While ids alone told jobs apart 76 of the first 100 failed, 30 by a
   # text of the other host, and none with ids that differ.
--- a/tests/harness/_gateways.py
+++ b/tests/harness/_gateways.py
@@ -487,7 +487,9 @@
             name, "POST", host, target, headers=sent, body=content, pool=pool
         )
 
-    async def submit(self, name: str, job: str, items: list[str]) -> Answer:
+    async def submit(
+        self, name: str, job: str, items: list[str], *, host: str = JOBS[0]
+    ) -> Answer:
         """Submits a job with items of these bodies."""
         wire = [
             {
@@ -502,22 +504,26 @@
         body = json.dumps({"items": wire}).encode()
         headers = {"request-id": job}
         return await self.call(
-            name, "POST", JOBS[0], JOBS[1] + "submit", headers=headers, body=body
+            name, "POST", host, JOBS[1] + "submit", headers=headers, body=body
         )
 
-    async def results(self, name: str, job: str, after: int = 0) -> dict[str, Any]:
+    async def results(
+        self, name: str, job: str, after: int = 0, *, host: str = JOBS[0]
+    ) -> dict[str, Any]:
         """Reads a job's results."""
         target = f"/v1/lots/{job}?after={after}"
-        answer = await self.call(name, "GET", JOBS[0], target)
+        answer = await self.call(name, "GET", host, target)
         assert answer.status == 200, answer
         return json.loads(answer.body)
 
-    async def whole_job(self, name: str, job: str) -> list[dict[str, Any]]:
+    async def whole_job(
+        self, name: str, job: str, *, host: str = JOBS[0]
+    ) -> list[dict[str, Any]]:
         """Waits until all results of a job are listed, and returns them."""
 
         async def done() -> list[dict[str, Any]] | None:
             try:
-                page = await self.results(name, job)
+                page = await self.results(name, job, host=host)
             except (AssertionError, httpcore.NetworkError):
                 return None
             return page["results"] if page["next"] == page["total"] else None
--- a/tests/standins/runner.py
+++ b/tests/standins/runner.py
@@ -27,6 +27,7 @@
       events: Events of a whole answer.
       event_s: Time between events.
       event_bytes: Added to each event.
+      echo: Whether each event is the request's body.
       slots: Requests that run side by side.
       queue: Requests that wait beyond these.
       instance: Its id; a request that expects another gets 421.
@@ -54,6 +55,7 @@
 
     events: int = 5
     event_s: float = 0.01
+    echo: bool = False
     event_bytes: int = 0
     slots: int = 8
     queue: int = 24
@@ -246,7 +248,8 @@
             await trio.sleep(knobs.event_s)
             if skip and number == first + 1:
                 continue
-            data = f"id: {number}\ndata: word {number}{padding}\n\n".encode()
+            word = run["body"] if knobs.echo else f"word {number}{padding}"
+            data = f"id: {number}\ndata: {word}\n\n".encode()
             if cut and run["events"] >= knobs.cut_after:
                 if knobs.torn:
                     await send(_part(data[:9]))
