The harness of plays of jobs in three files: parts of a plan, an instance, the play

What a plan is made of is in _job_plan_parts.py, one start of an instance with its upstreams in _job_instance.py.

--- a/tests/features/steps/job_id_steps.py
+++ b/tests/features/steps/job_id_steps.py
@@ -11,7 +11,9 @@
 from coppercleat.routing import rendezvous_order
 from coppercleat.serving import ItemEvents
 from tests.harness import HOST, LOOK_S, PLANTS, make_repository, make_route
-from tests.harness._job_play import CANCEL_S, EVENTS, Ask, submission_of, word_of
+from tests.harness._job_instance import EVENTS
+from tests.harness._job_plan_parts import Ask, submission_of, word_of
+from tests.harness._job_play import CANCEL_S
 from tests.harness._job_store import Trouble
 from tests.harness._twin_jobs import ID, ITEMS, LONGEST_S, ONE, OTHER, Site, play
 
--- a/tests/features/steps/job_owner_steps.py
+++ b/tests/features/steps/job_owner_steps.py
@@ -16,7 +16,7 @@
 from coppercleat.storage import MemoryPlatform
 from coppercleat.upstreams import AttemptState
 from tests.harness import HOST, make_repository, make_worker, submission
-from tests.harness._job_play import Instance
+from tests.harness._job_instance import Instance
 from tests.harness._job_store import Trouble, View
 
 ITEMS = 3
--- a/tests/features/steps/lasting_job_steps.py
+++ b/tests/features/steps/lasting_job_steps.py
@@ -28,7 +28,7 @@
     make_worker,
     submission,
 )
-from tests.harness._job_play import FiveEvents
+from tests.harness._job_instance import FiveEvents
 from tests.harness._job_store import Trouble, View
 from tests.harness._jobs import LOOK_S
 
--- a/tests/harness/__init__.py
+++ b/tests/harness/__init__.py
@@ -14,6 +14,7 @@
     Answer,
     Gateways,
 )
+from tests.harness._job_plan_parts import draw_plan
 from tests.harness._job_plans import (
     draw_apart_plan,
     draw_hard_plan,
@@ -25,7 +26,7 @@
     pair_plans,
 )
 from tests.harness._job_plants import PLANTS
-from tests.harness._job_play import JobPlay, draw_plan
+from tests.harness._job_play import JobPlay
 from tests.harness._jobs import (
     HOST,
     LOOK_S,
--- a/tests/harness/_job_plans.py
+++ b/tests/harness/_job_plans.py
@@ -8,7 +8,7 @@
 
 import attrs
 
-from tests.harness._job_play import INSTANCES, ITEMS, Ask, Fault, Plan
+from tests.harness._job_plan_parts import INSTANCES, ITEMS, Ask, Fault, Plan
 from tests.harness._jobs import HOST
 
 OTHER_HOST = "other.example"
--- a/tests/harness/_kept_jobs.py
+++ b/tests/harness/_kept_jobs.py
@@ -8,7 +8,7 @@
 from coppercleat.serving import UpstreamResponse
 from coppercleat.storage import MemoryPlatform
 from coppercleat.upstreams import AttemptState
-from tests.harness._job_play import Instance
+from tests.harness._job_instance import Instance
 from tests.harness._job_store import Trouble, View
 from tests.harness._jobs import make_route, submission
 from tests.harness._kept_work import NEVER, course, in_no_time
--- a/tests/harness/_twin_jobs.py
+++ b/tests/harness/_twin_jobs.py
@@ -9,8 +9,9 @@
 from coppercleat.ids import JobId, JobRef
 from coppercleat.serving import ItemEvents
 from coppercleat.storage import MemoryPlatform
+from tests.harness._job_instance import FiveEvents, Instance
+from tests.harness._job_plan_parts import Ask, submission_of
 from tests.harness._job_plans import OTHER_HOST
-from tests.harness._job_play import Ask, FiveEvents, Instance, submission_of
 from tests.harness._job_store import View
 from tests.harness._jobs import HOST
 
