The row of an item that failed late asks for the host of its job's line, too

Traced: it looks for 'Job submitted. job=job-1' in what `explain` prints, and since the line reads 'Job submitted. host=jobs.example job=job-1'; the line itself was found. The row now asks for both fields, which is stricter. Its four rows pass.

--- a/tests/features/gateway.feature
+++ b/tests/features/gateway.feature
@@ -485,7 +485,7 @@
       | a refusal                | {"shed_next": 99}  | a stream request | refused with 503                  |
       | a stream that broke off  | {"cut_next": 1}    | a stream request | the answer was cut                |
       | an item that failed      | {"failing": true}  | an item of a job | ended=failed events=0 failures=3  |
-      | an item that failed late | {"failing": true}  | an item of a job | Job submitted. job=job-1          |
+      | an item that failed late | {"failing": true}  | an item of a job | Job submitted. host=jobs.example job=job-1 |
 
   Scenario: The deploy file builds in a clean checkout, and its role serves
     Given a clean checkout built as the deploy file says
