Lines of attempts and items tell the upstream's software version

A stream whose events come from two software versions could not be told in our logs: an upstream's version was decoded and dropped, and what a client names in Resumes was not read.

Upstreams have a version, requests what they resume. 'Attempt failed', 'Request ended.', 'Item run ended.' and 'Upstream listed.' name them. No decision uses either yet.

--- a/src/coppercleat/ids.py
+++ b/src/coppercleat/ids.py
@@ -14,12 +14,16 @@
 UpstreamId = NewType("UpstreamId", str)
 DeploymentId = NewType("DeploymentId", str)
 RequestId = NewType("RequestId", str)
+SoftwareVersion = NewType("SoftwareVersion", str)
 JobId = NewType("JobId", str)
 Revision = NewType("Revision", int)
 
 NO_ACCOUNT = TenantId("")
 """Of requests and jobs that need no client account."""
 
+UNKNOWN_VERSION = SoftwareVersion("")
+"""Of upstreams whose software version nobody has told."""
+
 _TOKEN_BITS = 80
 
 
--- a/src/coppercleat/jobs/_items.py
+++ b/src/coppercleat/jobs/_items.py
@@ -325,6 +325,7 @@
             if broken
             else None,
             upstream=state.id,
+            version=state.upstream.version,
             ended=outcome.value,
             events=len(item.events),
             failures=item.failures,
--- a/src/coppercleat/platform/_catalogue.py
+++ b/src/coppercleat/platform/_catalogue.py
@@ -10,7 +10,7 @@
 import msgspec
 
 from coppercleat.accounts import AccountDirectory, ClientAccount, digest_of
-from coppercleat.ids import TenantId, UpstreamId, ZoneId
+from coppercleat.ids import SoftwareVersion, TenantId, UpstreamId, ZoneId
 from coppercleat.observability import part_logger
 from coppercleat.platform._names import RouteWord
 from coppercleat.platform._store import StoreClient
@@ -221,6 +221,7 @@
         draining=wire.state is _UpstreamWord.DRAINING,
         cold_s=wire.cold_left_ms / _MS,
         born_ms=wire.born,
+        version=SoftwareVersion(wire.version),
     )
 
 
--- a/src/coppercleat/platform/_ingress.py
+++ b/src/coppercleat/platform/_ingress.py
@@ -243,6 +243,7 @@
     if scope["query_string"]:
         target += b"?" + scope["query_string"]
     deadline_ms = _number(headers, HeaderName.DEADLINE_MS)
+    resumes = headers.get(HeaderName.RESUMES, b"").decode("latin-1")
     return OnlineRequest(
         request_id=RequestId(_request_id(headers)),
         method=scope["method"],
@@ -252,6 +253,7 @@
         body=body,
         allowed_s=route.timeout_s if deadline_ms is None else deadline_ms / _MS,
         resume_after=_number(headers, HeaderName.LAST_EVENT_ID),
+        resumes=RequestId(resumes) if resumes else None,
     )
 
 
--- a/src/coppercleat/platform/_names.py
+++ b/src/coppercleat/platform/_names.py
@@ -15,6 +15,7 @@
     ACCOUNT = b"tenant-id"
     DEADLINE_MS = b"deadline-ms"
     LAST_EVENT_ID = b"last-event-id"
+    RESUMES = b"resumes"
     EXPECT_INSTANCE = b"expect-instance"
     NOT_EXECUTED = b"not-executed"
     RETRY_AFTER = b"retry-after"
--- a/src/coppercleat/serving/_exchange.py
+++ b/src/coppercleat/serving/_exchange.py
@@ -5,7 +5,7 @@
 import attrs
 import trio
 
-from coppercleat.ids import UpstreamId
+from coppercleat.ids import UNKNOWN_VERSION, SoftwareVersion, UpstreamId
 from coppercleat.serving._admission_queue import MIN_RETRY_AFTER_S
 from coppercleat.serving._answer_use import ResponseHead, response_head
 from coppercleat.serving._model import OnlineRequest, Reply, Route
@@ -22,6 +22,7 @@
       deadline: When the client or the route stops waiting.
       tried: Upstreams that must not be tried now.
       upstream: Upstream of the current attempt.
+      version: Version of that upstream's software.
       retried_upstream: Upstream that has been granted one retry after it refused the
         request or did not accept a connection.
       reason: Why the last attempt failed or the request was rejected; may reach the
@@ -50,6 +51,7 @@
         factory=lambda: TriedUpstreams(trio.current_time)
     )
     upstream: str = ""
+    version: SoftwareVersion = UNKNOWN_VERSION
     retried_upstream: str = ""
     reason: str = ""
     arrived_at: float = 0.0
--- a/src/coppercleat/serving/_forwarding.py
+++ b/src/coppercleat/serving/_forwarding.py
@@ -173,6 +173,7 @@
                 "Attempt failed; trying another upstream.",
                 request=exchange.request.request_id,
                 upstream=exchange.upstream,
+                version=exchange.version,
                 ended=outcome.value,
                 status=exchange.status,
                 reason=exchange.reason,
@@ -230,7 +231,7 @@
         self, exchange: Exchange, state: UpstreamState
     ) -> AttemptOutcome:
         attempt = Attempt()
-        exchange.upstream = state.id
+        exchange.upstream, exchange.version = state.id, state.upstream.version
         exchange.tried.begin(state.id)
         exchange.last_received_at = exchange.attempt_started_at = trio.current_time()
         exchange.status = 0
@@ -441,6 +442,8 @@
             route=exchange.route.name,
             outcome=step.value,
             upstream=exchange.upstream,
+            version=exchange.version,
+            resumes=exchange.request.resumes,
             tries=exchange.progress.tries,
             runs=exchange.progress.runs,
             status=exchange.status,
--- a/src/coppercleat/serving/_model.py
+++ b/src/coppercleat/serving/_model.py
@@ -9,7 +9,15 @@
 import msgspec
 
 from coppercleat.accounts import AccountDirectory, ClientAccount
-from coppercleat.ids import NO_ACCOUNT, RequestId, TenantId, UpstreamId, ZoneId
+from coppercleat.ids import (
+    NO_ACCOUNT,
+    UNKNOWN_VERSION,
+    RequestId,
+    SoftwareVersion,
+    TenantId,
+    UpstreamId,
+    ZoneId,
+)
 from coppercleat.quarantine import Fingerprint, fingerprint_of
 
 Header = tuple[bytes, bytes]
@@ -125,6 +133,7 @@
       cold_s: Seconds for which it is slow after its start.
       born_ms: Start time by its own clock, in Unix milliseconds; it identifies the
         incarnation, which shares no state with earlier ones. 0 if unknown.
+      version: Version of its software; several may serve side by side.
     """
 
     id: UpstreamId
@@ -135,6 +144,7 @@
     draining: bool = False
     cold_s: float = 0.0
     born_ms: int = 0
+    version: SoftwareVersion = UNKNOWN_VERSION
 
     def is_same_incarnation(self, born_ms: int) -> bool | None:
         """Returns whether the start time is of this incarnation; None if unknown."""
@@ -152,6 +162,8 @@
       allowed_s: Seconds from its arrival after which the client gives up.
       resume_after: Number of the last event that the client has received; None for a
         new request.
+      resumes: Id of the client's attempt that brought the first event of the stream
+        that it takes up; None if it names none.
       account: Name of the client account, which upstreams get; empty if none is known.
       priority: The account's priority; None for the route's.
     """
@@ -164,6 +176,7 @@
     body: bytes = b""
     allowed_s: float
     resume_after: int | None = None
+    resumes: RequestId | None = None
     account: TenantId = NO_ACCOUNT
     priority: int | None = None
 
--- a/src/coppercleat/serving/_watch.py
+++ b/src/coppercleat/serving/_watch.py
@@ -495,6 +495,7 @@
                     upstream=upstream.id,
                     zone=upstream.zone,
                     born_ms=upstream.born_ms,
+                    version=upstream.version,
                 )
         for upstream_id in gone:
             _log.info("Upstream no longer listed.", upstream=upstream_id)
