--- a/tests/harness/_gateways.py
+++ b/tests/harness/_gateways.py
@@ -81,6 +81,7 @@
       fleet_name: The gateways' own, so that they hear no other play's.
       actions: Faults and changes that were set, in order. Signals stand with the
         processes.
+      software: The version of each runner's software, as its entry has it.
     """
 
     def __init__(
@@ -101,6 +102,7 @@
         self.versions: dict[str, int] = {}
         self.config: dict[str, Any] = default_config()
         self.runners = [f"runner-{n + 1}" for n in range(runners)]
+        self.software = dict.fromkeys(self.runners, "v1")
         self.garbage = garbage
         self.checkout = checkout
         self.proxy_port = free_port() if proxied else 0
@@ -284,7 +286,7 @@
             "service": SERVICE,
             "address": f"127.0.0.1:{self.links.get(name, self.ports[name]['http'])}",
             "zone": _ZONES[self.runners.index(name) % len(_ZONES)],
-            "version": "v1",
+            "version": self.software[name],
             "slots": 8,
             "state": state,
             "coldLeftMs": 0,
@@ -442,8 +444,20 @@
         headers: dict[str, str] | None = None,
         body: bytes = b"",
         pool: httpcore.AsyncConnectionPool | None = None,
+        leave_after: int | None = None,
     ) -> Answer:
-        """Makes a client's call, on a connection of its own if no pool is given."""
+        """Makes a client's call, on a connection of its own if no pool is given.
+
+        Args:
+          name: The gateway.
+          method: HTTP method.
+          host: Host header.
+          target: Path and query.
+          headers: Further headers.
+          body: Body of the request.
+          pool: Connections to use; None for a new one.
+          leave_after: Number of events after which the client leaves; None to stay.
+        """
         port = self.ports[name]["front"]
         wire = [("host", host), *(headers or {}).items()]
         if body:
@@ -461,6 +475,10 @@
             try:
                 async for part in response.aiter_stream():
                     parts.append(part)
+                    events = b"".join(parts).count(b"\n\n")
+                    if leave_after is not None and events >= leave_after:
+                        whole = False
+                        break
             except (httpcore.NetworkError, httpcore.ProtocolError):
                 whole = False
             found = {k.decode().lower(): v.decode() for k, v in response.headers}
@@ -475,6 +493,7 @@
         deadline_ms: int = 5000,
         body: str = "",
         pool: httpcore.AsyncConnectionPool | None = None,
+        leave_after: int | None = None,
         **headers: str,
     ) -> Answer:
         """Sends an online request, with a body of its own if none is given."""
@@ -484,7 +503,14 @@
         content = (body or f"prompt of {request}").encode()
         target = prefix + "x?q=%2F1"
         return await self.call(
-            name, "POST", host, target, headers=sent, body=content, pool=pool
+            name,
+            "POST",
+            host,
+            target,
+            headers=sent,
+            body=content,
+            pool=pool,
+            leave_after=leave_after,
         )
 
     async def submit(
--- a/tests/standins/runner.py
+++ b/tests/standins/runner.py
@@ -27,6 +27,7 @@
       events: Events of a whole answer.
       event_s: Time between events.
       event_bytes: Added to each event.
+      mark: Word that each event ends with, unless it is empty.
       echo: Whether each event is the request's body.
       slots: Requests that run side by side.
       queue: Requests that wait beyond these.
@@ -57,6 +58,7 @@
     event_s: float = 0.01
     echo: bool = False
     event_bytes: int = 0
+    mark: str = ""
     slots: int = 8
     queue: int = 24
     instance: str = ""
@@ -242,7 +244,7 @@
         await send({"type": "http.response.start", "status": 200, "headers": head})
         skip = knobs.skip_next > 0
         knobs.skip_next -= skip
-        padding = "." * knobs.event_bytes
+        padding = "." * knobs.event_bytes + (f" {knobs.mark}" if knobs.mark else "")
         first = int(run["after"]) + 1 if run["after"] is not None else 1
         for number in range(first, knobs.events + 1):
             await trio.sleep(knobs.event_s)
