A stream goes on only at the software version that began it

Cause: where a stream goes on was decided by its service alone. The version of an upstream was dropped on reading, Resumes was not read, and no instance knew what began the streams of another.

Change: a stream has an origin (service and version) from its first event on. Admission leaves all other versions out, inside the answer and where it is taken up. Instances tell each other origins with their counts (8 bytes a stream and the origin, relays and speakers pass them on), keep them for a minute, and ask all they hear where one is not known. What nobody knows is refused at once, as not run: never guessed. An upstream that tells its birth is asked for it before it goes on.

Why it works: what is told is what ran, and a stream goes on only where the version is the same by the listing of one life of an upstream.

Tests changed: upstreams of answer_steps, silence_steps, _links and _ends_upstreams have a version, and a client that has events names what it resumes: without, nothing may go on any more.

--- a/src/coppercleat/gateway/_gateway.py
+++ b/src/coppercleat/gateway/_gateway.py
@@ -196,6 +196,10 @@
 
     def _connect(self) -> None:
         """Tells each part whom to ask and whom to tell."""
+        self.forwarder.find_origin = self.peers.inquiries.find
+        self.forwarder.on_stream_began = self.peers.stream_began
+        self.forwarder.on_stream_ended = self.peers.origins.end
+        self.forwarder.on_taken_up = self.metrics.stream_taken_up
         self.watch.on_members = self.peers.observe_list
         self.watch.is_settled = self.peers.hears_all
         self.peers.version = lambda: self.watch.version
--- a/src/coppercleat/gateway/_metrics.py
+++ b/src/coppercleat/gateway/_metrics.py
@@ -26,6 +26,10 @@
             "rejected_total", "Requests rejected for their key or allowance, by reason"
         )
         self.tries = self._counter("tries_total", "Upstreams asked for requests")
+        self.taken_up = self._counter(
+            "streams_taken_up_total",
+            "Streams that clients take up, by whether it is known what began them",
+        )
         self.first_event = self._seconds(
             "first_event_seconds", "Time from arrival to the first part of the answer"
         )
@@ -109,6 +113,10 @@
         if end.first_s is not None:
             self.first_event.observe(route, end.first_s)
 
+    def stream_taken_up(self, origin: str) -> None:
+        """Counts a stream that a client takes up here."""
+        self.taken_up.inc({"origin": origin})
+
     def request_barred(self, standing: str) -> None:
         """Counts a request or item that was not sent to an upstream."""
         self.barred.inc({"standing": standing})
--- a/src/coppercleat/ids.py
+++ b/src/coppercleat/ids.py
@@ -16,6 +16,7 @@
 RequestId = NewType("RequestId", str)
 SoftwareVersion = NewType("SoftwareVersion", str)
 JobId = NewType("JobId", str)
+StreamKey = NewType("StreamKey", int)
 Revision = NewType("Revision", int)
 
 NO_ACCOUNT = TenantId("")
--- a/src/coppercleat/serving/__init__.py
+++ b/src/coppercleat/serving/__init__.py
@@ -19,7 +19,7 @@
     YieldTimer,
 )
 from coppercleat.serving._forwarding import Forwarder, RequestSummary
-from coppercleat.serving._incarnation_probe import incarnation_probe
+from coppercleat.serving._incarnation_probe import incarnation_probe, may_go_on
 from coppercleat.serving._model import (
     ClientLimits,
     Header,
@@ -61,6 +61,7 @@
 from coppercleat.serving._silence import stall_check_times
 from coppercleat.serving._silent_moments import StallOnsets
 from coppercleat.serving._silent_runs import AbandonedAttempts, AttemptKind
+from coppercleat.serving._stream_origins import StreamOrigin
 from coppercleat.serving._survey import LoadProber
 from coppercleat.serving._unknown_runs import estimate_untracked
 from coppercleat.serving._upstream_call import (
@@ -123,6 +124,7 @@
     "AbandonedAttempts",
     "StoreRates",
     "StreamEvent",
+    "StreamOrigin",
     "LoadProber",
     "Target",
     "Overloaded",
@@ -145,6 +147,7 @@
     "jobs_poll_interval_s",
     "lease_s",
     "incarnation_probe",
+    "may_go_on",
     "stall_check_times",
     "renewal_interval_s",
     "retry_interval_s",
--- a/src/coppercleat/serving/_admission_queue.py
+++ b/src/coppercleat/serving/_admission_queue.py
@@ -18,6 +18,7 @@
 from coppercleat.quarantine import FREE, Verdict
 from coppercleat.serving._fleet_order import QueuedWork, QueuePosition, Rank, YieldTimer
 from coppercleat.serving._placement import NoUpstreamAvailable, Placement
+from coppercleat.serving._stream_origins import StreamOrigin
 from coppercleat.serving._upstream_state import UpstreamState
 
 MAX_QUEUE_LENGTH = 512
@@ -69,6 +70,8 @@
       queue_at_upstream_from: When it may wait at an upstream without a free slot at the
         earliest: before, one that it has tried may come back.
       verdict: The quarantine's verdict on it; may exclude further upstreams.
+      origin: What began the stream that it goes on with, and alone may go on; None for
+        a new one.
       outcome: The upstream whose slot it got, or why it got none; None while it is
         queued.
     """
@@ -81,6 +84,7 @@
     avoid: Collection[UpstreamId] = ()
     queue_at_upstream_from: float = float("-inf")
     verdict: Verdict = FREE
+    origin: StreamOrigin | None = None
     outcome: UpstreamState | NoUpstreamAvailable | Overloaded | None = None
 
     def position(self, now: float) -> QueuePosition:
@@ -219,7 +223,7 @@
         if not self.placement.serves(
             request.service, avoid=self._excluded(request, now)
         ):
-            return NoUpstreamAvailable(f"no upstream serves {request.service}")
+            return NoUpstreamAvailable(_no_upstream_reason(request))
         if now > self._dispatch_deadline(request):
             return Overloaded("no slot came free in time", MIN_RETRY_AFTER_S)
         may_queue_from = max(request.on_time_by, request.queue_at_upstream_from)
@@ -277,12 +281,21 @@
 
         Computed anew each time, since upstreams become steady or leave meanwhile.
         """
-        if not request.verdict.crashes:
-            return request.avoid
-        unsteady = self.placement.upstreams_to_avoid(
-            request.verdict, request.service, now=now
-        )
-        return unsteady | set(request.avoid)
+        excluded = request.avoid
+        if request.verdict.crashes:
+            unsteady = self.placement.upstreams_to_avoid(
+                request.verdict, request.service, now=now
+            )
+            excluded = unsteady.union(excluded)
+        if request.origin is not None:
+            excluded = set(self._other_versions(request)).union(excluded)
+        return excluded
+
+    def _other_versions(self, request: QueuedRequest) -> Collection[UpstreamId]:
+        """Returns the upstreams that a request cannot use by their version."""
+        if request.origin is None:
+            return ()
+        return self.placement.upstreams_of_other_versions(request.origin)
 
     def _open_slots(self, request: QueuedRequest, now: float) -> int:
         return self.placement.open_slots(
@@ -300,10 +313,14 @@
         """
         if len(self._queue) >= MAX_QUEUE_LENGTH:
             return Overloaded("too many requests wait here", MAX_RETRY_AFTER_S)
-        total = self.placement.total_slots(request.service, now=now)
+        total = self.placement.total_slots(
+            request.service, avoid=self._other_versions(request), now=now
+        )
+        # Others use the slots of all versions alike.
+        share = self._share_of_slots(request, total, now)
         missing = (
             1
-            + self._ahead(request.position(now), request.service, now)
+            + share * self._ahead(request.position(now), request.service, now)
             - self._open_slots(request, now)
         )
         if missing <= 0 or not total or request.begun:
@@ -313,8 +330,8 @@
             return None
         # It will be late, so requests that can be on time are dispatched before it.
         late = QueuePosition(Rank.ONLINE_LATE, request.serve_by)
-        last = 1 + self._ahead(late, request.service, now)
-        spare = rate - self.demand.fleet_rate(request.service, now=now)
+        last = 1 + round(share * self._ahead(late, request.service, now))
+        spare = rate - share * self.demand.fleet_rate(request.service, now=now)
         if spare > 0 and now + last / spare <= self._dispatch_deadline(request):
             return None
         wait_s = self._retry_after_s(request.service, rate, missing / rate, now)
@@ -323,6 +340,12 @@
         )
         return Overloaded(reason, wait_s)
 
+    def _share_of_slots(self, request: QueuedRequest, total: int, now: float) -> float:
+        """Returns the share of its service's slots that a request can use."""
+        if request.origin is None:
+            return 1.0
+        return total / max(1, self.placement.total_slots(request.service, now=now))
+
     def _dispatch_deadline(self, request: QueuedRequest) -> float:
         """Returns the latest time of dispatch, also in view of a shutdown."""
         service_time_s = self.demand.for_service(request.service).service_time_s
@@ -359,6 +382,18 @@
         return max(MIN_RETRY_AFTER_S, self._next_retry_at[service] - now)
 
 
+def _no_upstream_reason(request: QueuedRequest) -> str:
+    """Returns why a request cannot be placed anywhere."""
+    if request.origin is None:
+        return f"no upstream serves {request.service}"
+    if not request.origin.is_known:
+        return "the software version that began the stream is not known"
+    return (
+        f"no upstream of version {request.origin.version}, which began the stream, "
+        f"serves {request.service}"
+    )
+
+
 def _queued_work(request: QueuedRequest, count: int, now: float) -> QueuedWork:
     """Returns the report on one queued request and others that it stands for."""
     position = request.position(now)
--- a/src/coppercleat/serving/_answers.py
+++ b/src/coppercleat/serving/_answers.py
@@ -28,6 +28,7 @@
         complete, in_order = sequence.take(parser.feed(data))
         if complete:
             exchange.last_received_at = trio.current_time()
+            exchange.record_origin()
             await exchange.send_head(response, ForwardedPart.EVENTS)
             # No checkpoint between the two calls, so that no cancellation parts them.
             exchange.progress.record_forwarded(complete)
--- a/src/coppercleat/serving/_exchange.py
+++ b/src/coppercleat/serving/_exchange.py
@@ -2,14 +2,22 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
+
 import attrs
 import trio
 
-from coppercleat.ids import UNKNOWN_VERSION, SoftwareVersion, UpstreamId
+from coppercleat.ids import (
+    UNKNOWN_VERSION,
+    SoftwareVersion,
+    StreamKey,
+    UpstreamId,
+)
 from coppercleat.serving._admission_queue import MIN_RETRY_AFTER_S
 from coppercleat.serving._answer_use import ResponseHead, response_head
 from coppercleat.serving._model import OnlineRequest, Reply, Route
 from coppercleat.serving._progress import AttemptOutcome, ForwardedPart, RequestProgress
+from coppercleat.serving._stream_origins import StreamOrigin, stream_key
 from coppercleat.serving._tried import TriedUpstreams
 from coppercleat.serving._upstream_call import UpstreamResponse
 
@@ -22,7 +30,10 @@
       deadline: When the client or the route stops waiting.
       tried: Upstreams that must not be tried now.
       upstream: Upstream of the current attempt.
+      service: Service of that upstream.
       version: Version of that upstream's software.
+      origin: What began the stream that the client gets; None before its first event.
+      on_begun: Called with it once the answer's first event has come.
       retried_upstream: Upstream that has been granted one retry after it refused the
         request or did not accept a connection.
       reason: Why the last attempt failed or the request was rejected; may reach the
@@ -52,6 +63,9 @@
     )
     upstream: str = ""
     version: SoftwareVersion = UNKNOWN_VERSION
+    origin: StreamOrigin | None = None
+    on_begun: Callable[[StreamOrigin], None] = lambda origin: None
+    service: str = ""
     retried_upstream: str = ""
     reason: str = ""
     arrived_at: float = 0.0
@@ -91,6 +105,27 @@
             headers = [h for h in headers if h[0].lower() != b"content-length"]
         await self.reply.start(response.status, headers)
 
+    @property
+    def takes_up(self) -> bool:
+        """Whether the client goes on with a stream that was broken off."""
+        request = self.request
+        names_one = request.resume_after is not None or request.resumes is not None
+        return self.route.resumes and names_one
+
+    @property
+    def stream(self) -> StreamKey:
+        """Key of the stream, by the attempt that brought its first event."""
+        request = self.request
+        return stream_key(request.host, request.resumes or request.request_id)
+
+    def record_origin(self) -> None:
+        """Records that the current attempt's first event is about to be forwarded."""
+        if self.sent_head is not None:
+            return
+        if self.origin is None:
+            self.origin = StreamOrigin(self.service, self.version)
+        self.on_begun(self.origin)
+
     async def finish(self) -> AttemptOutcome:
         """Ends the response as complete."""
         self.progress.forwarded = ForwardedPart.ALL
--- a/src/coppercleat/serving/_forwarding.py
+++ b/src/coppercleat/serving/_forwarding.py
@@ -2,11 +2,13 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable
+import enum
+from collections.abc import Awaitable, Callable
 
 import attrs
 import trio
 
+from coppercleat.ids import StreamKey
 from coppercleat.observability import part_logger
 from coppercleat.quarantine import (
     CrashDetector,
@@ -19,7 +21,7 @@
 from coppercleat.serving._answer_use import UnusableResponse, forwarding_mode
 from coppercleat.serving._answers import FORWARD_RESPONSE
 from coppercleat.serving._exchange import Exchange
-from coppercleat.serving._incarnation_probe import incarnation_probe
+from coppercleat.serving._incarnation_probe import incarnation_probe, may_go_on
 from coppercleat.serving._model import (
     OnlineRequest,
     Refusal,
@@ -36,6 +38,7 @@
     first_event_stall_s,
 )
 from coppercleat.serving._silent_runs import AbandonedAttempts, AttemptKind
+from coppercleat.serving._stream_origins import StreamOrigin
 from coppercleat.serving._upstream_call import (
     UpstreamCaller,
     UpstreamCallError,
@@ -65,6 +68,21 @@
 _log = part_logger("forward")
 
 
+class TakeUp(enum.Enum):
+    """Whether a stream that a client takes up may go on, by what began it.
+
+    UNROUTED: the route no longer leads to the service that began it.
+    """
+
+    KNOWN = "known"
+    UNKNOWN = "unknown"
+    UNROUTED = "unrouted"
+
+
+async def _find_no_origin(stream: StreamKey) -> StreamOrigin | None:
+    return None
+
+
 @attrs.define(frozen=True, kw_only=True)
 class RequestSummary:
     """Summary of a finished request, for metrics.
@@ -91,6 +109,11 @@
 
     Attributes:
       stall_detector: Ends stalled attempts; the instance must run its ``run``.
+      find_origin: Finds what began a stream; None if that is not known.
+      on_stream_began: Called with a resumable stream whose first event has come in an
+        answer, and what began it.
+      on_stream_ended: Called with a resumable stream that no longer runs here.
+      on_taken_up: Called with the ``TakeUp`` value of each stream taken up.
     """
 
     def __init__(
@@ -117,6 +140,14 @@
         self.caller = caller
         self.on_end = on_end
         self.stall_detector = StallDetector(self.placement)
+        self.find_origin: Callable[[StreamKey], Awaitable[StreamOrigin | None]] = (
+            _find_no_origin
+        )
+        self.on_stream_began: Callable[[StreamKey, StreamOrigin], None] = (
+            lambda stream, origin: None
+        )
+        self.on_stream_ended: Callable[[StreamKey], None] = lambda stream: None
+        self.on_taken_up: Callable[[str], None] = lambda result: None
         self.abandoned_attempts = abandoned_attempts or AbandonedAttempts()
         self.crash_detector = crash_detector or CrashDetector(incarnation_probe(caller))
 
@@ -130,6 +161,10 @@
             request, route, reply, RequestProgress(route), deadline, arrived_at=now
         )
         exchange.progress.last_event = request.resume_after
+        if route.resumes:
+            exchange.on_begun = lambda origin: self.on_stream_began(
+                exchange.stream, origin
+            )
         step = NextStep.ABORT
         timed_out = False
         try:
@@ -140,10 +175,38 @@
                 step = exchange.progress.give_up()
             await _send_final_response(exchange, step, timed_out=timed_out)
         finally:
+            if route.resumes:
+                self.on_stream_ended(exchange.stream)
             self._log_summary(exchange, step, timed_out=timed_out)
         return step
 
+    async def _find_origin(self, exchange: Exchange) -> bool:
+        """Finds what began the stream that a client takes up.
+
+        Returns:
+          Whether the stream may go on; if not, the exchange has the reason.
+        """
+        resumes, origin = exchange.request.resumes, None
+        if resumes is not None:
+            origin = await self.find_origin(exchange.stream)
+        result = TakeUp.KNOWN
+        if origin is None:
+            result = TakeUp.UNKNOWN
+            exchange.reason = "the software version that began the stream is not known"
+            if resumes is None:
+                exchange.reason += ": the request does not name what it resumes"
+        elif not exchange.route.leads_to(origin.service):
+            result = TakeUp.UNROUTED
+            exchange.reason = f"the route has left {origin.service}, which began it"
+        else:
+            exchange.origin = origin
+        exchange.retry_after_s = NO_UPSTREAM_RETRY_S
+        self.on_taken_up(result.value)
+        return result is TakeUp.KNOWN
+
     async def _run_attempts(self, exchange: Exchange) -> NextStep:
+        if exchange.takes_up and not await self._find_origin(exchange):
+            return exchange.progress.give_up()
         while True:
             # Checked before queueing, so that a quarantined request takes no slot.
             verdict = self.crash_detector.verdict(exchange.request)
@@ -206,8 +269,10 @@
 
     def _waiter(self, exchange: Exchange, verdict: Verdict) -> QueuedRequest:
         """Returns the request's entry for the admission queue."""
-        route = exchange.route
-        service = self.placement.draw_service(route.targets)
+        route, origin = exchange.route, exchange.origin
+        service = (
+            origin.service if origin else self.placement.draw_service(route.targets)
+        )
         if not exchange.progress.tries:
             self.placement.demand.for_service(service).arrived(now=exchange.arrived_at)
         times = self.placement.demand.times(route.name)
@@ -225,6 +290,7 @@
             avoid=exchange.tried,
             queue_at_upstream_from=exchange.tried.allowed_at,
             verdict=verdict,
+            origin=origin,
         )
 
     async def _attempt(
@@ -232,6 +298,7 @@
     ) -> AttemptOutcome:
         attempt = Attempt()
         exchange.upstream, exchange.version = state.id, state.upstream.version
+        exchange.service = state.upstream.service
         exchange.tried.begin(state.id)
         exchange.last_received_at = exchange.attempt_started_at = trio.current_time()
         exchange.status = 0
@@ -270,6 +337,10 @@
     ) -> AttemptOutcome:
         outcome = AttemptOutcome.LOST
         exchange.stalled = exchange.disconnected = False
+        if exchange.origin is not None and not await may_go_on(self.caller, state):
+            exchange.reason = "the upstream may have started again, at another version"
+            attempt.move(AttemptState.REFUSED)  # That is no failure of the upstream.
+            return AttemptOutcome.NOT_RUN
         with self.stall_detector.watching(exchange, state):
             try:
                 async with self.caller.exchange(
--- a/src/coppercleat/serving/_incarnation_probe.py
+++ b/src/coppercleat/serving/_incarnation_probe.py
@@ -22,6 +22,20 @@
 _log = part_logger("quarantine")
 
 
+_MAY_GO_ON = frozenset({ProbeResult.SAME_INCARNATION, ProbeResult.SOMETHING_LISTENS})
+
+
+async def may_go_on(caller: UpstreamCaller, state: UpstreamState) -> bool:
+    """Returns whether an upstream may go on with what its version has begun.
+
+    One that has started again under its id may have another version, which the list
+    does not show yet. One that never tells its start gets a new id with each.
+    """
+    if not state.born_ms:
+        return True
+    return await incarnation_probe(caller)(state) in _MAY_GO_ON
+
+
 def incarnation_probe(
     caller: UpstreamCaller,
 ) -> Callable[[UpstreamState], Awaitable[ProbeResult]]:
--- a/src/coppercleat/serving/_model.py
+++ b/src/coppercleat/serving/_model.py
@@ -84,6 +84,12 @@
         """Whether a request that may already have run may be retried."""
         return self.kind is RouteKind.IDEMPOTENT or self.resumes
 
+    def leads_to(self, service: str) -> bool:
+        """Returns whether a service receives a share of the requests."""
+        if not any(target.weight for target in self.targets):
+            return service == self.targets[0].service
+        return any(t.service == service and t.weight for t in self.targets)
+
     @property
     def resumes(self) -> bool:
         """Whether an interrupted response may be resumed: only events are numbered."""
@@ -152,6 +158,16 @@
             return None
         return self.born_ms == born_ms
 
+    def is_replaced_by(self, listed: Upstream) -> bool:
+        """Returns whether a newer listing of the id is of another incarnation.
+
+        One incarnation has one version of its software.
+        """
+        has_versions = UNKNOWN_VERSION not in (self.version, listed.version)
+        if has_versions and self.version != listed.version:
+            return True
+        return self.is_same_incarnation(listed.born_ms) is False
+
 
 class OnlineRequest(msgspec.Struct, kw_only=True, dict=True):
     """A client's request, forwarded to an upstream unchanged.
--- a/src/coppercleat/serving/_peer_messages.py
+++ b/src/coppercleat/serving/_peer_messages.py
@@ -5,16 +5,19 @@
 import msgspec
 
 from coppercleat.accounts import PeerUse
-from coppercleat.ids import InstanceId, JobId, ZoneId
+from coppercleat.ids import InstanceId, JobId, StreamKey, ZoneId
 from coppercleat.serving._fleet_order import QueuedWork
 from coppercleat.serving._model import RouteConfig, Upstream
 from coppercleat.serving._placement import AttemptResults
+from coppercleat.serving._stream_origins import BegunStreams, StreamOrigin
 from coppercleat.serving._work_counts import InFlight
 
 
 class WorkInFlight(msgspec.Struct, frozen=True, tag="work", array_like=True):
     """All work that the sender has in flight or queued; replaces its previous message.
 
+    Only ``streams`` adds to what was told before.
+
     Attributes:
       counts: Attempts in flight, by upstream.
       waiting: Queued work.
@@ -22,6 +25,7 @@
       number: Increases with each of the sender's messages of this type.
       pass_on: Whether the receiver passes it on within the availability zone.
       accounts: What client accounts have used of their allowances at the sender.
+      streams: Streams that have begun at the sender since its previous message.
     """
 
     counts: tuple[InFlight, ...]
@@ -30,22 +34,27 @@
     number: int = 0
     pass_on: bool = False
     accounts: PeerUse = PeerUse()
+    streams: tuple[BegunStreams, ...] = ()
 
 
 class ZoneWorkInFlight(msgspec.Struct, frozen=True, tag="zone", array_like=True):
     """All work in flight in an availability zone; replaces the previous message.
 
+    Only ``streams`` adds to what was told before.
+
     Attributes:
       zone: The sender's availability zone.
       counts: Attempts in flight in the whole zone, by upstream.
       rates: Arrival rate of online requests in the zone, per second, by service.
       accounts: What client accounts have used of their allowances in the zone.
+      streams: Streams that have begun in the zone since the previous message.
     """
 
     zone: ZoneId
     counts: tuple[InFlight, ...]
     rates: dict[str, float] = {}
     accounts: PeerUse = PeerUse()
+    streams: tuple[BegunStreams, ...] = ()
 
 
 class AttemptResultsReport(msgspec.Struct, frozen=True, tag="results", array_like=True):
@@ -102,11 +111,31 @@
       works: Instances' work in flight that has changed, or was refreshed.
       zones: The same of other zones.
       results: Results of attempts.
+      streams: Streams that have begun.
     """
 
     works: tuple[RelayedWork, ...]
     zones: tuple[RelayedZoneWork, ...]
     results: tuple[RelayedResults, ...]
+    streams: tuple[BegunStreams, ...] = ()
+
+
+class OriginRequest(msgspec.Struct, frozen=True, tag="whence", array_like=True):
+    """Asks what began a stream that a client takes up at the sender."""
+
+    key: StreamKey
+
+
+class OriginReply(msgspec.Struct, frozen=True, tag="thence", array_like=True):
+    """Response to ``OriginRequest``.
+
+    Attributes:
+      key: The stream.
+      origin: What began it; None if the sender does not know.
+    """
+
+    key: StreamKey
+    origin: StreamOrigin | None
 
 
 class RoutesRequest(msgspec.Struct, frozen=True, tag="ask", array_like=True):
--- a/src/coppercleat/serving/_peers.py
+++ b/src/coppercleat/serving/_peers.py
@@ -9,7 +9,15 @@
 import trio
 
 from coppercleat.accounts import Allowances
-from coppercleat.ids import InstanceId, JobId, JobRef, Revision, UpstreamId, ZoneId
+from coppercleat.ids import (
+    InstanceId,
+    JobId,
+    JobRef,
+    Revision,
+    StreamKey,
+    UpstreamId,
+    ZoneId,
+)
 from coppercleat.membership import (
     Detector,
     FailedDirection,
@@ -31,6 +39,8 @@
     ItemEvents,
     JobHandover,
     JobTakeover,
+    OriginReply,
+    OriginRequest,
     RelayedWork,
     RoutesRequest,
     RoutesSnapshot,
@@ -41,6 +51,13 @@
 from coppercleat.serving._placement import Placement
 from coppercleat.serving._relay_pacer import RelayPacer
 from coppercleat.serving._settings import GatewaySettings
+from coppercleat.serving._stream_inquiry import StreamInquiries
+from coppercleat.serving._stream_origins import (
+    BegunStreams,
+    StreamBatch,
+    StreamOrigin,
+    StreamOrigins,
+)
 from coppercleat.serving._work_counts import InFlight
 from coppercleat.serving._zone_relay import ZoneRelay
 
@@ -105,6 +122,8 @@
     | RoutesSnapshot
     | JobTakeover
     | JobHandover
+    | OriginRequest
+    | OriginReply
 )
 _handlers = HandlerRegistry()
 
@@ -117,6 +136,8 @@
       messenger: Sends and receives messages.
       dropped: Counts of messages that were dropped.
       relay: What this instance passes on within its zone.
+      origins: What began recent streams, here and at other instances.
+      inquiries: Finds what began a stream that a client takes up here.
       expired_counts: How often the counts of a peer expired.
       version: Returns the version of the routes of this instance.
       needs_routes: Returns whether this instance has no fresh routes or upstreams.
@@ -215,6 +236,10 @@
             on_reopened=self._on_link_reopened,
         )
         self.relay = ZoneRelay()
+        self.origins = StreamOrigins()
+        self.inquiries = StreamInquiries(self.origins)
+        self.inquiries.ask = self._ask_origin
+        self._zone_streams = StreamBatch()
         self.expired_counts = 0
         self._work_number = 0
         self._speaks = False
@@ -262,6 +287,26 @@
     def _is_full_mesh(self) -> bool:
         return len(self.placement.peers.reporters()) <= _FULL_MESH_MAX_PEERS
 
+    def stream_began(self, key: StreamKey, origin: StreamOrigin) -> None:
+        """Tells peers of a stream whose first event has come here."""
+        self.origins.begin(key, origin, now=trio.current_time())
+        self.work_changed(urgent=False)
+
+    def _ask_origin(self, key: StreamKey) -> list[InstanceId]:
+        """Asks peers what began a stream, and returns them.
+
+        In a large fleet these are the zone's own, and one that speaks for each other
+        zone and knows the streams of it.
+        """
+        peers = self.live_peers()
+        if not self._tells_all():
+            now = trio.current_time()
+            peers = self.detector.alive_in(self.settings.zone, now)
+            peers += self._speakers_elsewhere(0, now)
+        for instance in peers:
+            self.messenger.send(instance, OriginRequest(key))
+        return peers
+
     def announce_job_takeover(self, ref: JobRef, previous: str) -> None:
         """Tells the previous owner of a job that this instance has taken it over.
 
@@ -519,6 +564,9 @@
             else MessageKind.NEWS
         )
         speakers = self.detector.speakers(now)
+        streams = self.origins.take_untold(now=now)
+        self._collect_streams(self.settings.instance, streams, now)
+        work = msgspec.structs.replace(work, streams=streams)
         direct = msgspec.structs.replace(work, pass_on=False)
         for instance in instances:
             message = work if instance in speakers else direct
@@ -588,6 +636,7 @@
                 self.allowances.zone_use(
                     self.detector.alive_in(own_zone, now), now=now
                 ),
+                self._zone_streams.take(),
             )
             place = speakers.index(self.settings.instance)
             for speaker in self._speakers_elsewhere(place, now):
@@ -667,6 +716,8 @@
     @_handlers.handles(WorkInFlight)
     def _on_work_in_flight(self, sender: InstanceId, work: WorkInFlight) -> None:
         now = trio.current_time()
+        self.inquiries.hear(work.streams)
+        self._collect_streams(sender, work.streams, now)
         zone = self.detector.zone_of(sender)
         if self._has_zone_counts(zone, now):
             # The sender has not noticed the fleet's growth; its zone's sums include it.
@@ -702,6 +753,7 @@
                 self._apply_work(msgspec.structs.replace(one, work=work), now)
         for zone_work in relayed.zones:
             self._apply_zone_work(zone_work.work, now - zone_work.age_s)
+        self.inquiries.hear(relayed.streams)
         for found in relayed.results:
             if found.instance != self.settings.instance:
                 self.placement.observe_results(found.results, now=now)
@@ -716,6 +768,31 @@
             and self.relay.is_newer(instance, relayed.incarnation, relayed.work.number)
         )
 
+    def _collect_streams(
+        self, sender: InstanceId, streams: tuple[BegunStreams, ...], now: float
+    ) -> None:
+        """Keeps streams of the own zone to pass them on, if this instance speaks."""
+        if not streams or self._tells_all():
+            return
+        if self.settings.instance not in self.detector.speakers(now):
+            return
+        if self.detector.zone_of(sender) == self.settings.zone:
+            self._zone_streams.add(streams)
+            if self._is_relayed(now):
+                self.relay.observe_streams(streams)
+
+    @_handlers.handles(OriginRequest)
+    def _on_origin_request(self, sender: InstanceId, request: OriginRequest) -> None:
+        origin = self.origins.find(request.key, now=trio.current_time())
+        self.messenger.send(sender, OriginReply(request.key, origin))
+
+    @_handlers.handles(OriginReply)
+    def _on_origin_reply(self, sender: InstanceId, reply: OriginReply) -> None:
+        if reply.origin is None:
+            self.inquiries.hear_unknown(sender, reply.key)
+        else:
+            self.inquiries.hear((BegunStreams(reply.origin, (reply.key,)),))
+
     def _send_relayed(self, instance: InstanceId, now: float) -> None:
         """Sends a new instance of the zone what others have asked to pass on."""
         is_here = self.detector.zone_of(instance) == self.settings.zone
@@ -729,6 +806,8 @@
         if work.zone == self.settings.zone:
             return
         now = trio.current_time()
+        self.inquiries.hear(work.streams)
+        self.relay.observe_streams(work.streams)
         self.relay.observe_zone(work, now=now)
         self._apply_zone_work(work, now)
         self.on_counts_changed()
--- a/src/coppercleat/serving/_placement.py
+++ b/src/coppercleat/serving/_placement.py
@@ -13,6 +13,7 @@
 from coppercleat.serving._fleet_order import PeerQueues
 from coppercleat.serving._model import Route, Target, Upstream
 from coppercleat.serving._steadiness import STEADY_S, FlapDamping
+from coppercleat.serving._stream_origins import StreamOrigin
 from coppercleat.serving._upstream_state import UpstreamState
 from coppercleat.serving._work_counts import InFlight, WorkCounts
 
@@ -131,10 +132,7 @@
             self.flap_damping.record_gone(departed, now)
         for upstream in listed.values():
             state = self.states.get(upstream.id)
-            if (
-                state is None
-                or state.upstream.is_same_incarnation(upstream.born_ms) is False
-            ):
+            if state is None or state.upstream.is_replaced_by(upstream):
                 if state is not None:
                     # A new incarnation: counts and failures of the old one are void.
                     state.gone = state.restarted = True
@@ -292,6 +290,14 @@
             return unsteady
         return set()
 
+    def upstreams_of_other_versions(self, origin: StreamOrigin) -> set[UpstreamId]:
+        """Returns the upstreams that must not go on with a stream, by their version."""
+        return {
+            state.id
+            for state in self._usable(origin.service)
+            if not origin.is_known or state.upstream.version != origin.version
+        }
+
     def upstreams_with_crash_suspects(self) -> set[UpstreamId]:
         """Returns the upstreams at which any instance runs crash suspects."""
         return {
@@ -336,9 +342,11 @@
         slots.sort(key=lambda slot: slot[:2])
         return slots[number][2]
 
-    def total_slots(self, service: str, *, now: float) -> int:
+    def total_slots(
+        self, service: str, *, avoid: Collection[UpstreamId] = (), now: float
+    ) -> int:
         """Returns the slots of all upstreams of a service that may be tried."""
-        serving = self._online_candidates(service, (), now)
+        serving = self._online_candidates(service, avoid, now)
         return sum(state.upstream.slots for state in serving)
 
     def choose_batch(
--- a/src/coppercleat/serving/_upstream_state.py
+++ b/src/coppercleat/serving/_upstream_state.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import attrs
+import msgspec
 
 from coppercleat.ids import UpstreamId
 from coppercleat.quarantine import SAME_CRASH_WINDOW_S
@@ -105,6 +106,9 @@
     def update_listing(self, upstream: Upstream) -> None:
         """Takes over a new listing of this incarnation."""
         moved = upstream.address != self.upstream.address
+        if not upstream.version and upstream.is_same_incarnation(self.born_ms):
+            # A list from an instance that tells no versions.
+            upstream = msgspec.structs.replace(upstream, version=self.upstream.version)
         self.upstream = upstream
         self.listings_while_gone = self.listings_while_gone + 1 if self.gone else 0
         if moved or self.listings_while_gone > _MAX_LISTINGS_WHILE_GONE:
--- a/src/coppercleat/serving/_zone_relay.py
+++ b/src/coppercleat/serving/_zone_relay.py
@@ -26,6 +26,7 @@
     ZoneWorkInFlight,
 )
 from coppercleat.serving._placement import AttemptResults
+from coppercleat.serving._stream_origins import BegunStreams, StreamBatch
 
 RELAY_INTERVAL_S = 0.1
 """Interval between a relay's messages. With two relays a change is known in half of it,
@@ -60,6 +61,7 @@
         self._changed: set[InstanceId] = set()
         self._zones: dict[ZoneId, tuple[float, ZoneWorkInFlight]] = {}
         self._results: dict[InstanceId, list[AttemptResults]] = {}
+        self._streams = StreamBatch()
 
     def is_newer(self, instance: InstanceId, incarnation: int, number: int) -> bool:
         """Returns whether a message is newer than the newest one known."""
@@ -74,7 +76,10 @@
     ) -> None:
         """Records an instance's work, and passes it on if it asks for that."""
         known = self._known.get(instance)
-        condensed = msgspec.structs.replace(work, waiting=condense(work.waiting))
+        # Streams add to earlier ones, so that they are passed on apart.
+        condensed = msgspec.structs.replace(
+            work, waiting=condense(work.waiting), streams=()
+        )
         self._known[instance] = _KnownWork(incarnation, condensed, now)
         if work.pass_on:
             self._changed.add(instance)
@@ -83,7 +88,7 @@
 
     def observe_zone(self, work: ZoneWorkInFlight, *, now: float) -> None:
         """Records another zone's work, to be passed on."""
-        self._zones[work.zone] = now, work
+        self._zones[work.zone] = now, msgspec.structs.replace(work, streams=())
         self.on_pending(RELAY_INTERVAL_S)
 
     def observe_results(
@@ -93,6 +98,12 @@
         self._results.setdefault(instance, []).extend(results)
         self.on_pending(REFRESH_INTERVAL_S)
 
+    def observe_streams(self, streams: tuple[BegunStreams, ...]) -> None:
+        """Records streams that have begun, to be passed on."""
+        if streams:
+            self._streams.add(streams)
+            self.on_pending(RELAY_INTERVAL_S)
+
     def forget(self, instance: InstanceId) -> None:
         """Drops what is known of an instance's work."""
         self._known.pop(instance, None)
@@ -110,9 +121,10 @@
             for instance, found in self._results.items()
         )
         self._changed, self._zones, self._results = set(), {}, {}
-        if not (works or zones or results):
+        streams = self._streams.take()
+        if not (works or zones or results or streams):
             return None
-        return ZoneRelayed(works, zones, results)
+        return ZoneRelayed(works, zones, results, streams)
 
     def snapshot(self, *, now: float) -> ZoneRelayed:
         """Returns all known work, for an instance that knows none."""
--- a/tests/features/steps/answer_steps.py
+++ b/tests/features/steps/answer_steps.py
@@ -8,7 +8,14 @@
 import trio.testing
 from behave import then, when
 
-from coppercleat.ids import InstanceId, JobId, RequestId, UpstreamId, ZoneId
+from coppercleat.ids import (
+    InstanceId,
+    JobId,
+    RequestId,
+    SoftwareVersion,
+    UpstreamId,
+    ZoneId,
+)
 from coppercleat.jobs import ItemRunner, ItemSpec, JobRow, JobRun, StoredJob
 from coppercleat.serving import (
     Admission,
@@ -18,6 +25,7 @@
     Placement,
     Route,
     RouteKind,
+    StreamOrigin,
     Target,
     Upstream,
     UpstreamCallError,
@@ -27,6 +35,9 @@
 
 EVENTS = [(b"content-type", b"text/event-stream")]
 
+ORIGIN = StreamOrigin("menus", SoftwareVersion("v1"))
+"""Of all upstreams here, and of the stream that a client takes up."""
+
 ROUTES = {
     "stream": (RouteKind.STREAM, False),
     "resumable": (RouteKind.STREAM, True),
@@ -165,6 +176,7 @@
         headers=[],
         allowed_s=5.0,
         resume_after=None if had == "none" else int(had),
+        resumes=None if had == "none" else RequestId("the first"),
     )
     context.caller = ScriptedCaller(scripts.split(" / "))
     context.client = Client()
@@ -187,12 +199,17 @@
             address="10.0.0.1:1",
             zone=ZoneId("a"),
             slots=1,
+            version=ORIGIN.version,
         )
         for name in ("x", "y")
     )
     return placement
 
 
+async def find_origin(stream):
+    return ORIGIN
+
+
 async def forward(request, route, caller, client):
     placement = two_upstreams()
     admission = Admission(
@@ -201,6 +218,7 @@
         on_queue_change=lambda: None,
     )
     forwarder = Forwarder(admission, caller, on_end=lambda end: None)
+    forwarder.find_origin = find_origin
     async with trio.open_nursery() as nursery:
         nursery.start_soon(admission.run)
         nursery.start_soon(forwarder.stall_detector.run)
--- a/tests/features/steps/silence_steps.py
+++ b/tests/features/steps/silence_steps.py
@@ -8,7 +8,7 @@
 import trio.testing
 from behave import then, when
 
-from coppercleat.ids import RequestId, UpstreamId, ZoneId
+from coppercleat.ids import RequestId, SoftwareVersion, UpstreamId, ZoneId
 from coppercleat.serving import (
     Admission,
     AdmissionQueue,
@@ -91,6 +91,7 @@
             address="10.0.0.1:1",
             zone=ZoneId("a"),
             slots=1,
+            version=SoftwareVersion("v1"),
         )
         for name in ("x", "y")
     )
@@ -155,6 +156,7 @@
             address="10.0.0.1:1",
             zone=ZoneId("a"),
             slots=8,
+            version=SoftwareVersion("v1"),
         )
         for number in range(upstreams)
     )
--- a/tests/harness/__init__.py
+++ b/tests/harness/__init__.py
@@ -79,6 +79,7 @@
 )
 from tests.harness._processes import Process, until, waited_for_processor_s
 from tests.harness._relay_model import RelayModel
+from tests.harness._stream_play import StreamPlay, draw_stream_course
 from tests.harness._word_play import WordPlay, draw_course
 from tests.harness._zones_model import HEARTBEAT_S, ZonesModel
 
@@ -118,6 +119,7 @@
     "Relay",
     "RelayedFleet",
     "SimulatedLinks",
+    "StreamPlay",
     "WordPlay",
     "accept_job",
     "course",
@@ -127,6 +129,7 @@
     "draw_hard_plan",
     "draw_large_plan",
     "draw_plan",
+    "draw_stream_course",
     "draw_takeover_plan",
     "draw_twin_plan",
     "draw_unnamed_plan",
--- a/tests/harness/_ends_upstreams.py
+++ b/tests/harness/_ends_upstreams.py
@@ -9,7 +9,7 @@
 import attrs
 import trio
 
-from coppercleat.ids import UpstreamId, ZoneId
+from coppercleat.ids import SoftwareVersion, UpstreamId, ZoneId
 from coppercleat.serving import (
     OnlineRequest,
     Upstream,
@@ -87,6 +87,7 @@
             zone=ZoneId("a"),
             slots=SLOTS,
             born_ms=BORN + int(1000 * now) if self.births else 0,
+            version=SoftwareVersion("v1"),
         )
         self.life = Life(entry)
         shown_at = now if self.lives == 1 else now + min(0.3, self.lag_s)
--- a/tests/harness/_links.py
+++ b/tests/harness/_links.py
@@ -6,7 +6,7 @@
 import attrs
 import trio
 
-from coppercleat.ids import InstanceId, UpstreamId, ZoneId
+from coppercleat.ids import InstanceId, SoftwareVersion, UpstreamId, ZoneId
 from coppercleat.membership import LinkWatch, MessageKind
 from coppercleat.serving import GatewayPeers, GatewaySettings, Placement, Upstream
 from tests.harness._ports import free_port
@@ -19,6 +19,7 @@
         address="10.0.0.1:1",
         zone=ZoneId("a"),
         slots=8,
+        version=SoftwareVersion("v1"),
     )
 
 
