The text of an item is of one software version

Change: progress, checkpoints and handovers have the origin of their events. An item goes on at that version; it begins again where the version is not known (rows of the version before), has no upstream left, or has had no slot for the item for as long as its progress would take to be made again, at least half a second: one upstream of an old version that is left does not keep a hundred items from eleven free ones. Its job's other items do not wait for it. Upstreams that tell their birth are asked for it first, while several versions are listed.

--- a/src/coppercleat/jobs/_items.py
+++ b/src/coppercleat/jobs/_items.py
@@ -32,6 +32,7 @@
     QueuePosition,
     Rank,
     Route,
+    StreamOrigin,
     UpstreamCaller,
     UpstreamCallError,
     UpstreamResponse,
@@ -40,6 +41,7 @@
     incarnation_probe,
     incompleteness_reason,
     is_event_stream,
+    may_go_on,
     response_head,
     stall_check_times,
 )
@@ -57,6 +59,10 @@
 _RETRY_DELAY_S = 0.1
 """Delay before an item runs again, so that a faulty upstream is not flooded."""
 
+MIN_VERSION_WAIT_S = 0.5
+"""Shortest time for which an item with progress waits for a slot at the version that
+wrote it, while there are free slots elsewhere."""
+
 _REFUSAL_AVOID_S = 0.3
 """How long an upstream that refused an item gets no other."""
 
@@ -77,6 +83,7 @@
       item: The item.
       request: The request that the upstream gets.
       state: The upstream.
+      origin: The upstream's service and version.
       scope: Cancelled to preempt or stop the item.
       stall: Cancelled when the attempt has stalled.
       began_at: When the attempt began, in trio time.
@@ -94,6 +101,7 @@
     item: ItemProgress
     request: OnlineRequest
     state: UpstreamState
+    origin: StreamOrigin
     scope: trio.CancelScope
     stall: trio.CancelScope = attrs.field(factory=trio.CancelScope)
     began_at: float = 0.0
@@ -104,8 +112,17 @@
     trial: bool = False
     unproven: bool = False
 
+    def record_event(self, number: int, data: bytes, media_type: bytes) -> None:
+        """Records an event that came."""
+        if not self.item.events:
+            self.item.origin = self.origin
+        self.item.last_event = number
+        self.item.events.append(data)
+        self.item.media_type = media_type
+        self.record_progress()
+
     def record_progress(self) -> None:
-        """Records that an event came."""
+        """Records that an event came, as evidence that the upstream survives it."""
         self.heard_at = trio.current_time()
         # A trial that fails prolongs the quarantine, whatever progress it has made.
         if not self.trial and self.heard_at - self.began_at >= PROGRESS_EVIDENCE_S:
@@ -171,6 +188,7 @@
         are limited. An item under which upstreams have crashed is kept apart from
         others of that kind, at any instance, so that a crash can be attributed to one
         of them. Slots are left to more urgent work that waits at other instances.
+        An item with progress goes on at the version that wrote it; see ``is_held``.
 
         Args:
           route: The job's route.
@@ -193,6 +211,8 @@
             ineligible |= suspect_upstreams
         elif verdict.runs_apart:
             ineligible |= self.placement.upstreams_with_crash_suspects()
+        if item.origin is not None and self.is_held(item, service, now=now):
+            ineligible |= self.placement.upstreams_of_other_versions(item.origin)
         ahead = self.placement.peer_queues.ahead(own, service=service, now=now)
         while True:
             state = self.placement.choose_batch(
@@ -211,6 +231,24 @@
                 return None
             ahead = 0
 
+    def is_held(self, item: ItemProgress, service: str, *, now: float) -> bool:
+        """Returns whether an item's progress keeps it at one version.
+
+        What two versions write does not fit together. The item begins again elsewhere
+        where its version is not known or has no upstream left, or once it has waited
+        there for as long as its progress would take to be made again.
+        """
+        origin = item.origin
+        if not item.events or origin is None or origin.service != service:
+            return False
+        others = self.placement.upstreams_of_other_versions(origin)
+        if not others or not self.placement.serves(service, avoid=others):
+            return False
+        if item.held_since is None:
+            item.held_since = now
+        anew_s = self._estimator.seconds_left(0) - self.seconds_left(item)
+        return now - item.held_since <= max(MIN_VERSION_WAIT_S, anew_s)
+
     def _suspect_upstreams(self) -> set[UpstreamId]:
         """Returns where items run under which upstreams have crashed before."""
         own = {running.state.id for running in self._running if running.crash_suspect}
@@ -274,7 +312,20 @@
         request = run.request_of(item)
         if verdict.kind is VerdictKind.TRIAL:
             self.crash_detector.begin_trial(request)
-        running = RunningItem(run, item, request, state, trio.CancelScope())
+        origin = StreamOrigin(state.upstream.service, state.upstream.version)
+        if item.events and (item.origin != origin or not origin.is_known):
+            _log.info(
+                "Item begins again at another software version.",
+                host=run.stored.ref.host,
+                job=run.stored.ref.id,
+                item=item.spec.id,
+                events=len(item.events),
+                before=item.origin.version if item.origin else None,
+                version=origin.version,
+            )
+            item.begin_again()
+        item.held_since = None
+        running = RunningItem(run, item, request, state, origin, trio.CancelScope())
         running.crash_suspect = running.unproven = verdict.crashes > 0
         running.trial = verdict.kind is VerdictKind.TRIAL
         state.crash_suspects += running.unproven
@@ -374,6 +425,8 @@
         request = running.request
         outcome = ItemAttemptOutcome.BROKEN
         with self._abandonment_recorded(running, attempt), running.stall:
+            if not await self._may_go_on(running):
+                return ItemAttemptOutcome.NOT_RUN
             try:
                 async with self.caller.exchange(
                     state.upstream,
@@ -396,6 +449,17 @@
                 return ItemAttemptOutcome.BROKEN
         return outcome
 
+    async def _may_go_on(self, running: RunningItem) -> bool:
+        """Returns whether the upstream still has the version that it is listed with.
+
+        Asked only where it matters: each resumed item would cost a call otherwise.
+        """
+        if running.item.last_event is None:
+            return True
+        if not self.placement.upstreams_of_other_versions(running.origin):
+            return True
+        return await may_go_on(self.caller, running.state)
+
     @contextlib.contextmanager
     def _abandonment_recorded(
         self, running: RunningItem, attempt: Attempt
@@ -488,10 +552,7 @@
         whole, in_order = sequence.take(splitter.feed(data))
         for event in whole:
             if event.number is not None:
-                item.last_event = event.number
-                item.events.append(event.data)
-                item.media_type = media_type
-                running.record_progress()
+                running.record_event(event.number, event.data, media_type)
         if not in_order:
             raise UpstreamCallError("event numbers are not consecutive")
     if incomplete := incompleteness_reason(
--- a/src/coppercleat/jobs/_records.py
+++ b/src/coppercleat/jobs/_records.py
@@ -23,7 +23,7 @@
 import msgspec
 
 from coppercleat.ids import NO_ACCOUNT, JobId, JobRef, TenantId
-from coppercleat.serving import Header
+from coppercleat.serving import Header, StreamOrigin
 
 JOB_SPACE = "job"
 """First component of the keys of jobs, by which the change feed is read."""
@@ -155,11 +155,14 @@
       last_event: Number of the last event.
       events: Data of each event.
       failures: Attempts that the upstream answered with a failure.
+      origin: What wrote the events, and alone may go on after them; None in rows of
+        instances that did not know.
     """
 
     last_event: int
     events: list[bytes]
     failures: int = 0
+    origin: StreamOrigin | None = None
 
 
 class QuotaRow(msgspec.Struct, frozen=True, kw_only=True):
--- a/src/coppercleat/jobs/_run.py
+++ b/src/coppercleat/jobs/_run.py
@@ -10,7 +10,12 @@
 from coppercleat.jobs._records import CheckpointRow, ItemSpec, ItemState
 from coppercleat.jobs._repository import FinishedItem, StoredJob
 from coppercleat.quarantine import Verdict
-from coppercleat.serving import EVENT_STREAM, ItemEvents, OnlineRequest
+from coppercleat.serving import (
+    EVENT_STREAM,
+    ItemEvents,
+    OnlineRequest,
+    StreamOrigin,
+)
 
 
 class ItemAttemptOutcome(enum.Enum):
@@ -62,6 +67,9 @@
       spec: The item as submitted.
       events: Data of the events received so far.
       last_event: Number of the last event; None before the first.
+      origin: What wrote the events; None before the first, and where it is not known.
+      held_since: Since when it waits for a slot at the version that wrote its events,
+        in trio time; None if it does not.
       media_type: Media type of the last attempt that delivered events. It is not in the
         checkpoint: after a takeover it is assumed to be an event stream.
       failures: Attempts that the upstream answered with a failure.
@@ -77,6 +85,8 @@
     spec: ItemSpec
     events: list[bytes] = attrs.field(factory=list)
     last_event: int | None = None
+    origin: StreamOrigin | None = None
+    held_since: float | None = None
     media_type: bytes = EVENT_STREAM
     failures: int = 0
     checkpointed_events: int = 0
@@ -104,9 +114,18 @@
     def apply_handover(self, progress: ItemEvents) -> None:
         """Adopts the progress made at the previous owner if it is further ahead."""
         self.failures = max(self.failures, progress.failures)
-        if len(progress.events) > len(self.events):
+        # What nobody can go on with is worth less than any own progress.
+        usable = progress.complete or progress.origin is not None or not self.events
+        if usable and len(progress.events) > len(self.events):
             self.events = list(progress.events)
             self.last_event = progress.last_event
+            self.origin = progress.origin
+
+    def begin_again(self) -> None:
+        """Drops the events, which no upstream that may run the item can go on with."""
+        self.events = []
+        self.last_event = self.origin = None
+        self.checkpointed_events = 0
 
     def checkpoint(self) -> CheckpointRow:
         """Returns a checkpoint of the item."""
@@ -114,6 +133,7 @@
             last_event=self.last_event or 0,
             events=list(self.events),
             failures=self.failures,
+            origin=self.origin,
         )
 
     def restore(self, checkpoint: CheckpointRow) -> None:
@@ -122,6 +142,7 @@
         if checkpoint.events:
             self.events = list(checkpoint.events)
             self.last_event = checkpoint.last_event
+            self.origin = checkpoint.origin
             self.checkpointed_events = len(self.events)
 
 
@@ -274,7 +295,12 @@
         """Returns the progress of all items that are not listed."""
         found = [
             ItemEvents(
-                item.index, item.last_event or 0, item.events, item.failures, False
+                item.index,
+                item.last_event or 0,
+                item.events,
+                item.failures,
+                False,
+                item.origin,
             )
             for item in [*self.running.values(), *self.pending]
             if item.events
--- a/src/coppercleat/jobs/_starter.py
+++ b/src/coppercleat/jobs/_starter.py
@@ -31,8 +31,9 @@
 
 _IDLE_POLL_S = 0.2
 
-_FAILED_RETRY_S = 0.1
-"""Delay before a failed item that found no healthy upstream is tried again."""
+_CHOOSY_RETRY_S = 0.1
+"""Delay before an item that may use some upstreams only, and found no slot there, is
+tried again."""
 
 _WAITING_CACHE_S = 0.03
 """How long the list of waiting items is reused: building it visits every pending item,
@@ -203,11 +204,11 @@
             if state is None:
                 if not candidate.late:
                     self.items.preempt_late(wall)
-                if not candidate.item.failures:
+                if not self._is_choosy(candidate):
                     full.add(candidate.route.name)
                     continue
-                # A failed item avoids failing upstreams; its job's other items may run.
-                candidate.item.not_before = trio.current_time() + _FAILED_RETRY_S
+                # Its job's other items may run elsewhere.
+                candidate.item.not_before = trio.current_time() + _CHOOSY_RETRY_S
                 deferred = True
                 continue
             running = self.items.claim_slot(
@@ -217,6 +218,16 @@
             return True
         return deferred
 
+    def _is_choosy(self, candidate: Candidate) -> bool:
+        """Returns whether an item without a slot cannot use all upstreams.
+
+        A failed item avoids failing upstreams, one with progress other versions.
+        """
+        service = candidate.route.targets[0].service
+        now = trio.current_time()
+        held = self.items.is_held(candidate.item, service, now=now)
+        return held or candidate.item.failures > 0
+
     def _defer_blocked(self, candidate: Candidate, due_in_s: float) -> None:
         seconds_left = self.items.seconds_left
         self.items.item_quarantine.defer_blocked(
--- a/src/coppercleat/serving/_peer_messages.py
+++ b/src/coppercleat/serving/_peer_messages.py
@@ -179,6 +179,7 @@
       events: Data of each event.
       failures: Failed attempts.
       complete: Whether the item is finished.
+      origin: What wrote the events; None if that is not known.
     """
 
     index: int
@@ -186,6 +187,7 @@
     events: list[bytes]
     failures: int
     complete: bool
+    origin: StreamOrigin | None = None
 
 
 class JobHandover(msgspec.Struct, frozen=True, tag="handover", array_like=True):
