An attempt that is withheld is no failure of the upstream

A stream that may not go on at an upstream that has started again moved its attempt to REFUSED, which the state table does not allow from QUEUED: the request ended with an error.

--- a/src/coppercleat/serving/_forwarding.py
+++ b/src/coppercleat/serving/_forwarding.py
@@ -339,7 +339,7 @@
         exchange.stalled = exchange.disconnected = False
         if exchange.origin is not None and not await may_go_on(self.caller, state):
             exchange.reason = "the upstream may have started again, at another version"
-            attempt.move(AttemptState.REFUSED)  # That is no failure of the upstream.
+            attempt.move(AttemptState.WITHHELD)
             return AttemptOutcome.NOT_RUN
         with self.stall_detector.watching(exchange, state):
             try:
--- a/src/coppercleat/upstreams/_attempt.py
+++ b/src/coppercleat/upstreams/_attempt.py
@@ -8,9 +8,13 @@
 
 
 class AttemptState(enum.Enum):
-    """How far an attempt has come."""
+    """How far an attempt has come.
+
+    WITHHELD: it was not sent, for a reason that is no failure of the upstream.
+    """
 
     QUEUED = "queued"
+    WITHHELD = "withheld"
     SENT = "sent"
     ANSWERED = "answered"
     REFUSED = "refused"
@@ -18,7 +22,8 @@
 
 
 _NEXT: dict[AttemptState, frozenset[AttemptState]] = {
-    AttemptState.QUEUED: frozenset({AttemptState.SENT}),
+    AttemptState.QUEUED: frozenset({AttemptState.SENT, AttemptState.WITHHELD}),
+    AttemptState.WITHHELD: frozenset(),
     AttemptState.SENT: frozenset(
         {AttemptState.ANSWERED, AttemptState.REFUSED, AttemptState.LOST}
     ),
@@ -29,6 +34,7 @@
 
 _OUTCOME: dict[AttemptState, Outcome] = {
     AttemptState.QUEUED: Outcome.NOT_RUN,
+    AttemptState.WITHHELD: Outcome.NOT_RUN,
     AttemptState.SENT: Outcome.UNKNOWN,
     AttemptState.ANSWERED: Outcome.RUN,
     AttemptState.REFUSED: Outcome.NOT_RUN,
