--- a/tests/standins/runner.py
+++ b/tests/standins/runner.py
@@ -18,6 +18,7 @@
 from tests.standins.control import Controlled, arguments, run_standin, start
 
 DEADLY_AFTER_S = 0.06
+DEADLY_PART_AFTER_S = 0.08
 
 
 class Knobs(msgspec.Struct, kw_only=True):
@@ -49,6 +50,8 @@
       foreign: Slots held by runs of callers that have lost their power.
       deadly: Requests with this text in their body end the whole process, 60 ms after
         they have begun to run.
+      deadly_part: Requests with this part in their prompt, not as the last, end the
+        whole process, 80 ms after the head of their answer.
       birthless: It tells no birth, as some do.
       silenced: Changed, it lets the connections that are open now go silent for good,
         both ways: their runs go on to their end, and hold their slots until then.
@@ -77,6 +80,7 @@
     silent: bool = False
     foreign: int = 0
     deadly: str = ""
+    deadly_part: str = ""
     birthless: bool = False
     silenced: int = 0
 
@@ -169,6 +173,7 @@
             "body": body.decode("latin-1"),
             "deadline_ms": headers.get("deadline-ms"),
             "after": headers.get("last-event-id"),
+            "prefix": headers.get("prompt-prefix", ""),
             "account": headers.get("tenant-id"),
             "key": headers.get("api-key"),
             "at": time.monotonic(),
@@ -242,6 +247,9 @@
         cut = knobs.cut_next > 0
         knobs.cut_next -= cut
         await send({"type": "http.response.start", "status": 200, "headers": head})
+        if knobs.deadly_part and knobs.deadly_part in _shared_parts(run["prefix"]):
+            await trio.sleep(DEADLY_PART_AFTER_S)
+            os._exit(1)
         skip = knobs.skip_next > 0
         knobs.skip_next -= skip
         padding = "." * knobs.event_bytes + (f" {knobs.mark}" if knobs.mark else "")
@@ -273,6 +281,11 @@
     return {"type": "http.response.body", "body": data, "more_body": True}
 
 
+def _shared_parts(prefix: str) -> list[str]:
+    """Returns the parts of a prompt but the last, which is the request's own."""
+    return [entry.partition(":")[0] for entry in prefix.split(",")[:-1]]
+
+
 def _query(scope: Any) -> str:
     query = scope["query_string"].decode()
     return f"?{query}" if query else ""
