A part of prompts under which upstreams end is kept from running

Cause: evidence of an end was kept for a request's whole content. No two of these requests are alike, so that each was tried as if it were the first.

Change: the parts of a prompt but the last are suspects like the request itself, in the same ledger, words, rows and pages (a part's fingerprint is its id and shorter than a request's). The part ends each run that begins to answer on it, so that one whole answer clears a part, and a run that has gone on for 0.3 s is no evidence. Ends of several upstreams within 0.2 s count once: a rack is no part of a prompt. Three such moments quarantine a part, six one that was answered on in the minute before, so that the part beside it is found first. After two ends, requests with a part that was not answered on begin 0.3 s apart, since all at once they would end all upstreams at one moment. First trial after 5 s, of one part at one instance, the next after a minute. A request with a quarantined part is refused at once, as not run; items with it wait, others go by.

Weighed: two ledgers would have doubled words, rows, trials and pages for the same rules.

--- a/src/coppercleat/gateway/_gateway.py
+++ b/src/coppercleat/gateway/_gateway.py
@@ -140,6 +140,7 @@
         self.load_prober = LoadProber(self.placement, caller, rng=self.rng)
         self.abandoned_attempts = AbandonedAttempts()
         self.crash_detector = CrashDetector(incarnation_probe(caller))
+        self.crash_detector.parts_of = caller.prompt_parts
         self.quarantine_store = QuarantineStore(
             self.crash_detector.history, clock=time.time, should_store=self._keeps
         )
--- a/src/coppercleat/jobs/_item_bar.py
+++ b/src/coppercleat/jobs/_item_bar.py
@@ -131,7 +131,7 @@
         item.quarantine = QuarantineState(verdict=verdict, since=since, until=until)
         if previous is not None and not previous.differs_from(verdict):
             return
-        self.crash_detector.on_blocked(verdict.kind.value)
+        self.crash_detector.on_blocked(verdict.standing)
         done_in_s = verdict.retry_after_s + run_s
         # The only log line about an item that may stay pending until its job expires.
         log = _log.warning if done_in_s > due_in_s else _log.info
@@ -141,7 +141,7 @@
             job=run.stored.ref.id,
             item=item.spec.id,
             fingerprint=format_fingerprint(run.request_of(item).fingerprint),
-            standing=verdict.kind.value,
+            standing=verdict.standing,
             ends=verdict.crashes,
             retry_after_s=round(verdict.retry_after_s, 1),
             due_in_s=round(due_in_s, 1),
--- a/src/coppercleat/jobs/_items.py
+++ b/src/coppercleat/jobs/_items.py
@@ -312,6 +312,7 @@
         request = run.request_of(item)
         if verdict.kind is VerdictKind.TRIAL:
             self.crash_detector.begin_trial(request)
+        self.crash_detector.begin_attempt(request)
         origin = StreamOrigin(state.upstream.service, state.upstream.version)
         if item.events and (item.origin != origin or not origin.is_known):
             _log.info(
@@ -392,7 +393,9 @@
             ItemAttemptOutcome.FAILED,
             ItemAttemptOutcome.IMPOSSIBLE,
         ):
-            self.crash_detector.record_response(running.request)
+            self.crash_detector.record_response(
+                running.request, whole_answer=outcome is ItemAttemptOutcome.COMPLETE
+            )
         elif outcome in (ItemAttemptOutcome.NOT_RUN, ItemAttemptOutcome.YIELDED):
             self.crash_detector.cancel_trial(running.request)
         elif attempt.state is not AttemptState.QUEUED and (
@@ -405,6 +408,7 @@
                 began=running.began_at,
                 stalled=silent,
                 progress_s=running.heard_at - running.began_at,
+                parts=self.crash_detector.parts_of(running.request),
             )
 
     @contextlib.contextmanager
--- a/src/coppercleat/platform/_names.py
+++ b/src/coppercleat/platform/_names.py
@@ -16,6 +16,7 @@
     DEADLINE_MS = b"deadline-ms"
     LAST_EVENT_ID = b"last-event-id"
     RESUMES = b"resumes"
+    PROMPT_PREFIX = b"prompt-prefix"
     EXPECT_INSTANCE = b"expect-instance"
     NOT_EXECUTED = b"not-executed"
     RETRY_AFTER = b"retry-after"
--- a/src/coppercleat/platform/_upstream_calls.py
+++ b/src/coppercleat/platform/_upstream_calls.py
@@ -20,6 +20,7 @@
     HeaderName,
     Path,
 )
+from coppercleat.quarantine import Fingerprint, part_fingerprint
 from coppercleat.serving import (
     Header,
     OnlineRequest,
@@ -104,6 +105,14 @@
             running=body.running, waiting=body.queued, born_ms=body.born
         )
 
+    def prompt_parts(self, request: OnlineRequest) -> tuple[Fingerprint, ...]:
+        """See ``UpstreamCaller.prompt_parts``; the last part is the request's own."""
+        for name, value in request.headers:
+            if name.lower() == HeaderName.PROMPT_PREFIX:
+                parts = (entry.partition(b":")[0] for entry in value.split(b",")[:-1])
+                return tuple(part_fingerprint(part.strip()) for part in parts)
+        return ()
+
     @contextlib.asynccontextmanager
     async def exchange(
         self,
--- a/src/coppercleat/quarantine/__init__.py
+++ b/src/coppercleat/quarantine/__init__.py
@@ -13,6 +13,8 @@
     Fingerprint,
     fingerprint_of,
     format_fingerprint,
+    is_part,
+    part_fingerprint,
 )
 from coppercleat.quarantine._investigation import (
     FingerprintedRequest,
@@ -54,5 +56,7 @@
     "VerdictKind",
     "fingerprint_of",
     "format_fingerprint",
+    "is_part",
+    "part_fingerprint",
     "serve_quarantine",
 ]
--- a/src/coppercleat/quarantine/_end_watch.py
+++ b/src/coppercleat/quarantine/_end_watch.py
@@ -9,7 +9,7 @@
 
 import collections
 from collections.abc import Awaitable, Callable
-from typing import Generic
+from typing import Any, Generic
 
 import attrs
 import trio
@@ -17,7 +17,11 @@
 from coppercleat.ids import UpstreamId
 from coppercleat.observability import part_logger
 from coppercleat.quarantine._ends import Crash, CrashReport
-from coppercleat.quarantine._fingerprint import Fingerprint, format_fingerprint
+from coppercleat.quarantine._fingerprint import (
+    Fingerprint,
+    format_fingerprint,
+    is_part,
+)
 from coppercleat.quarantine._investigation import (
     CRASH_PROOFS,
     FINAL_RESULTS,
@@ -31,6 +35,7 @@
     FREE,
     HELD_RETRY_S,
     ITEM_QUARANTINE_PERIODS_S,
+    PART_QUARANTINE_PERIODS_S,
     QUARANTINE_PERIODS_S,
     CrashHistory,
     Verdict,
@@ -75,6 +80,7 @@
     Attributes:
       probe: Probes an upstream once.
       history: The crash history.
+      parts_of: Returns the parts of a request's prompt that others may share.
       on_update: Called with crash reports and cleared requests for other instances.
       may_run_trial: Returns whether this instance may run a trial of a request, given
         the seconds since it became due.
@@ -93,6 +99,7 @@
         self.probe = probe
         self.history = CrashHistory()
         self.history.on_reweighed = self._log_reweighed
+        self.parts_of: Callable[[Any], tuple[Fingerprint, ...]] = lambda request: ()
         self.on_update: Callable[
             [tuple[CrashReport, ...], tuple[Fingerprint, ...]], None
         ] = lambda reports, cleared: None
@@ -136,6 +143,7 @@
         began: float | None = None,
         stalled: bool = False,
         progress_s: float = 0.0,
+        parts: tuple[Fingerprint, ...] = (),
     ) -> None:
         """Records an attempt that was interrupted, and probes its upstream.
 
@@ -148,10 +156,12 @@
           stalled: Whether the attempt stalled with its connection intact. Then the
             request is not held before a crash is proved.
           progress_s: Seconds from the beginning of the attempt to its last progress.
+          parts: Parts of its prompt that other requests may share.
         """
         now = trio.current_time()
         began = now if began is None else began
-        attempt = InterruptedAttempt(began, now, progress_s >= PROGRESS_EVIDENCE_S)
+        made_progress = progress_s >= PROGRESS_EVIDENCE_S
+        attempt = InterruptedAttempt(began, now, made_progress, parts)
         self._add_suspect(fingerprint, incarnation, attempt, stalled=stalled)
 
     def _add_suspect(
@@ -220,8 +230,21 @@
             and 0 <= crash_at - abandoned_at <= ABANDONED_WINDOW_S
         ]
 
-    def record_response(self, request: FingerprintedRequest) -> None:
-        """Clears a request that was answered, if there is any evidence at all."""
+    def record_response(
+        self, request: FingerprintedRequest, *, whole_answer: bool = False
+    ) -> None:
+        """Clears a request that was answered, if there is any evidence at all.
+
+        Args:
+          request: The request.
+          whole_answer: Whether an answer was made to its end, and not a failure: that
+            clears the parts of its prompt, too.
+        """
+        if whole_answer:
+            for part in self.parts_of(request):
+                self.history.record_answer(part, now=trio.current_time())
+                if len(self.history):
+                    self.clear(part)
         if len(self.history):
             self.clear(request.fingerprint)
 
@@ -229,9 +252,11 @@
         """Clears a request; returns whether there was any evidence against it."""
         had_evidence = self.history.clear(fingerprint, now=trio.current_time())
         if had_evidence:
-            _log.info(
-                "A request was cleared.", fingerprint=format_fingerprint(fingerprint)
-            )
+            write, what = _log.info, "A request was cleared."
+            if is_part(fingerprint):
+                # Each crash makes suspects of parts that the next answer clears.
+                write, what = _log.debug, "A part of prompts was cleared."
+            write(what, fingerprint=format_fingerprint(fingerprint))
             self._unsent_clears.append(fingerprint)
             self._wake.set()
         return had_evidence
@@ -245,6 +270,61 @@
         """
         if not len(self.history):
             return FREE
+        by_part = self._verdict_by_parts(request)
+        if not by_part.may_run:
+            return by_part
+        verdict = self._verdict_on_itself(request, item=item)
+        is_trial = by_part.kind is VerdictKind.TRIAL and verdict.may_run
+        return by_part if is_trial else verdict
+
+    def _verdict_by_parts(self, request: FingerprintedRequest) -> Verdict:
+        """Returns whether the parts of its prompt let a request run.
+
+        A trial is of one part: a request with two that are quarantined would leave open
+        which of them crashes the upstream.
+        """
+        now, parts = trio.current_time(), self.parts_of(request)
+        barred = [part for part in parts if self.history.is_quarantined(part)]
+        if not barred:
+            return self._verdict_by_suspect_parts(parts, now)
+        verdicts = [
+            self.history.verdict(part, now=now, periods_s=PART_QUARANTINE_PERIODS_S)
+            for part in barred
+        ]
+        verdict = max(verdicts, key=lambda verdict: verdict.retry_after_s)
+        verdict = attrs.evolve(verdict, by_part=True, steady_only=False)
+        if verdict.retry_after_s:
+            return verdict
+        if len(barred) > 1 or not self.may_run_trial(barred[0], verdict.overdue_s):
+            return attrs.evolve(verdict, retry_after_s=HELD_RETRY_S)
+        return attrs.evolve(verdict, kind=VerdictKind.TRIAL)
+
+    def _verdict_by_suspect_parts(
+        self, parts: tuple[Fingerprint, ...], now: float
+    ) -> Verdict:
+        """Returns whether suspect parts let a request begin now, apart from others."""
+        waits_s = [
+            self.history.begins_apart_in_s(part, now=now)
+            for part in parts
+            if self.history.is_suspect_part(part)
+        ]
+        wait_s = max(waits_s, default=0.0)
+        if not wait_s:
+            return FREE
+        return Verdict(VerdictKind.HELD, wait_s, by_part=True)
+
+    def begin_attempt(self, request: FingerprintedRequest) -> None:
+        """Records that a request is sent to an upstream."""
+        if not len(self.history):
+            return
+        for part in self.parts_of(request):
+            if self.history.is_suspect_part(part):
+                self.history.begin_apart(part, now=trio.current_time())
+
+    def _verdict_on_itself(
+        self, request: FingerprintedRequest, *, item: bool
+    ) -> Verdict:
+        """Returns whether a request may run by the crashes under itself."""
         fingerprint = request.fingerprint
         verdict = self.history.verdict(
             fingerprint,
@@ -264,27 +344,47 @@
             return Verdict(VerdictKind.QUARANTINED, HELD_RETRY_S, verdict.crashes)
         return attrs.evolve(verdict, kind=VerdictKind.TRIAL)
 
+    def standing(self, fingerprint: Fingerprint) -> Verdict:
+        """Returns the verdict on a request or a part by its own crashes alone."""
+        periods_s = (
+            PART_QUARANTINE_PERIODS_S if is_part(fingerprint) else QUARANTINE_PERIODS_S
+        )
+        now = trio.current_time()
+        return self.history.verdict(fingerprint, now=now, periods_s=periods_s)
+
     def admit(self, request: FingerprintedRequest) -> Verdict:
         """Returns the verdict on a request, and begins a trial if that is due."""
         verdict = self.verdict(request)
         if verdict.kind is VerdictKind.TRIAL:
             self.begin_trial(request)
+        if verdict.may_run:
+            self.begin_attempt(request)
         return verdict
 
     def begin_trial(self, request: FingerprintedRequest) -> None:
         """Records that a trial of a quarantined request is sent to an upstream."""
-        self.history.begin_trial(request.fingerprint, now=trio.current_time())
-        _log.warning(
-            "Running a trial of a quarantined request.",
-            request=request.request_id,
-            fingerprint=format_fingerprint(request.fingerprint),
-            ends=len(self.history.crashes_of(request.fingerprint)),
-        )
+        now = trio.current_time()
+        for fingerprint in self._subjects(request):
+            if not self.history.is_quarantined(fingerprint):
+                continue
+            self.history.begin_trial(fingerprint, now=now)
+            _log.warning(
+                "Running a trial of a quarantined request.",
+                request=request.request_id,
+                fingerprint=format_fingerprint(fingerprint),
+                ends=len(self.history.crashes_of(fingerprint)),
+                part=is_part(fingerprint),
+            )
+
+    def _subjects(self, request: FingerprintedRequest) -> tuple[Fingerprint, ...]:
+        """Returns what may be quarantined of a request: itself, and its parts."""
+        return (request.fingerprint, *self.parts_of(request))
 
     def cancel_trial(self, request: FingerprintedRequest) -> None:
         """Records that an upstream did not process a request: there was no trial."""
         if len(self.history):
-            self.history.cancel_trial(request.fingerprint)
+            for fingerprint in self._subjects(request):
+                self.history.cancel_trial(fingerprint)
 
     # Probing.
 
@@ -354,20 +454,24 @@
         self, investigation: Investigation[UpstreamT], fingerprint: Fingerprint
     ) -> None:
         self.history.resolve_interruption(fingerprint, investigation.incarnation.id)
-        crash = self._crash_evidence(investigation, fingerprint)
-        if self.history.record_crash(fingerprint, crash, observed=True):
-            self._log_if_quarantined(fingerprint, sender="")
-        self._unsent_reports.append((fingerprint, crash, False))
+        attempt = investigation.suspects[fingerprint]
+        # A run that goes on for so long shows that its parts let upstreams answer.
+        parts = () if attempt.made_progress else attempt.parts
+        for subject in (fingerprint, *parts):
+            crash = self._crash_evidence(investigation, subject, attempt)
+            if self.history.record_crash(subject, crash, observed=True):
+                self._log_if_quarantined(subject, sender="")
+            self._unsent_reports.append((subject, crash, False))
         self._wake.set()
 
     def _crash_evidence(
-        self, investigation: Investigation[UpstreamT], fingerprint: Fingerprint
+        self,
+        investigation: Investigation[UpstreamT],
+        subject: Fingerprint,
+        attempt: InterruptedAttempt,
     ) -> Crash:
-        """Returns the crash as evidence against one of the suspects."""
-        incarnation, attempt = (
-            investigation.incarnation,
-            investigation.suspects[fingerprint],
-        )
+        """Returns the crash as evidence against a suspect, or a part of its prompt."""
+        incarnation = investigation.incarnation
         steady = incarnation.was_steady(began=attempt.began, at=attempt.at)
         weak = (
             attempt.made_progress
@@ -381,9 +485,7 @@
             weak=weak,
             source=investigation.proof,
         )
-        return self.history.identify_crash(
-            fingerprint, crash, attempt_began=attempt.began
-        )
+        return self.history.identify_crash(subject, crash, attempt_began=attempt.began)
 
     def _retract(self, investigation: Investigation[UpstreamT]) -> None:
         """Retracts the crash: the upstream had only refused connections briefly."""
@@ -391,11 +493,12 @@
             "An upstream crash was a false positive.",
             upstream=investigation.incarnation.id,
         )
-        for fingerprint in investigation.suspects:
-            crash = self._crash_evidence(investigation, fingerprint)
-            self.history.retract(fingerprint, crash)
-            self.on_crash_retracted(crash)
-            self._unsent_reports.append((fingerprint, crash, True))
+        for fingerprint, attempt in investigation.suspects.items():
+            for subject in (fingerprint, *attempt.parts):
+                crash = self._crash_evidence(investigation, subject, attempt)
+                self.history.retract(subject, crash)
+                self.on_crash_retracted(crash)
+                self._unsent_reports.append((subject, crash, True))
         self._wake.set()
 
     # Updates between instances.
@@ -476,13 +579,15 @@
         )
 
     def _log_if_quarantined(self, fingerprint: Fingerprint, *, sender: str) -> None:
-        now = trio.current_time()
-        verdict = self.history.verdict(fingerprint, now=now)
+        now, verdict = trio.current_time(), self.standing(fingerprint)
         if verdict.kind is not VerdictKind.QUARANTINED:
             return
         crashes = self.history.crashes_of(fingerprint)[-_MAX_LOGGED_CRASHES:]
+        what = "A request is quarantined."
+        if is_part(fingerprint):
+            what = "A part of prompts is quarantined."
         _log.warning(
-            "A request is quarantined.",
+            what,
             fingerprint=format_fingerprint(fingerprint),
             ends=verdict.crashes,
             upstreams=self.history.crashed_upstreams_of(fingerprint)[
--- a/src/coppercleat/quarantine/_evidence.py
+++ b/src/coppercleat/quarantine/_evidence.py
@@ -23,6 +23,13 @@
 """Crashes after which further trials are put off, if one of them is a failed trial or
 not all of them are weak evidence."""
 
+SAME_MOMENT_S = 0.2
+"""Crashes of several upstreams this close in time count once against a part."""
+
+SOUND_PART_WEIGHT = 2 * QUARANTINE_WEIGHT
+"""Weight from which a part is quarantined that was lately answered on. A part beside it
+that never was is found first."""
+
 FLAPS_TO_WEAKEN = 2
 """Crashes of an upstream soon after its start, without a request, that make an earlier
 crash of it weak evidence against the request."""
@@ -60,6 +67,8 @@
       trial_at: When the last trial began.
       observed_here: Whether this instance observed any of the crashes itself.
       quarantined_by: Number of crashes that quarantined it first; 0 if none have.
+      quarantine_weight: Weight from which it is quarantined.
+      begun_at: When a request with a suspect part last began here.
     """
 
     crashes: list[Crash] = attrs.field(factory=list)
@@ -67,6 +76,8 @@
     trial_at: float = float("-inf")
     observed_here: bool = False
     quarantined_by: int = 0
+    quarantine_weight: int = QUARANTINE_WEIGHT
+    begun_at: float = float("-inf")
 
     def add(self, crash: Crash) -> None:
         """Adds a crash."""
@@ -103,22 +114,30 @@
             return crash
         return attrs.evolve(crash, weak=True)
 
+    @property
+    def weights(self) -> list[int]:
+        """Weights of what counts, in the order in which it happened."""
+        return [_weight_of(crash) for crash in self.crashes]
+
     @property
     def weight(self) -> int:
-        """Sum of the weights of the crashes."""
-        return sum(WEAK_WEIGHT if crash.weak else WEIGHT for crash in self.crashes)
+        """Sum of the weights."""
+        return sum(self.weights)
 
     @property
     def quarantined(self) -> bool:
         """Whether the evidence is heavy enough for a quarantine."""
-        return self.weight >= QUARANTINE_WEIGHT
+        return self.weight >= self.quarantine_weight
+
+    def weight_with(self, crashes: list[Crash]) -> int:
+        """Returns what the weight would be with these crashes alone."""
+        return attrs.evolve(self, crashes=crashes).weight
 
     @property
     def trials_failed(self) -> int:
         """Number of crashes after the one that began the quarantine."""
-        weights = [WEAK_WEIGHT if crash.weak else WEIGHT for crash in self.crashes]
-        reached = itertools.accumulate(weights)
-        return sum(weight >= QUARANTINE_WEIGHT for weight in reached) - 1
+        reached = itertools.accumulate(self.weights)
+        return sum(weight >= self.quarantine_weight for weight in reached) - 1
 
     @property
     def last_at(self) -> float:
@@ -156,3 +175,35 @@
         earlier = (*before, *self.crashes)
         numbers = [c.number for c in earlier if c.upstream == crash.upstream]
         return attrs.evolve(crash, number=max(numbers, default=0) + 1)
+
+
+@attrs.define
+class PartEvidence(Evidence):
+    """The crashes recorded against a part of prompts.
+
+    A part that crashes upstreams does so under each run that begins to answer on it, so
+    that one whole answer clears it. Many upstreams that crash at one moment have one
+    cause, such as a rack, which is no part of a prompt.
+    """
+
+    @property
+    def exhausted(self) -> bool:
+        """Never: a shared part must be tried again soon."""
+        return False
+
+    @property
+    def weights(self) -> list[int]:
+        """Weights of the moments at which upstreams crashed."""
+        moments: list[tuple[float, int]] = []
+        for crash in sorted(self.crashes, key=lambda crash: crash.at):
+            weight = _weight_of(crash)
+            if moments and crash.at - moments[-1][0] < SAME_MOMENT_S:
+                began_at, heaviest = moments.pop()
+                moments.append((began_at, max(heaviest, weight)))
+            else:
+                moments.append((crash.at, weight))
+        return [weight for _, weight in moments]
+
+
+def _weight_of(crash: Crash) -> int:
+    return WEAK_WEIGHT if crash.weak else WEIGHT
--- a/src/coppercleat/quarantine/_fingerprint.py
+++ b/src/coppercleat/quarantine/_fingerprint.py
@@ -13,6 +13,10 @@
 cryptographic, so that nobody can make a request that passes for another's."""
 
 
+MAX_PART_BYTES = FINGERPRINT_BYTES - 1
+"""Longest fingerprint of a part of prompts; its length tells it from a request's."""
+
+
 def fingerprint_of(
     *, method: str, host: str, target: bytes, account: bytes, body: bytes
 ) -> Fingerprint:
@@ -37,6 +41,27 @@
     return Fingerprint(digest.digest())
 
 
+def part_fingerprint(part: bytes) -> Fingerprint:
+    """Returns the fingerprint of a part of prompts, shorter than that of a request.
+
+    Args:
+      part: Id of the part in hexadecimal; it is the fingerprint itself, so that
+        operators find it again, unless it is too long or no hexadecimal.
+    """
+    try:
+        found = bytes.fromhex(part.decode("latin-1"))
+    except ValueError:
+        found = b""
+    if not 0 < len(found) <= MAX_PART_BYTES:
+        found = hashlib.blake2b(part, digest_size=MAX_PART_BYTES).digest()
+    return Fingerprint(found)
+
+
+def is_part(fingerprint: Fingerprint) -> bool:
+    """Returns whether a fingerprint is that of a part of prompts."""
+    return len(fingerprint) <= MAX_PART_BYTES
+
+
 def format_fingerprint(fingerprint: Fingerprint) -> str:
     """Returns a fingerprint as hexadecimal text, for logs and operators."""
     return fingerprint.hex()
--- a/src/coppercleat/quarantine/_investigation.py
+++ b/src/coppercleat/quarantine/_investigation.py
@@ -96,11 +96,13 @@
       began: Trio time, in seconds, at which it was sent to the upstream.
       at: Trio time, in seconds, at which it was interrupted.
       made_progress: Whether it made progress for ``PROGRESS_EVIDENCE_S``.
+      parts: Parts of the request's prompt that other requests may share.
     """
 
     began: float
     at: float
     made_progress: bool = False
+    parts: tuple[Fingerprint, ...] = ()
 
     @property
     def is_immediate(self) -> bool:
--- a/src/coppercleat/quarantine/_ledger.py
+++ b/src/coppercleat/quarantine/_ledger.py
@@ -17,11 +17,13 @@
 from coppercleat.quarantine._ends import SAME_CRASH_WINDOW_S, Crash, CrashReport
 from coppercleat.quarantine._evidence import (
     QUARANTINE_WEIGHT,
+    SOUND_PART_WEIGHT,
     WEIGHT,
     Evidence,
     Flap,
+    PartEvidence,
 )
-from coppercleat.quarantine._fingerprint import Fingerprint
+from coppercleat.quarantine._fingerprint import Fingerprint, is_part
 
 _STEADY_ONLY_CRASHES = 2
 STEADY_ONLY_S = 8.0
@@ -39,6 +41,10 @@
 within seconds and their automatic retries meet the crashes of others more often: two
 trials fit into 15 s."""
 
+PART_QUARANTINE_PERIODS_S = (5.0, 60.0, 600.0, 3600.0)
+"""The same for parts of prompts. The first one is short, since many callers may use a
+part that met crashes of another cause."""
+
 WEAK_EVIDENCE_PERIOD_S = 5.0
 """Upper limit of the first quarantine period if any of the evidence is weak."""
 
@@ -61,9 +67,21 @@
 """Retry delay for a request while upstreams are probed for a crash. Most are found dead
 or alive in 0.1 s."""
 
-MAX_REQUESTS = 1024
-"""Limit of remembered requests; those with the lightest and oldest evidence are evicted
-first. A crash of an upstream adds up to as many as it has slots."""
+MAX_REQUESTS = 2048
+"""Limit of remembered requests and parts; those with the lightest and oldest evidence
+are evicted first. A crash of an upstream adds up to as many as it has slots, and their
+parts."""
+
+SUSPECT_PART_CRASHES = 2
+SUSPECT_PART_SPACING_S = 0.3
+"""After so many crashes, requests with a part that was not lately answered on begin so
+far apart at an instance: all at once, they would end all upstreams at one moment."""
+
+MAX_SOUND_PARTS = 4096
+"""Limit of remembered parts on which answers were made; the oldest go first."""
+
+SOUND_S = 60.0
+"""Time after an answer for which a part counts as lately answered on."""
 
 FLAP_SETTLE_S = 0.5
 """Time after which all suspects of a flapping upstream's crash are known."""
@@ -105,6 +123,7 @@
       kind: What the request may do.
       retry_after_s: Seconds until it may run; 0 if it may run now.
       crashes: Number of crashes recorded against it.
+      by_part: Whether it is for a part of its prompt, which other requests share.
       steady_only: Whether it may be sent to steady upstreams only.
       overdue_s: Seconds since a trial became due.
       stagger_s: Seconds for which it leaves an upstream that has become steady to
@@ -114,6 +133,7 @@
     kind: VerdictKind
     retry_after_s: float = 0.0
     crashes: int = 0
+    by_part: bool = False
     steady_only: bool = False
     overdue_s: float = 0.0
     stagger_s: float = 0.0
@@ -123,6 +143,11 @@
         """Whether it may not run beside other requests that have met crashes."""
         return self.kind is VerdictKind.TRIAL or self.steady_only
 
+    @property
+    def standing(self) -> str:
+        """Its kind, as metrics and lines name it."""
+        return f"{self.kind.value}_by_part" if self.by_part else self.kind.value
+
     @property
     def may_run(self) -> bool:
         """Whether it may be sent to an upstream."""
@@ -144,6 +169,9 @@
         self._records: dict[Fingerprint, Evidence] = {}
         self._voided_until: dict[tuple[Fingerprint, UpstreamId | None], float] = {}
         self._discounted: dict[Fingerprint, list[Crash]] = {}
+        self._answered_at: collections.OrderedDict[Fingerprint, float] = (
+            collections.OrderedDict()
+        )
         self._flaps: collections.deque[Flap] = collections.deque(maxlen=_MAX_FLAPS)
         self.on_reweighed: Callable[[Fingerprint], None] = lambda fingerprint: None
 
@@ -156,7 +184,7 @@
         self, fingerprint: Fingerprint, upstream: UpstreamId
     ) -> None:
         """Records an interrupted attempt at an upstream that may have crashed."""
-        self._record(fingerprint).pending.append(upstream)
+        self._record(fingerprint, now=float("inf")).pending.append(upstream)
 
     def resolve_interruption(
         self, fingerprint: Fingerprint, upstream: UpstreamId
@@ -178,7 +206,7 @@
           crash: The crash as observed here.
           attempt_began: When the interrupted attempt began.
         """
-        record = self._records.get(fingerprint, Evidence())
+        record = self._records.get(fingerprint) or Evidence()
         before = self._discounted.get(fingerprint, ())
         known = record.find_observed(crash, attempt_began=attempt_began)
         return known or record.with_number(crash, before=before)
@@ -193,7 +221,7 @@
           crash: The crash, with its number.
           observed: Whether this instance observed it itself.
         """
-        record = self._record(fingerprint)
+        record = self._record(fingerprint, now=crash.at)
         record.observed_here = record.observed_here or observed
         if record.find_reported(crash) is not None:
             return False
@@ -218,14 +246,45 @@
     def adopt(self, fingerprint: Fingerprint, crashes: list[Crash]) -> None:
         """Replaces the recorded crashes of a request by those given, if heavier."""
         counted = [crash for crash in crashes if self._counts(fingerprint, crash)]
-        record = self._record(fingerprint)
+        last_at = max((crash.at for crash in counted), default=float("inf"))
+        record = self._record(fingerprint, now=last_at)
         counted = [record.with_known_weight(crash) for crash in counted]
-        if Evidence(crashes=counted).weight > record.weight:
+        if record.weight_with(counted) > record.weight:
             record.crashes = []
             for crash in counted:
                 record.add(record.with_number(crash))
         self._drop_if_empty(fingerprint, record)
 
+    def record_answer(self, part: Fingerprint, *, now: float) -> None:
+        """Records that a whole answer was made on a part of prompts."""
+        self._answered_at[part] = now
+        self._answered_at.move_to_end(part)
+        if len(self._answered_at) > MAX_SOUND_PARTS:
+            self._answered_at.popitem(last=False)
+
+    def is_suspect_part(self, part: Fingerprint) -> bool:
+        """Returns whether requests with a part must begin apart."""
+        record = self._records.get(part)
+        if record is None or record.quarantine_weight == SOUND_PART_WEIGHT:
+            return False
+        return len(record.crashes) >= SUSPECT_PART_CRASHES
+
+    def begin_apart(self, part: Fingerprint, *, now: float) -> None:
+        """Records that a request with a suspect part begins here."""
+        self._records[part].begun_at = now
+
+    def begins_apart_in_s(self, part: Fingerprint, *, now: float) -> float:
+        """Returns seconds until the next request with a suspect part may begin."""
+        return max(0.0, self._records[part].begun_at + SUSPECT_PART_SPACING_S - now)
+
+    def _new_evidence(self, fingerprint: Fingerprint, now: float) -> Evidence:
+        if not is_part(fingerprint):
+            return Evidence()
+        answered_at = self._answered_at.get(fingerprint, float("-inf"))
+        if now - answered_at <= SOUND_S:
+            return PartEvidence(quarantine_weight=SOUND_PART_WEIGHT)
+        return PartEvidence()
+
     def retract(self, fingerprint: Fingerprint, crash: Crash) -> bool:
         """Removes a false positive; returns whether it was recorded."""
         self._voided_until[fingerprint, crash.upstream] = crash.at + SAME_CRASH_WINDOW_S
@@ -388,12 +447,13 @@
 
     # Expiry and eviction.
 
-    def _record(self, fingerprint: Fingerprint) -> Evidence:
+    def _record(self, fingerprint: Fingerprint, *, now: float) -> Evidence:
         record = self._records.get(fingerprint)
         if record is None:
             if len(self._records) >= MAX_REQUESTS:
                 self._evict_lightest()
-            record = self._records[fingerprint] = Evidence()
+            record = self._new_evidence(fingerprint, now)
+            self._records[fingerprint] = record
         return record
 
     def _is_voided(self, fingerprint: Fingerprint, crash: Crash) -> bool:
--- a/src/coppercleat/quarantine/_page.py
+++ b/src/coppercleat/quarantine/_page.py
@@ -12,7 +12,11 @@
 from coppercleat.asgi import Scope, Send, send_json
 from coppercleat.observability import part_logger
 from coppercleat.quarantine._end_watch import CrashDetector
-from coppercleat.quarantine._fingerprint import Fingerprint, format_fingerprint
+from coppercleat.quarantine._fingerprint import (
+    Fingerprint,
+    format_fingerprint,
+    is_part,
+)
 
 QUARANTINE_PATH = "/quarantine"
 """GET lists quarantined requests; DELETE with ``?fingerprint=HEX`` clears one on all
@@ -25,13 +29,15 @@
     """A quarantined request, as the endpoint lists it.
 
     Attributes:
-      fingerprint: In hexadecimal.
+      fingerprint: In hexadecimal; that of a part of prompts is the part's id.
+      kind: ``request``, or ``part`` for a part that the prompts of requests share.
       upstreams: Ids of the upstreams that crashed, in the order of the reports.
       last_at: Unix time of the last crash, in seconds.
       retry_after_s: Seconds until a trial is allowed; 0 if it is allowed now.
     """
 
     fingerprint: str
+    kind: str
     upstreams: list[str]
     last_at: float
     retry_after_s: float
@@ -44,10 +50,11 @@
     requests = []
     for fingerprint in detector.history.quarantined(now=now):
         crashes = detector.history.crashes_of(fingerprint)
-        verdict = detector.history.verdict(fingerprint, now=now)
+        verdict = detector.standing(fingerprint)
         requests.append(
             QuarantinedRequest(
                 fingerprint=format_fingerprint(fingerprint),
+                kind="part" if is_part(fingerprint) else "request",
                 upstreams=[crash.upstream for crash in crashes],
                 last_at=round(wall_at_zero + max(crash.at for crash in crashes), 3),
                 retry_after_s=round(verdict.retry_after_s, 1),
--- a/src/coppercleat/serving/_forwarding.py
+++ b/src/coppercleat/serving/_forwarding.py
@@ -52,6 +52,7 @@
 """Delay suggested to clients if no upstream is left; as long as the interval at which
 the list of upstreams is polled."""
 
+_FIRST_REDIRECT_STATUS = 300
 _FIRST_SERVER_ERROR_STATUS = 500
 _GATEWAY_TIMEOUT = 504
 """Sent by an upstream when the request's time is up; not a failure of the upstream."""
@@ -65,6 +66,12 @@
     VerdictKind.QUARANTINED: "{ends} upstreams ended while they ran this request",
 }
 
+_BY_PART_REASONS = {
+    VerdictKind.HELD: "upstreams may end when they answer on a part of its prompt",
+    VerdictKind.QUARANTINED: "{ends} upstreams ended while they answered on a part "
+    "of its prompt",
+}
+
 _log = part_logger("forward")
 
 
@@ -263,8 +270,11 @@
     def _reject(self, exchange: Exchange, verdict: Verdict) -> NextStep:
         """Rejects a request under which upstreams crashed, or may have."""
         exchange.reason = _REJECTION_REASONS[verdict.kind].format(ends=verdict.crashes)
+        if verdict.by_part:
+            reason = _BY_PART_REASONS[verdict.kind]
+            exchange.reason = reason.format(ends=verdict.crashes)
         exchange.retry_after_s = verdict.retry_after_s
-        self.crash_detector.on_blocked(verdict.kind.value)
+        self.crash_detector.on_blocked(verdict.standing)
         return exchange.progress.give_up()
 
     def _waiter(self, exchange: Exchange, verdict: Verdict) -> QueuedRequest:
@@ -418,7 +428,10 @@
         """Updates health and crash detection of the upstream."""
         now = trio.current_time()
         if outcome is AttemptOutcome.COMPLETE:
-            self.crash_detector.record_response(exchange.request)
+            self.crash_detector.record_response(
+                exchange.request,
+                whole_answer=exchange.status < _FIRST_REDIRECT_STATUS,
+            )
         elif attempt.state is not AttemptState.QUEUED and (
             exchange.stalled or exchange.disconnected
         ):
@@ -429,6 +442,7 @@
                 began=exchange.attempt_started_at,
                 stalled=exchange.stalled,
                 progress_s=exchange.last_received_at - exchange.attempt_started_at,
+                parts=self.crash_detector.parts_of(exchange.request),
             )
         if outcome is AttemptOutcome.NOT_RUN:
             self.crash_detector.cancel_trial(exchange.request)
--- a/src/coppercleat/serving/_upstream_call.py
+++ b/src/coppercleat/serving/_upstream_call.py
@@ -9,6 +9,7 @@
 import attrs
 import msgspec
 
+from coppercleat.quarantine import Fingerprint
 from coppercleat.serving._model import Header, OnlineRequest, Upstream
 from coppercleat.upstreams import Attempt
 
@@ -102,6 +103,10 @@
         """
         ...
 
+    def prompt_parts(self, request: OnlineRequest) -> tuple[Fingerprint, ...]:
+        """Returns the parts of a request's prompt that other requests may share."""
+        ...
+
     async def report(self, upstream: Upstream) -> UpstreamReport:
         """Requests an upstream's load.
 
--- a/tests/harness/__init__.py
+++ b/tests/harness/__init__.py
@@ -64,6 +64,7 @@
     node_settings,
     roomy_upstream,
 )
+from tests.harness._part_play import PartPlay, draw_part_course
 from tests.harness._port_check import (
     PortHolder,
     PortUse,
@@ -115,6 +116,7 @@
     "Gateways",
     "JobPlay",
     "KeptJob",
+    "PartPlay",
     "Process",
     "Relay",
     "RelayedFleet",
@@ -128,6 +130,7 @@
     "draw_apart_plan",
     "draw_hard_plan",
     "draw_large_plan",
+    "draw_part_course",
     "draw_plan",
     "draw_stream_course",
     "draw_takeover_plan",
