Voids of requests are not pushed out by answers on parts

While any evidence was kept, each whole answer voided the earlier crashes of each part of its prompt, in a table of 2,048 places that is shared with requests: thousands of parts would have pushed out what keeps late reports of a cleared request from counting. Own answers have a table of their own, which is asked; only what peers clear is voided. Found by reading. Messages about what began a stream have plain names.

--- a/src/coppercleat/quarantine/_end_watch.py
+++ b/src/coppercleat/quarantine/_end_watch.py
@@ -242,9 +242,9 @@
         """
         if whole_answer:
             for part in self.parts_of(request):
-                self.history.record_answer(part, now=trio.current_time())
-                if len(self.history):
+                if self.history.crashes_of(part):
                     self.clear(part)
+                self.history.record_answer(part, now=trio.current_time())
         if len(self.history):
             self.clear(request.fingerprint)
 
--- a/src/coppercleat/quarantine/_ledger.py
+++ b/src/coppercleat/quarantine/_ledger.py
@@ -305,7 +305,7 @@
         """
         record = self._records.pop(fingerprint, None)
         if record is not None or is_part(fingerprint):
-            # A part's crashes may be reported after the answer that cleared it.
+            # A part's crashes may be reported after a peer's answer that cleared it.
             self._voided_until[fingerprint, None] = now
         if record is None:
             return False
@@ -461,8 +461,9 @@
     def _is_voided(self, fingerprint: Fingerprint, crash: Crash) -> bool:
         """Returns whether a crash is older than a response or a retraction."""
         keys = (fingerprint, crash.upstream), (fingerprint, None)
+        answered_at = self._answered_at.get(fingerprint, float("-inf"))
         return crash.at <= max(
-            self._voided_until.get(key, float("-inf")) for key in keys
+            answered_at, *(self._voided_until.get(key, float("-inf")) for key in keys)
         )
 
     def _discount(self, fingerprint: Fingerprint, crashes: list[Crash]) -> None:
--- a/src/coppercleat/serving/_peer_messages.py
+++ b/src/coppercleat/serving/_peer_messages.py
@@ -120,13 +120,13 @@
     streams: tuple[BegunStreams, ...] = ()
 
 
-class OriginRequest(msgspec.Struct, frozen=True, tag="whence", array_like=True):
+class OriginRequest(msgspec.Struct, frozen=True, tag="ask_origin", array_like=True):
     """Asks what began a stream that a client takes up at the sender."""
 
     key: StreamKey
 
 
-class OriginReply(msgspec.Struct, frozen=True, tag="thence", array_like=True):
+class OriginReply(msgspec.Struct, frozen=True, tag="origin", array_like=True):
     """Response to ``OriginRequest``.
 
     Attributes:
