--- a/tests/features/steps/foreign_entry_steps.py
+++ b/tests/features/steps/foreign_entry_steps.py
@@ -23,7 +23,7 @@
     Row,
     Transaction,
 )
-from tests.harness import make_peers, node_settings
+from tests.harness import free_port, make_peers, node_settings
 
 READS = 3
 GOOD = {
@@ -127,7 +127,7 @@
             boot="b",
             rng=rng,
         )
-        peers = make_peers("own", "a", 1, 2)
+        peers = make_peers("own", "a", free_port(), free_port())
         watch.on_members = peers.observe_list
         good = b'{"boot": "b", "peers": "127.0.0.1:9", "zone": "a"}'
         values = {"first": good, "foreign": literal(text), "last": good}
