An instance that has just started asks all that are listed what began a stream

Beside load it had passed, since the start took longer.

Cause: peers that are heard were asked, and none is heard yet.

--- a/src/coppercleat/serving/_peers.py
+++ b/src/coppercleat/serving/_peers.py
@@ -295,11 +295,12 @@
     def _ask_origin(self, key: StreamKey) -> list[InstanceId]:
         """Asks peers what began a stream, and returns them.
 
-        In a large fleet these are the zone's own, and one that speaks for each other
-        zone and knows the streams of it.
+        In a small fleet these are all that are listed: after a start none is heard yet.
+        In a large one they are the zone's own, and one that speaks for each other zone
+        and knows the streams of it.
         """
-        peers = self.live_peers()
-        if not self._tells_all():
+        peers = sorted(set(self.detector.members) - {self.settings.instance})
+        if not self._lists_few():
             now = trio.current_time()
             peers = self.detector.alive_in(self.settings.zone, now)
             peers += self._speakers_elsewhere(0, now)
