Review, case 6: a spoiled answer to a batch item ends the gateway

A script lets one runner of three spoil 0.03 of its answers for 5 s: each such answer to an item ends a gateway, and 9 to 18 requests on kept channels get no answer.

--- a/review/6/case.py
+++ b/review/6/case.py
@@ -14,12 +14,13 @@
 
 JOBS, WEEK = "jobs.example", "/week/"
 HOST, ASK = "ask.example", "/ask/"
-CHANNELS = 8
-FIRST_S = 0.25
+CHANNELS = 12
+FIRST_S = 0.8
 SPOIL_EVERY = 34  # under 0.03 of the answers
 SPOIL_S = 5.0
 RESTART_AFTER_S = 0.5
 ID_DIGITS = 5000
+ALLOWED = 3
 
 
 class Spoiler:
@@ -51,85 +52,111 @@
         return True
 
 
-async def script(fleet: rig.Fleet, record: rig.Record, trouble: bool) -> bool:
-    """Plays the case; returns whether the rule was broken."""
-    ask = rig.route("r", HOST, ASK, "stream", gapTargetMs=200)
-    await fleet.start([rig.batch_route("b", JOBS, WEEK), ask])
-    *sound, faulty = fleet.runners
-    for runner in fleet.runners:
-        runner.first_s = lambda request: FIRST_S if request.path[1] == "a" else 0.0
-    spoiler = Spoiler(faulty, record)
-    first = fleet.gateways[0]
-    ended: list[str] = []
-    lost: list[str] = []
-    asked = 0
-    over = asyncio.Event()
-
-    async def keep_asking(number: int) -> None:
-        nonlocal asked
+class Play:
+    """What the clients and the platform do beside the runner that spoils answers.
+
+    Attributes:
+      lost: Requests of kept channels that were passed on to a sound runner, and whose
+        channel was closed without an answer.
+      ended: Gateways that ended by themselves.
+    """
+
+    def __init__(self, fleet: rig.Fleet, record: rig.Record) -> None:
+        self.fleet = fleet
+        self.record = record
+        self.first = fleet.gateways[0]
+        self.sound = fleet.runners[:-1]
+        self.asked = 0
+        self.lost: list[str] = []
+        self.ended: list[str] = []
+        self.over = asyncio.Event()
+
+    async def keep_asking(self, number: int) -> None:
+        """Sends one request after the other on a channel, and opens it again."""
         turn = 0
-        while not over.is_set():
-            channel = rig.Channel(first.front)
+        while not self.over.is_set():
+            channel = rig.Channel(self.first.front)
             try:
                 await channel.open()
             except OSError:
                 await asyncio.sleep(0.1)
                 continue
-            got = rig.Answer(200, {}, b"", whole=True)
-            while got.whole and not over.is_set():
+            whole = True
+            while whole and not self.over.is_set():
                 turn += 1
-                asked += 1
-                name = f"q{number}.{turn}"
-                headers = {"Request-Id": name, "Deadline-Ms": "5000"}
-                headers |= {"Model-Name": "m", "Token-Count": "450,40"}
-                got = await channel.ask(
-                    f"{ASK}{name}", host=HOST, headers=headers, body=b"note"
-                )
-            runs = [r for runner in sound for r in runner.runs if r["id"] == name]
-            if not got.status and channel.asked and runs:
-                lost.append(name)
+                whole = await self.ask(channel, f"q{number}.{turn}")
             channel.close()
 
-    async def restart() -> None:
-        while not over.is_set():
-            for gateway in fleet.gateways:
+    async def ask(self, channel: rig.Channel, name: str) -> bool:
+        """Sends a request; returns whether its answer was whole."""
+        self.asked += 1
+        headers = {"Request-Id": name, "Deadline-Ms": "5000"}
+        headers |= {"Model-Name": "m", "Token-Count": "450,40"}
+        got = await channel.ask(
+            f"{ASK}{name}", host=HOST, headers=headers, body=b"note"
+        )
+        passed_on = any(r["id"] == name for runner in self.sound for r in runner.runs)
+        if not got.status and channel.asked and passed_on:
+            self.lost.append(name)
+        return got.whole
+
+    async def restart(self) -> None:
+        """Starts processes that have ended again, as the platform does."""
+        while not self.over.is_set():
+            for gateway in self.fleet.gateways:
                 if not gateway.running:
-                    ended.append(gateway.name)
-                    last = gateway.log_text().strip().splitlines()[-1:]
-                    record.say(f"{gateway.name} has ended by itself: {last}")
-                    await asyncio.sleep(RESTART_AFTER_S)
-                    gateway.start()
-                    await gateway.ready()
+                    await self.start_again(gateway)
             await asyncio.sleep(0.05)
 
-    async def submit() -> None:
+    async def start_again(self, gateway: rig.Gateway) -> None:
+        """Starts a process that has ended."""
+        self.ended.append(gateway.name)
+        errors = [x for x in gateway.log_text().splitlines() if "ValueError" in x]
+        self.record.say(f"{gateway.name} has ended by itself: {errors[-1:]}")
+        await asyncio.sleep(RESTART_AFTER_S)
+        gateway.start()
+        await gateway.ready()
+
+    async def submit(self) -> None:
+        """Submits jobs at all gateways."""
         for number in range(6):
-            gateway = fleet.gateways[number % 3]
+            gateway = self.fleet.gateways[number % len(self.fleet.gateways)]
             if gateway.running:
                 got = await rig.submit(
                     gateway, JOBS, WEEK, f"j{number}", items=200, tokens=500
                 )
-                record.say(f"j{number} of 200 items at {gateway.name}: {got.status}")
+                self.record.say(f"j{number}, 200 items, {gateway.name}: {got.status}")
 
+
+async def script(fleet: rig.Fleet, record: rig.Record, trouble: bool) -> bool:
+    """Plays the case; returns whether the rule was broken."""
+    ask = rig.route("r", HOST, ASK, "stream", gapTargetMs=200)
+    await fleet.start([rig.batch_route("b", JOBS, WEEK), ask])
+    for runner in fleet.runners:
+        runner.first_s = lambda request: FIRST_S if request.path[1] == "a" else 0.0
+    faulty = fleet.runners[-1]
+    spoiler = Spoiler(faulty, record)
+    play = Play(fleet, record)
     await asyncio.sleep(2)
-    tasks = [asyncio.create_task(keep_asking(n)) for n in range(CHANNELS)]
-    tasks.append(asyncio.create_task(restart()))
-    await asyncio.sleep(2)
+    tasks = [asyncio.create_task(play.keep_asking(n)) for n in range(CHANNELS)]
+    tasks.append(asyncio.create_task(play.restart()))
+    await asyncio.sleep(3)
     if trouble:
         record.say(f"{faulty.id} spoils every {SPOIL_EVERY}th answer from now on")
         spoiler.until = time.monotonic() + SPOIL_S
-    await submit()
+    await play.submit()
     await asyncio.sleep(SPOIL_S + 2)
-    over.set()
+    play.over.set()
     await asyncio.gather(*tasks)
-    record.say(f"asked on kept channels of {first.name}: {asked}")
+    record.say(f"asked on kept channels of {play.first.name}: {play.asked}")
     record.say(f"spoiled answers: {spoiler.spoiled} of {spoiler.count}")
-    record.say(f"gateways that ended by themselves: {ended}")
+    record.say(f"gateways that ended by themselves: {play.ended}")
     record.say(
-        f"passed on to a sound runner from a kept channel of {first.name}, and the "
-        f"channel closed without an answer: {len(lost)} {lost}; at most 3 allowed"
+        f"passed on to a sound runner from a kept channel of {play.first.name}, and "
+        f"the channel closed without an answer: {len(play.lost)} {play.lost}; 3 are "
+        "allowed"
     )
-    return len(lost) > 3
+    return len(play.lost) > ALLOWED
 
 
 if __name__ == "__main__":
