--- a/review/6/case.py
+++ b/review/6/case.py
@@ -1,4 +1,4 @@
-"""Kept channels of a gateway whose batch items meet a runner that spoils answers."""
+"""Kept channels of gateways whose batch items meet a runner that spoils answers."""
 
 from __future__ import annotations
 
@@ -14,9 +14,9 @@
 
 JOBS, WEEK = "jobs.example", "/week/"
 HOST, ASK = "ask.example", "/ask/"
-CHANNELS = 12
+CHANNELS = 15
 FIRST_S = 0.8
-SPOIL_EVERY = 34  # under 0.03 of the answers
+SPOIL_EVERY = 34  # under 0.03 of its answers
 SPOIL_S = 5.0
 RESTART_AFTER_S = 0.5
 ID_DIGITS = 5000
@@ -24,7 +24,7 @@
 
 
 class Spoiler:
-    """Spoils some answers of one runner: a whole stream with a wrong id."""
+    """Spoils some of one runner's answers, to items: a stream with a wrong id."""
 
     def __init__(self, runner: rig.Runner, record: rig.Record) -> None:
         self.runner = runner
@@ -39,7 +39,8 @@
         if time.monotonic() > self.until:
             return False
         self.count += 1
-        if self.count % SPOIL_EVERY:
+        is_due = self.count >= SPOIL_EVERY * (self.spoiled + 1)
+        if not is_due or run["id"].startswith("q"):
             return False
         self.spoiled += 1
         self.record.say(f"{self.runner.id} spoils its answer to {run['id']}")
@@ -64,7 +65,6 @@
     def __init__(self, fleet: rig.Fleet, record: rig.Record) -> None:
         self.fleet = fleet
         self.record = record
-        self.first = fleet.gateways[0]
         self.sound = fleet.runners[:-1]
         self.asked = 0
         self.lost: list[str] = []
@@ -74,8 +74,9 @@
     async def keep_asking(self, number: int) -> None:
         """Sends one request after the other on a channel, and opens it again."""
         turn = 0
+        gateways = self.fleet.gateways
         while not self.over.is_set():
-            channel = rig.Channel(self.first.front)
+            channel = rig.Channel(gateways[number % len(gateways)].front)
             try:
                 await channel.open()
             except OSError:
@@ -134,6 +135,7 @@
     await fleet.start([rig.batch_route("b", JOBS, WEEK), ask])
     for runner in fleet.runners:
         runner.first_s = lambda request: FIRST_S if request.path[1] == "a" else 0.0
+        runner.texts = lambda request: ["a", "b", "c", "d", "e"]
     faulty = fleet.runners[-1]
     spoiler = Spoiler(faulty, record)
     play = Play(fleet, record)
@@ -148,16 +150,15 @@
     await asyncio.sleep(SPOIL_S + 2)
     play.over.set()
     await asyncio.gather(*tasks)
-    record.say(f"asked on kept channels of {play.first.name}: {play.asked}")
+    record.say(f"asked on kept channels: {play.asked}")
     record.say(f"spoiled answers: {spoiler.spoiled} of {spoiler.count}")
     record.say(f"gateways that ended by themselves: {play.ended}")
     record.say(
-        f"passed on to a sound runner from a kept channel of {play.first.name}, and "
-        f"the channel closed without an answer: {len(play.lost)} {play.lost}; 3 are "
-        "allowed"
+        "passed on to a sound runner from a kept channel, and the channel closed "
+        f"without an answer: {len(play.lost)} {play.lost}; 3 are allowed"
     )
     return len(play.lost) > ALLOWED
 
 
 if __name__ == "__main__":
-    sys.exit(rig.play(str(pathlib.Path(__file__).parent), script, runners=3))
+    sys.exit(rig.play(str(pathlib.Path(__file__).parent), script, runners=4))
--- a/review/rig-2/rig.py
+++ b/review/rig-2/rig.py
@@ -13,6 +13,7 @@
 import json
 import os
 import pathlib
+import random
 import shutil
 import signal
 import socket
@@ -51,11 +52,21 @@
 }
 
 
+_FIRST_PORT, _LAST_PORT = 12_000, 30_000
+"""Below the ports that connections get, so that none takes one that is given out."""
+
+_given: set[int] = set()
+
+
 def free_port() -> int:
-    """Returns a port that is free now."""
-    with socket.socket() as sock:
-        sock.bind((HOST, 0))
-        return sock.getsockname()[1]
+    """Returns a port that is free now, each only once."""
+    while True:
+        port = random.randint(_FIRST_PORT, _LAST_PORT)
+        with socket.socket() as sock:
+            sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+            if port not in _given and sock.connect_ex((HOST, port)):
+                _given.add(port)
+                return port
 
 
 # HTTP/1.1, as much as is needed.
