--- a/review/5/case.py
+++ b/review/further-2/quota-kill/case.py
@@ -9,7 +9,7 @@
 import sys
 import time
 
-sys.path.insert(0, str(pathlib.Path(__file__).resolve().parents[1] / "rig-2"))
+sys.path.insert(0, str(pathlib.Path(__file__).resolve().parents[2] / "rig-2"))
 
 import rig  # noqa: E402 - the path comes first
 
