Review, case 8: a success without a stamp is passed on

A script lets two runners of four give 0.03 of their answers without Response-Stamp for 5 s: 5 or 6 clients and items in a play get the wrong body as a success.

--- /dev/null
+++ b/review/8/run.sh
@@ -0,0 +1,3 @@
+#!/bin/sh
+# Exits with 1 if the rule was broken, 0 if it held, 2 if the case couldn't run.
+cd "$(dirname "$0")" && exec python3 case.py
