--- a/review/rig-2/rig.py
+++ b/review/rig-2/rig.py
@@ -574,9 +574,10 @@
             if left.done():
                 raise ConnectionError
         finally:
-            left.cancel()
-            with contextlib.suppress(asyncio.CancelledError, ConnectionError):
-                await left
+            for task in (left, work):
+                task.cancel()
+                with contextlib.suppress(asyncio.CancelledError, ConnectionError):
+                    await task
 
     async def _run_in_slot(
         self, request: Request, writer: asyncio.StreamWriter
