--- a/review/rig-2/rig.py
+++ b/review/rig-2/rig.py
@@ -934,19 +934,28 @@
         self.file.flush()
 
 
+RULE_BROKEN = 10
+
+
 def play(
     folder: str, script: Callable[[Fleet, Record, bool], Awaitable[bool]], **fleet: Any
 ) -> int:
     """Plays a script; returns its exit status.
 
     Returns:
-      1 if the rule was broken, 0 if it held, 2 if the case couldn't run.
+      ``RULE_BROKEN``, 0 if the rule held, 2 if the case couldn't run. ``run.sh`` makes
+      1 of the first, and 2 of all else: Python's own errors exit with 1 as well.
     """
     record = Record(folder)
     trouble = os.environ.get("TROUBLE", "1") != "0"
     record.say(f"trouble: {trouble}")
 
     async def main() -> bool:
+        task = asyncio.current_task()
+        assert task is not None
+        loop = asyncio.get_running_loop()
+        for number in (signal.SIGTERM, signal.SIGINT, signal.SIGHUP):
+            loop.add_signal_handler(number, task.cancel)
         made = Fleet(**fleet)
         try:
             async with asyncio.timeout(115):
@@ -956,8 +965,8 @@
 
     try:
         broken = asyncio.run(main())
-    except Exception as error:  # noqa: BLE001 - the case couldn't run
+    except (Exception, asyncio.CancelledError) as error:  # noqa: BLE001 - any
         record.say(f"couldn't run: {error!r}")
         return 2
     record.say("the rule was broken" if broken else "the rule held")
-    return 1 if broken else 0
+    return RULE_BROKEN if broken else 0
