Items: the newer copy of an item's progress wins, not the longer one

Cause: ItemProgress.apply_handover compared the number of events. An item that had begun again at another service was handed over whole (30 events) and lost against a stored checkpoint of the run before (59); the item was then listed as complete with the checkpoint's events. Shown by a trial line in that function, `handed=30 complete=True known=59` for each wrong item. Ruled out: progress that did not arrive (`Job progress received.` precedes `Job started.`), joined runs (each wrong text is a prefix of one output).

Change: each run of an item has a generation (ownership of the job, number of the beginning), in checkpoints and in handed over progress. One order decides wherever two copies meet (serving/_generation.py). Also: answers of two previous owners are merged by that order; an item that is named twice ends no task; a checkpoint of a run before does not count as the new run's. New line `Job progress applied.`

Why it works: a complete output is never replaced, and events, number, origin and generation are adopted together or not at all.

--- a/src/coppercleat/jobs/_item_quarantine.py
+++ b/src/coppercleat/jobs/_item_quarantine.py
@@ -8,7 +8,8 @@
 import trio
 
 from coppercleat.ids import UpstreamId
-from coppercleat.jobs._run import ItemProgress, JobRun, QuarantineState
+from coppercleat.jobs._item_progress import ItemProgress, QuarantineState
+from coppercleat.jobs._run import JobRun
 from coppercleat.observability import part_logger
 from coppercleat.quarantine import (
     ITEM_APART_S,
--- a/src/coppercleat/jobs/_items.py
+++ b/src/coppercleat/jobs/_items.py
@@ -9,9 +9,10 @@
 import trio
 
 from coppercleat.ids import InstanceId, UpstreamId
+from coppercleat.jobs._item_progress import ItemAttemptOutcome, ItemProgress
 from coppercleat.jobs._item_quarantine import ItemQuarantine
 from coppercleat.jobs._pace import ItemDurationEstimator
-from coppercleat.jobs._run import ItemAttemptOutcome, ItemProgress, JobRun
+from coppercleat.jobs._run import JobRun
 from coppercleat.observability import part_logger
 from coppercleat.quarantine import (
     FREE,
@@ -115,11 +116,7 @@
 
     def record_event(self, number: int, data: bytes, media_type: bytes) -> None:
         """Records an event that came."""
-        if not self.item.events:
-            self.item.origin = self.origin
-        self.item.last_event = number
-        self.item.events.append(data)
-        self.item.media_type = media_type
+        self.item.record_event(number, data, media_type=media_type, origin=self.origin)
         self.record_progress()
 
     def record_progress(self) -> None:
--- a/src/coppercleat/jobs/_records.py
+++ b/src/coppercleat/jobs/_records.py
@@ -23,7 +23,7 @@
 import msgspec
 
 from coppercleat.ids import NO_ACCOUNT, JobId, JobRef, TenantId
-from coppercleat.serving import Header, StreamOrigin
+from coppercleat.serving import NO_GENERATION, Generation, Header, StreamOrigin
 
 JOB_SPACE = "job"
 """First component of the keys of jobs, by which the change feed is read."""
@@ -157,12 +157,14 @@
       failures: Attempts that the upstream answered with a failure.
       origin: What wrote the events, and alone may go on after them; None in rows of
         instances that did not know.
+      generation: The run that the events belong to.
     """
 
     last_event: int
     events: list[bytes]
     failures: int = 0
     origin: StreamOrigin | None = None
+    generation: Generation = NO_GENERATION
 
 
 class QuotaRow(msgspec.Struct, frozen=True, kw_only=True):
--- a/src/coppercleat/jobs/_run.py
+++ b/src/coppercleat/jobs/_run.py
@@ -2,148 +2,30 @@
 
 from __future__ import annotations
 
-import enum
+from collections.abc import Iterable
 
 import attrs
 
 from coppercleat.ids import RequestId, UpstreamId
+from coppercleat.jobs._item_progress import ItemAttemptOutcome, ItemProgress
 from coppercleat.jobs._records import CheckpointRow, ItemSpec, ItemState
 from coppercleat.jobs._repository import FinishedItem, StoredJob
-from coppercleat.quarantine import Verdict
-from coppercleat.serving import (
-    EVENT_STREAM,
-    ItemEvents,
-    OnlineRequest,
-    StreamOrigin,
-)
+from coppercleat.serving import ItemEvents, OnlineRequest
 
 
-class ItemAttemptOutcome(enum.Enum):
-    """How an attempt of an item at an upstream ended.
+@attrs.define(frozen=True)
+class HandoverResult:
+    """What became of the progress that previous owners handed over, in items.
 
     Attributes:
-      COMPLETE: The response was received whole.
-      YIELDED: The attempt was cancelled: preempted, or its job was stopped.
-      NOT_RUN: The upstream refused the item; it did not run.
-      BROKEN: The response was interrupted, stalled or invalid.
-      FAILED: The upstream ran the item and reported a failure.
-      IMPOSSIBLE: The upstream reported that the item cannot be processed.
+      completed: Whole outputs, which are committed as they are.
+      adopted: Progress that items go on after.
+      outdated: Progress that is older than what is known here, or of a listed item.
     """
 
-    COMPLETE = "complete"
-    YIELDED = "yielded"
-    NOT_RUN = "not_run"
-    BROKEN = "broken"
-    FAILED = "failed"
-    IMPOSSIBLE = "impossible"
-
-
-@attrs.define(kw_only=True)
-class QuarantineState:
-    """Why an item may not run after upstreams crashed while running it.
-
-    Attributes:
-      verdict: The latest verdict on the item.
-      since: When the quarantine began, in trio time.
-      until: When the item may run unless the verdict changes, in trio time.
-    """
-
-    verdict: Verdict
-    since: float
-    until: float
-
-    def differs_from(self, verdict: Verdict) -> bool:
-        """Returns whether a verdict differs in kind or in the number of crashes."""
-        before = (self.verdict.kind, self.verdict.crashes)
-        return (verdict.kind, verdict.crashes) != before
-
-
-@attrs.define(eq=False, kw_only=True)
-class ItemProgress:
-    """An item that is not listed yet, and its progress.
-
-    Attributes:
-      index: Position of the item in the submission.
-      spec: The item as submitted.
-      events: Data of the events received so far.
-      last_event: Number of the last event; None before the first.
-      origin: What wrote the events; None before the first, and where it is not known.
-      held_since: Since when it waits for a slot at the version that wrote its events,
-        in trio time; None if it does not.
-      media_type: Media type of the last attempt that delivered events. It is not in the
-        checkpoint: after a takeover it is assumed to be an event stream.
-      failures: Attempts that the upstream answered with a failure.
-      checkpointed_events: Length of ``events`` in the last stored checkpoint.
-      checkpointed_failures: ``failures`` in the last stored checkpoint.
-      upstream: Where the item runs; empty if it does not run.
-      not_before: When the item may run again, in trio time.
-      request: The request for upstreams; built on first use.
-      quarantine: Why the item may not run; None if it is not quarantined.
-    """
-
-    index: int
-    spec: ItemSpec
-    events: list[bytes] = attrs.field(factory=list)
-    last_event: int | None = None
-    origin: StreamOrigin | None = None
-    held_since: float | None = None
-    media_type: bytes = EVENT_STREAM
-    failures: int = 0
-    checkpointed_events: int = 0
-    checkpointed_failures: int = 0
-    upstream: UpstreamId = UpstreamId("")
-    not_before: float = 0.0
-    request: OnlineRequest | None = None
-    quarantine: QuarantineState | None = None
-
-    @property
-    def new_events(self) -> int:
-        """Events since the last checkpoint."""
-        return len(self.events) - self.checkpointed_events
-
-    @property
-    def failed_anew(self) -> bool:
-        """Whether it has failed since the last checkpoint."""
-        return self.failures > self.checkpointed_failures
-
-    def as_finished(self, state: ItemState) -> FinishedItem:
-        """Returns the item with its final state and its result."""
-        text = b"\n".join(self.events) if state is ItemState.COMPLETED else b""
-        return FinishedItem(index=self.index, item=self.spec.id, state=state, text=text)
-
-    def apply_handover(self, progress: ItemEvents) -> None:
-        """Adopts the progress made at the previous owner if it is further ahead."""
-        self.failures = max(self.failures, progress.failures)
-        # What nobody can go on with is worth less than any own progress.
-        usable = progress.complete or progress.origin is not None or not self.events
-        if usable and len(progress.events) > len(self.events):
-            self.events = list(progress.events)
-            self.last_event = progress.last_event
-            self.origin = progress.origin
-
-    def begin_again(self) -> None:
-        """Drops the events, which no upstream that may run the item can go on with."""
-        self.events = []
-        self.last_event = self.origin = None
-        self.checkpointed_events = 0
-
-    def checkpoint(self) -> CheckpointRow:
-        """Returns a checkpoint of the item."""
-        return CheckpointRow(
-            last_event=self.last_event or 0,
-            events=list(self.events),
-            failures=self.failures,
-            origin=self.origin,
-        )
-
-    def restore(self, checkpoint: CheckpointRow) -> None:
-        """Resumes the item from a checkpoint."""
-        self.failures = self.checkpointed_failures = checkpoint.failures
-        if checkpoint.events:
-            self.events = list(checkpoint.events)
-            self.last_event = checkpoint.last_event
-            self.origin = checkpoint.origin
-            self.checkpointed_events = len(self.events)
+    completed: int
+    adopted: int
+    outdated: int
 
 
 class JobRun:
@@ -176,7 +58,7 @@
         for index, spec in enumerate(items):
             if index in listed:
                 continue
-            item = ItemProgress(index=index, spec=spec)
+            item = ItemProgress(index=index, spec=spec, ownership=stored.version)
             if index in checkpoints:
                 item.restore(checkpoints[index])
             self.pending.append(item)
@@ -280,36 +162,34 @@
         self.finished += [item.as_finished(ItemState.FAILED) for item in self.pending]
         self.pending.clear()
 
-    def apply_handover(self, items: list[ItemEvents]) -> None:
-        """Adopts progress that the previous owner made after its last checkpoint."""
+    def apply_handover(self, items: Iterable[ItemEvents]) -> HandoverResult:
+        """Adopts progress that previous owners made after the last checkpoint."""
         pending = {item.index: item for item in self.pending}
+        completed = adopted = outdated = 0
         for progress in items:
             item = pending.get(progress.index)
-            if item is None:
-                continue
-            item.apply_handover(progress)
-            if progress.complete:
+            if item is None or not item.apply_handover(progress):
+                outdated += 1
+            elif progress.complete:
+                completed += 1
+                del pending[progress.index]
                 self.pending.remove(item)
                 self.finished.append(item.as_finished(ItemState.COMPLETED))
+            else:
+                adopted += 1
+        return HandoverResult(completed, adopted, outdated)
 
     def progress(self) -> list[ItemEvents]:
         """Returns the progress of all items that are not listed."""
         found = [
-            ItemEvents(
-                item.index,
-                item.last_event or 0,
-                item.events,
-                item.failures,
-                False,
-                item.origin,
-            )
+            item.handover()
             for item in [*self.running.values(), *self.pending]
             if item.events
         ]
         for done in self.finished:
             if done.state is ItemState.COMPLETED:
                 events = done.text.split(b"\n")
-                found.append(ItemEvents(done.index, 0, events, 0, True))
+                found.append(ItemEvents(done.index, 0, events, 0, complete=True))
         return found
 
     def new_checkpoints(self, min_new_events: int) -> dict[int, CheckpointRow]:
@@ -333,5 +213,4 @@
         """Marks checkpoints as stored."""
         for item in [*self.running.values(), *self.pending]:
             if item.index in checkpoints:
-                item.checkpointed_events = len(checkpoints[item.index].events)
-                item.checkpointed_failures = checkpoints[item.index].failures
+                item.record_checkpoint(checkpoints[item.index])
--- a/src/coppercleat/jobs/_schedule.py
+++ b/src/coppercleat/jobs/_schedule.py
@@ -6,7 +6,8 @@
 
 import attrs
 
-from coppercleat.jobs._run import ItemProgress, JobRun
+from coppercleat.jobs._item_progress import ItemProgress
+from coppercleat.jobs._run import JobRun
 from coppercleat.serving import Route
 
 
--- a/src/coppercleat/jobs/_starter.py
+++ b/src/coppercleat/jobs/_starter.py
@@ -7,8 +7,9 @@
 import trio
 
 from coppercleat.ids import JobRef
+from coppercleat.jobs._item_progress import ItemProgress
 from coppercleat.jobs._items import ItemRunner, RunningItem
-from coppercleat.jobs._run import ItemProgress, JobRun
+from coppercleat.jobs._run import JobRun
 from coppercleat.jobs._schedule import Candidate, next_candidates
 from coppercleat.observability import part_logger
 from coppercleat.serving import QueuedWork, Rank, Route, RouteTable
--- a/src/coppercleat/jobs/_worker.py
+++ b/src/coppercleat/jobs/_worker.py
@@ -119,7 +119,7 @@
         self._first_seen: dict[str, float] = {}
         self._orphans: dict[JobRef, float] = {}
         self._active: set[JobRef] = set()
-        self._handovers: dict[JobRef, list[ItemEvents]] = {}
+        self._handovers: dict[JobRef, dict[int, ItemEvents]] = {}
         self._stalled_jobs = StalledJobs()
         self._nursery: trio.Nursery | None = None
         self._starter = ItemStarter(
@@ -349,9 +349,16 @@
                 self._abandon(run, "one job of its id was taken over, its host unnamed")
 
     def receive_handover(self, ref: JobRef, items: list[ItemEvents]) -> None:
-        """Takes the previous owner's progress of a job that is not loaded yet."""
+        """Takes a previous owner's progress of a job that is not loaded yet.
+
+        Several previous owners may answer one takeover, each of them more than once.
+        """
         if ref in self._active and ref not in self.runs:
-            self._handovers[ref] = items
+            newest = self._handovers.setdefault(ref, {})
+            for progress in items:
+                known = newest.get(progress.index)
+                if known is None or known.precedence < progress.precedence:
+                    newest[progress.index] = progress
             _log.info(
                 "Job progress received.",
                 host=ref.host,
@@ -405,7 +412,7 @@
                 if not self._is_owned(stored):
                     return None
                 run = JobRun(stored, items, checkpoints)
-                run.apply_handover(self._handovers.pop(stored.ref, []))
+                self._apply_handover(run)
                 return run
             except CoppercleatError as error:
                 _log.info(
@@ -420,6 +427,20 @@
                 return None
             stored = newest
 
+    def _apply_handover(self, run: JobRun) -> None:
+        handover = self._handovers.pop(run.stored.ref, None)
+        if handover is None:
+            return
+        result = run.apply_handover(handover.values())
+        _log.info(
+            "Job progress applied.",
+            host=run.stored.ref.host,
+            job=run.stored.ref.id,
+            completed=result.completed,
+            adopted=result.adopted,
+            outdated=result.outdated,
+        )
+
     def _is_owned(self, stored: StoredJob) -> bool:
         return stored.row.owner == self.owner and not stored.row.ended
 
--- a/src/coppercleat/serving/__init__.py
+++ b/src/coppercleat/serving/__init__.py
@@ -27,6 +27,12 @@
     YieldTimer,
 )
 from coppercleat.serving._forwarding import Forwarder, RequestSummary
+from coppercleat.serving._generation import (
+    NO_GENERATION,
+    Generation,
+    Precedence,
+    precedence,
+)
 from coppercleat.serving._incarnation_probe import incarnation_probe, may_go_on
 from coppercleat.serving._model import (
     ClientLimits,
@@ -98,6 +104,10 @@
 from coppercleat.serving._work_counts import InFlight, WorkCounts
 
 __all__ = [
+    "NO_GENERATION",
+    "Generation",
+    "Precedence",
+    "precedence",
     "AbandonedAttempts",
     "AccountLoad",
     "AccountLoadReport",
--- a/src/coppercleat/serving/_peer_messages.py
+++ b/src/coppercleat/serving/_peer_messages.py
@@ -10,6 +10,12 @@
 from coppercleat.ids import InstanceId, JobId, StreamKey, ZoneId
 from coppercleat.serving._account_load import AccountLoadReport
 from coppercleat.serving._fleet_order import QueuedWork, UnsharedWork
+from coppercleat.serving._generation import (
+    NO_GENERATION,
+    Generation,
+    Precedence,
+    precedence,
+)
 from coppercleat.serving._model import RouteConfig, Upstream
 from coppercleat.serving._placement import AttemptResults
 from coppercleat.serving._stream_origins import BegunStreams, StreamOrigin
@@ -238,6 +244,7 @@
       failures: Failed attempts.
       complete: Whether the item is finished.
       origin: What wrote the events; None if that is not known.
+      generation: The run that the events belong to.
     """
 
     index: int
@@ -246,6 +253,14 @@
     failures: int
     complete: bool
     origin: StreamOrigin | None = None
+    generation: Generation = NO_GENERATION
+
+    @property
+    def precedence(self) -> Precedence:
+        """Which of two copies of an item's progress is to be used: the greater."""
+        return precedence(
+            self.events, self.origin, self.generation, complete=self.complete
+        )
 
 
 class JobHandover(msgspec.Struct, frozen=True, tag="handover", array_like=True):
