Events: an answer's first event is event 1 or the one after the last

Cause: EventSequence took any number for the first event of an answer that resumes nothing. The second event revealed the fault, but by then the first was passed on or kept, and the run went on elsewhere after its number.

Change: such an answer begins with event 1; else it is of no use and nothing of it is passed on. One check for items, resumable and other streams.

Why it works: a number is judged before its event is forwarded or recorded, so no later request can name a number that nobody wrote.

--- a/src/coppercleat/serving/_sequence.py
+++ b/src/coppercleat/serving/_sequence.py
@@ -4,6 +4,9 @@
 
 from coppercleat.serving._events import StreamEvent
 
+FIRST_EVENT = 1
+"""Number of the first event of an answer that resumes nothing."""
+
 
 class EventSequence:
     """The events of one attempt.
@@ -33,7 +36,8 @@
             position_known = self.last is None or self.event_count > 0
             self.event_count += bool(event.data)
             return not event.data or (position_known and not self.require_numbers)
-        if self.last is not None and event.number != self.last + 1:
+        expected = FIRST_EVENT if self.last is None else self.last + 1
+        if event.number != expected:
             return False
         self.last = event.number
         self.event_count += 1
--- a/tests/features/serving_decisions.feature
+++ b/tests/features/serving_decisions.feature
@@ -536,6 +536,21 @@
       | resumable | 200 1 cut / 200 2 x                | 1 2 x     | whole | none 1 |
       | resumable | 200 x 1 cut / 200 2                | x 1 2     | whole | none 1 |
 
+    # Guards against streams without the events that a spoiled first number skips
+    # (review/6): any first number was taken, and the stream went on after it.
+    Examples: has a first event that a whole answer cannot have; nothing of it is passed on
+      | route      | answers                     | body  | end    | after     |
+      | resumable  | 200 7 2 3 / 200 1 2 3       | 1 2 3 | whole  | none none |
+      | resumable  | 200 2 3 / 200 1 2 3         | 1 2 3 | whole  | none none |
+      | resumable  | 200 0 1 2 / 200 1 2         | 1 2   | whole  | none none |
+      | resumable  | 200 7 cut / 200 1 2         | 1 2   | whole  | none none |
+      | resumable  | 200 7 / 200 1 2             | 1 2   | whole  | none none |
+      | resumable  | 200 c 7 cut / 200 1 2       | c 1 2 | whole  | none none |
+      | resumable  | 200 7 8 / 200 7 8           | -     | broken | none none |
+      | resumable  | 200 1 2 cut / 200 7 8       | 1 2   | cut    | none 2    |
+      | stream     | 200 7 8                     | -     | broken | none      |
+      | stream     | 200 0 1                     | -     | broken | none      |
+
     Examples: has nothing to go on from, or no answer that goes on
       | route                | answers                  | body      | end    | after |
       | resumable            | 200 x x cut / 200 1 2    | x x       | cut    | none  |
@@ -608,6 +623,11 @@
       | 200 1 cut / 200 2 torn / 200 3     | completed | 1 2 3     | none 1 2    |
       | 200 1 x 2 / 200 2                  | completed | 1 2       | none 1      |
       | 200 x / 200 1                      | completed | 1         | none none   |
+      | 200 7 2 3 / 200 1 2                | completed | 1 2       | none none   |
+      | 200 2 / 200 1 2                    | completed | 1 2       | none none   |
+      | 200 0 1 / 200 1 2                  | completed | 1 2       | none none   |
+      | 200 7 cut / 200 1 2                | completed | 1 2       | none none   |
+      | 200 1 cut / 200 7 / 200 2          | completed | 1 2       | none 1 1    |
       | 200 1 cut / 500 / 500 / 500        | failed    | -         | none 1 1 1  |
       | 200 1 cut / 422                    | failed    | -         | none 1      |
       | 503 / 503 / 503 / 200 1            | completed | 1         | none none none none |
