Events: malformed events are not used, and no item's error ends the process

Cause: `_parse` converted any digits with int(), which raises ValueError beyond 4,300; nothing on an item's way catches it, and the item's task runs in the nursery of the process.

Change: an event is checked before it is converted (at most 18 digits, no sign, padding or leading zero, one id, data beside it, only lines of an event stream); any other ends the use of the answer. An unexpected error of an item's attempt ends that attempt alone, with a traceback and a counter, and is not counted against the upstream. Reports of upstreams: counts and body are bounded. The parser no longer searches a long event anew with each chunk.

Why it works: what is converted fits into 64 bits, and the one task that an upstream's bytes reach can no longer end its siblings.

--- a/src/coppercleat/jobs/_item_progress.py
+++ b/src/coppercleat/jobs/_item_progress.py
@@ -32,6 +32,8 @@
       BROKEN: The response was interrupted, stalled or invalid.
       FAILED: The upstream ran the item and reported a failure.
       IMPOSSIBLE: The upstream reported that the item cannot be processed.
+      ERROR: This instance failed to handle the attempt; a bug, of which the upstream's
+        health says nothing.
     """
 
     COMPLETE = "complete"
@@ -40,6 +42,7 @@
     BROKEN = "broken"
     FAILED = "failed"
     IMPOSSIBLE = "impossible"
+    ERROR = "error"
 
 
 @attrs.define(kw_only=True)
--- a/src/coppercleat/jobs/_items.py
+++ b/src/coppercleat/jobs/_items.py
@@ -60,6 +60,14 @@
 _RETRY_DELAY_S = 0.1
 """Delay before an item runs again, so that a faulty upstream is not flooded."""
 
+_ERROR_RETRY_DELAY_S = 1.0
+"""The same after an error of this instance, which writes a traceback each time."""
+
+_RETRY_DELAYS_S = {
+    ItemAttemptOutcome.YIELDED: 0.0,
+    ItemAttemptOutcome.ERROR: _ERROR_RETRY_DELAY_S,
+}
+
 MIN_VERSION_WAIT_S = 0.5
 """Shortest time for which an item with progress waits for a slot at the version that
 wrote it, while there are free slots elsewhere."""
@@ -72,6 +80,15 @@
 """Status by which an upstream reports that it ran the item and failed. Other errors are
 about the upstream or a proxy before it, and do not count as failures of the item."""
 
+_WITHOUT_EVIDENCE = frozenset(
+    {
+        ItemAttemptOutcome.NOT_RUN,
+        ItemAttemptOutcome.YIELDED,
+        ItemAttemptOutcome.ERROR,
+    }
+)
+"""Outcomes that say nothing of whether the item crashes upstreams."""
+
 _log = part_logger("jobs")
 
 
@@ -357,7 +374,7 @@
             state.succeeded(trio.current_time())
         elif outcome is ItemAttemptOutcome.NOT_RUN:
             self._avoided[state.id] = trio.current_time() + _REFUSAL_AVOID_S
-        delay_s = _RETRY_DELAY_S if outcome is not ItemAttemptOutcome.YIELDED else 0.0
+        delay_s = _RETRY_DELAYS_S.get(outcome, _RETRY_DELAY_S)
         not_before = trio.current_time() + delay_s
         run.stop(item, outcome, max_attempts=route.max_attempts, not_before=not_before)
         self.on_end(outcome.value)
@@ -391,10 +408,7 @@
             self.crash_detector.record_response(
                 running.request, whole_answer=outcome is ItemAttemptOutcome.COMPLETE
             )
-        elif (
-            outcome in (ItemAttemptOutcome.NOT_RUN, ItemAttemptOutcome.YIELDED)
-            or attempt.state is AttemptState.QUEUED
-        ):
+        elif outcome in _WITHOUT_EVIDENCE or attempt.state is AttemptState.QUEUED:
             self.crash_detector.cancel_trial(running.request)
         elif silent or running.disconnected:
             fingerprint = running.request.fingerprint
@@ -447,6 +461,15 @@
                     reason=str(error),
                 )
                 return ItemAttemptOutcome.BROKEN
+            except Exception:  # noqa: BLE001 - one item must not end the process
+                _log.exception(
+                    "Item attempt failed with an unexpected error.",
+                    host=running.run.stored.ref.host,
+                    job=running.run.stored.ref.id,
+                    item=item.spec.id,
+                    upstream=state.id,
+                )
+                return ItemAttemptOutcome.ERROR
         return outcome
 
     async def _may_go_on(self, running: RunningItem) -> bool:
--- a/src/coppercleat/platform/_upstream_calls.py
+++ b/src/coppercleat/platform/_upstream_calls.py
@@ -8,7 +8,7 @@
 
 import contextlib
 from collections.abc import AsyncIterator
-from typing import Any
+from typing import Annotated, Any
 
 import httpcore
 import msgspec
@@ -71,12 +71,19 @@
 nothing of now."""
 
 
+_MAX_REPORT_BYTES = 65_536
+"""Some 100 times the usual report; the body may have no end."""
+
+_Count = Annotated[int, msgspec.Meta(ge=0, le=1_000_000)]
+_UnixMs = Annotated[int, msgspec.Meta(ge=0, lt=2**53)]
+
+
 class _ReportBody(msgspec.Struct):
     """The fields of a report that are read; ``queued`` waits for a slot."""
 
-    running: int
-    queued: int
-    born: int = 0
+    running: _Count
+    queued: _Count
+    born: _UnixMs = 0
 
 
 class HttpUpstreamCaller:
@@ -84,23 +91,15 @@
 
     async def report(self, upstream: Upstream) -> UpstreamReport:
         """See ``UpstreamCaller.report``."""
-        url = _url(upstream, Path.UPSTREAM_REPORT)
-        async with _connection_to(url) as connection:
-            try:
-                response = await within(
-                    CONNECT_TIMEOUT_S + REPORT_TIMEOUT_S,
-                    lambda: connection.request(
-                        "GET",
-                        url,
-                        headers=[(b"host", upstream.address.encode())],
-                        extensions={"timeout": {"connect": CONNECT_TIMEOUT_S}},
-                    ),
-                )
-                body = msgspec.json.decode(response.content, type=_ReportBody)
-            except (*_BROKEN, *BAD_BYTES, trio.TooSlowError) as error:
-                if nothing_listens(error):
-                    raise UpstreamNotListeningError("no report: refused") from error
-                raise UpstreamCallError(f"no report: {error!r}") from error
+        try:
+            content = await within(
+                CONNECT_TIMEOUT_S + REPORT_TIMEOUT_S, lambda: _read_report(upstream)
+            )
+            body = msgspec.json.decode(content, type=_ReportBody)
+        except (*_BROKEN, *BAD_BYTES, trio.TooSlowError) as error:
+            if nothing_listens(error):
+                raise UpstreamNotListeningError("no report: refused") from error
+            raise UpstreamCallError(f"no report: {error!r}") from error
         return UpstreamReport(
             running=body.running, waiting=body.queued, born_ms=body.born
         )
@@ -147,6 +146,32 @@
             await connection.aclose()
 
 
+async def _read_report(upstream: Upstream) -> bytes:
+    """Returns the body of an upstream's report.
+
+    Raises:
+      UpstreamCallError: The body is too long.
+    """
+    url = _url(upstream, Path.UPSTREAM_REPORT)
+    body = bytearray()
+    async with (
+        _connection_to(url) as connection,
+        connection.stream(
+            "GET",
+            url,
+            headers=[(b"host", upstream.address.encode())],
+            extensions={"timeout": {"connect": CONNECT_TIMEOUT_S}},
+        ) as response,
+    ):
+        async for data in response.aiter_stream():
+            body += data
+            if len(body) > _MAX_REPORT_BYTES:
+                raise UpstreamCallError(
+                    f"no report: the body exceeds {_MAX_REPORT_BYTES} bytes"
+                )
+    return bytes(body)
+
+
 def _connection_to(url: httpcore.URL) -> httpcore.AsyncHTTPConnection:
     return httpcore.AsyncHTTPConnection(origin=url.origin, network_backend=_BACKEND)
 
--- a/src/coppercleat/serving/_events.py
+++ b/src/coppercleat/serving/_events.py
@@ -9,34 +9,48 @@
 from coppercleat.serving._upstream_call import UpstreamCallError
 
 _BLANK_LINE = re.compile(rb"\r?\n\r?\n")
+_MAX_BLANK_LINE_BYTES = 4
 _MAX_EVENT_BYTES = 4_000_000
 """Bounds the memory that one stream may use."""
 
+_LINE = re.compile(
+    rb":.*|(?P<field>id|data|event|retry)(:(?P<value>.*))?|[a-z][a-z0-9-]*:.*",
+    re.DOTALL,
+)
+"""A comment, a field, or a header that an upstream sends within its answer."""
+
+_NUMBER = re.compile(rb"0|[1-9][0-9]{0,17}")
+"""Fits into 64 bits; a number of thousands of digits cannot even be converted."""
+
 
 class StreamEvent(msgspec.Struct, frozen=True):
     """One complete event.
 
     Attributes:
       raw: Bytes of the event, including the blank line that ends it.
-      number: The ``id`` field as a number; None if it is missing or no number.
+      number: The ``id`` field as a number; None if it is missing or malformed.
       data: The ``data`` fields, joined by line feeds.
+      malformed: Whether no upstream can have meant to send this: a line is none of an
+        event stream, the ``id`` field is no number or stands twice, or an event with a
+        number has no ``data`` field.
     """
 
     raw: bytes
     number: int | None
     data: bytes
+    malformed: bool = False
 
 
 class EventStreamParser:
     """Incremental parser of an event stream."""
 
     def __init__(self) -> None:
-        self._rest = b""
+        self._rest = bytearray()
 
     @property
     def remainder(self) -> bytes:
         """Bytes after the last complete event."""
-        return self._rest
+        return bytes(self._rest)
 
     def feed(self, data: bytes) -> list[StreamEvent]:
         """Parses a chunk and returns the events that it completes.
@@ -44,26 +58,35 @@
         Raises:
           UpstreamCallError: An event is too long.
         """
-        buffer = self._rest + data
+        # Only the end of what has been searched may be the start of a blank line.
+        search_from = max(0, len(self._rest) - _MAX_BLANK_LINE_BYTES + 1)
+        self._rest += data
         events = []
         start = 0
-        for blank in _BLANK_LINE.finditer(buffer):
-            events.append(_parse(buffer[start : blank.end()]))
+        for blank in _BLANK_LINE.finditer(self._rest, search_from):
+            events.append(_parse(bytes(self._rest[start : blank.end()])))
             start = blank.end()
-        self._rest = buffer[start:]
+        del self._rest[:start]
         if len(self._rest) > _MAX_EVENT_BYTES:
             raise UpstreamCallError(f"an event exceeds {_MAX_EVENT_BYTES} bytes")
         return events
 
 
 def _parse(raw: bytes) -> StreamEvent:
-    number = None
-    data = []
+    numbers: list[bytes] = []
+    data: list[bytes] = []
+    malformed = False
     for line in raw.splitlines():
-        field, _, value = line.partition(b":")
-        value = value.removeprefix(b" ")
-        if field == b"id" and value.isdigit():
-            number = int(value)
-        elif field == b"data":
+        match = _LINE.fullmatch(line)
+        if match is None:
+            malformed |= bool(line)
+            continue
+        value = (match["value"] or b"").removeprefix(b" ")
+        if match["field"] == b"id":
+            numbers.append(value)
+        elif match["field"] == b"data":
             data.append(value)
-    return StreamEvent(raw, number, b"\n".join(data))
+    if numbers:
+        malformed |= len(numbers) > 1 or not _NUMBER.fullmatch(numbers[0]) or not data
+    number = int(numbers[0]) if numbers and not malformed else None
+    return StreamEvent(raw, number, b"\n".join(data), malformed)
--- a/src/coppercleat/serving/_sequence.py
+++ b/src/coppercleat/serving/_sequence.py
@@ -31,6 +31,8 @@
         return events, True
 
     def _is_next(self, event: StreamEvent) -> bool:
+        if event.malformed:
+            return False
         if event.number is None:
             # A resumed stream may repeat data before its first number.
             position_known = self.last is None or self.event_count > 0
--- a/tests/features/serving_decisions.feature
+++ b/tests/features/serving_decisions.feature
@@ -551,6 +551,38 @@
       | stream     | 200 7 8                     | -     | broken | none      |
       | stream     | 200 0 1                     | -     | broken | none      |
 
+    # Guards against instances that end by an event's number (review/7), and against
+    # bytes that are no event in a client's answer.
+    Examples: has an event that no upstream can have meant; words in answer_steps.py
+      | route     | answers                           | body  | end    | after     |
+      | resumable | 200 1 digits 3 / 200 2 3          | 1 2 3 | whole  | none 1    |
+      | resumable | 200 1 19-digits 3 / 200 2 3       | 1 2 3 | whole  | none 1    |
+      | resumable | 200 1 signed 3 / 200 2 3          | 1 2 3 | whole  | none 1    |
+      | resumable | 200 1 padded 3 / 200 2 3          | 1 2 3 | whole  | none 1    |
+      | resumable | 200 1 zero-led 3 / 200 2 3        | 1 2 3 | whole  | none 1    |
+      | resumable | 200 1 arabic 3 / 200 2 3          | 1 2 3 | whole  | none 1    |
+      | resumable | 200 1 letters 3 / 200 2 3         | 1 2 3 | whole  | none 1    |
+      | resumable | 200 1 no-id 3 / 200 2 3           | 1 2 3 | whole  | none 1    |
+      | resumable | 200 1 two-ids 3 / 200 2 3         | 1 2 3 | whole  | none 1    |
+      | resumable | 200 1 no-data 3 / 200 2 3         | 1 2 3 | whole  | none 1    |
+      | resumable | 200 1 bytes 3 / 200 2 3           | 1 2 3 | whole  | none 1    |
+      | resumable | 200 1 size-line 3 / 200 2 3       | 1 2 3 | whole  | none 1    |
+      | resumable | 200 digits / 200 1 2              | 1 2   | whole  | none none |
+      | resumable | 200 19-digits / 200 1 2           | 1 2   | whole  | none none |
+      | resumable | 200 signed / 200 1 2              | 1 2   | whole  | none none |
+      | resumable | 200 padded / 200 1 2              | 1 2   | whole  | none none |
+      | resumable | 200 zero-led / 200 1 2            | 1 2   | whole  | none none |
+      | resumable | 200 arabic / 200 1 2              | 1 2   | whole  | none none |
+      | resumable | 200 letters / 200 1 2             | 1 2   | whole  | none none |
+      | resumable | 200 no-id / 200 1 2               | 1 2   | whole  | none none |
+      | resumable | 200 two-ids / 200 1 2             | 1 2   | whole  | none none |
+      | resumable | 200 no-data / 200 1 2             | 1 2   | whole  | none none |
+      | resumable | 200 bytes / 200 1 2               | 1 2   | whole  | none none |
+      | resumable | 200 size-line / 200 1 2           | 1 2   | whole  | none none |
+      | stream    | 200 digits                        | -     | broken | none      |
+      | stream    | 200 letters                       | -     | broken | none      |
+      | stream    | 200 bytes                         | -     | broken | none      |
+
     Examples: has nothing to go on from, or no answer that goes on
       | route                | answers                  | body      | end    | after |
       | resumable            | 200 x x cut / 200 1 2    | x x       | cut    | none  |
@@ -628,6 +660,32 @@
       | 200 0 1 / 200 1 2                  | completed | 1 2       | none none   |
       | 200 7 cut / 200 1 2                | completed | 1 2       | none none   |
       | 200 1 cut / 200 7 / 200 2          | completed | 1 2       | none 1 1    |
+      | 200 1 digits / 200 2                | completed | 1 2       | none 1      |
+      | 200 digits / 200 1 2                | completed | 1 2       | none none   |
+      | 200 1 19-digits / 200 2             | completed | 1 2       | none 1      |
+      | 200 19-digits / 200 1 2             | completed | 1 2       | none none   |
+      | 200 1 signed / 200 2                | completed | 1 2       | none 1      |
+      | 200 signed / 200 1 2                | completed | 1 2       | none none   |
+      | 200 1 padded / 200 2                | completed | 1 2       | none 1      |
+      | 200 padded / 200 1 2                | completed | 1 2       | none none   |
+      | 200 1 zero-led / 200 2              | completed | 1 2       | none 1      |
+      | 200 zero-led / 200 1 2              | completed | 1 2       | none none   |
+      | 200 1 arabic / 200 2                | completed | 1 2       | none 1      |
+      | 200 arabic / 200 1 2                | completed | 1 2       | none none   |
+      | 200 1 letters / 200 2               | completed | 1 2       | none 1      |
+      | 200 letters / 200 1 2               | completed | 1 2       | none none   |
+      | 200 1 no-id / 200 2                 | completed | 1 2       | none 1      |
+      | 200 no-id / 200 1 2                 | completed | 1 2       | none none   |
+      | 200 1 two-ids / 200 2               | completed | 1 2       | none 1      |
+      | 200 two-ids / 200 1 2               | completed | 1 2       | none none   |
+      | 200 1 no-data / 200 2               | completed | 1 2       | none 1      |
+      | 200 no-data / 200 1 2               | completed | 1 2       | none none   |
+      | 200 1 bytes / 200 2                 | completed | 1 2       | none 1      |
+      | 200 bytes / 200 1 2                 | completed | 1 2       | none none   |
+      | 200 1 size-line / 200 2             | completed | 1 2       | none 1      |
+      | 200 size-line / 200 1 2             | completed | 1 2       | none none   |
+      | 200 bug / 200 1 2                  | completed | 1 2       | none none   |
+      | 200 1 bug / 200 2                  | completed | 1 2       | none 1      |
       | 200 1 cut / 500 / 500 / 500        | failed    | -         | none 1 1 1  |
       | 200 1 cut / 422                    | failed    | -         | none 1      |
       | 503 / 503 / 503 / 200 1            | completed | 1         | none none none none |
--- a/tests/features/steps/answer_steps.py
+++ b/tests/features/steps/answer_steps.py
@@ -56,6 +56,22 @@
 
 LARGE = b"L" * 1_000_001
 
+MALFORMED = {
+    "digits": b"id: " + b"7" * 5_000 + b"\ndata: spoiled\n\n",
+    "19-digits": b"id: " + b"7" * 19 + b"\ndata: spoiled\n\n",
+    "signed": b"id: +2\ndata: spoiled\n\n",
+    "padded": b"id:  2\ndata: spoiled\n\n",
+    "zero-led": b"id: 02\ndata: spoiled\n\n",
+    "arabic": "id: \u0662\ndata: spoiled\n\n".encode(),
+    "letters": b"id: 2x\ndata: spoiled\n\n",
+    "no-id": b"id:\ndata: spoiled\n\n",
+    "two-ids": b"id: 2\nid: 2\ndata: spoiled\n\n",
+    "no-data": b"id: 2\n\n",
+    "bytes": b"\x00\xff\xfe\n\n",
+    "size-line": b"1c\r\nid: 2\ndata: spoiled\n\n",
+}
+"""Events that no upstream can have meant to send; sound ones would be event 2."""
+
 
 @attrs.frozen
 class Script:
@@ -85,6 +101,8 @@
             await trio.sleep(0.01)
             if word == "cut":
                 raise UpstreamCallError("the answer was cut")
+            if word == "bug":
+                raise ValueError("an error that no code expects")
             if part := part_of(word):
                 yield part
 
@@ -100,6 +118,7 @@
         "blank": b"\n",
         "oops": b"oops",
         "large": LARGE,
+        **MALFORMED,
     }
     return parts.get(word, b"")
 
