Answers: a success is used only if an upstream's stamp shows who made it

Cause: nothing read the header; the id alone told whose answer it is.

Change: one function, unusable_success_reason, is asked for every success of items and online requests, for first parts and parts that go on: one stamp that is not empty, and no encoding. All Request-Id fields must name the request.

Why it works: the check comes before the first byte is forwarded or recorded, and there is no other way for a body to a client or into a text.

--- a/src/coppercleat/jobs/_items.py
+++ b/src/coppercleat/jobs/_items.py
@@ -45,6 +45,7 @@
     may_go_on,
     response_head,
     stall_check_times,
+    unusable_success_reason,
 )
 from coppercleat.upstreams import Attempt, AttemptState
 
@@ -75,10 +76,13 @@
 _REFUSAL_AVOID_S = 0.3
 """How long an upstream that refused an item gets no other."""
 
-_UNPROCESSABLE = 422
-_FAILED = 500
-"""Status by which an upstream reports that it ran the item and failed. Other errors are
-about the upstream or a proxy before it, and do not count as failures of the item."""
+_OK = 200
+_FAILURES = {
+    422: ItemAttemptOutcome.IMPOSSIBLE,
+    500: ItemAttemptOutcome.FAILED,
+}
+"""Statuses by which an upstream reports that it ran the item. Other errors are about
+the upstream or a proxy before it, and do not count as failures of the item."""
 
 _WITHOUT_EVIDENCE = frozenset(
     {
@@ -560,14 +564,10 @@
         return ItemAttemptOutcome.NOT_RUN
     if answer.refused:
         return ItemAttemptOutcome.NOT_RUN
-    if answer.status == _UNPROCESSABLE:
-        return ItemAttemptOutcome.IMPOSSIBLE
-    if answer.status == _FAILED:
-        return ItemAttemptOutcome.FAILED
-    if answer.status != 200:
-        raise UpstreamCallError(f"unexpected status {answer.status}")
-    if not is_event_stream(answer):
-        raise UpstreamCallError("the response is no event stream")
+    if answer.status in _FAILURES:
+        return _FAILURES[answer.status]
+    if reason := _unusable_reason(answer):
+        raise UpstreamCallError(reason)
     media_type = response_head(answer).media_type
     splitter = EventStreamParser()
     sequence = EventSequence(item.last_event, require_numbers=True)
@@ -588,6 +588,15 @@
     return ItemAttemptOutcome.COMPLETE
 
 
+def _unusable_reason(answer: UpstreamResponse) -> str:
+    """Returns why an answer cannot be an item's output; empty if it may be."""
+    if answer.status != _OK:
+        return f"unexpected status {answer.status}"
+    if reason := unusable_success_reason(answer):
+        return reason
+    return "" if is_event_stream(answer) else "the response is no event stream"
+
+
 def _record_failure(state: UpstreamState, attempt: Attempt) -> None:
     reached = attempt.state is not AttemptState.QUEUED
     state.failed(trio.current_time(), reached=reached)
--- a/src/coppercleat/platform/_names.py
+++ b/src/coppercleat/platform/_names.py
@@ -11,6 +11,7 @@
     """Headers of clients' and upstreams' calls, in lower case."""
 
     REQUEST_ID = b"request-id"
+    RESPONSE_STAMP = b"response-stamp"
     API_KEY = b"api-key"
     ACCOUNT = b"tenant-id"
     DEADLINE_MS = b"deadline-ms"
--- a/src/coppercleat/platform/_upstream_calls.py
+++ b/src/coppercleat/platform/_upstream_calls.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 import contextlib
+import re
 from collections.abc import AsyncIterator
 from typing import Annotated, Any
 
@@ -71,6 +72,8 @@
 nothing of now."""
 
 
+_STAMP = re.compile(rb"[!-~]+")
+
 _MAX_REPORT_BYTES = 65_536
 """Some 100 times the usual report; the body may have no end."""
 
@@ -211,14 +214,16 @@
     request: OnlineRequest, response: httpcore.Response, attempt: Attempt
 ) -> UpstreamResponse:
     """Takes the head of an answer apart."""
-    by_name = {name.lower(): value for name, value in response.headers}
+    by_name: dict[bytes, list[bytes]] = {}
+    for name, value in response.headers:
+        by_name.setdefault(name.lower(), []).append(value)
     other = response.status == _MISDIRECTED
     refused = HeaderName.NOT_EXECUTED in by_name
     if other or refused:
         attempt.move(AttemptState.REFUSED)
     else:
-        echoed = by_name.get(HeaderName.REQUEST_ID, b"").decode("latin-1")
-        if echoed != request.request_id:
+        echoed = by_name.get(HeaderName.REQUEST_ID, [])
+        if set(echoed) != {request.request_id.encode()}:
             attempt.move(AttemptState.LOST)
             raise UpstreamCallError("the answer belongs to another request")
     headers = [
@@ -231,11 +236,17 @@
         headers=headers,
         refused=refused,
         wrong_upstream=other,
+        authenticated=_has_stamp(by_name.get(HeaderName.RESPONSE_STAMP, [])),
         body=_body(response, attempt),
         self_delimited=b"content-length" in by_name or b"transfer-encoding" in by_name,
     )
 
 
+def _has_stamp(stamps: list[bytes]) -> bool:
+    """Returns whether there is one stamp; what it says is for the client to check."""
+    return len(stamps) == 1 and bool(_STAMP.fullmatch(stamps[0]))
+
+
 async def _body(response: httpcore.Response, attempt: Attempt) -> AsyncIterator[bytes]:
     try:
         async for data in response.aiter_stream():
--- a/src/coppercleat/serving/__init__.py
+++ b/src/coppercleat/serving/__init__.py
@@ -7,7 +7,12 @@
 )
 from coppercleat.serving._admission import Admission
 from coppercleat.serving._admission_queue import AdmissionQueue
-from coppercleat.serving._answer_use import EVENT_STREAM, is_event_stream, response_head
+from coppercleat.serving._answer_use import (
+    EVENT_STREAM,
+    is_event_stream,
+    response_head,
+    unusable_success_reason,
+)
 from coppercleat.serving._answers import incompleteness_reason
 from coppercleat.serving._demand import Demand, ResponseTimes
 from coppercleat.serving._events import EventStreamParser, StreamEvent
@@ -185,6 +190,7 @@
     "may_go_on",
     "renewal_interval_s",
     "response_head",
+    "unusable_success_reason",
     "share_level",
     "share_slots",
     "retry_interval_s",
--- a/src/coppercleat/serving/_answer_use.py
+++ b/src/coppercleat/serving/_answer_use.py
@@ -1,5 +1,7 @@
 """Decides whether and how an upstream's response may be forwarded to the client.
 
+A success counts only if an upstream made it, in whatever part of an answer it comes.
+
 Once a part of a response has been forwarded, a response of another upstream can only
 resume it as an event stream of the same status and media type. Any other response
 counts as a failed attempt, so that its end is never taken for the end of the first.
@@ -64,6 +66,22 @@
     )
 
 
+def unusable_success_reason(response: UpstreamResponse) -> str:
+    """Returns why a success is not an upstream's answer; empty if it may be one.
+
+    It holds for every answer to a request or an item, and for every part that goes on
+    with one: clients count a success only if an upstream made it, and ask for no
+    encoding. A failure needs no code, since it is never taken for an output.
+    """
+    if not _FIRST_FINAL_STATUS <= response.status < _FIRST_REDIRECT_STATUS:
+        return ""
+    if not response.authenticated:
+        return f"the {response.status} does not show that an upstream made it"
+    if response.header(b"content-encoding").strip().lower() not in _IDENTITY_ENCODINGS:
+        return "the body is encoded, which nobody asked for"
+    return ""
+
+
 def forwarding_mode(
     response: UpstreamResponse,
     *,
@@ -81,6 +99,8 @@
       sent_head: Head that has been sent to the client; None if there is none.
       may_fail_over: Whether the request may fail over to another upstream.
     """
+    if reason := unusable_success_reason(response):
+        return UnusableResponse(reason)
     if sent_head is not None:
         return _resumed_mode(response, sent_head)
     if response.status < _FIRST_FINAL_STATUS:
--- a/src/coppercleat/serving/_upstream_call.py
+++ b/src/coppercleat/serving/_upstream_call.py
@@ -39,6 +39,8 @@
       headers: Header fields without the hop-by-hop ones.
       refused: Whether the upstream declares that it did not run the request.
       wrong_upstream: Whether the responder is another upstream than the one addressed.
+      authenticated: Whether the response has the code by which a client can tell that
+        an upstream made it.
       body: Chunks of the body; raises ``UpstreamCallError`` if it is cut off.
       self_delimited: Whether a length or a last chunk marks the end of the body, rather
         than the end of the connection.
@@ -48,6 +50,7 @@
     headers: list[Header]
     refused: bool
     wrong_upstream: bool
+    authenticated: bool
     body: AsyncIterator[bytes]
     self_delimited: bool = True
 
--- a/tests/features/gateway.feature
+++ b/tests/features/gateway.feature
@@ -113,13 +113,18 @@
       | no HTTP               | what is this\r\n\r\n                                        |
       | an upgrade            | HTTP/1.1 101 Switching\r\nrequest-id: request-1\r\n\r\n      |
       | an interim status     | HTTP/1.1 103 Hints\r\n\r\n                                  |
-      | a broken length       | HTTP/1.1 200 OK\r\nrequest-id: request-1\r\ncontent-length: x\r\n\r\n |
-      | two lengths           | HTTP/1.1 200 OK\r\nrequest-id: request-1\r\ncontent-length: 1\r\ncontent-length: 2\r\n\r\n |
-      | a broken header       | HTTP/1.1 200 OK\r\nrequest-id: request-1\r\nno colon\r\n\r\n |
+      | a broken length       | HTTP/1.1 200 OK\r\nrequest-id: request-1\r\nresponse-stamp: s\r\ncontent-length: x\r\n\r\n |
+      | two lengths           | HTTP/1.1 200 OK\r\nrequest-id: request-1\r\nresponse-stamp: s\r\ncontent-length: 1\r\ncontent-length: 2\r\n\r\n |
+      | a broken header       | HTTP/1.1 200 OK\r\nrequest-id: request-1\r\nresponse-stamp: s\r\nno colon\r\n\r\n |
       | nothing               | \x20                                                        |
+      | no stamp              | HTTP/1.1 200 OK\r\nrequest-id: request-1\r\n\r\nid: 1\ndata: a\n\n |
+      | an empty stamp        | HTTP/1.1 200 OK\r\nrequest-id: request-1\r\nresponse-stamp:\r\n\r\nid: 1\ndata: a\n\n |
+      | two stamps            | HTTP/1.1 200 OK\r\nrequest-id: request-1\r\nresponse-stamp: s\r\nresponse-stamp: t\r\n\r\nid: 1\ndata: a\n\n |
+      | two ids               | HTTP/1.1 200 OK\r\nrequest-id: request-1\r\nrequest-id: request-2\r\nresponse-stamp: s\r\n\r\nid: 1\ndata: a\n\n |
+      | a number of digits    | HTTP/1.1 200 OK\r\nrequest-id: request-1\r\nresponse-stamp: s\r\n\r\nid: 77777777777777777777\ndata: a\n\n |
 
   Scenario Outline: A stream without a length that <what>
-    Given 1 gateways and a runner that answers HTTP/1.1 200 OK\r\nrequest-id: request-1\r\n\r\n<events>
+    Given 1 gateways and a runner that answers HTTP/1.1 200 OK\r\nrequest-id: request-1\r\nresponse-stamp: s\r\n\r\n<events>
     When a client sends a <route> request
     Then the stream is <end> and has events <passed>
 
@@ -136,7 +141,7 @@
   # a body that has no length, and an answer that breaks off ends just so, since the server
   # closes what is left open. To clients of HTTP/1.1 the last chunk is missing.
   Scenario Outline: On the wire a <route> answer <what> is <end> for a client of HTTP/<version>
-    Given 1 gateways and a runner that answers HTTP/1.1 200 OK\r\nrequest-id: request-1\r\n<answer>
+    Given 1 gateways and a runner that answers HTTP/1.1 200 OK\r\nrequest-id: request-1\r\nresponse-stamp: s\r\n<answer>
     When a client of HTTP/<version> sends a <route> request and reads to the end
     Then by its own framing the answer is <end>
 
--- a/tests/features/serving_decisions.feature
+++ b/tests/features/serving_decisions.feature
@@ -583,6 +583,24 @@
       | stream    | 200 letters                       | -     | broken | none      |
       | stream    | 200 bytes                         | -     | broken | none      |
 
+    # Guards against bytes of no upstream that are passed on as a success (review/8).
+    Examples: is a success without a stamp, or has an encoding; nothing of it is passed on
+      | route                | answers                                     | body  | end    | after     |
+      | resumable            | 200 unstamped 1 2 / 200 1 2                 | 1 2   | whole  | none none |
+      | resumable            | 200 unstamped 1 2 / 200 unstamped 1 2       | -     | broken | none none |
+      | resumable            | 200 1 2 cut / 200 unstamped 3               | 1 2   | cut    | none 2    |
+      | resumable            | 200 1 2 cut / 200 unstamped                 | 1 2   | cut    | none 2    |
+      | resumable            | 204 unstamped / 200 1                       | 1     | whole  | none none |
+      | stream               | 200 unstamped 1 2                           | -     | broken | none      |
+      | stream               | 200 unstamped                               | -     | broken | none      |
+      | idempotent           | 200 unstamped text oops / 200 text oops     | oops  | whole  | none none |
+      | idempotent           | 200 unstamped text large / 200 text oops    | oops  | whole  | none none |
+      | idempotent           | 200 gzip oops / 200 text oops               | oops  | whole  | none none |
+      | idempotent           | 206 unstamped text oops / 200 text oops     | oops  | whole  | none none |
+      | once resumable       | 200 unstamped text oops                     | -     | broken | none      |
+      | once resumable       | 200 unstamped text large                    | -     | broken | none      |
+      | idempotent           | 404 unstamped text oops                     | oops  | whole  | none      |
+
     Examples: has nothing to go on from, or no answer that goes on
       | route                | answers                  | body      | end    | after |
       | resumable            | 200 x x cut / 200 1 2    | x x       | cut    | none  |
@@ -684,6 +702,10 @@
       | 200 bytes / 200 1 2                 | completed | 1 2       | none none   |
       | 200 1 size-line / 200 2             | completed | 1 2       | none 1      |
       | 200 size-line / 200 1 2             | completed | 1 2       | none none   |
+      | 200 unstamped 1 2 / 200 1 2        | completed | 1 2       | none none   |
+      | 200 unstamped / 200 1 2            | completed | 1 2       | none none   |
+      | 200 1 cut / 200 unstamped 2 / 200 2 | completed | 1 2      | none 1 1    |
+      | 200 1 cut / 200 unstamped / 200 2  | completed | 1 2       | none 1 1    |
       | 200 bug / 200 1 2                  | completed | 1 2       | none none   |
       | 200 1 bug / 200 2                  | completed | 1 2       | none 1      |
       | 200 1 cut / 500 / 500 / 500        | failed    | -         | none 1 1 1  |
--- a/tests/features/steps/answer_steps.py
+++ b/tests/features/steps/answer_steps.py
@@ -92,6 +92,7 @@
             headers=headers,
             refused=False,
             wrong_upstream=False,
+            authenticated="unstamped" not in self.words,
             body=self.body(),
             **options,
         )
--- a/tests/features/steps/job_owner_steps.py
+++ b/tests/features/steps/job_owner_steps.py
@@ -37,7 +37,12 @@
             yield b"id: 1\ndata: w\n\n"
 
         yield UpstreamResponse(
-            status=200, headers=STREAM, refused=False, wrong_upstream=False, body=body()
+            status=200,
+            headers=STREAM,
+            refused=False,
+            wrong_upstream=False,
+            authenticated=True,
+            body=body(),
         )
 
 
--- a/tests/features/steps/kept_item_steps.py
+++ b/tests/features/steps/kept_item_steps.py
@@ -221,6 +221,7 @@
             headers=[(b"content-type", b"text/event-stream")],
             refused=False,
             wrong_upstream=False,
+            authenticated=True,
             body=body(),
         )
 
--- a/tests/features/steps/kept_slots_steps.py
+++ b/tests/features/steps/kept_slots_steps.py
@@ -239,7 +239,12 @@
             yield b"id: 1\ndata: a\n\n"
 
         yield UpstreamResponse(
-            status=200, headers=[], refused=False, wrong_upstream=False, body=body()
+            status=200,
+            headers=[],
+            refused=False,
+            wrong_upstream=False,
+            authenticated=True,
+            body=body(),
         )
 
     async def report(self, upstream):
--- a/tests/features/steps/silence_steps.py
+++ b/tests/features/steps/silence_steps.py
@@ -55,7 +55,12 @@
             yield b"id: 1\ndata: a\n\n"
 
         yield UpstreamResponse(
-            status=200, headers=[], refused=False, wrong_upstream=False, body=body()
+            status=200,
+            headers=[],
+            refused=False,
+            wrong_upstream=False,
+            authenticated=True,
+            body=body(),
         )
 
 
--- a/tests/harness/_ends_upstreams.py
+++ b/tests/harness/_ends_upstreams.py
@@ -241,5 +241,6 @@
         headers=[(b"content-type", b"text/event-stream")],
         refused=refused,
         wrong_upstream=wrong_upstream,
+        authenticated=True,
         body=body,
     )
--- a/tests/harness/_job_instance.py
+++ b/tests/harness/_job_instance.py
@@ -70,6 +70,7 @@
             headers=[(b"content-type", b"text/event-stream")],
             refused=False,
             wrong_upstream=False,
+            authenticated=True,
             body=body(),
         )
 
--- a/tests/harness/_jobs.py
+++ b/tests/harness/_jobs.py
@@ -87,7 +87,12 @@
                 yield f"id: {number}\ndata: w\n\n".encode()
 
         yield UpstreamResponse(
-            status=200, headers=[], refused=False, wrong_upstream=False, body=body()
+            status=200,
+            headers=[],
+            refused=False,
+            wrong_upstream=False,
+            authenticated=True,
+            body=body(),
         )
 
 
--- a/tests/harness/_kept_jobs.py
+++ b/tests/harness/_kept_jobs.py
@@ -49,6 +49,7 @@
             headers=STREAM,
             refused=refused,
             wrong_upstream=False,
+            authenticated=True,
             body=self.body(options["resume_after"] or 0),
         )
 
--- a/tests/harness/_stream_play.py
+++ b/tests/harness/_stream_play.py
@@ -419,6 +419,7 @@
             headers=[(b"content-type", b"text/event-stream")],
             refused=False,
             wrong_upstream=False,
+            authenticated=True,
             body=body(),
         )
 
