Items: an answer with more events than the item has tokens is not used

Reported from outside: bytes without end. Measured beforehand on: 7,108 events kept of an item that may write 50 tokens, then listed as its text when another upstream had nothing to add.

Cause: an item's events had no bound, and events of a broken-off answer stay. An event has a token at least, so that the submission's tokens are the bound.

Change: beyond it the answer's events are dropped, back to what the item had, under a later generation, and a checkpoint that has them is overwritten.

--- a/src/coppercleat/jobs/_item_progress.py
+++ b/src/coppercleat/jobs/_item_progress.py
@@ -84,6 +84,8 @@
       failures: Attempts that the upstream answered with a failure.
       checkpointed_events: Length of ``events`` in the last stored checkpoint.
       checkpointed_failures: ``failures`` in the last stored checkpoint.
+      has_outdated_checkpoint: Whether the stored checkpoint has events that were
+        discarded.
       upstream: Where the item runs; empty if it does not run.
       not_before: When the item may run again, in trio time.
       request: The request for upstreams; built on first use.
@@ -102,6 +104,7 @@
     failures: int = 0
     checkpointed_events: int = 0
     checkpointed_failures: int = 0
+    has_outdated_checkpoint: bool = False
     upstream: UpstreamId = UpstreamId("")
     not_before: float = 0.0
     request: OnlineRequest | None = None
@@ -112,6 +115,15 @@
         """Events since the last checkpoint."""
         return len(self.events) - self.checkpointed_events
 
+    def needs_checkpoint(self, min_new_events: int) -> bool:
+        """Returns whether a checkpoint is worth a write.
+
+        Args:
+          min_new_events: New events that are worth one; a new failure always is.
+        """
+        made_progress = bool(self.events) and self.new_events >= min_new_events
+        return made_progress or self.failed_anew or self.has_outdated_checkpoint
+
     @property
     def failed_anew(self) -> bool:
         """Whether it has failed since the last checkpoint."""
@@ -156,6 +168,22 @@
     def _next_generation(self) -> Generation:
         return Generation(self.ownership, self.generation.number + 1)
 
+    def discard_events(self, *, keep: int, last_event: int | None) -> None:
+        """Drops the events of an answer that was found to be none of an upstream.
+
+        Args:
+          keep: Number of events that the item had before that answer.
+          last_event: Number of the last one of these; None if there were none.
+        """
+        del self.events[keep:]
+        self.last_event = last_event
+        self.generation = self._next_generation()
+        if not keep:
+            self.origin = None
+        if self.checkpointed_events > keep:
+            self.checkpointed_events = keep
+            self.has_outdated_checkpoint = True
+
     def begin_again(self) -> None:
         """Drops the events, which no upstream that may run the item can go on with."""
         self.events = []
@@ -189,6 +217,7 @@
         self.checkpointed_failures = checkpoint.failures
         if checkpoint.generation == self.generation:
             self.checkpointed_events = len(checkpoint.events)
+            self.has_outdated_checkpoint = False
 
     def restore(self, checkpoint: CheckpointRow) -> None:
         """Resumes the item from a checkpoint."""
--- a/src/coppercleat/jobs/_items.py
+++ b/src/coppercleat/jobs/_items.py
@@ -96,6 +96,10 @@
 _log = part_logger("jobs")
 
 
+class EndlessAnswerError(UpstreamCallError):
+    """An answer has more events than the item can have, so that none is to be used."""
+
+
 @attrs.define(eq=False)
 class RunningItem:
     """An item that occupies a slot of an upstream.
@@ -108,6 +112,7 @@
       origin: The upstream's service and version.
       scope: Cancelled to preempt or stop the item.
       stall: Cancelled when the attempt has stalled.
+      events_before: Number of the item's events when the attempt began.
       began_at: When the attempt began, in trio time.
       heard_at: When the attempt began or its last event came, in trio time.
       stalled_since: ``heard_at`` of an attempt that was abandoned as stalled, else
@@ -127,6 +132,7 @@
     origin: StreamOrigin
     scope: trio.CancelScope
     stall: trio.CancelScope = attrs.field(factory=trio.CancelScope)
+    events_before: int = 0
     began_at: float = 0.0
     heard_at: float = 0.0
     stalled_since: float | None = None
@@ -140,6 +146,17 @@
         self.item.record_event(number, data, media_type=media_type, origin=self.origin)
         self.record_progress()
 
+    def check_length(self, number: int) -> None:
+        """Checks that the item may have so many events: each has a token at least.
+
+        Raises:
+          EndlessAnswerError: It may not.
+        """
+        if number > self.item.spec.tokens:
+            raise EndlessAnswerError(
+                f"event {number} of an item of {self.item.spec.tokens} tokens"
+            )
+
     def record_progress(self) -> None:
         """Records that an event came, as evidence that the upstream survives it."""
         self.heard_at = trio.current_time()
@@ -360,11 +377,11 @@
         attempt = Attempt()
         outcome = ItemAttemptOutcome.YIELDED
         running.began_at = running.heard_at = trio.current_time()
-        before = len(item.events)
+        running.events_before = len(item.events)
         with self._slot_released(running), running.scope:
             outcome = await self._attempt(running, attempt)
         self._estimator.observe_attempt(
-            events=len(item.events) - before,
+            events=len(item.events) - running.events_before,
             seconds=trio.current_time() - running.began_at,
         )
         self._record_crash_evidence(running, attempt, outcome)
@@ -441,6 +458,7 @@
     ) -> ItemAttemptOutcome:
         item, state = running.item, running.state
         request = running.request
+        resume_after = item.last_event
         outcome = ItemAttemptOutcome.BROKEN
         with self._abandonment_recorded(running, attempt), running.stall:
             if not await self._may_go_on(running):
@@ -451,11 +469,15 @@
                     request,
                     attempt=attempt,
                     allowed_s=None,
-                    resume_after=item.last_event,
+                    resume_after=resume_after,
                 ) as answer:
                     outcome = await _receive_events(running, answer)
             except UpstreamCallError as error:
                 running.disconnected = error.disconnected
+                if isinstance(error, EndlessAnswerError):
+                    item.discard_events(
+                        keep=running.events_before, last_event=resume_after
+                    )
                 _log.info(
                     "Item attempt interrupted.",
                     host=running.run.stored.ref.host,
@@ -575,6 +597,7 @@
         whole, in_order = sequence.take(splitter.feed(data))
         for event in whole:
             if event.number is not None:
+                running.check_length(event.number)
                 running.record_event(event.number, event.data, media_type)
         if not in_order:
             raise UpstreamCallError("event numbers are not consecutive")
--- a/src/coppercleat/jobs/_run.py
+++ b/src/coppercleat/jobs/_run.py
@@ -10,7 +10,7 @@
 from coppercleat.jobs._item_progress import ItemAttemptOutcome, ItemProgress
 from coppercleat.jobs._records import CheckpointRow, ItemSpec, ItemState
 from coppercleat.jobs._repository import FinishedItem, StoredJob
-from coppercleat.serving import ItemEvents, OnlineRequest
+from coppercleat.serving import NO_GENERATION, ItemEvents, OnlineRequest
 
 
 @attrs.define(frozen=True)
@@ -184,7 +184,7 @@
         found = [
             item.handover()
             for item in [*self.running.values(), *self.pending]
-            if item.events
+            if item.events or item.generation != NO_GENERATION
         ]
         for done in self.finished:
             if done.state is ItemState.COMPLETED:
@@ -206,7 +206,7 @@
         return {
             item.index: item.checkpoint()
             for item in items
-            if (item.events and item.new_events >= min_new_events) or item.failed_anew
+            if item.needs_checkpoint(min_new_events)
         }
 
     def record_checkpoints(self, checkpoints: dict[int, CheckpointRow]) -> None:
--- a/tests/features/item_progress.feature
+++ b/tests/features/item_progress.feature
@@ -28,7 +28,7 @@
       | nothing    | an unknown version at 9                   | unknown at 9 |
 
   # Guards against the same in any order of runs, checkpoints, takeovers and handovers.
-  # 39 of these seeds fail where copies are compared by length. Thousands by hand.
+  # 55 of these seeds fail where copies are compared by length. Thousands by hand.
   Scenario: Items that begin again while owners, checkpoints and handovers change
     When courses of progress with seeds 0 to 399 are played
     Then each listed text is the whole output of one service and version
--- a/tests/features/serving_decisions.feature
+++ b/tests/features/serving_decisions.feature
@@ -706,6 +706,10 @@
       | 200 unstamped / 200 1 2            | completed | 1 2       | none none   |
       | 200 1 cut / 200 unstamped 2 / 200 2 | completed | 1 2      | none 1 1    |
       | 200 1 cut / 200 unstamped / 200 2  | completed | 1 2       | none 1 1    |
+      | 200 1 2 3 4 5 6                    | completed | 1 2 3 4 5 6 | none      |
+      | 200 1 2 3 4 5 6 7 8 / 200 1 2      | completed | 1 2       | none none   |
+      | 200 1 2 cut / 200 3 4 5 6 7 / 200 3 | completed | 1 2 3    | none 2 2    |
+      | 200 1 2 3 4 5 6 7 / 200 / 200 1    | completed | 1         | none none none |
       | 200 bug / 200 1 2                  | completed | 1 2       | none none   |
       | 200 1 bug / 200 2                  | completed | 1 2       | none 1      |
       | 200 1 cut / 500 / 500 / 500        | failed    | -         | none 1 1 1  |
--- a/tests/harness/_progress_play.py
+++ b/tests/harness/_progress_play.py
@@ -191,7 +191,27 @@
             play.owners[-1].run.apply_handover(play.rng.choice(play.sent[-4:]))
 
 
+def _is_discarded(play: ProgressPlay) -> None:
+    """An answer turns out to be none, after its events may have been stored."""
+    owner = play.owners[-1]
+    if not owner.run.running:
+        return
+    index = play.rng.choice(list(owner.run.running))
+    item, origin = owner.run.running[index], owner.at[index]
+    keep, last_event = len(item.events), item.last_event
+    for number in range((last_event or 0) + 1, (last_event or 0) + 20):
+        item.record_event(number, b"poison", media_type=EVENT_STREAM, origin=origin)
+    if play.rng.random() < 0.5:
+        play.commit(owner, owner.run.new_checkpoints(1))
+    if play.rng.random() < 0.3:
+        play.sent.append(_sent(owner.run.progress()))
+    item.discard_events(keep=keep, last_event=last_event)
+    _stop(owner, index, ItemAttemptOutcome.BROKEN)
+    play.commit(owner, owner.run.new_checkpoints(4))
+
+
 _STEPS = (
+    _is_discarded,
     _any_advances,
     _any_advances,
     _is_preempted,
